--- /dev/null
+++ b/Makefile
@@ -0,0 +1,50 @@
+# Targets: demo, test, lint, race, bench, generate. Only Go and make are needed.
+
+BIN := $(CURDIR)/bin
+TOOLS := $(CURDIR)/.cache/tools
+GOLANGCI := $(TOOLS)/golangci-lint
+GOLANGCI_VERSION := v2.15.0
+PACKAGES := ./... ./standins/...
+
+.PHONY: all build demo test lint race bench generate clean
+
+all: build
+
+build:
+	go build -o $(BIN)/ ./cmd/... ./standins/cmd/...
+
+demo: build
+	$(BIN)/demo $(BIN)
+
+# Everything that CI runs.
+test: lint build race
+
+lint: $(GOLANGCI)
+	go vet $(PACKAGES)
+	$(GOLANGCI) fmt --diff ./... 
+	$(GOLANGCI) run ./...
+	cd standins && $(GOLANGCI) run --config ../.golangci.yml ./...
+
+race: build
+	go test -race -count=1 $(PACKAGES)
+
+bench: build
+	go run ./standins/cmd/bench $(BIN)
+
+generate: $(TOOLS)/protoc-gen-go $(TOOLS)/protoc-gen-twirp $(TOOLS)/buf
+	PATH=$(TOOLS):$$PATH buf generate
+
+$(GOLANGCI):
+	GOWORK=off GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+$(TOOLS)/protoc-gen-go:
+	GOWORK=off GOBIN=$(TOOLS) go install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
+
+$(TOOLS)/protoc-gen-twirp:
+	GOWORK=off GOBIN=$(TOOLS) go install github.com/twitchtv/twirp/protoc-gen-twirp@v8.1.3+incompatible
+
+$(TOOLS)/buf:
+	GOWORK=off GOBIN=$(TOOLS) go install github.com/bufbuild/buf/cmd/buf@latest
+
+clean:
+	rm -rf $(BIN) .cache
--- /dev/null
+++ b/cmd/crowbridge/main.go
@@ -0,0 +1,70 @@
+// Command crowbridge is the operators' command line.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes that scripts can rely on.
+const (
+	exitFailed   = 1
+	exitRejected = 2
+	exitUnknown  = 3
+)
+
+// verdictError carries the exit code of a command that reached the system but
+// wasn't accepted.
+type verdictError struct {
+	code int
+	text string
+}
+
+// Error implements error.
+func (e *verdictError) Error() string { return e.text }
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	err := newApp().Run(ctx, os.Args)
+	stop()
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "crowbridge:", err)
+	var verdict *verdictError
+	if errors.As(err, &verdict) {
+		os.Exit(verdict.code)
+	}
+	os.Exit(exitFailed)
+}
+
+func newApp() *cli.Command {
+	return &cli.Command{
+		Name:  "crowbridge",
+		Usage: "administer a crowbridge deployment",
+		Description: `Exit codes: 0 done, 1 failed, 2 rejected, 3 unknown (ask again with the same --command-id).
+
+Examples:
+  crowbridge apply -f customers.yaml --reason "new member"
+  crowbridge get Customer -o yaml
+  crowbridge drain pw-03
+  crowbridge explain --customer rozsa --model petal-7b`,
+		EnableShellCompletion: true,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "entry", Usage: "IP:port of the control port of an entry; repeat for more, tried in turn", Sources: cli.EnvVars("CROWBRIDGE_ENTRY")},
+			&cli.StringFlag{Name: "token", Usage: "operator token", Sources: cli.EnvVars("CROWBRIDGE_TOKEN")},
+			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: "table", Usage: "table, json or yaml"},
+		},
+		Commands: []*cli.Command{
+			applyCommand(), diffCommand(), getCommand(), deleteCommand(), drainCommand(),
+			historyCommand(), auditCommand(), statusCommand(), explainCommand(), keyCommand(),
+		},
+	}
+}
--- /dev/null
+++ b/cmd/crowbridged/entry.go
@@ -0,0 +1,183 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/daemon"
+	"github.com/crowbridge/crowbridge/internal/entry"
+	"github.com/crowbridge/crowbridge/internal/platform"
+	"github.com/crowbridge/crowbridge/internal/replica"
+	"github.com/crowbridge/crowbridge/internal/rpc"
+	"github.com/crowbridge/crowbridge/internal/settings"
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	defaultMaxBody   = 8 << 20
+	defaultMaxAnswer = 16 << 20
+	// logReaders is how many entries of a zone read the log themselves; the
+	// others read from them.
+	logReaders = 2
+)
+
+func entryCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "entry",
+		Usage: "serve callers: authenticate, route, answer",
+		Flags: append(
+			commonFlags(),
+			stringFlag("name", "", "name of this daemon, unique in the deployment"),
+			stringFlag("log-url", "", "base URL of the platform's log"),
+			stringFlag("vms-url", "", "base URL of the platform's list of VMs"),
+			listFlag("operator", "name:role:sha256-of-token of an operator; role is read or change; repeat for each"),
+			intFlag("max-body", defaultMaxBody, "largest request body in bytes"),
+			intFlag("max-answer", defaultMaxAnswer, "largest unstreamed answer in bytes"),
+			intFlag("max-concurrent", 20000, "most requests in flight"),
+			intFlag("reports-per-second", 40, "load reports asked of agents per second"),
+		),
+		Action: runEntry,
+	}
+}
+
+type entrySettings struct {
+	peers     []settings.Peer
+	operators []daemon.Operator
+}
+
+func checkEntry(cmd *cli.Command) (*entrySettings, error) {
+	var c settings.Checker
+	for _, name := range []string{"name", "zone", "daemon-key"} {
+		c.Required(name, cmd.String(name))
+	}
+	for _, name := range []string{"listen", "control", "metrics"} {
+		c.IPPort(name, cmd.String(name))
+	}
+	for _, name := range []string{"log-url", "vms-url"} {
+		c.URL(name, cmd.String(name))
+	}
+	for _, name := range []string{"max-body", "max-answer", "max-concurrent", "reports-per-second"} {
+		c.Positive(name, int64(cmd.Int(name)))
+	}
+	s := &entrySettings{peers: c.Peers("entry-peer", cmd.StringSlice("entry-peer"))}
+	for _, value := range cmd.StringSlice("operator") {
+		operator, err := daemon.ParseOperator(value)
+		c.Fail("operator", "(hidden)", err)
+		s.operators = append(s.operators, operator)
+	}
+	return s, c.Err()
+}
+
+func runEntry(ctx context.Context, cmd *cli.Command) error {
+	s, err := checkEntry(cmd)
+	if err != nil {
+		return err
+	}
+	if cmd.Bool("check") {
+		printSettings(os.Stdout, cmd)
+		return nil
+	}
+	logger, err := daemon.NewLogger(cmd.String("log-level"))
+	if err != nil {
+		return err
+	}
+	log := logger.WithFields(logrus.Fields{"daemon": cmd.String("name"), "zone": cmd.String("zone")})
+	rep := replica.New(time.Now)
+	e := entry.New(entry.Options{
+		Name: cmd.String("name"), Zone: cmd.String("zone"), DaemonKey: cmd.String("daemon-key"),
+		MaxBody: cmd.Int("max-body"), MaxAnswer: int64(cmd.Int("max-answer")),
+		MaxConcurrent: cmd.Int("max-concurrent"), ReportsPerSecond: cmd.Int("reports-per-second"),
+	}, rep, time.Now, log)
+	daemon.ExportLedger(e.Ledger)
+	return serveEntry(ctx, cmd, s, e, rep, log)
+}
+
+func serveEntry(ctx context.Context, cmd *cli.Command, s *entrySettings, e *entry.Entry, rep *replica.Replica, log *logrus.Entry) error {
+	callers, err := daemon.Listen("listen", cmd.String("listen"))
+	if err != nil {
+		return err
+	}
+	control, err := daemon.Listen("control", cmd.String("control"))
+	if err != nil {
+		return err
+	}
+	metrics, err := daemon.Listen("metrics", cmd.String("metrics"))
+	if err != nil {
+		return err
+	}
+	grace := cmd.Duration("drain-timeout")
+	platformLog := platform.NewHTTPLog(cmd.String("log-url"))
+	admin := entry.NewAdmin(e, platformLog, s.operators, log)
+	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBackground()
+	group, background := errgroup.WithContext(background)
+	group.Go(func() error { return e.Serve(callers) })
+	group.Go(func() error {
+		return daemon.ServeHTTP(background, control, controlHandler(cmd.String("daemon-key"), admin, rep), time.Second)
+	})
+	group.Go(func() error {
+		return daemon.ServeHTTP(background, metrics, daemon.MetricsHandler(e.Ready, log.Logger), time.Second)
+	})
+	group.Go(func() error { rep.Follow(background, entrySources(cmd, s, platformLog), log); return nil })
+	group.Go(func() error { e.WatchConfiguration(background); return nil })
+	group.Go(func() error { return e.WatchServers(background) })
+	group.Go(func() error { e.WatchVMs(background, platform.NewHTTPVMList(cmd.String("vms-url"))); return nil })
+	group.Go(func() error { e.WriteSnapshots(background, platformLog); return nil })
+	log.WithField("listen", callers.Addr().String()).Info("entry serves")
+
+	select {
+	case <-ctx.Done():
+	case <-background.Done():
+		return group.Wait()
+	}
+	log.Info("planned stop: finishing the requests in flight")
+	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
+	defer cancel()
+	err = e.Stop(stopCtx)
+	stopBackground()
+	if groupErr := group.Wait(); err == nil {
+		err = groupErr
+	}
+	log.WithField("ledger", e.Ledger()).Info("entry stopped")
+	return err
+}
+
+func controlHandler(key string, admin *entry.Admin, rep *replica.Replica) http.Handler {
+	peers := rpc.NewPeersServer(&replica.PeerServer{Replica: rep, Seen: admin.Seen})
+	mux := http.NewServeMux()
+	mux.Handle(peers.PathPrefix(), daemon.RequireKey(key, peers))
+	mux.Handle(admin.PathPrefix(), admin.Handler())
+	return mux
+}
+
+// entrySources orders where an entry reads from. The first two entries of a
+// zone read the log, the others read from them, so that the log's load doesn't
+// grow with the fleet; each falls back on all the rest.
+func entrySources(cmd *cli.Command, s *entrySettings, log platform.Log) []replica.Source {
+	self := cmd.String("control")
+	zone := cmd.String("zone")
+	client := daemon.NewControlClient(cmd.String("daemon-key"))
+	fromLog := replica.LogSource{Log: log}
+	var own, others []replica.Source
+	place := 0
+	for _, peer := range s.peers {
+		if peer.Address == self {
+			place = len(own)
+			continue
+		}
+		source := replica.NewPeerSource(peer.Address, cmd.String("name"), client)
+		if peer.Zone == zone {
+			own = append(own, source)
+		} else {
+			others = append(others, source)
+		}
+	}
+	if place < logReaders {
+		return append(append([]replica.Source{fromLog}, own...), others...)
+	}
+	return append(append(own, fromLog), others...)
+}
--- /dev/null
+++ b/cmd/crowbridged/main.go
@@ -0,0 +1,29 @@
+// Command crowbridged is the daemon: `entry` serves callers on an entry VM,
+// `agent` stands before one backend server.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	app := &cli.Command{
+		Name:                  "crowbridged",
+		Usage:                 "load balancer daemon for expert-parallel model groups",
+		EnableShellCompletion: true,
+		Commands:              []*cli.Command{entryCommand(), agentCommand()},
+	}
+	if err := app.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "crowbridged:", err)
+		stop()
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/admission/limit.go
@@ -0,0 +1,74 @@
+package admission
+
+import "time"
+
+// LimitOptions bound the adaptive concurrency limit.
+type LimitOptions struct {
+	// Min and Max bound the limit; Initial is where it starts.
+	Min, Max, Initial int
+}
+
+// Limit adapts how many requests run at once to the latency per unit of cost.
+// While latency stays near the best seen, a limit in full use grows by one per
+// limit's worth of answers; when latency doubles, or the server fails, it
+// shrinks by a tenth, at most once per limit's worth of answers.
+type Limit struct {
+	options LimitOptions
+	limit   float64
+	best    float64 // least smoothed seconds per cost, forgotten slowly
+	recent  float64 // smoothed seconds per cost
+	latency float64 // smoothed seconds per request
+	since   int     // answers since the last change
+}
+
+const (
+	latencyWeight  = 0.1   // weight of one answer in the smoothed latency
+	bestDrift      = 1.001 // how fast the best latency is forgotten, per answer
+	slowFactor     = 2.0   // latency over best that counts as overload
+	shrinkFactor   = 0.9
+	growthAnswers  = 1 // limit's worths of answers per growth by one
+	fullUsePercent = 80
+)
+
+// NewLimit returns a limit at its initial value.
+func NewLimit(options LimitOptions) *Limit {
+	return &Limit{options: options, limit: float64(options.Initial)}
+}
+
+// Current is the limit now.
+func (l *Limit) Current() int { return int(l.limit) }
+
+// Latency is the smoothed time from start to end of a request.
+func (l *Limit) Latency() time.Duration { return time.Duration(l.latency * float64(time.Second)) }
+
+// Observe learns from one ended request: how long it ran, what it cost, and how
+// many ran beside it.
+func (l *Limit) Observe(took time.Duration, cost float64, inFlight int, ok bool) {
+	perCost := took.Seconds() / cost
+	l.smooth(perCost, took.Seconds())
+	l.since++
+	if l.since < growthAnswers*l.Current() {
+		return
+	}
+	switch {
+	case !ok || l.recent > slowFactor*l.best:
+		l.set(l.limit * shrinkFactor)
+	case inFlight*100 >= fullUsePercent*l.Current():
+		l.set(l.limit + 1)
+	}
+}
+
+func (l *Limit) smooth(perCost, seconds float64) {
+	if l.recent == 0 {
+		l.recent, l.best, l.latency = perCost, perCost, seconds
+		return
+	}
+	l.recent += latencyWeight * (perCost - l.recent)
+	l.latency += latencyWeight * (seconds - l.latency)
+	l.best = min(l.best*bestDrift, l.recent)
+}
+
+func (l *Limit) set(limit float64) {
+	l.limit = min(max(limit, float64(l.options.Min)), float64(l.options.Max))
+	l.since = 0
+}
--- /dev/null
+++ b/internal/config/audit.go
@@ -0,0 +1,70 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
+
+// AuditAction names what an audit entry is about.
+type AuditAction string
+
+// The audited actions.
+const (
+	AuditChange AuditAction = "change"
+	AuditLease  AuditAction = "lease"
+)
+
+// AuditEntry tells who changed what, when, why, and what became of it. Each
+// entry's Hash covers the one before it, so that a removed or altered entry shows.
+type AuditEntry struct {
+	Offset    int64       `json:"offset"`
+	TimeMs    int64       `json:"timeMs"`
+	Actor     string      `json:"actor"`
+	Action    AuditAction `json:"action"`
+	Reason    string      `json:"reason,omitempty"`
+	CommandID string      `json:"commandId,omitempty"`
+	Objects   []string    `json:"objects,omitempty"`
+	Accepted  bool        `json:"accepted"`
+	Verdict   string      `json:"verdict,omitempty"`
+	Hash      string      `json:"hash"`
+}
+
+func (s *State) appendAudit(entry AuditEntry) {
+	entry.Hash = chainHash(s.Chain, entry)
+	s.Chain = entry.Hash
+	s.Audit = append(s.Audit, entry)
+	if keep := s.policy().AuditEntries; len(s.Audit) > keep {
+		s.Audit = append([]AuditEntry(nil), s.Audit[len(s.Audit)-keep:]...)
+	}
+}
+
+func chainHash(previous string, entry AuditEntry) string {
+	entry.Hash = previous
+	data, err := json.Marshal(entry)
+	if err != nil {
+		return "unencodable"
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// VerifyAudit checks the hash chain of consecutive entries.
+func VerifyAudit(entries []AuditEntry) error {
+	for i := 1; i < len(entries); i++ {
+		if chainHash(entries[i-1].Hash, entries[i]) != entries[i].Hash {
+			return errors.Errorf("audit entry at offset %d doesn't follow the one at %d: the trail was altered", entries[i].Offset, entries[i-1].Offset)
+		}
+	}
+	return nil
+}
+
+func (s *State) policy() Policy {
+	object := s.Objects[string(KindPolicy)+"/"+PolicyName]
+	if object == nil || object.Policy == nil {
+		return Policy{}.WithDefaults()
+	}
+	return object.Policy.WithDefaults()
+}
--- /dev/null
+++ b/internal/config/fold.go
@@ -0,0 +1,359 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// Result is what became of one command.
+type Result struct {
+	Offset   int64  `json:"offset"`
+	Accepted bool   `json:"accepted"`
+	Reason   string `json:"reason,omitempty"`
+}
+
+// Lease is who may order a group, and since when.
+type Lease struct {
+	Group  string `json:"group"`
+	Holder string `json:"holder"`
+	// Fence is the offset of the claim: the fencing number.
+	Fence int64 `json:"fence"`
+	// Last is the offset of the claim or of its latest renewal.
+	Last int64 `json:"last"`
+}
+
+// maxCommands is how many command IDs are remembered for idempotent repeats.
+// At 8,600 changes a day that is more than two days.
+const maxCommands = 20000
+
+// State is the fold of the log up to Offset. Every process that folded to the
+// same offset has the same State, byte for byte. Not safe for concurrent use;
+// View gives an immutable copy.
+type State struct {
+	Offset  int64                   `json:"offset"`
+	Objects map[string]*Object      `json:"objects"`
+	Leases  map[string]Lease        `json:"leases"`
+	Results map[string]Result       `json:"results"`
+	Order   []string                `json:"order"` // command IDs, oldest first
+	Audit   []AuditEntry            `json:"audit"`
+	Chain   string                  `json:"chain"`
+	Unread  map[RecordKind]UnreadAt `json:"unread,omitempty"`
+
+	// SnapshotBase is the base offset of the newest complete snapshot seen. It
+	// depends on where a process began to read, so it is not part of the hash.
+	SnapshotBase int64 `json:"-"`
+
+	assembly map[string]*assembly
+	shared   bool // Objects is shared with a View and must be cloned before a write
+}
+
+// UnreadAt marks records that this release does not know how to fold.
+type UnreadAt struct {
+	First int64 `json:"first"`
+	Count int64 `json:"count"`
+}
+
+// NoOffset is the offset of a State that has folded nothing.
+const NoOffset int64 = -1
+
+// NewState returns the state before the first record.
+func NewState() *State {
+	return &State{
+		Offset:       NoOffset,
+		Objects:      map[string]*Object{},
+		Leases:       map[string]Lease{},
+		Results:      map[string]Result{},
+		SnapshotBase: NoOffset,
+		assembly:     map[string]*assembly{},
+	}
+}
+
+// ErrGap is returned by Fold when a record is missing before the given one.
+var ErrGap = errors.New("log record out of order: a record before it is missing")
+
+// Fold applies the next record. A record at or below Offset was folded before
+// and changes nothing, so duplicate delivery is harmless. A record that leaves
+// a gap is refused. Bytes that are no record are skipped the same way everywhere.
+func (s *State) Fold(entry LogEntry) error {
+	if entry.Offset <= s.Offset {
+		return nil
+	}
+	if entry.Offset != s.Offset+1 {
+		return errors.Wrapf(ErrGap, "have %d, got %d", s.Offset, entry.Offset)
+	}
+	s.Offset = entry.Offset
+	record, err := DecodeRecord(entry.Data)
+	if err != nil || record.Format < 1 {
+		s.markUnread("undecodable", entry.Offset)
+		return nil
+	}
+	if record.Format > FormatVersion {
+		s.markUnread(record.Kind, entry.Offset)
+		return nil
+	}
+	s.foldRecord(record, entry)
+	return nil
+}
+
+func (s *State) foldRecord(record *Record, entry LogEntry) {
+	switch {
+	case record.Kind == RecordChange && record.Bundle != nil:
+		s.foldBundle(record.Bundle, entry)
+	case record.Kind == RecordLease && record.Lease != nil:
+		s.foldLease(record.Lease, entry)
+	case record.Kind == RecordSnapshot && record.Snapshot != nil:
+		s.foldSnapshotChunk(record.Snapshot)
+	default:
+		s.markUnread(record.Kind, entry.Offset)
+	}
+}
+
+func (s *State) markUnread(kind RecordKind, offset int64) {
+	if s.Unread == nil {
+		s.Unread = map[RecordKind]UnreadAt{}
+	}
+	mark := s.Unread[kind]
+	if mark.Count == 0 {
+		mark.First = offset
+	}
+	mark.Count++
+	s.Unread[kind] = mark
+}
+
+func (s *State) foldBundle(bundle *Bundle, entry LogEntry) {
+	if _, seen := s.Results[bundle.CommandID]; seen {
+		return
+	}
+	reason := s.Check(bundle)
+	if reason == nil {
+		s.commit(bundle, entry.Offset)
+	}
+	result := Result{Offset: entry.Offset, Accepted: reason == nil}
+	if reason != nil {
+		result.Reason = reason.Error()
+	}
+	s.remember(bundle.CommandID, result)
+	s.appendAudit(AuditEntry{
+		Offset: entry.Offset, TimeMs: entry.TimeMs, Actor: bundle.Actor,
+		Action: AuditChange, Reason: bundle.Reason, CommandID: bundle.CommandID,
+		Objects: bundle.objectIDs(), Accepted: result.Accepted, Verdict: result.Reason,
+	})
+}
+
+func (b *Bundle) objectIDs() []string {
+	ids := make([]string, 0, len(b.Changes))
+	for _, change := range b.Changes {
+		ids = append(ids, string(change.Kind)+"/"+change.Name)
+	}
+	return ids
+}
+
+// Check tells whether the bundle would be accepted now. It changes nothing.
+func (s *State) Check(bundle *Bundle) error {
+	if bundle.CommandID == "" {
+		return errors.New("commandId: empty: give each command an ID of its own")
+	}
+	if len(bundle.Changes) == 0 {
+		return errors.New("changes: empty: nothing to apply")
+	}
+	after := newOverlay(s.Objects)
+	for _, change := range bundle.Changes {
+		if err := s.checkChange(change); err != nil {
+			return err
+		}
+		if !after.set(change) {
+			return errors.Errorf("%s/%s: stands twice in one bundle: keep one of the two", change.Kind, change.Name)
+		}
+	}
+	return after.checkReferences()
+}
+
+func (s *State) checkChange(change Change) error {
+	id := string(change.Kind) + "/" + change.Name
+	current := s.Objects[id]
+	if err := checkRevision(id, current, change.ExpectedRevision); err != nil {
+		return err
+	}
+	if change.Object == nil {
+		if current == nil {
+			return errors.Errorf("%s: can't be deleted: it doesn't exist", id)
+		}
+		return nil
+	}
+	if change.Object.Kind != change.Kind || change.Object.Name != change.Name {
+		return errors.Errorf("%s: the change carries %s instead", id, change.Object.ID())
+	}
+	return change.Object.Validate()
+}
+
+func checkRevision(id string, current *Object, expected int64) error {
+	if expected == AnyRevision {
+		return nil
+	}
+	revision := int64(0)
+	if current != nil {
+		// Offsets start at 0, so a revision is kept as offset+1.
+		revision = current.Revision
+	}
+	if revision != expected {
+		return errors.Errorf("%s: changed meanwhile: expected revision %d, is %d: read it again and repeat", id, expected, revision)
+	}
+	return nil
+}
+
+func (s *State) commit(bundle *Bundle, offset int64) {
+	if s.shared {
+		s.Objects = maps.Clone(s.Objects)
+		s.shared = false
+	}
+	for _, change := range bundle.Changes {
+		id := string(change.Kind) + "/" + change.Name
+		if change.Object == nil {
+			delete(s.Objects, id)
+			continue
+		}
+		object := *change.Object
+		object.Revision = offset + 1
+		s.Objects[id] = &object
+	}
+}
+
+func (s *State) remember(commandID string, result Result) {
+	s.Results[commandID] = result
+	s.Order = append(s.Order, commandID)
+	if len(s.Order) > maxCommands {
+		delete(s.Results, s.Order[0])
+		s.Order = slices.Delete(s.Order, 0, 1)
+	}
+}
+
+func (s *State) foldLease(claim *LeaseClaim, entry LogEntry) {
+	current, held := s.Leases[claim.Group]
+	last := NoOffset
+	if held {
+		last = current.Last
+	}
+	if claim.Previous != last {
+		return // lost the race: someone's claim or renewal has a lower offset
+	}
+	next := Lease{Group: claim.Group, Holder: claim.Holder, Fence: entry.Offset, Last: entry.Offset}
+	if held && current.Holder == claim.Holder {
+		next.Fence = current.Fence
+	}
+	s.Leases[claim.Group] = next
+	if !held || current.Holder != claim.Holder {
+		s.appendAudit(AuditEntry{
+			Offset: entry.Offset, TimeMs: entry.TimeMs, Actor: claim.Holder,
+			Action: AuditLease, Objects: []string{string(KindGroup) + "/" + claim.Group}, Accepted: true,
+		})
+	}
+}
+
+// Hash returns the SHA-256 of the state in hex.
+func (s *State) Hash() string {
+	data, err := json.Marshal(s)
+	if err != nil {
+		return fmt.Sprintf("unencodable: %v", err)
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// overlay is the object table as it would be after a bundle.
+type overlay struct {
+	base    map[string]*Object
+	changed map[string]*Object
+}
+
+func newOverlay(base map[string]*Object) *overlay {
+	return &overlay{base: base, changed: map[string]*Object{}}
+}
+
+func (o *overlay) set(change Change) bool {
+	id := string(change.Kind) + "/" + change.Name
+	_, twice := o.changed[id]
+	o.changed[id] = change.Object
+	return !twice
+}
+
+func (o *overlay) get(kind Kind, name string) *Object {
+	id := string(kind) + "/" + name
+	if object, ok := o.changed[id]; ok {
+		return object
+	}
+	return o.base[id]
+}
+
+// checkReferences checks that what the changed objects name exists, and that
+// nothing that stays names a deleted object.
+func (o *overlay) checkReferences() error {
+	for _, id := range slices.Sorted(maps.Keys(o.changed)) {
+		object := o.changed[id]
+		if object == nil {
+			if err := o.checkUnused(id); err != nil {
+				return err
+			}
+			continue
+		}
+		if err := o.checkObject(object); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (o *overlay) checkObject(object *Object) error {
+	for _, ref := range object.references() {
+		if o.get(ref.kind, ref.name) == nil {
+			return object.wrong(ref.field, ref.name, fmt.Sprintf("no %s of that name: apply it first or in the same bundle", ref.kind))
+		}
+	}
+	return nil
+}
+
+func (o *overlay) checkUnused(deleted string) error {
+	for _, id := range slices.Sorted(maps.Keys(o.base)) {
+		object := o.base[id]
+		if replaced, ok := o.changed[id]; ok {
+			object = replaced
+		}
+		if object == nil {
+			continue
+		}
+		for _, ref := range object.references() {
+			if string(ref.kind)+"/"+ref.name == deleted {
+				return errors.Errorf("%s: can't be deleted: %s names it in %s: change that first or in the same bundle", deleted, id, ref.field)
+			}
+		}
+	}
+	return nil
+}
+
+type reference struct {
+	kind  Kind
+	name  string
+	field string
+}
+
+func (o *Object) references() []reference {
+	switch {
+	case o.BackendServer != nil:
+		refs := []reference{{KindService, o.BackendServer.Service, "backendServer.service"}}
+		if o.BackendServer.Group != "" {
+			refs = append(refs, reference{KindGroup, o.BackendServer.Group, "backendServer.group"})
+		}
+		return refs
+	case o.Group != nil:
+		return []reference{{KindService, o.Group.Service, "group.service"}}
+	case o.Route != nil:
+		return []reference{{KindService, o.Route.Service, "route.service"}}
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/config/record.go
@@ -0,0 +1,83 @@
+package config
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
+
+// FormatVersion is the newest record format this release writes and folds.
+const FormatVersion = 1
+
+// RecordKind names what a log record carries.
+type RecordKind string
+
+// The kinds of log records.
+const (
+	RecordChange   RecordKind = "change"
+	RecordLease    RecordKind = "lease"
+	RecordSnapshot RecordKind = "snapshot"
+)
+
+// Record is one entry of the platform's log as crowbridge writes it.
+type Record struct {
+	Format   int            `json:"format"`
+	Kind     RecordKind     `json:"kind"`
+	Bundle   *Bundle        `json:"bundle,omitempty"`
+	Lease    *LeaseClaim    `json:"lease,omitempty"`
+	Snapshot *SnapshotChunk `json:"snapshot,omitempty"`
+}
+
+// Bundle is an all-or-nothing set of changes by one operator.
+type Bundle struct {
+	// CommandID makes the bundle idempotent: it takes effect once, however often it's on the log.
+	CommandID string   `json:"commandId"`
+	Actor     string   `json:"actor"`
+	Reason    string   `json:"reason,omitempty"`
+	Changes   []Change `json:"changes"`
+}
+
+// AnyRevision as a change's expected revision matches every revision.
+const AnyRevision int64 = -1
+
+// Change sets or deletes one object.
+type Change struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+	// Object is the new object; nil deletes it.
+	Object *Object `json:"object,omitempty"`
+	// ExpectedRevision is the revision the change was made against: 0 means that
+	// the object must not exist, AnyRevision skips the check.
+	ExpectedRevision int64 `json:"expectedRevision"`
+}
+
+// LeaseClaim claims or renews the lease on a group.
+type LeaseClaim struct {
+	Group  string `json:"group"`
+	Holder string `json:"holder"`
+	// Previous is the lease's last offset that the claimer saw, claim or renewal; the
+	// claim is rejected when the lease moved since.
+	Previous int64 `json:"previous"`
+}
+
+// LogEntry is a record's bytes with the offset and time the log gave it.
+type LogEntry struct {
+	Offset int64
+	TimeMs int64
+	Data   []byte
+}
+
+// Encode returns the bytes that go onto the log.
+func (r *Record) Encode() ([]byte, error) {
+	data, err := json.Marshal(r)
+	return data, errors.Wrap(err, "encode record")
+}
+
+// DecodeRecord reads a record's bytes.
+func DecodeRecord(data []byte) (*Record, error) {
+	var record Record
+	if err := json.Unmarshal(data, &record); err != nil {
+		return nil, errors.Wrap(err, "decode record")
+	}
+	return &record, nil
+}
--- /dev/null
+++ b/internal/config/view.go
@@ -0,0 +1,67 @@
+package config
+
+import (
+	"maps"
+	"slices"
+	"strings"
+)
+
+// View is an immutable look at the configuration at one offset. It shares its
+// objects with the State it came from; nobody may change them.
+type View struct {
+	// Offset up to which the log was folded.
+	Offset  int64
+	objects map[string]*Object
+	leases  map[string]Lease
+}
+
+// View returns an immutable copy. The objects are shared, not copied, and the
+// state clones its table before the next write.
+func (s *State) View() *View {
+	s.shared = true
+	return &View{
+		Offset:  s.Offset,
+		objects: s.Objects,
+		leases:  maps.Clone(s.Leases),
+	}
+}
+
+// Get returns the object of a kind and name, or nil.
+func (v *View) Get(kind Kind, name string) *Object {
+	return v.objects[string(kind)+"/"+name]
+}
+
+// List returns the objects of a kind by name.
+func (v *View) List(kind Kind) []*Object {
+	prefix := string(kind) + "/"
+	var found []*Object
+	for id, object := range v.objects {
+		if strings.HasPrefix(id, prefix) {
+			found = append(found, object)
+		}
+	}
+	slices.SortFunc(found, func(a, b *Object) int { return strings.Compare(a.Name, b.Name) })
+	return found
+}
+
+// Lease returns the lease on a group.
+func (v *View) Lease(group string) (Lease, bool) {
+	lease, ok := v.leases[group]
+	return lease, ok
+}
+
+// Leases returns all leases by group.
+func (v *View) Leases() []Lease {
+	found := slices.Collect(maps.Values(v.leases))
+	slices.SortFunc(found, func(a, b Lease) int { return strings.Compare(a.Group, b.Group) })
+	return found
+}
+
+// Policy returns the deployment-wide settings with defaults filled in.
+func (v *View) Policy() Policy {
+	object := v.Get(KindPolicy, PolicyName)
+	if object == nil {
+		return Policy{}.WithDefaults()
+	}
+	return object.Policy.WithDefaults()
+}
--- /dev/null
+++ b/internal/daemon/servers.go
@@ -0,0 +1,89 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/crowbridge/crowbridge/internal/outcome"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+)
+
+const headerTimeout = 10 * time.Second
+
+// Listen opens a TCP port and says which setting is wrong when it can't.
+func Listen(setting, address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	return listener, errors.Wrapf(err, "setting %s: %q", setting, address)
+}
+
+// ServeHTTP serves handler on the listener until the context ends, then lets
+// the requests in flight finish for at most grace.
+func ServeHTTP(ctx context.Context, listener net.Listener, handler http.Handler, grace time.Duration) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
+	defer cancel()
+	if err := server.Shutdown(stopCtx); err != nil {
+		return errors.Wrap(server.Close(), "close after the grace period")
+	}
+	return nil
+}
+
+// MetricsHandler serves metrics, liveness, readiness and the log level.
+func MetricsHandler(ready func() bool, logger *logrus.Logger) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WritePrometheus(w, true)
+	})
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("PUT /loglevel/{level}", func(w http.ResponseWriter, r *http.Request) {
+		level, err := logrus.ParseLevel(r.PathValue("level"))
+		if err != nil {
+			http.Error(w, "level: use error, warn, info or debug", http.StatusBadRequest)
+			return
+		}
+		logger.SetLevel(level)
+	})
+	return mux
+}
+
+// ExportLedger publishes a ledger's counts as gauges.
+func ExportLedger(read func() outcome.Counts) {
+	gauge := func(name string, of func(outcome.Counts) int64) {
+		metrics.GetOrCreateGauge(name, func() float64 { return float64(of(read())) })
+	}
+	gauge(`crowbridge_requests_accepted_total`, func(c outcome.Counts) int64 { return c.Accepted })
+	gauge(`crowbridge_requests_total{outcome="answered"}`, func(c outcome.Counts) int64 { return c.Answered })
+	gauge(`crowbridge_requests_total{outcome="not-run"}`, func(c outcome.Counts) int64 { return c.NotRun })
+	gauge(`crowbridge_requests_total{outcome="unknown"}`, func(c outcome.Counts) int64 { return c.Unknown })
+	gauge(`crowbridge_requests_in_flight`, func(c outcome.Counts) int64 { return c.InFlight })
+}
+
+// NewLogger returns a structured logger.
+func NewLogger(level string) (*logrus.Logger, error) {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, errors.Errorf("setting log-level: %q: use error, warn, info or debug", level)
+	}
+	logger := logrus.New()
+	logger.SetLevel(parsed)
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	return logger, nil
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,169 @@
+// Package entry serves callers: it authenticates, routes, sends each request to
+// a backend server's agent, and answers for its outcome.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/daemon"
+	"github.com/crowbridge/crowbridge/internal/outcome"
+	"github.com/crowbridge/crowbridge/internal/replica"
+	"github.com/crowbridge/crowbridge/internal/routing"
+	"github.com/crowbridge/crowbridge/internal/selector"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+)
+
+// Options are an entry's settings.
+type Options struct {
+	// Name identifies the daemon; Zone is its availability zone.
+	Name string
+	Zone string
+	// DaemonKey authenticates daemons to each other.
+	DaemonKey string
+	// MaxBody and MaxAnswer bound a request's and an unstreamed answer's bytes.
+	MaxBody   int
+	MaxAnswer int64
+	// MaxConcurrent bounds the requests in flight.
+	MaxConcurrent int
+	// ReportsPerSecond bounds the polling of agents, whatever the fleet's size.
+	ReportsPerSecond int
+}
+
+// Entry is one entry VM's daemon.
+//
+// Lock order: mu is a leaf and guards the routing table, the retry budget, the
+// random source and the counts per customer. Nothing that blocks is done under it.
+type Entry struct {
+	options Options
+	log     *logrus.Entry
+	replica *replica.Replica
+	now     func() time.Time
+	client  *http.Client
+	control *http.Client
+	server  *fasthttp.Server
+
+	index atomic.Pointer[selector.Index]
+
+	mu       sync.Mutex
+	table    *routing.Table
+	picker   *routing.Picker
+	budget   *routing.RetryBudget
+	random   *rand.Rand
+	inFlight map[string]int // requests in flight by customer
+	cancels  map[requestRef]context.CancelFunc
+
+	ledger   outcome.Ledger
+	stopping atomic.Bool
+}
+
+// requestRef names a request of one customer; nobody else's can match it.
+type requestRef struct {
+	customer  string
+	requestID string
+}
+
+const (
+	dialTimeout  = time.Second
+	idleConns    = 512
+	idleConnTime = 30 * time.Second
+)
+
+// New returns an entry that routes by the replica's configuration.
+func New(options Options, rep *replica.Replica, now func() time.Time, log *logrus.Entry) *Entry {
+	table := routing.NewTable(options.Zone)
+	e := &Entry{
+		options: options,
+		log:     log,
+		replica: rep,
+		now:     now,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: idleConns,
+			IdleConnTimeout:     idleConnTime,
+			DisableCompression:  true,
+		}},
+		control:  daemon.NewControlClient(options.DaemonKey),
+		table:    table,
+		picker:   routing.NewPicker(table),
+		budget:   routing.NewRetryBudget(config.Policy{}.WithDefaults().RetryPercent),
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		inFlight: map[string]int{},
+		cancels:  map[requestRef]context.CancelFunc{},
+	}
+	e.rebuild()
+	e.server = &fasthttp.Server{
+		Handler:               e.serve,
+		Name:                  "crowbridge",
+		MaxRequestBodySize:    options.MaxBody,
+		Concurrency:           options.MaxConcurrent,
+		ReadTimeout:           readTimeout,
+		IdleTimeout:           idleTimeout,
+		CloseOnShutdown:       true,
+		NoDefaultServerHeader: true,
+		StreamRequestBody:     false,
+		Logger:                log,
+		ErrorHandler:          serveProtocolError,
+	}
+	return e
+}
+
+const (
+	readTimeout = 30 * time.Second
+	idleTimeout = 2 * time.Minute
+)
+
+// Serve answers callers on the listener until Stop.
+func (e *Entry) Serve(listener net.Listener) error { return e.server.Serve(listener) }
+
+// Stop refuses new connections and returns when every request in flight has
+// ended, or the context has.
+func (e *Entry) Stop(ctx context.Context) error {
+	e.stopping.Store(true)
+	return e.server.ShutdownWithContext(ctx)
+}
+
+// Ready tells whether the balancer should send requests here.
+func (e *Entry) Ready() bool {
+	return !e.stopping.Load() && e.replica.Offset() > config.NoOffset
+}
+
+// Ledger returns how the requests accepted here ended.
+func (e *Entry) Ledger() outcome.Counts { return e.ledger.Counts() }
+
+// WatchConfiguration recompiles the routes after each change until the context
+// ends.
+func (e *Entry) WatchConfiguration(ctx context.Context) {
+	for {
+		changed := e.replica.Changed()
+		e.rebuild()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (e *Entry) rebuild() {
+	view := e.replica.View()
+	index, err := selector.NewIndex(view)
+	if err != nil {
+		// The fold validates selectors and references, so this is a fault of ours;
+		// going on with the routes in force is the safe answer.
+		e.log.WithError(err).Error("configuration doesn't compile; keeping the routes in force")
+		return
+	}
+	e.index.Store(index)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.table.Sync(index.Servers())
+	e.budget.SetPercent(view.Policy().RetryPercent)
+}
--- /dev/null
+++ b/internal/entry/serve.go
@@ -0,0 +1,228 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/failure"
+	"github.com/crowbridge/crowbridge/internal/httpapi"
+	"github.com/crowbridge/crowbridge/internal/outcome"
+	"github.com/crowbridge/crowbridge/internal/selector"
+	"github.com/crowbridge/crowbridge/internal/wire"
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+)
+
+// Paths of the OpenAI-style API.
+const (
+	pathChat       = "/v1/chat/completions"
+	pathCompletion = "/v1/completions"
+	pathModels     = "/v1/models"
+	pathRequests   = "/v1/requests/"
+)
+
+// exchange is one caller's request on its way through the entry.
+type exchange struct {
+	ctx      *fasthttp.RequestCtx
+	id       string
+	customer *selector.Customer
+	route    *selector.Route
+	intent   httpapi.Intent
+	deadline time.Time
+	// stream is set when the caller asked for server-sent events.
+	stream bool
+	cost   float64
+	prefix uint64
+	ticket *outcome.Ticket
+	tried  []string
+	// started is set once an attempt may have started the request.
+	started bool
+}
+
+func (e *Entry) serve(ctx *fasthttp.RequestCtx) {
+	x := &exchange{ctx: ctx, id: uuid.NewString()}
+	ctx.Response.Header.Set(wire.HeaderRequestID, x.id)
+	if f := e.authenticate(x); f != nil {
+		writeFailure(x, f)
+		return
+	}
+	path := string(ctx.Path())
+	switch {
+	case path == pathModels:
+		e.serveModels(x)
+	case strings.HasPrefix(path, pathRequests):
+		e.serveCancel(x, strings.TrimPrefix(path, pathRequests))
+	default:
+		e.serveRequest(x, path)
+	}
+}
+
+// serveProtocolError answers what fasthttp could not read as a request.
+func serveProtocolError(ctx *fasthttp.RequestCtx, err error) {
+	x := &exchange{ctx: ctx, id: uuid.NewString()}
+	code := failure.CodeInvalid
+	if strings.Contains(err.Error(), "body size exceeds") {
+		code = failure.CodeTooLarge
+	}
+	writeFailure(x, failure.NotRun(failure.StepParse, "", code, err.Error()))
+}
+
+const bearer = "Bearer "
+
+func (e *Entry) authenticate(x *exchange) *failure.Error {
+	header := string(x.ctx.Request.Header.Peek(fasthttp.HeaderAuthorization))
+	if !strings.HasPrefix(header, bearer) {
+		return failure.NotRun(failure.StepAuthenticate, "", failure.CodeUnauthorized, "Authorization: missing: send Bearer and your API key")
+	}
+	sum := sha256.Sum256([]byte(header[len(bearer):]))
+	x.customer = e.index.Load().CustomerByKeyHash(hex.EncodeToString(sum[:]))
+	if x.customer == nil {
+		return failure.NotRun(failure.StepAuthenticate, "", failure.CodeUnauthorized, "Authorization: unknown API key")
+	}
+	return nil
+}
+
+func (e *Entry) serveModels(x *exchange) {
+	body, err := httpapi.EncodeModels(e.index.Load().Models(x.customer, e.now()))
+	if err != nil {
+		writeFailure(x, failure.NotRun(failure.StepParse, "", failure.CodeInvalid, err.Error()))
+		return
+	}
+	x.ctx.SetContentType("application/json")
+	x.ctx.SetBody(body)
+}
+
+// serveCancel cancels one of the customer's own requests at this entry.
+func (e *Entry) serveCancel(x *exchange, id string) {
+	if !x.ctx.IsDelete() {
+		writeFailure(x, failure.NotRun(failure.StepParse, "", failure.CodeInvalid, "method: use DELETE to cancel a request"))
+		return
+	}
+	e.mu.Lock()
+	cancel := e.cancels[requestRef{customer: x.customer.Name, requestID: id}]
+	e.mu.Unlock()
+	if cancel == nil {
+		writeFailure(x, failure.NotRun(failure.StepRoute, "", failure.CodeNotFound, "no such request of yours in flight at this entry"))
+		return
+	}
+	cancel()
+	x.ctx.SetStatusCode(fasthttp.StatusAccepted)
+}
+
+func (e *Entry) serveRequest(x *exchange, path string) {
+	if f := e.parse(x, path); f != nil {
+		writeFailure(x, f)
+		return
+	}
+	if !e.enter(x) {
+		writeFailure(x, failure.NotRun(failure.StepQueue, e.options.Name, failure.CodeOverloaded,
+			"customer.maxInFlight reached at this entry").After(time.Second))
+		return
+	}
+	x.ticket = e.ledger.Accept()
+	e.execute(x)
+}
+
+// parse reads the request and finds its route.
+func (e *Entry) parse(x *exchange, path string) *failure.Error {
+	now := e.now()
+	if path == pathChat || path == pathCompletion {
+		if f := e.parseCompletion(x, now); f != nil {
+			return f
+		}
+	} else {
+		x.route = e.index.Load().RoutePath(x.customer, path, now)
+		x.cost = 1
+	}
+	if x.route == nil {
+		return failure.NotRun(failure.StepRoute, "", failure.CodeNotFound, "no route of yours serves this path or model now; see /v1/models")
+	}
+	intent, err := httpapi.ParseIntent(x.header, defaults(x.route), now, e.replica.View().Policy().ClockSkew())
+	if err != nil {
+		return failure.NotRun(failure.StepParse, "", failure.CodeInvalid, err.Error())
+	}
+	x.intent = intent
+	x.deadline = now.Add(intent.Deadline)
+	return nil
+}
+
+func (x *exchange) header(name string) string {
+	return string(x.ctx.Request.Header.Peek(name))
+}
+
+func (e *Entry) parseCompletion(x *exchange, now time.Time) *failure.Error {
+	if !x.ctx.IsPost() {
+		return failure.NotRun(failure.StepParse, "", failure.CodeInvalid, "method: use POST")
+	}
+	completion, err := httpapi.ParseCompletion(x.ctx.PostBody())
+	if err != nil {
+		return failure.NotRun(failure.StepParse, "", failure.CodeInvalid, err.Error())
+	}
+	x.stream = completion.Stream
+	x.cost = completion.Cost()
+	x.prefix = completion.Prefix()
+	x.route = e.index.Load().RouteModel(x.customer, completion.Model, now)
+	return nil
+}
+
+// defaults returns what the route and its service assume for silent requests.
+func defaults(route *selector.Route) httpapi.Intent {
+	intent := httpapi.Intent{
+		Class:      config.ClassNormal,
+		Deadline:   httpapi.DefaultDeadline,
+		Idempotent: route.Service.Idempotent,
+	}
+	for _, class := range []config.Class{route.Service.Class, route.Spec.Class} {
+		if class != "" {
+			intent.Class = class
+		}
+	}
+	for _, ms := range []int64{route.Service.DeadlineMs, route.Spec.DeadlineMs} {
+		if ms > 0 {
+			intent.Deadline = time.Duration(ms) * time.Millisecond
+		}
+	}
+	return intent
+}
+
+// enter counts the request against its customer's bound.
+func (e *Entry) enter(x *exchange) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	bound := x.customer.Spec.MaxInFlight
+	if bound > 0 && e.inFlight[x.customer.Name] >= bound {
+		return false
+	}
+	e.inFlight[x.customer.Name]++
+	e.budget.Request(x.customer.Name)
+	return true
+}
+
+// leave ends the request with its one outcome.
+func (e *Entry) leave(x *exchange, end failure.Outcome) {
+	if !x.ticket.Close(end) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.inFlight[x.customer.Name]--
+	if e.inFlight[x.customer.Name] == 0 {
+		delete(e.inFlight, x.customer.Name)
+	}
+	delete(e.cancels, requestRef{customer: x.customer.Name, requestID: x.id})
+}
+
+func writeFailure(x *exchange, f *failure.Error) {
+	response := &x.ctx.Response
+	response.SetStatusCode(f.Status())
+	response.Header.Set(wire.HeaderRequestID, x.id)
+	response.Header.Set(wire.HeaderOutcome, string(f.Outcome))
+	if f.RetryAfter > 0 {
+		response.Header.Set(fasthttp.HeaderRetryAfter, httpapi.RetryAfterSeconds(f.RetryAfter))
+	}
+	response.Header.SetContentType("application/json")
+	response.SetBody(httpapi.EncodeFailure(f, x.id))
+}
--- /dev/null
+++ b/internal/entry/watch.go
@@ -0,0 +1,150 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/platform"
+	"github.com/crowbridge/crowbridge/internal/routing"
+	"github.com/crowbridge/crowbridge/internal/rpc"
+	"github.com/crowbridge/crowbridge/internal/wire"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	reportTimeout = 800 * time.Millisecond
+	// reportWorkers is the size of the pool that polls agents.
+	reportWorkers = 8
+	// freshReport is the age below which a server isn't polled: its answers carry
+	// its load already.
+	freshReport = time.Second
+	vmListEvery = 2 * time.Second
+)
+
+// WatchServers polls agents for their load until the context ends. The rate is
+// bounded by ReportsPerSecond, so the cost stays level as the fleet grows: the
+// server whose report is oldest comes next, servers of the own zone counting as
+// four times older.
+func (e *Entry) WatchServers(ctx context.Context) error {
+	tick := time.NewTicker(time.Second / time.Duration(e.options.ReportsPerSecond))
+	defer tick.Stop()
+	due := make(chan *routing.ServerState)
+	group, ctx := errgroup.WithContext(ctx)
+	for range reportWorkers {
+		group.Go(func() error {
+			for row := range due {
+				e.poll(ctx, row)
+			}
+			return nil
+		})
+	}
+	group.Go(func() error {
+		defer close(due)
+		for {
+			select {
+			case <-tick.C:
+			case <-ctx.Done():
+				return nil
+			}
+			row := e.stalest()
+			if row == nil {
+				continue
+			}
+			select {
+			case due <- row:
+			case <-ctx.Done():
+				return nil
+			}
+		}
+	})
+	return group.Wait()
+}
+
+// ownZoneUrgency is how many times older an own-zone report counts.
+const ownZoneUrgency = 4
+
+// stalest returns a copy of the row to poll next, and marks it as polled.
+func (e *Entry) stalest() *routing.ServerState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	var oldest *routing.ServerState
+	var oldestAge time.Duration
+	for _, row := range e.table.Rows() {
+		age := now.Sub(later(row.ReportedAt, row.PolledAt))
+		if age < freshReport {
+			continue
+		}
+		if row.Server.Spec.Zone == e.options.Zone {
+			age *= ownZoneUrgency
+		}
+		if oldest == nil || age > oldestAge {
+			oldest, oldestAge = row, age
+		}
+	}
+	if oldest == nil {
+		return nil
+	}
+	oldest.PolledAt = now
+	polled := *oldest
+	return &polled
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (e *Entry) poll(ctx context.Context, row *routing.ServerState) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	client := rpc.NewAgentsProtobufClient("http://"+row.Server.Spec.Control, e.control)
+	report, err := client.Report(ctx, &rpc.ReportRequest{Daemon: e.options.Name})
+	if err != nil {
+		e.noteFailed(row.Server.Name)
+		return
+	}
+	if report.Server != row.Server.Name {
+		e.noteFailed(row.Server.Name) // the address was reused
+		return
+	}
+	load := wire.Load{
+		InFlight: int(report.InFlight), Queued: int(report.Queued), Limit: int(report.Limit),
+		Leaving: report.Leaving, ServiceTime: time.Duration(report.ServiceTimeUs) * time.Microsecond,
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.table.Report(e.now(), row.Server.Name, report.Incarnation, load)
+}
+
+// WatchVMs reads the platform's list until the context ends. The list lags, so
+// it only ever takes servers out of routing; what agents say comes first.
+func (e *Entry) WatchVMs(ctx context.Context, list platform.VMList) {
+	ticker := time.NewTicker(vmListEvery)
+	defer ticker.Stop()
+	for {
+		e.readVMs(ctx, list)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (e *Entry) readVMs(ctx context.Context, list platform.VMList) {
+	ctx, cancel := context.WithTimeout(ctx, vmListEvery)
+	defer cancel()
+	vms, err := list.VMs(ctx)
+	if err != nil {
+		e.log.WithError(err).Debug("VM list not read; keeping the last one")
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, vm := range vms {
+		e.table.Listed(vm.Name, vm.State == platform.VMLeaving)
+	}
+}
--- /dev/null
+++ b/internal/httpapi/events.go
@@ -0,0 +1,83 @@
+package httpapi
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// Event is one server-sent event, with its bytes as they came.
+type Event struct {
+	// Raw holds the event's lines and the blank line that ends it.
+	Raw []byte
+	// ID is the event's token offset, or -1 when it has none.
+	ID int64
+	// Done tells that this event ends the stream.
+	Done bool
+}
+
+// EventReader splits a stream into whole events.
+type EventReader struct {
+	reader *bufio.Reader
+}
+
+const (
+	eventBuffer = 32 << 10
+	// maxEventBytes bounds one event, so that a bad server can't fill memory.
+	maxEventBytes = 1 << 20
+)
+
+// ErrEventTooLong is returned for an event over the limit.
+var ErrEventTooLong = errors.New("server-sent event over one MiB")
+
+var (
+	idField   = []byte("id:")
+	doneField = []byte("data: [DONE]")
+)
+
+// NewEventReader returns a reader of server-sent events.
+func NewEventReader(r io.Reader) *EventReader {
+	return &EventReader{reader: bufio.NewReaderSize(r, eventBuffer)}
+}
+
+// Next returns the next whole event. A stream that ends inside an event gives
+// io.ErrUnexpectedEOF: half an event is never passed on.
+func (r *EventReader) Next() (Event, error) {
+	event := Event{ID: -1}
+	for {
+		line, err := r.reader.ReadSlice('\n')
+		event.Raw = append(event.Raw, line...)
+		if len(event.Raw) > maxEventBytes {
+			return Event{}, ErrEventTooLong
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if errors.Is(err, io.EOF) && len(event.Raw) > 0 {
+			return Event{}, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return Event{}, err
+		}
+		trimmed := bytes.TrimRight(line, "\r\n")
+		if len(trimmed) == 0 {
+			return event, nil
+		}
+		event.readField(trimmed)
+	}
+}
+
+func (e *Event) readField(line []byte) {
+	if bytes.HasPrefix(line, idField) {
+		id, err := strconv.ParseInt(string(bytes.TrimSpace(line[len(idField):])), 10, 64)
+		if err == nil {
+			e.ID = id
+		}
+	}
+	if bytes.Equal(line, doneField) {
+		e.Done = true
+	}
+}
--- /dev/null
+++ b/internal/httpapi/httpapi.go
@@ -0,0 +1,213 @@
+// Package httpapi reads callers' requests and writes failures as typed JSON.
+// Its parsers do no I/O.
+package httpapi
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/failure"
+	"github.com/crowbridge/crowbridge/internal/outcome"
+	"github.com/crowbridge/crowbridge/internal/wire"
+	"github.com/pkg/errors"
+)
+
+// Completion is what routing needs of an OpenAI-style request body.
+type Completion struct {
+	Model     string          `json:"model"`
+	Stream    bool            `json:"stream"`
+	MaxTokens int             `json:"max_tokens"`
+	Messages  json.RawMessage `json:"messages"`
+	Prompt    json.RawMessage `json:"prompt"`
+}
+
+const (
+	// bytesPerToken estimates prompt tokens from bytes.
+	bytesPerToken = 4
+	// defaultMaxTokens is assumed for requests that give no max_tokens.
+	defaultMaxTokens = 256
+	maxMaxTokens     = 1 << 20
+	// prefixBytes is how much of a prompt stands for its cached prefix.
+	prefixBytes = 512
+)
+
+// ParseCompletion reads an OpenAI-style body.
+func ParseCompletion(body []byte) (*Completion, error) {
+	var c Completion
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil, errors.Wrap(err, "body: not the JSON object of a completion request")
+	}
+	if c.Model == "" {
+		return nil, errors.New("model: empty: name one of /v1/models")
+	}
+	if c.MaxTokens < 0 || c.MaxTokens > maxMaxTokens {
+		return nil, errors.Errorf("max_tokens: %d: use 1 to %d", c.MaxTokens, maxMaxTokens)
+	}
+	if len(c.Messages) == 0 && len(c.Prompt) == 0 {
+		return nil, errors.New("messages: missing: give messages, or prompt for /v1/completions")
+	}
+	return &c, nil
+}
+
+// Cost estimates the tokens that the request will use.
+func (c *Completion) Cost() float64 {
+	output := c.MaxTokens
+	if output == 0 {
+		output = defaultMaxTokens
+	}
+	return float64((len(c.Messages)+len(c.Prompt))/bytesPerToken + output)
+}
+
+// Prefix returns the hash of the prompt's prefix.
+func (c *Completion) Prefix() uint64 {
+	prompt := c.Messages
+	if len(prompt) == 0 {
+		prompt = c.Prompt
+	}
+	return xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)])
+}
+
+// Intent is what a caller's headers ask for, on top of the route's defaults.
+type Intent struct {
+	Class      config.Class
+	Deadline   time.Duration
+	MayWait    bool
+	Idempotent bool
+	Key        string
+}
+
+// HeaderReader returns a request header's value, or "".
+type HeaderReader func(name string) string
+
+const (
+	// DefaultDeadline is used when neither request, route nor service gives one.
+	DefaultDeadline = 30 * time.Second
+	maxDeadline     = time.Hour
+	maxKeyLength    = 255
+	// mayWaitFactor stretches the deadline of a request that may wait.
+	mayWaitFactor = 4
+)
+
+// ParseIntent reads a request's headers. now is the entry's wall clock and skew
+// how far the caller's may be ahead of it.
+func ParseIntent(header HeaderReader, defaults Intent, now time.Time, skew time.Duration) (Intent, error) {
+	intent := defaults
+	if value := header(wire.HeaderClass); value != "" {
+		intent.Class = config.Class(value)
+	}
+	switch intent.Class {
+	case config.ClassUrgent, config.ClassNormal, config.ClassPatient:
+	default:
+		return intent, errors.Errorf("%s: %q: use urgent, normal or patient", wire.HeaderClass, intent.Class)
+	}
+	if err := parseFlag(header, wire.HeaderIdempotent, &intent.Idempotent); err != nil {
+		return intent, err
+	}
+	if err := parseFlag(header, wire.HeaderMayWait, &intent.MayWait); err != nil {
+		return intent, err
+	}
+	if err := intent.parseDeadline(header); err != nil {
+		return intent, err
+	}
+	return intent, intent.parseKey(header, now, skew)
+}
+
+func parseFlag(header HeaderReader, name string, into *bool) error {
+	value := header(name)
+	if value == "" {
+		return nil
+	}
+	flag, err := strconv.ParseBool(value)
+	if err != nil {
+		return errors.Errorf("%s: %q: use true or false", name, value)
+	}
+	*into = flag
+	return nil
+}
+
+func (i *Intent) parseDeadline(header HeaderReader) error {
+	value := header(wire.HeaderDeadline)
+	if value == "" {
+		if i.MayWait {
+			i.Deadline *= mayWaitFactor
+		}
+		return nil
+	}
+	ms, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || ms < 1 || ms > maxDeadline.Milliseconds() {
+		return errors.Errorf("%s: %q: use 1 to %d milliseconds", wire.HeaderDeadline, value, maxDeadline.Milliseconds())
+	}
+	i.Deadline = time.Duration(ms) * time.Millisecond
+	return nil
+}
+
+func (i *Intent) parseKey(header HeaderReader, now time.Time, skew time.Duration) error {
+	i.Key = header(wire.HeaderIdempotencyKey)
+	if len(i.Key) > maxKeyLength {
+		return errors.Errorf("%s: %d bytes: use at most %d", wire.HeaderIdempotencyKey, len(i.Key), maxKeyLength)
+	}
+	at, timed := outcome.KeyTime(i.Key)
+	if timed && at.After(now.Add(skew)) {
+		return errors.Errorf("%s: its time is %s ahead of ours: set the caller's clock", wire.HeaderIdempotencyKey, at.Sub(now).Round(time.Millisecond))
+	}
+	return nil
+}
+
+// FailureBody is the JSON body of a failed request.
+type FailureBody struct {
+	Error FailureDetail `json:"error"`
+}
+
+// FailureDetail is what callers can match on.
+type FailureDetail struct {
+	Code      string `json:"code"`
+	Message   string `json:"message"`
+	Step      string `json:"step"`
+	Peer      string `json:"peer,omitempty"`
+	Outcome   string `json:"outcome"`
+	RequestID string `json:"requestId"`
+	// RetryAfterMs tells when coming back makes sense; absent when it doesn't.
+	RetryAfterMs int64 `json:"retryAfterMs,omitempty"`
+}
+
+// EncodeFailure returns the JSON body for a failure.
+func EncodeFailure(f *failure.Error, requestID string) []byte {
+	body, err := json.Marshal(FailureBody{Error: FailureDetail{
+		Code: string(f.Code), Message: f.Detail, Step: string(f.Step), Peer: f.Peer,
+		Outcome: string(f.Outcome), RequestID: requestID, RetryAfterMs: f.RetryAfter.Milliseconds(),
+	}})
+	if err != nil {
+		return []byte(`{"error":{"code":"internal"}}`) // unreachable: the fields are plain
+	}
+	return body
+}
+
+// RetryAfterSeconds returns the value of a Retry-After header, rounded up.
+func RetryAfterSeconds(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
+
+// ModelList is the body of /v1/models.
+type ModelList struct {
+	Object string      `json:"object"`
+	Data   []ModelItem `json:"data"`
+}
+
+// ModelItem is one model in a ModelList.
+type ModelItem struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+}
+
+// EncodeModels returns the body of /v1/models.
+func EncodeModels(names []string) ([]byte, error) {
+	list := ModelList{Object: "list", Data: make([]ModelItem, 0, len(names))}
+	for _, name := range names {
+		list.Data = append(list.Data, ModelItem{ID: name, Object: "model"})
+	}
+	return json.Marshal(list)
+}
--- /dev/null
+++ b/internal/outcome/keys.go
@@ -0,0 +1,234 @@
+package outcome
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// Key identifies a request across repeats. Two customers' equal keys are
+// different Keys, so that neither can read or disturb the other's.
+type Key struct {
+	Customer string
+	Value    string
+}
+
+// Answer is a recorded answer, given again to every repeat of its key.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Verdict is what may be done with a keyed request.
+type Verdict int
+
+// The verdicts of Keys.Begin.
+const (
+	// VerdictRun permits the start; the caller must end it with Finish, Release or Lose.
+	VerdictRun Verdict = iota
+	// VerdictReplay gives the recorded answer.
+	VerdictReplay
+	// VerdictWait says that an earlier request with the key is still running.
+	VerdictWait
+	// VerdictConflict says that the key was used for another body.
+	VerdictConflict
+	// VerdictUnresolved says that an earlier start can't be ruled out.
+	VerdictUnresolved
+	// VerdictFull says that no more keys can be kept; the request did not run.
+	VerdictFull
+	// VerdictClosed says that the key was never seen and will never run here, so
+	// that it may run at the next home.
+	VerdictClosed
+)
+
+type keyState int
+
+const (
+	keyRunning keyState = iota
+	keyAnswered
+	keyLost // started, and its answer is not known
+	keyClosed
+)
+
+type keyEntry struct {
+	key      Key
+	state    keyState
+	bodyHash string
+	answer   Answer
+	ended    time.Time
+	done     chan struct{}
+}
+
+// KeysOptions are the limits and times of a Keys table.
+type KeysOptions struct {
+	// Started is when this agent began, on its wall clock. Keys that may have been
+	// seen by an earlier incarnation are not run.
+	Started time.Time
+	// First is true when no earlier incarnation of this agent can have run anything.
+	First bool
+	// Window is how long an ended key is kept.
+	Window time.Duration
+	// Skew bounds how far the clocks of any two VMs differ, and how far a key's
+	// own time may be ahead of the entry that accepted it.
+	Skew time.Duration
+	// MaxKeys and MaxBytes bound memory.
+	MaxKeys  int
+	MaxBytes int
+}
+
+// Keys is the table of idempotency keys at one agent. It decides whether a
+// keyed request may start.
+//
+// Invariant: a key for which Begin returned VerdictRun, and that was not
+// released since, never gets VerdictRun again, from this table or, when the key
+// carries its time, from the table of a later incarnation. An untimed key is
+// covered while its entry is kept, and after a restart not run until Window has
+// passed.
+//
+// Not safe for concurrent use.
+type Keys struct {
+	options KeysOptions
+	entries map[Key]*keyEntry
+	ended   *list.List // entries that ended, oldest first
+	bytes   int
+}
+
+// NewKeys returns an empty table.
+func NewKeys(options KeysOptions) *Keys {
+	return &Keys{options: options, entries: map[Key]*keyEntry{}, ended: list.New()}
+}
+
+// KeyTime returns the time that a version 7 UUID carries.
+func KeyTime(value string) (time.Time, bool) {
+	id, err := uuid.Parse(value)
+	if err != nil || id.Version() != uuidVersionTimed {
+		return time.Time{}, false
+	}
+	const millisecondBytes = 6
+	var ms int64
+	for _, b := range id[:millisecondBytes] {
+		ms = ms<<8 | int64(b)
+	}
+	return time.UnixMilli(ms), true
+}
+
+const uuidVersionTimed = 7
+
+// Begin decides about a keyed request at time now. The channel is closed when
+// the request that VerdictWait speaks of has ended. With leaving set, a key never
+// seen before is closed instead of run.
+func (k *Keys) Begin(now time.Time, key Key, bodyHash string, leaving bool) (Verdict, Answer, <-chan struct{}) {
+	k.expire(now)
+	if entry := k.entries[key]; entry != nil {
+		return k.repeat(entry, bodyHash)
+	}
+	if k.mayHaveRun(now, key) {
+		return VerdictUnresolved, Answer{}, nil
+	}
+	if len(k.entries) >= k.options.MaxKeys || k.bytes >= k.options.MaxBytes {
+		return VerdictFull, Answer{}, nil
+	}
+	entry := &keyEntry{key: key, bodyHash: bodyHash, done: make(chan struct{})}
+	k.entries[key] = entry
+	if leaving {
+		k.end(now, entry, keyClosed)
+		return VerdictClosed, Answer{}, nil
+	}
+	return VerdictRun, Answer{}, nil
+}
+
+func (k *Keys) repeat(entry *keyEntry, bodyHash string) (Verdict, Answer, <-chan struct{}) {
+	if entry.bodyHash != bodyHash {
+		return VerdictConflict, Answer{}, nil
+	}
+	switch entry.state {
+	case keyAnswered:
+		return VerdictReplay, entry.answer, nil
+	case keyRunning:
+		return VerdictWait, Answer{}, entry.done
+	case keyClosed:
+		return VerdictClosed, Answer{}, nil
+	case keyLost:
+		return VerdictUnresolved, Answer{}, nil
+	default:
+		return VerdictUnresolved, Answer{}, nil
+	}
+}
+
+// mayHaveRun tells whether a key without an entry may have started before: at
+// an earlier incarnation, or here but long enough ago that its entry is gone.
+//
+// An earlier incarnation accepted a key at its own time T <= Started (both wall
+// clocks, at most Skew apart), and the entry had refused keys more than Skew
+// ahead of itself. So every key it can have run carries a time of at most
+// Started + 2*Skew, plus one Skew for the clock of the VM that was replaced.
+func (k *Keys) mayHaveRun(now time.Time, key Key) bool {
+	at, timed := KeyTime(key.Value)
+	if !timed {
+		return !k.options.First && now.Before(k.options.Started.Add(k.options.Window))
+	}
+	if at.Before(now.Add(-k.options.Window + skewFactor*k.options.Skew)) {
+		return true
+	}
+	return !k.options.First && !at.After(k.options.Started.Add(skewFactor*k.options.Skew))
+}
+
+// skewFactor counts the clocks between a key's time and an agent's: the
+// caller's against its entry, the entry's against the agent, and an earlier
+// incarnation's against the present one.
+const skewFactor = 3
+
+// Finish records the answer of a started key.
+func (k *Keys) Finish(now time.Time, key Key, answer Answer) {
+	entry := k.entries[key]
+	if entry == nil || entry.state != keyRunning {
+		return
+	}
+	entry.answer = answer
+	k.bytes += len(answer.Body)
+	k.end(now, entry, keyAnswered)
+}
+
+// Lose records that a started key's answer is not known.
+func (k *Keys) Lose(now time.Time, key Key) {
+	entry := k.entries[key]
+	if entry == nil || entry.state != keyRunning {
+		return
+	}
+	k.end(now, entry, keyLost)
+}
+
+// Release forgets a key whose request provably did not start, so that it may be
+// asked again.
+func (k *Keys) Release(key Key) {
+	entry := k.entries[key]
+	if entry == nil || entry.state != keyRunning {
+		return
+	}
+	delete(k.entries, key)
+	close(entry.done)
+}
+
+func (k *Keys) end(now time.Time, entry *keyEntry, state keyState) {
+	entry.state = state
+	entry.ended = now
+	k.ended.PushBack(entry)
+	close(entry.done)
+}
+
+func (k *Keys) expire(now time.Time) {
+	for front := k.ended.Front(); front != nil; front = k.ended.Front() {
+		entry, ok := front.Value.(*keyEntry)
+		if !ok || now.Sub(entry.ended) < k.options.Window {
+			return
+		}
+		k.ended.Remove(front)
+		delete(k.entries, entry.key)
+		k.bytes -= len(entry.answer.Body)
+	}
+}
+
+// Len returns the number of keys kept.
+func (k *Keys) Len() int { return len(k.entries) }
--- /dev/null
+++ b/internal/replica/follow.go
@@ -0,0 +1,145 @@
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/platform"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// pollWait is how long one read waits for new records.
+	pollWait = time.Second
+	// staleAfter is the log age at which a source is given up for the next.
+	staleAfter = 4 * time.Second
+	// readTimeout bounds a read beyond its wait.
+	readTimeout = 2 * time.Second
+	minBackoff  = 100 * time.Millisecond
+	maxBackoff  = 2 * time.Second
+)
+
+// Follow keeps the replica up to date until the context ends. It reads from one
+// source at a time, the first that answers and isn't stale; when all are stale
+// it goes round them, so that whoever hears from the log first is found.
+func (r *Replica) Follow(ctx context.Context, sources []Source, log *logrus.Entry) {
+	current := 0
+	failures := 0
+	for ctx.Err() == nil {
+		source := sources[current%len(sources)]
+		age, err := r.followOnce(ctx, source)
+		if err == nil && age < staleAfter {
+			failures = 0
+			continue
+		}
+		if err != nil && ctx.Err() == nil {
+			log.WithError(err).WithField("source", source.Name()).Debug("read failed")
+		}
+		current++
+		failures++
+		if failures%len(sources) == 0 {
+			sleep(ctx, jitter(backoff(failures/len(sources))))
+		}
+		if failures > 0 && current%len(sources) == 0 {
+			current = 0
+		}
+	}
+}
+
+func (r *Replica) followOnce(ctx context.Context, source Source) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollWait+readTimeout)
+	defer cancel()
+	batch, err := source.Records(ctx, r.Offset(), pollWait)
+	if err != nil {
+		return 0, err
+	}
+	if batch.Gone {
+		return batch.LogAge, r.heal(ctx, source)
+	}
+	return batch.LogAge, r.Fold(batch)
+}
+
+// heal takes a snapshot from a source that no longer has the records we need.
+func (r *Replica) heal(ctx context.Context, source Source) error {
+	state, err := source.State(ctx)
+	if err != nil {
+		return err
+	}
+	if !r.Adopt(state) {
+		return errors.Errorf("%s offers a state no newer than ours", source.Name())
+	}
+	return nil
+}
+
+func backoff(round int) time.Duration {
+	return min(minBackoff<<min(round, 5), maxBackoff)
+}
+
+// jitter spreads a delay over half to the whole of it, so that many daemons
+// that lost the same source don't return at once.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d/2+1)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// LogSource reads the platform's log.
+type LogSource struct {
+	// Log is the platform's log service.
+	Log platform.Log
+}
+
+// Name implements Source.
+func (LogSource) Name() string { return "log" }
+
+// Records implements Source.
+func (s LogSource) Records(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
+	entries, err := s.Log.Read(ctx, after, wait)
+	if errors.Is(err, platform.ErrGone) {
+		return Batch{Gone: true}, nil
+	}
+	return Batch{Entries: entries}, err
+}
+
+// State implements Source: it restores from the newest snapshot on the log.
+func (s LogSource) State(ctx context.Context) (*config.State, error) {
+	entries, err := s.readAll(ctx)
+	if err != nil {
+		return nil, err
+	}
+	state := config.Restore(entries)
+	if state == nil {
+		return nil, errors.New("the log keeps no complete snapshot that its records continue")
+	}
+	return state, nil
+}
+
+func (s LogSource) readAll(ctx context.Context) ([]config.LogEntry, error) {
+	first, err := s.Log.First(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var all []config.LogEntry
+	after := first - 1
+	for {
+		entries, err := s.Log.Read(ctx, after, 0)
+		if err != nil {
+			return nil, err
+		}
+		if len(entries) == 0 {
+			return all, nil
+		}
+		all = append(all, entries...)
+		after = entries[len(entries)-1].Offset
+	}
+}
--- /dev/null
+++ b/internal/replica/peer.go
@@ -0,0 +1,94 @@
+package replica
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/rpc"
+	"github.com/pkg/errors"
+)
+
+// PeerSource reads from another daemon.
+type PeerSource struct {
+	address string
+	daemon  string
+	client  rpc.Peers
+}
+
+// NewPeerSource returns a source for the daemon whose control port is at address.
+func NewPeerSource(address, daemon string, client *http.Client) *PeerSource {
+	return &PeerSource{
+		address: address,
+		daemon:  daemon,
+		client:  rpc.NewPeersProtobufClient("http://"+address, client),
+	}
+}
+
+// Name implements Source.
+func (p *PeerSource) Name() string { return "peer " + p.address }
+
+// Records implements Source.
+func (p *PeerSource) Records(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
+	reply, err := p.client.Records(ctx, &rpc.RecordsRequest{After: after, WaitMs: wait.Milliseconds(), Daemon: p.daemon})
+	if err != nil {
+		return Batch{}, errors.Wrap(err, p.Name())
+	}
+	batch := Batch{Gone: reply.Gone, LogAge: time.Duration(reply.LogAgeMs) * time.Millisecond}
+	for _, r := range reply.Records {
+		batch.Entries = append(batch.Entries, config.LogEntry{Offset: r.Offset, TimeMs: r.TimeMs, Data: r.Data})
+	}
+	return batch, nil
+}
+
+// State implements Source.
+func (p *PeerSource) State(ctx context.Context) (*config.State, error) {
+	reply, err := p.client.State(ctx, &rpc.StateRequest{})
+	if err != nil {
+		return nil, errors.Wrap(err, p.Name())
+	}
+	state, err := config.DecodeSnapshot(reply.Snapshot)
+	return state, errors.Wrap(err, p.Name())
+}
+
+// PeerServer serves a replica to other daemons.
+type PeerServer struct {
+	// Replica is what is served.
+	Replica *Replica
+	// Seen is told the offset of each daemon that asks; it may be nil.
+	Seen func(daemon string, offset int64)
+}
+
+// maxPeerWait bounds how long a peer may make us wait.
+const maxPeerWait = 10 * time.Second
+
+// Records implements rpc.Peers.
+func (s *PeerServer) Records(ctx context.Context, request *rpc.RecordsRequest) (*rpc.RecordsReply, error) {
+	if s.Seen != nil && request.Daemon != "" {
+		s.Seen(request.Daemon, request.After)
+	}
+	wait := min(time.Duration(request.WaitMs)*time.Millisecond, maxPeerWait)
+	waitCtx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	// A timeout is a normal answer without records.
+	_ = s.Replica.Wait(waitCtx, func() bool { return s.Replica.Offset() > request.After })
+	return toReply(s.Replica.After(request.After), s.Replica.Offset()), nil
+}
+
+func toReply(batch Batch, offset int64) *rpc.RecordsReply {
+	reply := &rpc.RecordsReply{Gone: batch.Gone, Offset: offset, LogAgeMs: batch.LogAge.Milliseconds()}
+	for _, e := range batch.Entries {
+		reply.Records = append(reply.Records, &rpc.LogRecord{Offset: e.Offset, TimeMs: e.TimeMs, Data: e.Data})
+	}
+	return reply
+}
+
+// State implements rpc.Peers.
+func (s *PeerServer) State(context.Context, *rpc.StateRequest) (*rpc.StateReply, error) {
+	data, offset, err := s.Replica.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	return &rpc.StateReply{Snapshot: data, Offset: offset}, nil
+}
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,230 @@
+// Package replica keeps one process's copy of the folded configuration: it
+// follows the log, or peers that do, and serves what it has to others.
+package replica
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/pkg/errors"
+)
+
+// Batch is what a Source returned.
+type Batch struct {
+	Entries []config.LogEntry
+	// Gone is set when the source no longer has the record after the asked offset.
+	Gone bool
+	// LogAge is how long ago the source, or whoever it reads from, last heard
+	// from the log itself. Ages add up along the way; no clocks are compared.
+	LogAge time.Duration
+}
+
+// Source is where records come from: the log, or a peer.
+type Source interface {
+	// Name identifies the source in logs.
+	Name() string
+	// Records returns the records after an offset, waiting for the first.
+	Records(ctx context.Context, after int64, wait time.Duration) (Batch, error)
+	// State returns a snapshot, for a process whose history fell off the log.
+	State(ctx context.Context) (*config.State, error)
+}
+
+// recentRecords is how many records a replica keeps for its peers.
+const recentRecords = 4096
+
+// Replica is the process's copy. Invariant: its offset never falls. It is safe
+// for concurrent use; its lock is a leaf: no other lock is taken under it.
+type Replica struct {
+	mu        sync.Mutex
+	state     *config.State
+	recent    []config.LogEntry
+	changed   chan struct{}
+	confirmed time.Time // when the end of the log was last heard of
+	now       func() time.Time
+
+	view atomic.Pointer[config.View]
+}
+
+// New returns a replica that has folded nothing.
+func New(now func() time.Time) *Replica {
+	r := &Replica{state: config.NewState(), changed: make(chan struct{}), now: now}
+	r.view.Store(r.state.View())
+	return r
+}
+
+// View returns the configuration in force here.
+func (r *Replica) View() *config.View { return r.view.Load() }
+
+// Changed returns a channel that is closed at the next change.
+func (r *Replica) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+// Fold takes in a batch.
+func (r *Replica) Fold(batch Batch) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.confirm(batch.LogAge)
+	before := r.state.Offset
+	defer func() {
+		if r.state.Offset != before {
+			r.publish()
+		}
+	}()
+	for _, entry := range batch.Entries {
+		if entry.Offset <= r.state.Offset {
+			continue
+		}
+		if err := r.state.Fold(entry); err != nil {
+			return err
+		}
+		r.keep(entry)
+	}
+	return nil
+}
+
+// Adopt replaces the state by a snapshot when that is ahead; an older one is
+// refused, so nothing reverts.
+func (r *Replica) Adopt(state *config.State) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if state.Offset <= r.state.Offset {
+		return false
+	}
+	r.state = state
+	r.recent = nil
+	r.publish()
+	return true
+}
+
+func (r *Replica) confirm(age time.Duration) {
+	heard := r.now().Add(-age)
+	if heard.After(r.confirmed) {
+		r.confirmed = heard
+	}
+}
+
+func (r *Replica) publish() {
+	r.view.Store(r.state.View())
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *Replica) keep(entry config.LogEntry) {
+	r.recent = append(r.recent, entry)
+	if len(r.recent) > 2*recentRecords {
+		r.recent = append([]config.LogEntry(nil), r.recent[len(r.recent)-recentRecords:]...)
+	}
+}
+
+// Offset is the offset folded up to.
+func (r *Replica) Offset() int64 { return r.View().Offset }
+
+// neverConfirmed is the age reported before the log was first heard of.
+const neverConfirmed = 365 * 24 * time.Hour
+
+// LogAge is how long ago the end of the log was last heard of.
+func (r *Replica) LogAge() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.logAge()
+}
+
+func (r *Replica) logAge() time.Duration {
+	if r.confirmed.IsZero() {
+		return neverConfirmed
+	}
+	return r.now().Sub(r.confirmed)
+}
+
+// After returns the records kept after an offset, for a peer.
+func (r *Replica) After(offset int64) Batch {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	batch := Batch{LogAge: r.logAge()}
+	if offset >= r.state.Offset {
+		return batch
+	}
+	first := r.state.Offset - int64(len(r.recent)) + 1
+	if offset+1 < first {
+		batch.Gone = true
+		return batch
+	}
+	batch.Entries = append(batch.Entries, r.recent[offset+1-first:]...)
+	return batch
+}
+
+// Result returns what became of a command.
+func (r *Replica) Result(commandID string) (config.Result, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	result, ok := r.state.Results[commandID]
+	return result, ok
+}
+
+// Check tells whether a bundle would be accepted now.
+func (r *Replica) Check(bundle *config.Bundle) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Check(bundle)
+}
+
+// Audit returns the audit entries after an offset.
+func (r *Replica) Audit(after int64) []config.AuditEntry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []config.AuditEntry
+	for _, entry := range r.state.Audit {
+		if entry.Offset > after {
+			found = append(found, entry)
+		}
+	}
+	return found
+}
+
+// Hash returns the hash of the folded state.
+func (r *Replica) Hash() (int64, string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Offset, r.state.Hash()
+}
+
+// Snapshot returns the encoded state and its offset.
+func (r *Replica) Snapshot() ([]byte, int64, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	data, err := r.state.EncodeSnapshot()
+	return data, r.state.Offset, err
+}
+
+// SnapshotDue returns the records of a snapshot when the newest on the log is
+// more than every offsets old, else nil.
+func (r *Replica) SnapshotDue(every int64) ([]*config.Record, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state.Offset-r.state.SnapshotBase < every {
+		return nil, nil
+	}
+	return r.state.SnapshotRecords()
+}
+
+// Wait blocks until the condition holds or the context ends. The condition is
+// looked at after each change.
+func (r *Replica) Wait(ctx context.Context, condition func() bool) error {
+	for {
+		changed := r.Changed()
+		if condition() {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "wait for configuration")
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/health.go
@@ -0,0 +1,31 @@
+package routing
+
+import "time"
+
+// HealthFilter leaves out servers that are leaving, and servers that could not
+// be reached until their back-off ends. One request after the back-off tries
+// such a server again.
+type HealthFilter struct{}
+
+// Allow implements Filter.
+func (HealthFilter) Allow(now time.Time, row *ServerState) bool {
+	switch row.Health {
+	case HealthUp:
+		return true
+	case HealthDown:
+		return !now.Before(row.RetryAt)
+	case HealthLeaving:
+		return false
+	default:
+		return false
+	}
+}
+
+// DrainFilter leaves out servers that an operator drains, and those that
+// the platform's list calls leaving.
+type DrainFilter struct{}
+
+// Allow implements Filter.
+func (DrainFilter) Allow(_ time.Time, row *ServerState) bool {
+	return !row.Server.Spec.Draining && !row.ListedLeaving
+}
--- /dev/null
+++ b/internal/routing/home.go
@@ -0,0 +1,43 @@
+package routing
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/crowbridge/crowbridge/internal/selector"
+)
+
+// Homes orders the candidates for an idempotency key by rendezvous hashing:
+// every entry with the same configuration computes the same order, and adding
+// or removing a server moves only that server's keys. The first is the key's
+// home; a later one is used only for a key that each home before it has closed.
+func Homes(candidates []*selector.Server, customer, key string) []*selector.Server {
+	type weighted struct {
+		server *selector.Server
+		weight uint64
+	}
+	ordered := make([]weighted, 0, len(candidates))
+	for _, server := range candidates {
+		var digest xxhash.Digest
+		digest.Reset()
+		for _, part := range []string{customer, "\x00", key, "\x00", server.Name} {
+			_, _ = digest.WriteString(part) // documented to never fail
+		}
+		ordered = append(ordered, weighted{server: server, weight: digest.Sum64()})
+	}
+	slices.SortFunc(ordered, func(a, b weighted) int {
+		switch {
+		case a.weight > b.weight:
+			return -1
+		case a.weight < b.weight:
+			return 1
+		default:
+			return 0
+		}
+	})
+	homes := make([]*selector.Server, 0, len(ordered))
+	for _, w := range ordered {
+		homes = append(homes, w.server)
+	}
+	return homes
+}
--- /dev/null
+++ b/internal/rpc/ledger.go
@@ -0,0 +1,14 @@
+// Package rpc holds the control messages between crowbridge's processes. The
+// files control.pb.go and control.twirp.go are generated from control.proto by
+// `make generate`.
+package rpc
+
+import "github.com/crowbridge/crowbridge/internal/outcome"
+
+// LedgerFrom returns a ledger's counts as they travel.
+func LedgerFrom(name string, counts outcome.Counts) *Ledger {
+	return &Ledger{
+		Name: name, Accepted: counts.Accepted, Answered: counts.Answered,
+		NotRun: counts.NotRun, Unknown: counts.Unknown, InFlight: counts.InFlight,
+	}
+}
--- /dev/null
+++ b/internal/selector/selector.go
@@ -0,0 +1,257 @@
+// Package selector decides which route a request takes and which backend
+// servers that route allows. Label selectors are evaluated once per
+// configuration, not per request.
+package selector
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/pkg/errors"
+	"k8s.io/apimachinery/pkg/labels"
+)
+
+// Server is a backend server as routing sees it.
+type Server struct {
+	Name   string
+	Labels map[string]string
+	Spec   *config.BackendServer
+}
+
+// Route is a compiled route.
+type Route struct {
+	Name    string
+	Spec    *config.Route
+	Service *config.Service
+	// Servers are the eligible servers, those of each zone adjacent.
+	Servers []*Server
+
+	customers labels.Selector
+	servers   labels.Selector
+	windows   []window
+}
+
+// Index answers route look-ups for one configuration. It is immutable.
+type Index struct {
+	servers   map[string]*Server
+	routes    []*Route            // highest priority first
+	byModel   map[string][]*Route // routes that serve a model
+	prefixes  []prefixRoutes      // routes of plain services, longest prefix first
+	customers map[string]*Customer
+	byHash    map[string]*Customer
+}
+
+// Customer is a customer with the routes open to it.
+type Customer struct {
+	Name   string
+	Labels map[string]string
+	Spec   *config.Customer
+	routes map[*Route]bool
+}
+
+type prefixRoutes struct {
+	prefix string
+	routes []*Route
+}
+
+// NewIndex compiles a configuration.
+func NewIndex(view *config.View) (*Index, error) {
+	index := &Index{
+		servers:   map[string]*Server{},
+		byModel:   map[string][]*Route{},
+		customers: map[string]*Customer{},
+		byHash:    map[string]*Customer{},
+	}
+	index.addServers(view)
+	if err := index.addRoutes(view); err != nil {
+		return nil, err
+	}
+	index.addCustomers(view)
+	return index, nil
+}
+
+func (x *Index) addServers(view *config.View) {
+	for _, object := range view.List(config.KindBackendServer) {
+		x.servers[object.Name] = &Server{Name: object.Name, Labels: object.Labels, Spec: object.BackendServer}
+	}
+}
+
+func (x *Index) addRoutes(view *config.View) error {
+	byPrefix := map[string][]*Route{}
+	for _, object := range view.List(config.KindRoute) {
+		route, err := x.compileRoute(object, view)
+		if err != nil {
+			return errors.Wrap(err, object.ID())
+		}
+		x.routes = append(x.routes, route)
+	}
+	slices.SortStableFunc(x.routes, func(a, b *Route) int { return b.Spec.Priority - a.Spec.Priority })
+	for _, route := range x.routes {
+		for _, model := range route.models() {
+			x.byModel[model] = append(x.byModel[model], route)
+		}
+		if route.Service.Protocol == config.ProtocolPlain {
+			byPrefix[route.Service.PathPrefix] = append(byPrefix[route.Service.PathPrefix], route)
+		}
+	}
+	for prefix, routes := range byPrefix {
+		x.prefixes = append(x.prefixes, prefixRoutes{prefix: prefix, routes: routes})
+	}
+	slices.SortFunc(x.prefixes, func(a, b prefixRoutes) int { return len(b.prefix) - len(a.prefix) })
+	return nil
+}
+
+func (r *Route) models() []string {
+	if r.Service.Protocol != config.ProtocolEngine {
+		return nil
+	}
+	if len(r.Spec.Models) == 0 {
+		return r.Service.Models
+	}
+	var served []string
+	for _, model := range r.Spec.Models {
+		if slices.Contains(r.Service.Models, model) {
+			served = append(served, model)
+		}
+	}
+	return served
+}
+
+func (x *Index) compileRoute(object *config.Object, view *config.View) (*Route, error) {
+	spec := object.Route
+	service := view.Get(config.KindService, spec.Service)
+	if service == nil {
+		return nil, errors.Errorf("service %q doesn't exist", spec.Service)
+	}
+	route := &Route{Name: object.Name, Spec: spec, Service: service.Service}
+	var err error
+	if route.customers, err = labels.Parse(spec.Customers); err != nil {
+		return nil, errors.Wrap(err, "customers")
+	}
+	if route.servers, err = labels.Parse(spec.Servers); err != nil {
+		return nil, errors.Wrap(err, "servers")
+	}
+	for _, w := range spec.Windows {
+		compiled, err := newWindow(w)
+		if err != nil {
+			return nil, err
+		}
+		route.windows = append(route.windows, compiled)
+	}
+	for _, server := range x.servers {
+		if server.Spec.Service == spec.Service && route.servers.Matches(labels.Set(server.Labels)) {
+			route.Servers = append(route.Servers, server)
+		}
+	}
+	slices.SortFunc(route.Servers, func(a, b *Server) int {
+		if byZone := strings.Compare(a.Spec.Zone, b.Spec.Zone); byZone != 0 {
+			return byZone
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	return route, nil
+}
+
+func (x *Index) addCustomers(view *config.View) {
+	for _, object := range view.List(config.KindCustomer) {
+		customer := &Customer{Name: object.Name, Labels: object.Labels, Spec: object.Customer, routes: map[*Route]bool{}}
+		for _, route := range x.routes {
+			if route.customers.Matches(labels.Set(object.Labels)) {
+				customer.routes[route] = true
+			}
+		}
+		x.customers[object.Name] = customer
+		for _, hash := range object.Customer.KeyHashes {
+			x.byHash[hash] = customer
+		}
+	}
+}
+
+// Customer returns a customer by name, or nil.
+func (x *Index) Customer(name string) *Customer { return x.customers[name] }
+
+// CustomerByKeyHash returns the customer with an API key of that SHA-256, or
+// nil. Looking up a hash leaks no timing about the key itself.
+func (x *Index) CustomerByKeyHash(hash string) *Customer { return x.byHash[hash] }
+
+// Server returns a server by name, or nil.
+func (x *Index) Server(name string) *Server { return x.servers[name] }
+
+// Servers returns all servers by name.
+func (x *Index) Servers() map[string]*Server { return x.servers }
+
+// RouteModel returns the route for a customer's request for a model, or nil.
+func (x *Index) RouteModel(customer *Customer, model string, now time.Time) *Route {
+	return firstOpen(x.byModel[model], customer, now)
+}
+
+// RoutePath returns the route for a customer's request to a plain service, or nil.
+func (x *Index) RoutePath(customer *Customer, path string, now time.Time) *Route {
+	for _, p := range x.prefixes {
+		if underPrefix(path, p.prefix) {
+			return firstOpen(p.routes, customer, now)
+		}
+	}
+	return nil
+}
+
+func underPrefix(path, prefix string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || prefix[len(prefix)-1] == '/' || path[len(prefix)] == '/'
+}
+
+func firstOpen(routes []*Route, customer *Customer, now time.Time) *Route {
+	for _, route := range routes {
+		if customer.routes[route] && route.open(now) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Models returns the models a customer may ask for now, sorted.
+func (x *Index) Models(customer *Customer, now time.Time) []string {
+	var models []string
+	for model, routes := range x.byModel {
+		if firstOpen(routes, customer, now) != nil {
+			models = append(models, model)
+		}
+	}
+	slices.Sort(models)
+	return models
+}
+
+func (r *Route) open(now time.Time) bool {
+	if len(r.windows) == 0 {
+		return true
+	}
+	for _, w := range r.windows {
+		if w.contains(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Explain tells for each server of the route's service whether the route
+// allows it, with the reason when it doesn't.
+func (x *Index) Explain(route *Route) map[string]string {
+	reasons := map[string]string{}
+	for name, server := range x.servers {
+		switch {
+		case server.Spec.Service != route.Spec.Service:
+			reasons[name] = "serves " + server.Spec.Service + ", not " + route.Spec.Service
+		case !route.servers.Matches(labels.Set(server.Labels)):
+			reasons[name] = "its labels don't match " + route.Spec.Servers
+		case server.Spec.Draining:
+			reasons[name] = "draining"
+		default:
+			reasons[name] = ""
+		}
+	}
+	return reasons
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,99 @@
+// Package settings checks the daemons' settings all at once and names each
+// that is wrong.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Checker collects what is wrong with a process's settings.
+type Checker struct {
+	problems []string
+}
+
+func (c *Checker) add(name, value, fix string) {
+	c.problems = append(c.problems, fmt.Sprintf("%s: %q: %s", name, value, fix))
+}
+
+// Required checks that a setting is given.
+func (c *Checker) Required(name, value string) {
+	if value == "" {
+		c.add(name, value, "give it as --"+name+" or "+EnvName(name))
+	}
+}
+
+// IPPort checks that a setting is an IP address and port.
+func (c *Checker) IPPort(name, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.add(name, value, "use IP:port; names aren't looked up")
+	}
+}
+
+// URL checks that a setting is an http URL.
+func (c *Checker) URL(name, value string) {
+	parsed, err := url.Parse(value)
+	if err != nil || parsed.Scheme != "http" || parsed.Host == "" {
+		c.add(name, value, "use http://IP:port")
+	}
+}
+
+// Positive checks that a number is above zero.
+func (c *Checker) Positive(name string, value int64) {
+	if value <= 0 {
+		c.add(name, fmt.Sprint(value), "use a number above 0")
+	}
+}
+
+// Fail adds a problem found elsewhere.
+func (c *Checker) Fail(name, value string, err error) {
+	if err != nil {
+		c.add(name, value, err.Error())
+	}
+}
+
+// Err returns all problems as one error, or nil.
+func (c *Checker) Err() error {
+	if len(c.problems) == 0 {
+		return nil
+	}
+	return errors.New("wrong settings:\n  " + strings.Join(c.problems, "\n  "))
+}
+
+// EnvName returns the environment variable of a setting: log-url is CROWBRIDGE_LOG_URL.
+func EnvName(name string) string {
+	return "CROWBRIDGE_" + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
+}
+
+// Peer is another daemon, with its availability zone.
+type Peer struct {
+	Zone    string
+	Address string
+}
+
+// ParsePeer reads zone=IP:port.
+func ParsePeer(value string) (Peer, error) {
+	zone, address, found := strings.Cut(value, "=")
+	if !found || zone == "" {
+		return Peer{}, errors.New("use zone=IP:port")
+	}
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return Peer{}, errors.New("use zone=IP:port; names aren't looked up")
+	}
+	return Peer{Zone: zone, Address: address}, nil
+}
+
+// Peers parses a list and collects what is wrong with it.
+func (c *Checker) Peers(name string, values []string) []Peer {
+	peers := make([]Peer, 0, len(values))
+	for _, value := range values {
+		peer, err := ParsePeer(value)
+		c.Fail(name, value, err)
+		peers = append(peers, peer)
+	}
+	return peers
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,204 @@
+// Package wire defines the headers that requests carry between callers,
+// entries, agents and backend servers.
+package wire
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/failure"
+	"github.com/pkg/errors"
+)
+
+// Headers that callers send.
+const (
+	HeaderClass          = "X-Crowbridge-Class"
+	HeaderDeadline       = "X-Crowbridge-Deadline-Ms"
+	HeaderMayWait        = "X-Crowbridge-May-Wait"
+	HeaderIdempotent     = "X-Crowbridge-Idempotent"
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+// Headers that callers receive.
+const (
+	HeaderRequestID = "X-Crowbridge-Request-Id"
+	HeaderOutcome   = "X-Crowbridge-Outcome"
+	HeaderServer    = "X-Crowbridge-Server"
+	HeaderReplayed  = "X-Crowbridge-Replayed"
+)
+
+// Headers between entry and agent.
+const (
+	HeaderAuth         = "X-Crowbridge-Daemon-Key"
+	HeaderCustomer     = "X-Crowbridge-Customer"
+	HeaderWeight       = "X-Crowbridge-Weight"
+	HeaderCost         = "X-Crowbridge-Cost"
+	HeaderTarget       = "X-Crowbridge-Target"
+	HeaderBodyHash     = "X-Crowbridge-Body-Hash"
+	HeaderStep         = "X-Crowbridge-Step"
+	HeaderCode         = "X-Crowbridge-Code"
+	HeaderDetail       = "X-Crowbridge-Detail"
+	HeaderRetryAfterMs = "X-Crowbridge-Retry-After-Ms"
+	HeaderLoad         = "X-Crowbridge-Load"
+	HeaderIncarnation  = "X-Crowbridge-Incarnation"
+	HeaderKeyClosed    = "X-Crowbridge-Key-Closed"
+	HeaderWantServer   = "X-Crowbridge-Want-Server"
+)
+
+// Headers between agent and engine.
+const (
+	// HeaderPriority is the engine's scheduling priority; lower runs earlier.
+	HeaderPriority = "X-Engine-Priority"
+	// HeaderLastEventID resumes a stream after that token offset; it is the
+	// standard header of server-sent events.
+	HeaderLastEventID = "Last-Event-ID"
+)
+
+// Envelope is what an entry tells an agent about a request besides the
+// caller's own headers and body.
+type Envelope struct {
+	RequestID string
+	Customer  string
+	Weight    int
+	Class     config.Class
+	// Budget is the time left until the deadline when the envelope was sent. A
+	// duration, so that the clocks of two VMs needn't agree.
+	Budget     time.Duration
+	Idempotent bool
+	Key        string
+	BodyHash   string
+	// Cost is the estimated cost in tokens.
+	Cost float64
+	// Server is the backend server the entry means to reach.
+	Server string
+}
+
+// Write sets the envelope's headers.
+func (e *Envelope) Write(h http.Header) {
+	h.Set(HeaderRequestID, e.RequestID)
+	h.Set(HeaderCustomer, e.Customer)
+	h.Set(HeaderWeight, strconv.Itoa(e.Weight))
+	h.Set(HeaderClass, string(e.Class))
+	h.Set(HeaderDeadline, strconv.FormatInt(e.Budget.Milliseconds(), 10))
+	h.Set(HeaderIdempotent, strconv.FormatBool(e.Idempotent))
+	h.Set(HeaderCost, strconv.FormatFloat(e.Cost, 'f', -1, 64))
+	h.Set(HeaderWantServer, e.Server)
+	h.Set(HeaderBodyHash, e.BodyHash)
+	if e.Key != "" {
+		h.Set(HeaderIdempotencyKey, e.Key)
+	}
+}
+
+// ReadEnvelope reads what Write set.
+func ReadEnvelope(h http.Header) (*Envelope, error) {
+	weight, err := strconv.Atoi(h.Get(HeaderWeight))
+	if err != nil {
+		return nil, errors.Wrap(err, HeaderWeight)
+	}
+	budget, err := strconv.ParseInt(h.Get(HeaderDeadline), 10, 64)
+	if err != nil {
+		return nil, errors.Wrap(err, HeaderDeadline)
+	}
+	idempotent, err := strconv.ParseBool(h.Get(HeaderIdempotent))
+	if err != nil {
+		return nil, errors.Wrap(err, HeaderIdempotent)
+	}
+	cost, err := strconv.ParseFloat(h.Get(HeaderCost), 64)
+	if err != nil {
+		return nil, errors.Wrap(err, HeaderCost)
+	}
+	return &Envelope{
+		RequestID:  h.Get(HeaderRequestID),
+		Customer:   h.Get(HeaderCustomer),
+		Weight:     weight,
+		Class:      config.Class(h.Get(HeaderClass)),
+		Budget:     time.Duration(budget) * time.Millisecond,
+		Idempotent: idempotent,
+		Key:        h.Get(HeaderIdempotencyKey),
+		BodyHash:   h.Get(HeaderBodyHash),
+		Cost:       cost,
+		Server:     h.Get(HeaderWantServer),
+	}, nil
+}
+
+// WriteFailure sets the headers that carry a failure from agent to entry.
+func WriteFailure(h http.Header, f *failure.Error) {
+	h.Set(HeaderOutcome, string(f.Outcome))
+	h.Set(HeaderStep, string(f.Step))
+	h.Set(HeaderCode, string(f.Code))
+	h.Set(HeaderDetail, f.Detail)
+	if f.RetryAfter > 0 {
+		h.Set(HeaderRetryAfterMs, strconv.FormatInt(f.RetryAfter.Milliseconds(), 10))
+	}
+}
+
+// ReadFailure reads what WriteFailure set, or returns nil.
+func ReadFailure(h http.Header, peer string) *failure.Error {
+	if h.Get(HeaderCode) == "" {
+		return nil
+	}
+	retryAfter, err := strconv.ParseInt(h.Get(HeaderRetryAfterMs), 10, 64)
+	if err != nil {
+		retryAfter = 0
+	}
+	return &failure.Error{
+		Step:       failure.Step(h.Get(HeaderStep)),
+		Peer:       peer,
+		Code:       failure.Code(h.Get(HeaderCode)),
+		Outcome:    failure.Outcome(h.Get(HeaderOutcome)),
+		RetryAfter: time.Duration(retryAfter) * time.Millisecond,
+		Detail:     h.Get(HeaderDetail),
+	}
+}
+
+// Load is an agent's load report, piggybacked on each of its answers.
+type Load struct {
+	InFlight, Queued, Limit int
+	Leaving                 bool
+	ServiceTime             time.Duration
+}
+
+// String encodes the report for HeaderLoad.
+func (l Load) String() string {
+	leaving := "0"
+	if l.Leaving {
+		leaving = "1"
+	}
+	b := make([]byte, 0, 32)
+	b = strconv.AppendInt(b, int64(l.InFlight), 10)
+	b = append(b, ' ')
+	b = strconv.AppendInt(b, int64(l.Queued), 10)
+	b = append(b, ' ')
+	b = strconv.AppendInt(b, int64(l.Limit), 10)
+	b = append(b, ' ')
+	b = append(b, leaving...)
+	b = append(b, ' ')
+	b = strconv.AppendInt(b, l.ServiceTime.Microseconds(), 10)
+	return string(b)
+}
+
+const loadFields = 5
+
+// ParseLoad decodes what Load.String encoded.
+func ParseLoad(s string) (Load, bool) {
+	var fields [loadFields]int64
+	rest := s
+	for i := range fields {
+		end := 0
+		for end < len(rest) && rest[end] != ' ' {
+			end++
+		}
+		value, err := strconv.ParseInt(rest[:end], 10, 64)
+		if err != nil {
+			return Load{}, false
+		}
+		fields[i] = value
+		rest = rest[min(end+1, len(rest)):]
+	}
+	return Load{
+		InFlight: int(fields[0]), Queued: int(fields[1]), Limit: int(fields[2]),
+		Leaving: fields[3] == 1, ServiceTime: time.Duration(fields[4]) * time.Microsecond,
+	}, true
+}
--- /dev/null
+++ b/standins/cmd/standin/main.go
@@ -0,0 +1,137 @@
+// Command standin runs one of the stand-ins as a process of its own.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/crowbridge/crowbridge/standins/engine"
+	"github.com/crowbridge/crowbridge/standins/load"
+	"github.com/crowbridge/crowbridge/standins/plain"
+	"github.com/crowbridge/crowbridge/standins/platform"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+)
+
+func main() {
+	app := &cli.Command{
+		Name: "standin", Usage: "stand-ins for what crowbridge meets outside",
+		Commands: []*cli.Command{platformCommand(), engineCommand(), plainCommand(), loadCommand()},
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name: "platform", Usage: "log, VM list and weight store",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "zone", Usage: "zone=IP:port"},
+			&cli.StringFlag{Name: "listen", Usage: "IP:port of the control port"},
+		},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			server := platform.NewServer(time.Now)
+			var group errgroup.Group
+			for _, value := range cmd.StringSlice("zone") {
+				zone, address, _ := strings.Cut(value, "=")
+				listener, err := net.Listen("tcp", address)
+				if err != nil {
+					return errors.Wrap(err, value)
+				}
+				group.Go(func() error { return server.Serve(listener, zone) })
+			}
+			listener, err := net.Listen("tcp", cmd.String("listen"))
+			if err != nil {
+				return errors.Wrap(err, "listen")
+			}
+			group.Go(func() error { return server.ServeControl(listener) })
+			return group.Wait()
+		},
+	}
+}
+
+func serverFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "name"},
+		&cli.StringFlag{Name: "listen", Usage: "IP:port"},
+		&cli.StringFlag{Name: "recorder", Usage: "URL of the platform stand-in's control port"},
+		&cli.DurationFlag{Name: "step", Value: 6 * time.Millisecond, Usage: "time of one step, or of one plain call"},
+		&cli.IntFlag{Name: "batch", Value: 8},
+	}
+}
+
+func engineCommand() *cli.Command {
+	return &cli.Command{
+		Name: "engine", Flags: serverFlags(),
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			e := engine.New(engine.Options{
+				Name: cmd.String("name"), Step: cmd.Duration("step"), Batch: cmd.Int("batch"),
+				Recorder: &engine.Recorder{URL: cmd.String("recorder")},
+			})
+			return serve(cmd, e.Handler())
+		},
+	}
+}
+
+func plainCommand() *cli.Command {
+	return &cli.Command{
+		Name: "plain", Flags: serverFlags(),
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			return serve(cmd, plain.Handler(plain.Options{
+				Name: cmd.String("name"), Work: cmd.Duration("step"),
+				Recorder: &engine.Recorder{URL: cmd.String("recorder")},
+			}))
+		},
+	}
+}
+
+func serve(cmd *cli.Command, handler http.Handler) error {
+	server := &http.Server{Addr: cmd.String("listen"), Handler: handler, ReadHeaderTimeout: time.Second}
+	return server.ListenAndServe()
+}
+
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name: "load", Usage: "send requests and check every answer",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "entry"},
+			&cli.StringSliceFlag{Name: "key"},
+			&cli.IntFlag{Name: "rate", Value: 50},
+			&cli.DurationFlag{Name: "duration", Value: 5 * time.Second},
+			&cli.IntFlag{Name: "tokens", Value: 8},
+			&cli.IntFlag{Name: "plain", Value: 40, Usage: "per cent of plain calls"},
+			&cli.IntFlag{Name: "stream", Value: 30, Usage: "per cent of streams"},
+			&cli.IntFlag{Name: "unkeyed", Value: 20, Usage: "per cent of plain calls without a key"},
+			&cli.IntFlag{Name: "deadline-ms", Value: 10000},
+			&cli.IntFlag{Name: "asks", Value: 20},
+			&cli.StringFlag{Name: "runs"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			report, err := load.Run(ctx, load.Options{
+				Entries: cmd.StringSlice("entry"), Keys: cmd.StringSlice("key"),
+				Rate: cmd.Int("rate"), Duration: cmd.Duration("duration"), Tokens: cmd.Int("tokens"),
+				PlainPercent: cmd.Int("plain"), StreamPercent: cmd.Int("stream"), UnkeyedPercent: cmd.Int("unkeyed"),
+				RunsURL: cmd.String("runs"), DeadlineMs: cmd.Int("deadline-ms"), Asks: cmd.Int("asks"),
+			})
+			if err != nil {
+				return err
+			}
+			fmt.Println(report)
+			for _, note := range report.Notes {
+				fmt.Println(" ", note)
+			}
+			if !report.OK() {
+				return errors.New("the counts don't add up")
+			}
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/standins/harness/cluster.go
@@ -0,0 +1,349 @@
+package harness
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/daemon"
+	"github.com/pkg/errors"
+)
+
+// Layout is the deployment's size.
+type Layout struct {
+	Zones          []string
+	EntriesPerZone int
+	EnginesPerZone int
+	PlainPerZone   int
+	// Step of the stand-in servers.
+	Step time.Duration
+	// KeyWindowSeconds and ClockSkewMs go into the policy.
+	KeyWindowSeconds int
+	ClockSkewMs      int
+	// Drain bounds a planned stop.
+	Drain time.Duration
+}
+
+// Secrets of the harness's deployments.
+const (
+	daemonKey     = "harness-daemon-key"
+	operatorToken = "harness-operator-token"
+	readerToken   = "harness-reader-token"
+)
+
+// Server is one backend server with its agent.
+type Server struct {
+	Name, Zone, Service string
+	Protocol            string
+	backend             string
+	address             string
+	control             string
+	metrics             string
+}
+
+// Entry is one entry.
+type Entry struct {
+	Name, Zone string
+	Callers    string
+	Control    string
+	metrics    string
+}
+
+// Cluster is a running deployment.
+type Cluster struct {
+	Layout    Layout
+	Entries   []Entry
+	Servers   []Server
+	Processes map[string]*Process
+	// Keys are the customers' API keys.
+	Keys []string
+	// PlatformURL is the platform stand-in's control port.
+	PlatformURL string
+
+	bin, dir  string
+	platforms map[string]string // the platform's address by zone
+	order     []string
+}
+
+// Customers of the harness's deployments.
+var customers = []string{"rozsa", "tulipan", "szegfu"}
+
+// New lays out a deployment whose binaries are in bin and whose logs go to dir.
+func New(layout Layout, bin, dir string) (*Cluster, error) {
+	c := &Cluster{
+		Layout: layout, Processes: map[string]*Process{},
+		bin: bin, dir: dir, platforms: map[string]string{},
+	}
+	for _, customer := range customers {
+		c.Keys = append(c.Keys, "key-of-"+customer)
+	}
+	if err := c.addPlatform(); err != nil {
+		return nil, err
+	}
+	for _, zone := range layout.Zones {
+		if err := c.addZone(zone); err != nil {
+			return nil, err
+		}
+	}
+	c.addProcesses()
+	return c, nil
+}
+
+func (c *Cluster) addPlatform() error {
+	listen, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	c.PlatformURL = "http://" + listen
+	args := []string{"platform", "--listen", listen}
+	for _, zone := range c.Layout.Zones {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		c.platforms[zone] = address
+		args = append(args, "--zone", zone+"="+address)
+	}
+	c.add("platform", "standin", listen, args)
+	return nil
+}
+
+func (c *Cluster) addZone(zone string) error {
+	for i := range c.Layout.EntriesPerZone {
+		addresses, err := addresses(3)
+		if err != nil {
+			return err
+		}
+		c.Entries = append(c.Entries, Entry{
+			Name: fmt.Sprintf("entry-%s-%d", zone, i+1), Zone: zone,
+			Callers: addresses[0], Control: addresses[1], metrics: addresses[2],
+		})
+	}
+	for i := range c.Layout.EnginesPerZone {
+		if err := c.addServer(zone, "petal-writer", "engine", i); err != nil {
+			return err
+		}
+	}
+	for i := range c.Layout.PlainPerZone {
+		if err := c.addServer(zone, "dispatch-api", "plain", i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) addServer(zone, service, protocol string, i int) error {
+	addresses, err := addresses(4)
+	if err != nil {
+		return err
+	}
+	c.Servers = append(c.Servers, Server{
+		Name: fmt.Sprintf("%s-%s-%d", protocol, zone, i+1), Zone: zone, Service: service, Protocol: protocol,
+		backend: addresses[0], address: addresses[1], control: addresses[2], metrics: addresses[3],
+	})
+	return nil
+}
+
+func addresses(n int) ([]string, error) {
+	found := make([]string, 0, n)
+	for range n {
+		address, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		found = append(found, address)
+	}
+	return found, nil
+}
+
+func (c *Cluster) add(name, binary, ready string, args []string) {
+	c.Processes[name] = &Process{
+		Name: name, binary: filepath.Join(c.bin, binary), args: args,
+		ready: ready, logPath: logFile(c.dir, name),
+	}
+	c.order = append(c.order, name)
+}
+
+func (c *Cluster) addProcesses() {
+	for _, s := range c.Servers {
+		c.add("backend-"+s.Name, "standin", s.backend, []string{
+			s.Protocol, "--name", s.Name, "--listen", s.backend,
+			"--recorder", c.PlatformURL, "--step", c.Layout.Step.String(),
+		})
+	}
+	for _, e := range c.Entries {
+		c.add(e.Name, "crowbridged", e.Callers, append([]string{
+			"entry", "--name", e.Name, "--zone", e.Zone, "--listen", e.Callers, "--control", e.Control,
+			"--metrics", e.metrics, "--daemon-key", daemonKey, "--log-level", "debug",
+			"--drain-timeout", c.Layout.Drain.String(),
+			"--log-url", "http://" + c.platforms[e.Zone], "--vms-url", "http://" + c.platforms[e.Zone],
+			"--operator", "ops:change:" + daemon.HashSecret(operatorToken),
+			"--operator", "viewer:read:" + daemon.HashSecret(readerToken),
+		}, c.peerArgs()...))
+	}
+	for _, s := range c.Servers {
+		c.add("agent-"+s.Name, "crowbridged", s.address, append([]string{
+			"agent", "--server", s.Name, "--zone", s.Zone, "--listen", s.address, "--control", s.control,
+			"--metrics", s.metrics, "--daemon-key", daemonKey, "--backend", "http://" + s.backend,
+			"--protocol", s.Protocol, "--log-level", "debug", "--drain-timeout", c.Layout.Drain.String(),
+			"--config-timeout", "1s",
+		}, c.peerArgs()...))
+	}
+}
+
+func (c *Cluster) peerArgs() []string {
+	var args []string
+	for _, e := range c.Entries {
+		args = append(args, "--entry-peer", e.Zone+"="+e.Control)
+	}
+	return args
+}
+
+// Start starts all processes and applies the configuration.
+func (c *Cluster) Start() error {
+	started := func(prefix string) error {
+		for _, name := range c.order {
+			if strings.HasPrefix(name, prefix) {
+				if err := c.Processes[name].Start(); err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	}
+	for _, prefix := range []string{"platform", "backend-", "entry-"} {
+		if err := started(prefix); err != nil {
+			return err
+		}
+	}
+	manifest := filepath.Join(c.dir, "manifest.yaml")
+	if err := os.WriteFile(manifest, []byte(c.Manifest()), 0o600); err != nil {
+		return errors.Wrap(err, "manifest")
+	}
+	if out, err := c.Operator("apply", "-f", manifest, "--reason", "first configuration"); err != nil {
+		return errors.Wrap(err, out)
+	}
+	if err := started("agent-"); err != nil {
+		return err
+	}
+	return c.awaitRouting()
+}
+
+// awaitRouting waits until every entry has heard from every server.
+func (c *Cluster) awaitRouting() error {
+	deadline := time.Now().Add(readyTimeout)
+	for _, e := range c.Entries {
+		for {
+			out, err := c.OperatorAt(e.Control, "-o", "json", "status")
+			if err == nil && strings.Count(out, `"state": "up"`) == len(c.Servers) && !strings.Contains(out, `"report_age_ms": -1`) {
+				break
+			}
+			if time.Now().After(deadline) {
+				return errors.Errorf("%s doesn't route to all servers: %s", e.Name, out)
+			}
+			time.Sleep(readyPoll)
+		}
+	}
+	return nil
+}
+
+// Manifest returns the deployment's configuration.
+func (c *Cluster) Manifest() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "kind: Policy\nname: default\npolicy: {keyWindowSeconds: %d, clockSkewMs: %d}\n", c.Layout.KeyWindowSeconds, c.Layout.ClockSkewMs)
+	for i, customer := range customers {
+		fmt.Fprintf(&b, "---\nkind: Customer\nname: %s\nlabels: {fleet: viragut}\ncustomer: {weight: 1, keyHashes: [%s]}\n", customer, daemon.HashSecret(c.Keys[i]))
+	}
+	b.WriteString("---\nkind: Service\nname: petal-writer\nservice: {protocol: engine, models: [petal-7b], maxConcurrency: 16}\n")
+	b.WriteString("---\nkind: Service\nname: dispatch-api\nservice: {protocol: plain, pathPrefix: /dispatch, maxConcurrency: 16, class: urgent}\n")
+	b.WriteString("---\nkind: Route\nname: writing\nroute: {service: petal-writer, customers: fleet=viragut}\n")
+	b.WriteString("---\nkind: Route\nname: dispatching\nroute: {service: dispatch-api, customers: fleet=viragut}\n")
+	for _, s := range c.Servers {
+		fmt.Fprintf(&b, "---\nkind: BackendServer\nname: %s\nbackendServer: {service: %s, zone: %s, address: %q, control: %q}\n",
+			s.Name, s.Service, s.Zone, s.address, s.control)
+	}
+	return b.String()
+}
+
+// Operator runs the operators' command line against all entries in turn.
+func (c *Cluster) Operator(args ...string) (string, error) {
+	controls := make([]string, 0, len(c.Entries))
+	for _, e := range c.Entries {
+		controls = append(controls, e.Control)
+	}
+	return c.OperatorAt(strings.Join(controls, ","), args...)
+}
+
+// OperatorAt runs the operators' command line against the given entries.
+func (c *Cluster) OperatorAt(controls string, args ...string) (string, error) {
+	cmd := exec.Command(filepath.Join(c.bin, "crowbridge"), args...)
+	cmd.Env = append(os.Environ(), "CROWBRIDGE_ENTRY="+controls)
+	if os.Getenv("CROWBRIDGE_TOKEN") == "" {
+		cmd.Env = append(cmd.Env, "CROWBRIDGE_TOKEN="+operatorToken)
+	}
+	var out bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &out
+	err := cmd.Run()
+	return out.String(), errors.Wrapf(err, "crowbridge %s", strings.Join(args, " "))
+}
+
+// Callers returns the addresses for callers of the entries that run.
+func (c *Cluster) Callers() []string {
+	var found []string
+	for _, e := range c.Entries {
+		if c.Processes[e.Name].Running() {
+			found = append(found, e.Callers)
+		}
+	}
+	return found
+}
+
+// Fault sets a fault at the platform, such as `log` with a JSON body.
+func (c *Cluster) Fault(path, body string) error {
+	request, err := http.NewRequest(http.MethodPut, c.PlatformURL+path, strings.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "fault")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "fault")
+	}
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("fault %s: status %d", path, response.StatusCode)
+	}
+	return errors.Wrap(response.Body.Close(), "fault")
+}
+
+// StopAll stops entries, then agents, gracefully, and ends the rest. It returns
+// the first planned stop that failed.
+func (c *Cluster) StopAll() error {
+	var first error
+	for _, prefix := range []string{"entry-", "agent-"} {
+		for _, name := range c.order {
+			process := c.Processes[name]
+			if !strings.HasPrefix(name, prefix) || !process.Running() {
+				continue
+			}
+			if err := process.Stop(); err != nil && first == nil {
+				first = err
+			}
+		}
+	}
+	c.KillAll()
+	return first
+}
+
+// KillAll ends every process at once.
+func (c *Cluster) KillAll() {
+	for _, name := range slices.Backward(c.order) {
+		if process := c.Processes[name]; process.Running() {
+			_ = process.Kill() // it ended by itself meanwhile
+		}
+	}
+}
--- /dev/null
+++ b/standins/load/load.go
@@ -0,0 +1,292 @@
+// Package load sends requests of several customers to entries and checks every
+// answer: whole, the caller's own, run at most once, and not run when told so.
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+)
+
+// Options are what to send.
+type Options struct {
+	// Entries are the entries' addresses for callers, as IP:port.
+	Entries []string
+	// Keys are the customers' API keys.
+	Keys []string
+	// Rate is requests a second; Duration how long.
+	Rate     int
+	Duration time.Duration
+	// Tokens per completion.
+	Tokens int
+	// PlainPercent, StreamPercent and UnkeyedPercent shape the mix.
+	PlainPercent, StreamPercent, UnkeyedPercent int
+	// RunsURL is where executions were counted.
+	RunsURL string
+	// DeadlineMs is sent with each request.
+	DeadlineMs int
+	// Asks is how often a keyed request is asked again after "unknown" or "not run".
+	Asks int
+}
+
+// Report is what came of it.
+type Report struct {
+	Asked, Answered, NotRun, Unknown int
+	// Doubled counts operations that may not be repeated but ran more than once.
+	Doubled int
+	// Untrue counts operations told "not run" at the end that did run.
+	Untrue int
+	// Wrong counts answers that were cut, mixed up or of another request.
+	Wrong int
+	// Silent counts requests that got no answer at all.
+	Silent int
+	// Latencies of answered requests.
+	Latencies []time.Duration
+	// Notes tell the first few faults.
+	Notes []string
+}
+
+// OK tells whether every count adds up.
+func (r *Report) OK() bool {
+	return r.Doubled == 0 && r.Untrue == 0 && r.Wrong == 0 && r.Asked == r.Answered+r.NotRun+r.Unknown+r.Silent
+}
+
+// String prints the counts as one line.
+func (r *Report) String() string {
+	return fmt.Sprintf("asked=%d answered=%d not-run=%d unknown=%d silent=%d doubled=%d untrue=%d wrong=%d",
+		r.Asked, r.Answered, r.NotRun, r.Unknown, r.Silent, r.Doubled, r.Untrue, r.Wrong)
+}
+
+type kind int
+
+const (
+	kindPlain kind = iota
+	kindStream
+	kindWhole
+)
+
+type operation struct {
+	name       string
+	kind       kind
+	keyed      bool
+	idempotent bool
+	outcome    string
+}
+
+type runner struct {
+	options Options
+	client  *http.Client
+	mu      sync.Mutex
+	report  Report
+	ops     []*operation
+}
+
+// Run sends the load and checks what came of it.
+func Run(ctx context.Context, options Options) (*Report, error) {
+	r := &runner{options: options, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+	var group sync.WaitGroup
+	ticker := time.NewTicker(time.Second / time.Duration(options.Rate))
+	defer ticker.Stop()
+	end := time.After(options.Duration)
+	for running := true; running; {
+		select {
+		case <-ticker.C:
+			group.Go(func() { r.one(ctx) })
+		case <-end:
+			running = false
+		case <-ctx.Done():
+			running = false
+		}
+	}
+	group.Wait()
+	return &r.report, r.checkRuns()
+}
+
+func (r *runner) newOperation() *operation {
+	op := &operation{name: uuid.NewString()}
+	switch n := rand.IntN(100); {
+	case n < r.options.PlainPercent:
+		op.kind = kindPlain
+		op.keyed = rand.IntN(100) >= r.options.UnkeyedPercent
+	case n < r.options.PlainPercent+r.options.StreamPercent:
+		op.kind = kindStream
+		op.idempotent = true
+	default:
+		op.kind = kindWhole
+		op.idempotent = true
+	}
+	return op
+}
+
+func (r *runner) one(ctx context.Context) {
+	op := r.newOperation()
+	key := ""
+	if op.keyed {
+		key = uuid.Must(uuid.NewV7()).String()
+	}
+	start := time.Now()
+	for ask := 0; ; ask++ {
+		op.outcome = r.send(ctx, op, key)
+		again := op.keyed && op.outcome != outcomeAnswered && ask < r.options.Asks
+		if !again {
+			break
+		}
+		time.Sleep(askAgainPause)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ops = append(r.ops, op)
+	r.report.Asked++
+	switch op.outcome {
+	case outcomeAnswered:
+		r.report.Answered++
+		r.report.Latencies = append(r.report.Latencies, time.Since(start))
+	case outcomeNotRun:
+		r.report.NotRun++
+	case outcomeUnknown:
+		r.report.Unknown++
+	default:
+		r.report.Silent++
+	}
+}
+
+const (
+	outcomeAnswered = "answered"
+	outcomeNotRun   = "not-run"
+	outcomeUnknown  = "unknown"
+	outcomeSilent   = "silent"
+	askAgainPause   = 300 * time.Millisecond
+)
+
+func (r *runner) send(ctx context.Context, op *operation, key string) string {
+	request, err := r.request(ctx, op, key)
+	if err != nil {
+		r.wrong(op, err.Error())
+		return outcomeSilent
+	}
+	response, err := r.client.Do(request)
+	if err != nil {
+		return outcomeSilent
+	}
+	defer func() { _ = response.Body.Close() }() // read to its end below
+	body, err := io.ReadAll(response.Body)
+	outcome := response.Header.Get("X-Crowbridge-Outcome")
+	if op.kind == kindStream && response.StatusCode == http.StatusOK {
+		return r.checkStream(op, string(body), err)
+	}
+	if err != nil {
+		return outcomeSilent
+	}
+	if outcome == outcomeAnswered && !strings.Contains(string(body), op.name) {
+		r.wrong(op, fmt.Sprintf("answer of another request: status %d %.200s", response.StatusCode, body))
+	}
+	if outcome == "" {
+		r.wrong(op, fmt.Sprintf("no outcome: status %d %.200s", response.StatusCode, body))
+		return outcomeUnknown
+	}
+	if outcome != outcomeAnswered {
+		r.note(fmt.Sprintf("%s: %.300s", outcome, body))
+	}
+	return outcome
+}
+
+func (r *runner) request(ctx context.Context, op *operation, key string) (*http.Request, error) {
+	address := r.options.Entries[rand.IntN(len(r.options.Entries))]
+	path, body := "/v1/chat/completions", fmt.Sprintf(
+		`{"model":"petal-7b","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"operation=%s"}]}`,
+		op.kind == kindStream, r.options.Tokens, op.name)
+	if op.kind == kindPlain {
+		path, body = "/dispatch/slots", "operation="+op.name
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewBufferString(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "request")
+	}
+	request.Header.Set("Authorization", "Bearer "+r.options.Keys[rand.IntN(len(r.options.Keys))])
+	if op.keyed {
+		// A key belongs to its customer, so repeats must come from the same one.
+		request.Header.Set("Authorization", "Bearer "+r.options.Keys[0])
+		request.Header.Set("Idempotency-Key", key)
+	}
+	request.Header.Set("X-Crowbridge-Idempotent", fmt.Sprint(op.idempotent))
+	request.Header.Set("X-Crowbridge-Deadline-Ms", fmt.Sprint(r.options.DeadlineMs))
+	return request, nil
+}
+
+// checkStream checks that every token came once and in order.
+func (r *runner) checkStream(op *operation, body string, err error) string {
+	if err != nil || !strings.HasSuffix(body, "data: [DONE]\n\n") {
+		if err != nil {
+			return outcomeSilent
+		}
+		if !strings.Contains(body, "event: error") {
+			r.wrong(op, "stream cut without an error event")
+		}
+		return outcomeUnknown
+	}
+	for token := 1; token <= r.options.Tokens; token++ {
+		if strings.Count(body, fmt.Sprintf("%s/%d ", op.name, token)) != 1 {
+			r.wrong(op, fmt.Sprintf("token %d lost or doubled", token))
+			break
+		}
+	}
+	return outcomeAnswered
+}
+
+const maxNotes = 8
+
+func (r *runner) wrong(op *operation, text string) {
+	r.mu.Lock()
+	r.report.Wrong++
+	r.mu.Unlock()
+	r.note("wrong: " + op.name + ": " + text)
+}
+
+func (r *runner) note(text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.report.Notes) < maxNotes {
+		r.report.Notes = append(r.report.Notes, text)
+	}
+}
+
+// checkRuns compares what callers were told with what the servers ran.
+func (r *runner) checkRuns() error {
+	if r.options.RunsURL == "" {
+		return nil
+	}
+	response, err := http.Get(r.options.RunsURL + "/runs")
+	if err != nil {
+		return errors.Wrap(err, "runs")
+	}
+	defer func() { _ = response.Body.Close() }() // read to its end below
+	runs := map[string]int{}
+	if err := json.NewDecoder(response.Body).Decode(&runs); err != nil {
+		return errors.Wrap(err, "runs")
+	}
+	for _, op := range r.ops {
+		count := runs[op.name]
+		if !op.idempotent && count > 1 {
+			r.report.Doubled++
+			r.note(fmt.Sprintf("doubled: %s ran %d times (keyed %t)", op.name, count, op.keyed))
+		}
+		if op.outcome == outcomeNotRun && count > 0 {
+			r.report.Untrue++
+			r.note(fmt.Sprintf("untrue: %s was called not run, ran %d times", op.name, count))
+		}
+		if op.outcome == outcomeAnswered && count == 0 {
+			r.wrong(op, "answered, but no server ran it")
+		}
+	}
+	return nil
+}
