--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -4,17 +4,25 @@
 
 // LimitOptions bound the adaptive concurrency limit.
 type LimitOptions struct {
-	// Min and Max bound the limit; Initial is where it starts.
-	Min, Max, Initial int
+	// Min and Max bound the limit.
+	Min, Max int
 }
 
 // Limit adapts how many requests run at once to the latency per unit of cost.
-// While latency stays near the best seen, a limit in full use grows by one per
-// limit's worth of answers; when latency doubles, or the server fails, it
+// It starts low, so that the best latency is measured before there is an
+// overload, and doubles per limit's worth of answers until the first sign of
+// one. From then on, while latency stays near the best seen, a limit in full use
+// grows by one per limit's worth of answers; when latency doubles, or the server fails, it
 // shrinks by a tenth, at most once per limit's worth of answers.
+//
+// The best latency is forgotten only while it can be measured afresh: at the
+// minimal limit or with less than half of it in use. Were it forgotten under
+// load, the latency of an overload would slowly become the best, and the limit
+// would creep up without end.
 type Limit struct {
 	options LimitOptions
 	limit   float64
+	probing bool    // doubling, until the first overload
 	best    float64 // least smoothed seconds per cost, forgotten slowly
 	recent  float64 // smoothed seconds per cost
 	latency float64 // smoothed seconds per request
@@ -28,11 +36,14 @@
 	shrinkFactor   = 0.9
 	growthAnswers  = 1 // limit's worths of answers per growth by one
 	fullUsePercent = 80
+	startLimit     = 4
 )
 
-// NewLimit returns a limit at its initial value.
+// NewLimit returns a limit at its starting value.
 func NewLimit(options LimitOptions) *Limit {
-	return &Limit{options: options, limit: float64(options.Initial)}
+	l := &Limit{options: options, probing: true}
+	l.set(startLimit)
+	return l
 }
 
 // Current is the limit now.
@@ -46,16 +57,27 @@
 func (l *Limit) Observe(took time.Duration, cost float64, inFlight int, ok bool) {
 	perCost := took.Seconds() / cost
 	l.smooth(perCost, took.Seconds())
+	if l.Current() <= l.options.Min || 2*inFlight < l.Current() {
+		l.best *= bestDrift
+	}
 	l.since++
 	if l.since < growthAnswers*l.Current() {
 		return
 	}
 	switch {
 	case !ok || l.recent > slowFactor*l.best:
+		l.probing = false
 		l.set(l.limit * shrinkFactor)
 	case inFlight*100 >= fullUsePercent*l.Current():
-		l.set(l.limit + 1)
+		l.set(l.limit + l.growth())
+	}
+}
+
+func (l *Limit) growth() float64 {
+	if l.probing {
+		return l.limit
 	}
+	return 1
 }
 
 func (l *Limit) smooth(perCost, seconds float64) {
@@ -65,7 +87,7 @@
 	}
 	l.recent += latencyWeight * (perCost - l.recent)
 	l.latency += latencyWeight * (seconds - l.latency)
-	l.best = min(l.best*bestDrift, l.recent)
+	l.best = min(l.best, l.recent)
 }
 
 func (l *Limit) set(limit float64) {
--- /dev/null
+++ b/internal/admission/queue_test.go
@@ -0,0 +1,212 @@
+package admission
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/config"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestAdmission(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "admission")
+}
+
+func newTestQueue(slots int) *Queue {
+	return NewQueue(Options{
+		Limit: LimitOptions{Min: slots, Max: slots}, MaxQueued: 100000, PatientPercent: 10,
+	})
+}
+
+func request(id int, customer string, class config.Class, cost float64) Request {
+	return Request{
+		ID: fmt.Sprint(id), Customer: customer, Weight: 1, Class: class, Cost: cost,
+		Deadline: epoch.Add(time.Hour),
+	}
+}
+
+// serve runs n requests one after the other and returns what each customer got.
+func serve(q *Queue, n int) map[string]float64 {
+	now := epoch
+	got := map[string]float64{}
+	for range n {
+		for _, r := range q.Next(now) {
+			got[r.Customer] += r.Cost
+			now = now.Add(time.Millisecond)
+			q.Done(now, r.ID, r.Cost, true)
+		}
+	}
+	return got
+}
+
+// jain is Jain's fairness index: 1 when all shares are equal.
+func jain(shares map[string]float64) float64 {
+	sum, squares := 0.0, 0.0
+	for _, share := range shares {
+		sum += share
+		squares += share * share
+	}
+	return sum * sum / (float64(len(shares)) * squares)
+}
+
+var _ = Describe("fair sharing", func() {
+	It("gives equal shares however much one customer sends", func() {
+		q := newTestQueue(1)
+		id := 0
+		for customer := range 10 {
+			count := 100
+			if customer == 0 {
+				count = 5000
+			}
+			for range count {
+				id++
+				Expect(q.Offer(epoch, request(id, fmt.Sprint("c", customer), config.ClassNormal, 10))).To(BeNil())
+			}
+		}
+		Expect(jain(serve(q, 900))).To(BeNumerically(">", 0.99))
+	})
+
+	It("gives shares by weight", func() {
+		q := newTestQueue(1)
+		for id := range 2000 {
+			r := request(id, fmt.Sprint("c", id%2), config.ClassNormal, 10)
+			r.Weight = 1 + 2*(id%2)
+			Expect(q.Offer(epoch, r)).To(BeNil())
+		}
+		got := serve(q, 400)
+		Expect(got["c1"] / got["c0"]).To(BeNumerically("~", 3, 0.05))
+	})
+
+	It("charges what requests really cost", func() {
+		q := newTestQueue(1)
+		for id := range 2000 {
+			Expect(q.Offer(epoch, request(id, fmt.Sprint("c", id%2), config.ClassNormal, 10))).To(BeNil())
+		}
+		real := map[string]float64{}
+		now := epoch
+		for range 400 {
+			for _, r := range q.Next(now) {
+				cost := 10.0
+				if r.Customer == "c1" {
+					cost = 40
+				}
+				real[r.Customer] += cost
+				now = now.Add(time.Millisecond)
+				q.Done(now, r.ID, cost, true)
+			}
+		}
+		Expect(real["c1"] / real["c0"]).To(BeNumerically("~", 1, 0.05))
+	})
+
+	It("lets a full queue's longest customer make room", func() {
+		q := NewQueue(Options{Limit: LimitOptions{Min: 1, Max: 1}, MaxQueued: 4, PatientPercent: 10})
+		for id := range 5 {
+			Expect(q.Offer(epoch, request(id, "greedy", config.ClassNormal, 10))).To(BeNil())
+			q.Next(epoch)
+		}
+		Expect(q.Offer(epoch, request(98, "greedy", config.ClassNormal, 10))).NotTo(BeNil())
+		Expect(q.Offer(epoch, request(99, "modest", config.ClassNormal, 10))).To(BeNil())
+		refused := q.Expired(epoch)
+		Expect(refused).To(HaveLen(1))
+		Expect(refused[0].Request.Customer).To(Equal("greedy"))
+		Expect(refused[0].Failure.RetryAfter).To(BeNumerically(">", 0))
+	})
+})
+
+var _ = Describe("classes", func() {
+	It("start urgent work before all else", func() {
+		q := newTestQueue(1)
+		for id := range 100 {
+			Expect(q.Offer(epoch, request(id, "a", config.ClassPatient, 10))).To(BeNil())
+		}
+		Expect(q.Offer(epoch, request(1000, "b", config.ClassUrgent, 10))).To(BeNil())
+		started := q.Next(epoch)
+		Expect(started).To(HaveLen(1))
+		Expect(started[0].ID).To(Equal("1000"))
+	})
+
+	It("keep a slot free of patient work for urgent work", func() {
+		q := newTestQueue(4)
+		for id := range 100 {
+			Expect(q.Offer(epoch, request(id, "a", config.ClassPatient, 10))).To(BeNil())
+		}
+		Expect(q.Next(epoch)).To(HaveLen(3))
+		Expect(q.Offer(epoch, request(1000, "b", config.ClassUrgent, 10))).To(BeNil())
+		Expect(q.Next(epoch)).To(HaveLen(1))
+	})
+
+	It("guarantee patient work its share", func() {
+		q := newTestQueue(2)
+		for id := range 4000 {
+			class := config.ClassUrgent
+			if id%2 == 0 {
+				class = config.ClassPatient
+			}
+			Expect(q.Offer(epoch, request(id, string(class), class, 10))).To(BeNil())
+		}
+		got := serve(q, 500)
+		share := got["patient"] / (got["patient"] + got["urgent"])
+		Expect(share).To(BeNumerically("~", 0.10, 0.02))
+	})
+})
+
+var _ = Describe("deadlines", func() {
+	It("refuse at once what can't be met, and say when to come back", func() {
+		q := newTestQueue(1)
+		now := epoch
+		id := 0
+		for range 50 {
+			id++
+			Expect(q.Offer(now, request(id, "a", config.ClassNormal, 10))).To(BeNil())
+			for _, r := range q.Next(now) {
+				now = now.Add(100 * time.Millisecond)
+				q.Done(now, r.ID, r.Cost, true)
+			}
+		}
+		for range 50 {
+			id++
+			Expect(q.Offer(now, request(id, "a", config.ClassNormal, 10))).To(BeNil())
+		}
+		q.Next(now)
+		late := request(9999, "a", config.ClassNormal, 10)
+		late.Deadline = now.Add(time.Second)
+		refused := q.Offer(now, late)
+		Expect(refused).NotTo(BeNil())
+		Expect(refused.RetryAfter).To(BeNumerically("~", 4*time.Second, time.Second))
+	})
+})
+
+var _ = Describe("the concurrency limit", func() {
+	It("shrinks when latency doubles and grows back, within its bounds", func() {
+		l := NewLimit(LimitOptions{Min: 2, Max: 32})
+		for range 400 {
+			l.Observe(10*time.Millisecond, 1, l.Current(), true)
+		}
+		Expect(l.Current()).To(Equal(32))
+		for range 400 {
+			l.Observe(50*time.Millisecond, 1, l.Current(), true)
+		}
+		slow := l.Current()
+		Expect(slow).To(BeNumerically("<", 16))
+		Expect(slow).To(BeNumerically(">=", 2))
+		for range 2000 {
+			l.Observe(10*time.Millisecond, 1, l.Current(), true)
+		}
+		Expect(l.Current()).To(Equal(32))
+	})
+
+	It("settles near the knee of a server that slows down beyond it", func() {
+		const knee = 12
+		l := NewLimit(LimitOptions{Min: 1, Max: 100})
+		for range 5000 {
+			load := math.Max(1, float64(l.Current())/knee)
+			l.Observe(time.Duration(10*load*float64(time.Millisecond)), 1, l.Current(), true)
+		}
+		Expect(l.Current()).To(BeNumerically("<=", 4*knee))
+		Expect(l.Current()).To(BeNumerically(">=", knee))
+	})
+})
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -81,7 +81,7 @@
 	}
 	a.queue = admission.NewQueue(admission.Options{
 		Limit: admission.LimitOptions{
-			Min: 1, Max: options.MaxConcurrency, Initial: options.MaxConcurrency,
+			Min: 1, Max: options.MaxConcurrency,
 		},
 		MaxQueued:      options.MaxQueued,
 		PatientPercent: policy.PatientPercent,
--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,295 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/wire"
+	"github.com/google/uuid"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+)
+
+func TestAgent(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "agent")
+}
+
+// bench is an agent before a fake backend server.
+type bench struct {
+	agent  *Agent
+	server *httptest.Server
+}
+
+func newBench(backend http.HandlerFunc, slots int) *bench {
+	server := httptest.NewServer(backend)
+	DeferCleanup(server.Close)
+	return benchBefore(server.URL, slots)
+}
+
+func benchBefore(backend string, slots int) *bench {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	policy := config.Policy{ClockSkewMs: 1, KeyWindowSeconds: 60}.WithDefaults()
+	// An agent that started a minute ago may run keys made now.
+	var calls atomic.Int64
+	now := func() time.Time {
+		if calls.Add(1) == 1 {
+			return time.Now().Add(-time.Minute)
+		}
+		return time.Now()
+	}
+	a := New(Options{
+		Server: "s1", Backend: backend, Protocol: config.ProtocolPlain, Key: "daemon",
+		MaxBody: 1 << 20, MaxAnswer: 1 << 20, MaxQueued: 100, MaxConcurrency: slots,
+	}, policy, now, logrus.NewEntry(logger))
+	server := httptest.NewServer(a)
+	DeferCleanup(server.Close)
+	return &bench{agent: a, server: server}
+}
+
+type ask struct {
+	id, key, customer, body string
+	idempotent              bool
+	budget                  time.Duration
+	ctx                     context.Context
+}
+
+func (b *bench) do(q ask) (*http.Response, string) {
+	if q.ctx == nil {
+		q.ctx = context.Background()
+	}
+	if q.budget == 0 {
+		q.budget = 10 * time.Second
+	}
+	if q.id == "" {
+		q.id = uuid.NewString()
+	}
+	request, err := http.NewRequestWithContext(q.ctx, http.MethodPost, b.server.URL+"/dispatch/x", bytes.NewBufferString(q.body))
+	Expect(err).NotTo(HaveOccurred())
+	(&wire.Envelope{
+		RequestID: q.id, Customer: q.customer, Weight: 1, Class: config.ClassNormal,
+		Budget: q.budget, Idempotent: q.idempotent, Key: q.key, Cost: 1, Server: "s1",
+	}).Write(request.Header)
+	request.Header.Set(wire.HeaderAuth, "daemon")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, ""
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return response, string(body)
+}
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+func outcomeOf(r *http.Response) string { return r.Header.Get(wire.HeaderOutcome) }
+
+var _ = Describe("keyed requests", func() {
+	It("run once and give the recorded answer to repeats", func() {
+		var runs atomic.Int64
+		b := newBench(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintf(w, "run %d", runs.Add(1)) }, 4)
+		key := newKey()
+		for i := range 3 {
+			response, body := b.do(ask{key: key, body: "x"})
+			Expect(outcomeOf(response)).To(Equal("answered"))
+			Expect(body).To(Equal("run 1"))
+			Expect(response.Header.Get(wire.HeaderReplayed) == "1").To(Equal(i > 0))
+		}
+		Expect(runs.Load()).To(Equal(int64(1)))
+	})
+
+	It("are kept apart by customer, and bound to their body", func() {
+		var runs atomic.Int64
+		b := newBench(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintf(w, "run %d", runs.Add(1)) }, 4)
+		key := newKey()
+		_, first := b.do(ask{key: key, body: "x", customer: "one"})
+		_, second := b.do(ask{key: key, body: "x", customer: "two"})
+		Expect(first).NotTo(Equal(second))
+		response, _ := b.do(ask{key: key, body: "other", customer: "one"})
+		Expect(response.StatusCode).To(Equal(http.StatusConflict))
+	})
+
+	It("join a request that is still running", func() {
+		var runs atomic.Int64
+		release, arrived := make(chan struct{}), make(chan struct{}, 2)
+		b := newBench(func(w http.ResponseWriter, _ *http.Request) {
+			runs.Add(1)
+			arrived <- struct{}{}
+			<-release
+			fmt.Fprint(w, "done")
+		}, 4)
+		key := newKey()
+		answers := make(chan string, 2)
+		for range 2 {
+			go func() {
+				defer GinkgoRecover()
+				_, body := b.do(ask{key: key, body: "x"})
+				answers <- body
+			}()
+		}
+		<-arrived
+		close(release)
+		Expect(<-answers).To(Equal("done"))
+		Expect(<-answers).To(Equal("done"))
+		Expect(runs.Load()).To(Equal(int64(1)))
+	})
+
+	It("go on when their entry dies, and keep the answer for the repeat", func() {
+		var runs atomic.Int64
+		release, arrived := make(chan struct{}), make(chan struct{}, 1)
+		b := newBench(func(w http.ResponseWriter, _ *http.Request) {
+			runs.Add(1)
+			arrived <- struct{}{}
+			<-release
+			fmt.Fprint(w, "done")
+		}, 4)
+		key := newKey()
+		ctx, die := context.WithCancel(context.Background())
+		go b.do(ask{key: key, body: "x", ctx: ctx})
+		<-arrived
+		die()
+		close(release)
+		Eventually(func() string { _, body := b.do(ask{key: key, body: "x"}); return body }, "5s").Should(Equal("done"))
+		Expect(runs.Load()).To(Equal(int64(1)))
+	})
+
+	It("are unknown, and stay so, when the server cut the answer", func() {
+		var runs atomic.Int64
+		b := newBench(func(http.ResponseWriter, *http.Request) { runs.Add(1); panic(http.ErrAbortHandler) }, 4)
+		key := newKey()
+		for range 3 {
+			response, _ := b.do(ask{key: key, body: "x"})
+			Expect(outcomeOf(response)).To(Equal("unknown"))
+		}
+		Expect(runs.Load()).To(Equal(int64(1)))
+	})
+
+	It("are unknown when made before the agent started", func() {
+		var runs atomic.Int64
+		b := newBench(func(http.ResponseWriter, *http.Request) { runs.Add(1) }, 4)
+		old := uuid.Must(uuid.NewV7())
+		old[3]-- // about 65 seconds and more
+		old[2]--
+		response, _ := b.do(ask{key: old.String(), body: "x"})
+		Expect(outcomeOf(response)).To(Equal("unknown"))
+		Expect(runs.Load()).To(BeZero())
+	})
+
+	It("may be asked again when the server refused the connection", func() {
+		b := benchBefore("http://127.0.0.1:1", 4)
+		key := newKey()
+		for range 2 {
+			response, _ := b.do(ask{key: key, body: "x"})
+			Expect(outcomeOf(response)).To(Equal("not-run"))
+		}
+	})
+})
+
+var _ = Describe("requests", func() {
+	It("are cut, not ended, when the server cuts a stream", func() {
+		b := newBench(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			fmt.Fprint(w, "id: 1\ndata: x\n\n")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}, 4)
+		request, err := http.NewRequest(http.MethodPost, b.server.URL+"/x", nil)
+		Expect(err).NotTo(HaveOccurred())
+		(&wire.Envelope{RequestID: "r", Weight: 1, Budget: time.Second, Cost: 1, Server: "s1"}).Write(request.Header)
+		request.Header.Set(wire.HeaderAuth, "daemon")
+		response, err := http.DefaultClient.Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		_, err = io.ReadAll(response.Body)
+		Expect(err).To(HaveOccurred())
+		Expect(b.agent.Ledger().Unknown).To(Equal(int64(1)))
+	})
+
+	It("wait their turn and are not run when their caller leaves", func() {
+		release, arrived := make(chan struct{}), make(chan struct{}, 4)
+		var runs atomic.Int64
+		b := newBench(func(http.ResponseWriter, *http.Request) { runs.Add(1); arrived <- struct{}{}; <-release }, 1)
+		go b.do(ask{body: "first"})
+		<-arrived
+		ctx, leave := context.WithCancel(context.Background())
+		go b.do(ask{body: "second", ctx: ctx})
+		Eventually(func() int { return b.agent.Load().Queued }, "5s").Should(Equal(1))
+		leave()
+		Eventually(func() int64 { return b.agent.Ledger().NotRun }, "5s").Should(Equal(int64(1)))
+		close(release)
+		Eventually(func() int64 { return b.agent.Ledger().Answered }, "5s").Should(Equal(int64(1)))
+		Expect(runs.Load()).To(Equal(int64(1)))
+	})
+
+	It("are given up at their deadline in the queue, at once and with a hint", func() {
+		release, arrived := make(chan struct{}), make(chan struct{}, 4)
+		b := newBench(func(http.ResponseWriter, *http.Request) { arrived <- struct{}{}; <-release }, 1)
+		go b.do(ask{body: "first"})
+		<-arrived
+		response, _ := b.do(ask{body: "second", budget: 30 * time.Millisecond})
+		Expect(outcomeOf(response)).To(Equal("not-run"))
+		Expect(response.Header.Get(wire.HeaderRetryAfterMs)).NotTo(BeEmpty())
+		close(release)
+	})
+
+	It("meant for another server are refused", func() {
+		b := newBench(func(http.ResponseWriter, *http.Request) {}, 1)
+		request, err := http.NewRequest(http.MethodPost, b.server.URL+"/x", nil)
+		Expect(err).NotTo(HaveOccurred())
+		(&wire.Envelope{Weight: 1, Budget: time.Second, Cost: 1, Server: "other"}).Write(request.Header)
+		request.Header.Set(wire.HeaderAuth, "daemon")
+		response, err := http.DefaultClient.Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		Expect(response.Header.Get(wire.HeaderCode)).To(Equal("wrong-server"))
+	})
+
+	It("without the daemon key are refused", func() {
+		b := newBench(func(http.ResponseWriter, *http.Request) {}, 1)
+		response, err := http.Post(b.server.URL, "", nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		Expect(response.StatusCode).To(Equal(http.StatusUnauthorized))
+	})
+})
+
+var _ = Describe("leaving", func() {
+	It("finishes what runs, refuses the rest, closes keys, and says so in every answer", func() {
+		release, arrived := make(chan struct{}), make(chan struct{}, 4)
+		b := newBench(func(w http.ResponseWriter, _ *http.Request) {
+			arrived <- struct{}{}
+			<-release
+			fmt.Fprint(w, "done")
+		}, 4)
+		first := make(chan string, 1)
+		go func() {
+			defer GinkgoRecover()
+			_, body := b.do(ask{body: "x"})
+			first <- body
+		}()
+		<-arrived
+		idle := b.agent.Leave()
+		Consistently(idle, "50ms").ShouldNot(BeClosed())
+		response, _ := b.do(ask{body: "y"})
+		Expect(outcomeOf(response)).To(Equal("not-run"))
+		Expect(response.Header.Get(wire.HeaderCode)).To(Equal("leaving"))
+		load, ok := wire.ParseLoad(response.Header.Get(wire.HeaderLoad))
+		Expect(ok && load.Leaving).To(BeTrue())
+		response, _ = b.do(ask{body: "z", key: newKey()})
+		Expect(response.Header.Get(wire.HeaderKeyClosed)).To(Equal("1"))
+		close(release)
+		Expect(<-first).To(Equal("done"))
+		Eventually(idle, "5s").Should(BeClosed())
+	})
+})
--- /dev/null
+++ b/internal/config/fold_property_test.go
@@ -0,0 +1,257 @@
+package config
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// The seed is fixed, so that CI gives the same verdict every time; -rapid.seed=0
+// draws another one.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+// fakeLog is an append-only log that loses answers, doubles records and keeps
+// only the newest.
+type fakeLog struct {
+	entries []LogEntry
+	first   int64
+}
+
+func (l *fakeLog) append(data []byte) int64 {
+	offset := int64(len(l.entries))
+	l.entries = append(l.entries, LogEntry{Offset: offset, TimeMs: offset, Data: data})
+	return offset
+}
+
+func (l *fakeLog) read(after int64) []LogEntry {
+	if after+1 < l.first {
+		return nil
+	}
+	return l.entries[after+1:]
+}
+
+// world is the state machine that rapid drives: writers race, folders read in
+// pieces, restart from snapshots or peers, and the log forgets its past.
+type world struct {
+	log     *fakeLog
+	folders []*State
+	// hashes is the state's hash at each offset, from whoever folded it first.
+	hashes map[int64]string
+	// accepted is the verdict of each command, from whoever folded it first.
+	accepted map[string]bool
+	commands int
+}
+
+func mustEncode(t *rapid.T, r *Record) []byte {
+	data, err := r.Encode()
+	if err != nil {
+		t.Fatalf("encode: %v", err)
+	}
+	return data
+}
+
+func (w *world) write(t *rapid.T) {
+	folder := rapid.SampledFrom(w.folders).Draw(t, "writer reads from")
+	name := fmt.Sprintf("c%d", rapid.IntRange(0, 2).Draw(t, "object"))
+	w.commands++
+	change := Change{Kind: KindCustomer, Name: name, ExpectedRevision: AnyRevision}
+	if rapid.IntRange(0, 9).Draw(t, "deletes") > 0 {
+		change.Object = &Object{Kind: KindCustomer, Name: name, Customer: &Customer{Weight: rapid.IntRange(-1, 5).Draw(t, "weight")}}
+	}
+	if rapid.Bool().Draw(t, "checks revision") {
+		change.ExpectedRevision = 0
+		if current := folder.Objects[string(KindCustomer)+"/"+name]; current != nil {
+			change.ExpectedRevision = current.Revision
+		}
+	}
+	bundle := &Bundle{CommandID: fmt.Sprintf("cmd%d", w.commands), Actor: "op", Changes: []Change{change}}
+	data := mustEncode(t, &Record{Format: FormatVersion, Kind: RecordChange, Bundle: bundle})
+	// A writer whose answer is lost appends again.
+	for range rapid.IntRange(1, 3).Draw(t, "appends") {
+		w.log.append(data)
+	}
+}
+
+func (w *world) writeStrange(t *rapid.T) {
+	w.log.append([]byte(rapid.SampledFrom([]string{"", "{", `{"format":99,"kind":"later"}`, `{"format":1,"kind":"other"}`, `{"format":1,"kind":"change"}`}).Draw(t, "bytes")))
+}
+
+func (w *world) claim(t *rapid.T) {
+	folder := rapid.SampledFrom(w.folders).Draw(t, "claimer reads from")
+	previous := NoOffset
+	if lease, held := folder.Leases["g"]; held {
+		previous = lease.Last
+	}
+	holder := rapid.SampledFrom([]string{"h1", "h2"}).Draw(t, "holder")
+	w.log.append(mustEncode(t, &Record{Format: FormatVersion, Kind: RecordLease, Lease: &LeaseClaim{Group: "g", Holder: holder, Previous: previous}}))
+}
+
+func (w *world) fold(t *rapid.T) {
+	folder := rapid.SampledFrom(w.folders).Draw(t, "folder")
+	entries := w.log.read(folder.Offset)
+	n := rapid.IntRange(0, len(entries)).Draw(t, "records")
+	for _, entry := range entries[:n] {
+		w.foldOne(t, folder, entry)
+	}
+	if n > 0 && rapid.Bool().Draw(t, "delivered again") {
+		w.foldOne(t, folder, entries[n-1])
+	}
+}
+
+func (w *world) foldOne(t *rapid.T, folder *State, entry LogEntry) {
+	before := folder.Offset
+	if err := folder.Fold(entry); err != nil {
+		t.Fatalf("fold: %v", err)
+	}
+	if folder.Offset < before {
+		t.Fatalf("offset fell from %d to %d", before, folder.Offset)
+	}
+	w.observe(t, folder)
+}
+
+// observe checks that the same offset means the same state, and that no verdict
+// ever changes.
+func (w *world) observe(t *rapid.T, folder *State) {
+	hash := folder.Hash()
+	if known, ok := w.hashes[folder.Offset]; ok && known != hash {
+		t.Fatalf("offset %d has two states", folder.Offset)
+	}
+	w.hashes[folder.Offset] = hash
+	for command, result := range folder.Results {
+		if known, ok := w.accepted[command]; ok && known != result.Accepted {
+			t.Fatalf("%s was accepted=%t and is accepted=%t", command, known, result.Accepted)
+		}
+		w.accepted[command] = result.Accepted
+	}
+}
+
+func (w *world) snapshot(t *rapid.T) {
+	folder := rapid.SampledFrom(w.folders).Draw(t, "writes snapshot")
+	records, err := folder.SnapshotRecords()
+	if err != nil {
+		t.Fatalf("snapshot: %v", err)
+	}
+	torn := rapid.IntRange(0, 3).Draw(t, "torn") == 0
+	for i, record := range records {
+		if torn && i == len(records)-1 {
+			return
+		}
+		w.log.append(mustEncode(t, record))
+	}
+}
+
+func (w *world) forget(t *rapid.T) {
+	w.log.first = min(w.log.first+int64(rapid.IntRange(0, 8).Draw(t, "forgotten")), int64(len(w.log.entries)))
+}
+
+// replace gives a folder's place to a fresh VM, which starts from the log's
+// snapshot, or else from a peer.
+func (w *world) replace(t *rapid.T) {
+	i := rapid.IntRange(0, len(w.folders)-1).Draw(t, "replaced")
+	fresh := Restore(w.log.entries[w.log.first:])
+	if w.log.first == 0 {
+		fresh = NewState()
+	}
+	if fresh == nil {
+		data, err := w.folders[(i+1)%len(w.folders)].EncodeSnapshot()
+		if err != nil {
+			t.Fatalf("encode: %v", err)
+		}
+		if fresh, err = DecodeSnapshot(data); err != nil {
+			t.Fatalf("decode: %v", err)
+		}
+	}
+	w.folders[i] = fresh
+	if fresh.Offset != NoOffset {
+		w.observe(t, fresh)
+	}
+}
+
+// heal lets a folder whose history fell off the log take a peer's state.
+func (w *world) heal(t *rapid.T) {
+	i := rapid.IntRange(0, len(w.folders)-1).Draw(t, "heals")
+	peer := w.folders[rapid.IntRange(0, len(w.folders)-1).Draw(t, "from")]
+	if peer.Offset <= w.folders[i].Offset {
+		return
+	}
+	data, err := peer.EncodeSnapshot()
+	if err != nil {
+		t.Fatalf("encode: %v", err)
+	}
+	if w.folders[i], err = DecodeSnapshot(data); err != nil {
+		t.Fatalf("decode: %v", err)
+	}
+}
+
+// TestFoldAgreesEverywhere: the same offset means the same state at every
+// process, however it got there; no verdict changes; each command has one effect.
+func TestFoldAgreesEverywhere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{log: &fakeLog{}, hashes: map[int64]string{}, accepted: map[string]bool{}}
+		for range 4 {
+			w.folders = append(w.folders, NewState())
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"write": w.write, "write strange": w.writeStrange, "claim": w.claim, "fold": w.fold,
+			"snapshot": w.snapshot, "forget": w.forget, "replace": w.replace, "heal": w.heal,
+		})
+		w.converge(t)
+	})
+}
+
+// converge checks that a change in force is one that was accepted, and took
+// effect at its first record only.
+func (w *world) converge(t *rapid.T) {
+	reference := NewState()
+	for _, entry := range w.log.entries {
+		w.foldOne(t, reference, entry)
+	}
+	for id, object := range reference.Objects {
+		data := w.log.entries[object.Revision-1].Data
+		record, err := DecodeRecord(data)
+		if err != nil || record.Bundle == nil || !reference.Results[record.Bundle.CommandID].Accepted {
+			t.Fatalf("%s is in force from a record that was not accepted", id)
+		}
+		if first := reference.Results[record.Bundle.CommandID].Offset; first != object.Revision-1 {
+			t.Fatalf("%s took effect again at offset %d; its command was decided at %d", id, object.Revision-1, first)
+		}
+	}
+	if err := VerifyAudit(reference.Audit); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestLeaseHasOneClaimPerOffset: a claim takes the lease only when it saw the
+// last one, and the fencing number only grows.
+func TestLeaseFenceGrows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state := NewState()
+		fence := NoOffset
+		for offset := range int64(40) {
+			holder := rapid.SampledFrom([]string{"h1", "h2", "h3"}).Draw(t, "holder")
+			previous := int64(rapid.IntRange(-1, int(offset)).Draw(t, "previous"))
+			before, held := state.Leases["g"]
+			record := &Record{Format: FormatVersion, Kind: RecordLease, Lease: &LeaseClaim{Group: "g", Holder: holder, Previous: previous}}
+			if err := state.Fold(LogEntry{Offset: offset, Data: mustEncode(t, record)}); err != nil {
+				t.Fatal(err)
+			}
+			after := state.Leases["g"]
+			if held && previous != before.Last && after != before {
+				t.Fatalf("a claim that saw %d took a lease whose last record was %d", previous, before.Last)
+			}
+			if after.Fence < fence {
+				t.Fatalf("fence fell from %d to %d", fence, after.Fence)
+			}
+			if held && after.Holder != before.Holder && after.Fence <= before.Fence {
+				t.Fatal("a new holder has an old fence")
+			}
+			fence = after.Fence
+		}
+	})
+}
--- /dev/null
+++ b/internal/outcome/keys_property_test.go
@@ -0,0 +1,202 @@
+package outcome
+
+import (
+	"encoding/binary"
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"pgregory.net/rapid"
+)
+
+// The seed is fixed, so that CI gives the same verdict every time; -rapid.seed=0
+// draws another one.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+const (
+	testWindow = 100 * time.Second
+	testSkew   = 2 * time.Second
+)
+
+// keyAt returns a version 7 UUID that carries a time.
+func keyAt(at time.Time, n uint64) string {
+	var id uuid.UUID
+	ms := at.UnixMilli()
+	for i := 5; i >= 0; i-- {
+		id[i] = byte(ms)
+		ms >>= 8
+	}
+	binary.BigEndian.PutUint64(id[8:], n)
+	id[6] = 0x70
+	id[8] = id[8]&0x3f | 0x80
+	return id.String()
+}
+
+// home is one agent over its incarnations, with a true time that no process
+// knows: each reads a clock that is off by at most half the skew, so that any
+// two differ by at most the skew.
+type home struct {
+	true_   time.Time
+	offset  time.Duration // the present agent clock's error
+	table   *Keys
+	started map[string]int // starts that happened, by key
+	running map[string]bool
+	keys    []string
+}
+
+func (h *home) now() time.Time { return h.true_.Add(h.offset) }
+
+func (h *home) drawOffset(t *rapid.T, label string) time.Duration {
+	half := int(testSkew.Milliseconds() / 2)
+	return time.Duration(rapid.IntRange(-half, half).Draw(t, label)) * time.Millisecond
+}
+
+func (h *home) restart(t *rapid.T) {
+	h.offset = h.drawOffset(t, "clock error")
+	h.running = map[string]bool{}
+	h.table = NewKeys(KeysOptions{
+		Started: h.now(), Window: testWindow, Skew: testSkew, MaxKeys: 1000, MaxBytes: 1 << 20,
+	})
+}
+
+func (h *home) wait(t *rapid.T) {
+	h.true_ = h.true_.Add(time.Duration(rapid.IntRange(0, 30_000).Draw(t, "ms")) * time.Millisecond)
+}
+
+// ask sends a new key or repeats an old one.
+func (h *home) ask(t *rapid.T) {
+	var key string
+	if len(h.keys) > 0 && rapid.Bool().Draw(t, "repeat") {
+		key = rapid.SampledFrom(h.keys).Draw(t, "key")
+	} else {
+		key = h.newKey(t)
+	}
+	id := Key{Customer: "c", Value: key}
+	verdict, _, _ := h.table.Begin(h.now(), id, "hash", false)
+	if verdict != VerdictRun {
+		return
+	}
+	h.started[key]++
+	if h.started[key] > 1 {
+		t.Fatalf("key %s started %d times", key, h.started[key])
+	}
+	h.running[key] = true
+}
+
+// newKey makes a key on a caller's clock, which an entry accepted: no more than
+// the skew ahead of the entry's own clock.
+func (h *home) newKey(t *rapid.T) string {
+	entryClock := h.true_.Add(h.drawOffset(t, "entry clock error"))
+	caller := entryClock.Add(time.Duration(rapid.IntRange(-200_000, int(testSkew.Milliseconds())).Draw(t, "caller clock")) * time.Millisecond)
+	key := keyAt(caller, uint64(len(h.keys)))
+	if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
+		key = fmt.Sprintf("untimed-%d", len(h.keys))
+	}
+	h.keys = append(h.keys, key)
+	return key
+}
+
+func (h *home) end(t *rapid.T) {
+	for key := range h.running {
+		id := Key{Customer: "c", Value: key}
+		switch rapid.IntRange(0, 2).Draw(t, "end") {
+		case 0:
+			h.table.Finish(h.now(), id, Answer{Status: 200, Body: []byte(key)})
+		case 1:
+			h.table.Lose(h.now(), id)
+		default:
+			h.table.Release(id)
+			h.started[key] = 0 // it provably did not start
+		}
+		delete(h.running, key)
+		return
+	}
+}
+
+// TestKeyStartsAtMostOnce: over restarts that lose the table, wrong clocks,
+// repeats and pauses, a timed key starts at most once. An untimed key is
+// promised this for the window only, so the model forgets it afterwards.
+func TestKeyStartsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := &home{true_: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), started: map[string]int{}}
+		h.restart(t)
+		span := time.Duration(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"ask": h.ask, "end": h.end, "restart": h.restart,
+			"wait": func(t *rapid.T) {
+				before := h.true_
+				h.wait(t)
+				span += h.true_.Sub(before)
+				if span > testWindow/2 {
+					h.forgetUntimed()
+					span = 0
+				}
+			},
+		})
+	})
+}
+
+// forgetUntimed drops untimed keys from the model; the table is asked about
+// them no more.
+func (h *home) forgetUntimed() {
+	var kept []string
+	for _, key := range h.keys {
+		if _, timed := KeyTime(key); timed {
+			kept = append(kept, key)
+		}
+	}
+	h.keys = kept
+}
+
+func TestRepeatGetsTheRecordedAnswer(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	k := NewKeys(KeysOptions{Started: now.Add(-time.Hour), Window: testWindow, Skew: testSkew, MaxKeys: 10, MaxBytes: 100})
+	mine := Key{Customer: "mine", Value: keyAt(now, 1)}
+	other := Key{Customer: "other", Value: mine.Value}
+	if v, _, _ := k.Begin(now, mine, "h", false); v != VerdictRun {
+		t.Fatalf("first: %v", v)
+	}
+	if v, _, done := k.Begin(now, mine, "h", false); v != VerdictWait || done == nil {
+		t.Fatalf("while running: %v", v)
+	}
+	if v, _, _ := k.Begin(now, mine, "other body", false); v != VerdictConflict {
+		t.Fatalf("other body: %v", v)
+	}
+	if v, _, _ := k.Begin(now, other, "h", false); v != VerdictRun {
+		t.Fatalf("another customer's equal key: %v", v)
+	}
+	k.Finish(now, mine, Answer{Status: 201, Body: []byte("done")})
+	if v, a, _ := k.Begin(now.Add(testWindow/2), mine, "h", false); v != VerdictReplay || string(a.Body) != "done" {
+		t.Fatalf("repeat: %v %q", v, a.Body)
+	}
+	if v, _, _ := k.Begin(now.Add(2*testWindow), mine, "h", false); v != VerdictUnresolved {
+		t.Fatalf("after the window: %v", v)
+	}
+}
+
+func TestLeavingClosesUnseenKeys(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	k := NewKeys(KeysOptions{Started: now.Add(-time.Hour), Window: testWindow, Skew: testSkew, MaxKeys: 10, MaxBytes: 100})
+	key := Key{Value: keyAt(now, 1)}
+	if v, _, _ := k.Begin(now, key, "h", true); v != VerdictClosed {
+		t.Fatalf("leaving: %v", v)
+	}
+	if v, _, _ := k.Begin(now, key, "h", false); v != VerdictClosed {
+		t.Fatalf("a closed key must not run here: %v", v)
+	}
+}
+
+func TestFullTableRefusesInsteadOfForgetting(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	k := NewKeys(KeysOptions{Started: now.Add(-time.Hour), Window: testWindow, Skew: testSkew, MaxKeys: 1, MaxBytes: 100})
+	k.Begin(now, Key{Value: keyAt(now, 1)}, "h", false)
+	if v, _, _ := k.Begin(now, Key{Value: keyAt(now, 2)}, "h", false); v != VerdictFull {
+		t.Fatalf("full: %v", v)
+	}
+}
