--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 
 race: build
 	go test -race -count=1 $(PACKAGES)
+	go test -count=1 -run 'OneMap|Mutants|StepsAgain' ./internal/group
 
 bench: build
 	go run ./standins/cmd/bench $(BIN)
