--- /dev/null
+++ b/internal/rebalance/placement.go
@@ -0,0 +1,170 @@
+// Package rebalance decides which expert replicas a group moves, and which
+// ranks are stragglers. It is pure: state in, decision out.
+package rebalance
+
+import "github.com/pkg/errors"
+
+// Shape is a group's size.
+type Shape struct {
+	Ranks, Experts, Layers int
+	// Slots is how many expert replicas each rank holds per layer.
+	Slots int
+}
+
+// Placement is an expert map: which expert each slot of each rank holds, by
+// layer. A rank holds an expert at most once per layer.
+type Placement struct {
+	Shape Shape
+	// slots[layer][rank*Shape.Slots+slot] is an expert.
+	slots [][]int32
+}
+
+// NewPlacement spreads the experts evenly: the default map of a group that was
+// never rebalanced. Slots beyond one replica of each are filled round robin.
+func NewPlacement(shape Shape) (*Placement, error) {
+	if shape.Ranks*shape.Slots < shape.Experts {
+		return nil, errors.Errorf("slots: %d ranks x %d slots can't hold %d experts", shape.Ranks, shape.Slots, shape.Experts)
+	}
+	if shape.Slots > shape.Experts {
+		return nil, errors.Errorf("slots: %d a rank are more than the %d experts", shape.Slots, shape.Experts)
+	}
+	p := &Placement{Shape: shape, slots: make([][]int32, shape.Layers)}
+	for layer := range p.slots {
+		p.slots[layer] = make([]int32, shape.Ranks*shape.Slots)
+		for rank := range shape.Ranks {
+			for slot := range shape.Slots {
+				p.slots[layer][rank*shape.Slots+slot] = int32((rank + slot*shape.Ranks) % shape.Experts)
+			}
+		}
+		p.repairDuplicates(layer)
+	}
+	return p, nil
+}
+
+// repairDuplicates makes each rank's experts differ. Round robin gives a rank
+// the same expert twice when the ranks are a multiple of the experts.
+func (p *Placement) repairDuplicates(layer int) {
+	for rank := range p.Shape.Ranks {
+		held := p.rank(layer, rank)
+		for slot := range held {
+			for contains(held[:slot], held[slot]) {
+				held[slot] = (held[slot] + 1) % int32(p.Shape.Experts)
+			}
+		}
+	}
+}
+
+func contains(experts []int32, expert int32) bool {
+	for _, e := range experts {
+		if e == expert {
+			return true
+		}
+	}
+	return false
+}
+
+// rank returns the experts of one rank in one layer.
+func (p *Placement) rank(layer, rank int) []int32 {
+	from := rank * p.Shape.Slots
+	return p.slots[layer][from : from+p.Shape.Slots]
+}
+
+// Clone returns a copy.
+func (p *Placement) Clone() *Placement {
+	c := &Placement{Shape: p.Shape, slots: make([][]int32, len(p.slots))}
+	for layer := range p.slots {
+		c.slots[layer] = append([]int32(nil), p.slots[layer]...)
+	}
+	return c
+}
+
+// Move loads an expert into a slot, in the place of what that holds.
+type Move struct {
+	Layer, Rank, Slot int
+	Expert            int
+}
+
+// Apply carries out moves.
+func (p *Placement) Apply(moves []Move) {
+	for _, m := range moves {
+		p.slots[m.Layer][m.Rank*p.Shape.Slots+m.Slot] = int32(m.Expert)
+	}
+}
+
+// Valid checks that every expert has a replica in every layer and that no rank
+// holds an expert twice.
+func (p *Placement) Valid() error {
+	for layer := range p.slots {
+		seen := make([]bool, p.Shape.Experts)
+		for rank := range p.Shape.Ranks {
+			held := p.rank(layer, rank)
+			for slot, expert := range held {
+				if contains(held[:slot], expert) {
+					return errors.Errorf("layer %d: rank %d holds expert %d twice", layer, rank, expert)
+				}
+				seen[expert] = true
+			}
+		}
+		for expert, found := range seen {
+			if !found {
+				return errors.Errorf("layer %d: expert %d has no replica", layer, expert)
+			}
+		}
+	}
+	return nil
+}
+
+// Distance counts the slots in which two placements differ, as experts that
+// must be loaded to get from one to the other.
+func (p *Placement) Distance(other *Placement) int {
+	loads := 0
+	for layer := range p.slots {
+		for rank := range p.Shape.Ranks {
+			held := p.rank(layer, rank)
+			for _, expert := range other.rank(layer, rank) {
+				if !contains(held, expert) {
+					loads++
+				}
+			}
+		}
+	}
+	return loads
+}
+
+// Popularity is the work that each expert of each layer attracts, in any unit.
+type Popularity [][]float64
+
+// NewPopularity returns zeros.
+func NewPopularity(shape Shape) Popularity {
+	p := make(Popularity, shape.Layers)
+	for layer := range p {
+		p[layer] = make([]float64, shape.Experts)
+	}
+	return p
+}
+
+// Skew returns the group's step time over the time that a perfect spread would
+// take. Ranks wait for each other in each layer, so the slowest rank of each
+// counts. speeds are relative; 1 is a healthy rank's.
+func (p *Placement) Skew(popularity Popularity, speeds []float64) float64 {
+	slowest, ideal := 0.0, 0.0
+	capacity := sum(speeds)
+	state := newLayer(p.Shape)
+	for layer := range p.slots {
+		state.load(p, layer, popularity[layer], speeds)
+		slowest += state.slowestTime()
+		ideal += sum(popularity[layer]) / capacity
+	}
+	if ideal == 0 {
+		return 1
+	}
+	return slowest / ideal
+}
+
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, v := range values {
+		total += v
+	}
+	return total
+}
--- /dev/null
+++ b/internal/rebalance/plan.go
@@ -0,0 +1,113 @@
+package rebalance
+
+import "slices"
+
+// Options are the operator's weights and the platform's limits.
+type Options struct {
+	// SkewWeight is what one per cent less time of a layer's slowest rank is
+	// worth; CostWeight is what loading one expert costs. Only their ratio counts:
+	// a move is made when it gains more than CostWeight/SkewWeight per cent.
+	SkewWeight, CostWeight float64
+	// MaxMoves bounds the moves of one plan, from the weight store's rate and the
+	// planning interval.
+	MaxMoves int
+}
+
+// maxMovesPerLayer bounds the search in one layer.
+const maxMovesPerLayer = 512
+
+// Planner turns popularity into moves. It keeps its arrays between plans. Not
+// safe for concurrent use.
+type Planner struct {
+	shape   Shape
+	layer   *layer
+	pending []Move
+}
+
+// NewPlanner returns a planner for groups of a shape.
+func NewPlanner(shape Shape) *Planner {
+	return &Planner{shape: shape, layer: newLayer(shape)}
+}
+
+// layerPlan is what one layer would gain by how many moves.
+type layerPlan struct {
+	moves []Move
+	net   float64 // gain less cost, in per cent of the layer's ideal time
+}
+
+// Plan returns the moves worth making, the most profitable layers first, or
+// none. In each layer, moves are tried one after the other and the prefix with
+// the best net gain is kept: several ranks may have to be lightened before the
+// slowest one's time falls. That the gain must exceed the cost is also the
+// hysteresis against noise.
+func (p *Planner) Plan(current *Placement, popularity Popularity, speeds []float64, options Options) []Move {
+	var plans []layerPlan
+	for n := range p.shape.Layers {
+		plan := p.planLayer(current, n, popularity[n], speeds, options)
+		if len(plan.moves) > 0 {
+			plans = append(plans, plan)
+		}
+	}
+	slices.SortStableFunc(plans, func(a, b layerPlan) int {
+		switch gainA, gainB := a.net/float64(len(a.moves)), b.net/float64(len(b.moves)); {
+		case gainA > gainB:
+			return -1
+		case gainA < gainB:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return take(plans, options.MaxMoves)
+}
+
+// take returns whole layers' plans up to a number of moves.
+func take(plans []layerPlan, limit int) []Move {
+	var moves []Move
+	for _, plan := range plans {
+		if len(moves)+len(plan.moves) > limit {
+			continue
+		}
+		moves = append(moves, plan.moves...)
+	}
+	return moves
+}
+
+func (p *Planner) planLayer(current *Placement, n int, popularity, speeds []float64, options Options) layerPlan {
+	l := p.layer
+	l.load(current, n, popularity, speeds)
+	ideal := sum(popularity) / sum(speeds)
+	if ideal == 0 {
+		return layerPlan{}
+	}
+	price := 0.0
+	if options.SkewWeight > 0 {
+		price = options.CostWeight / options.SkewWeight
+	}
+	before := l.slowestTime()
+	p.pending = p.pending[:0]
+	bestNet, bestLength := 0.0, 0
+	for len(p.pending) < maxMovesPerLayer {
+		move, found := l.bestMove(n)
+		if !found {
+			break
+		}
+		l.apply(move)
+		p.pending = append(p.pending, move)
+		gain := (before - l.slowestTime()) / ideal * 100
+		net := gain - price*float64(len(p.pending))
+		if net > bestNet {
+			bestNet, bestLength = net, len(p.pending)
+		}
+		if p.hopeless(ideal, before, price, bestNet) {
+			break
+		}
+	}
+	return layerPlan{moves: slices.Clone(p.pending[:bestLength]), net: bestNet}
+}
+
+// hopeless tells that not even a perfect spread would make more moves pay.
+func (p *Planner) hopeless(ideal, before, price, bestNet float64) bool {
+	most := (before-ideal)/ideal*100 - price*float64(len(p.pending)+1)
+	return most <= bestNet
+}
--- /dev/null
+++ b/internal/rebalance/rebalance_test.go
@@ -0,0 +1,191 @@
+package rebalance
+
+import (
+	"flag"
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// The seed is fixed, so that CI gives the same verdict every time.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+func drawShape(t *rapid.T) Shape {
+	shape := Shape{
+		Ranks:   rapid.IntRange(1, 12).Draw(t, "ranks"),
+		Experts: rapid.IntRange(1, 24).Draw(t, "experts"),
+		Layers:  rapid.IntRange(1, 3).Draw(t, "layers"),
+	}
+	least := (shape.Experts + shape.Ranks - 1) / shape.Ranks
+	shape.Slots = rapid.IntRange(least, max(least, min(shape.Experts, least+3))).Draw(t, "slots")
+	return shape
+}
+
+func drawPopularity(t *rapid.T, shape Shape) Popularity {
+	p := NewPopularity(shape)
+	for layer := range p {
+		for expert := range p[layer] {
+			p[layer][expert] = rapid.Float64Range(0, 100).Draw(t, "popularity")
+		}
+	}
+	return p
+}
+
+func drawSpeeds(t *rapid.T, ranks int) []float64 {
+	speeds := make([]float64, ranks)
+	for rank := range speeds {
+		speeds[rank] = rapid.Float64Range(0.2, 1).Draw(t, "speed")
+	}
+	return speeds
+}
+
+// TestPlansKeepEveryExpertAndPay: whatever the input, a plan leaves every expert
+// with a replica, no rank with two of one, and never makes the group slower.
+func TestPlansKeepEveryExpertAndPay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shape := drawShape(t)
+		p, err := NewPlacement(shape)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := p.Valid(); err != nil {
+			t.Fatal(err)
+		}
+		planner := NewPlanner(shape)
+		for range 3 {
+			popularity, speeds := drawPopularity(t, shape), drawSpeeds(t, shape.Ranks)
+			before := p.Skew(popularity, speeds)
+			options := Options{SkewWeight: 1, CostWeight: rapid.Float64Range(0, 5).Draw(t, "cost"), MaxMoves: 1000}
+			moves := planner.Plan(p, popularity, speeds, options)
+			p.Apply(moves)
+			if err := p.Valid(); err != nil {
+				t.Fatal(err)
+			}
+			if after := p.Skew(popularity, speeds); after > before*(1+1e-9) {
+				t.Fatalf("%d moves made the skew %g from %g", len(moves), after, before)
+			}
+		}
+	})
+}
+
+// TestLayerTimesStayExact: the times that the planner updates move by move are
+// those of the placement counted afresh.
+func TestLayerTimesStayExact(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shape := drawShape(t)
+		shape.Layers = 1
+		p, err := NewPlacement(shape)
+		if err != nil {
+			t.Fatal(err)
+		}
+		popularity, speeds := drawPopularity(t, shape), drawSpeeds(t, shape.Ranks)
+		l := newLayer(shape)
+		l.load(p, 0, popularity[0], speeds)
+		for range 20 {
+			move, found := l.bestMove(0)
+			if !found {
+				break
+			}
+			hot := l.slowestRank()
+			victim := l.held(move.Rank)[move.Slot]
+			foreseen := l.peakAfter(hot, move.Rank, move.Expert, int(victim))
+			l.apply(move)
+			p.Apply([]Move{move})
+			fresh := newLayer(shape)
+			fresh.load(p, 0, popularity[0], speeds)
+			for rank := range l.times {
+				if math.Abs(l.times[rank]-fresh.times[rank]) > 1e-6 {
+					t.Fatalf("rank %d: %g, counted afresh %g", rank, l.times[rank], fresh.times[rank])
+				}
+			}
+			if touched := max(fresh.times[hot], fresh.times[move.Rank]); touched > foreseen+1e-6 {
+				t.Fatalf("foreseen %g, is %g", foreseen, touched)
+			}
+		}
+	})
+}
+
+func TestRepackIsValid(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shape := drawShape(t)
+		p := Repack(shape, drawPopularity(t, shape), drawSpeeds(t, shape.Ranks))
+		for rank := range shape.Ranks {
+			held := p.rank(0, rank)
+			for slot, expert := range held {
+				if contains(held[:slot], expert) {
+					t.Fatalf("rank %d holds %d twice", rank, expert)
+				}
+			}
+		}
+	})
+}
+
+func TestCostStopsMoves(t *testing.T) {
+	shape := Shape{Ranks: 4, Experts: 8, Layers: 1, Slots: 4}
+	p, err := NewPlacement(shape)
+	if err != nil {
+		t.Fatal(err)
+	}
+	popularity := NewPopularity(shape)
+	for expert := range popularity[0] {
+		popularity[0][expert] = float64(1 + expert*expert)
+	}
+	speeds := []float64{1, 1, 1, 1}
+	planner := NewPlanner(shape)
+	cheap := planner.Plan(p, popularity, speeds, Options{SkewWeight: 1, CostWeight: 0.01, MaxMoves: 100})
+	dear := planner.Plan(p, popularity, speeds, Options{SkewWeight: 1, CostWeight: 1000, MaxMoves: 100})
+	if len(cheap) == 0 || len(dear) != 0 {
+		t.Fatalf("cheap %d moves, dear %d", len(cheap), len(dear))
+	}
+	p.Apply(cheap)
+	if again := planner.Plan(p, popularity, speeds, Options{SkewWeight: 1, CostWeight: 0.01, MaxMoves: 100}); len(again) != 0 {
+		t.Fatalf("a plan that was carried out asks for %d more moves", len(again))
+	}
+	if none := planner.Plan(p, popularity, speeds, Options{SkewWeight: 1, MaxMoves: 0}); len(none) != 0 {
+		t.Fatalf("%d moves over a budget of none", len(none))
+	}
+}
+
+func TestStragglerIsFoundAndWaitersAreNot(t *testing.T) {
+	s := NewStragglers(8)
+	work := []float64{1, 2, 1, 1, 1, 1, 1, 1} // rank 1 is busier by its load only
+	busy := []float64{1, 2, 1, 3, 1, 1, 1, 1} // rank 3 is slow; all others wait for it
+	for step := range slowSteps {
+		if s.Slow(3) {
+			t.Fatalf("found after %d steps already", step)
+		}
+		s.Observe(busy, work)
+	}
+	for rank := range busy {
+		if s.Slow(rank) != (rank == 3) {
+			t.Fatalf("rank %d: straggler %t", rank, s.Slow(rank))
+		}
+	}
+	if speed := s.Speeds()[3]; speed > 0.7 {
+		t.Fatalf("speed %g", speed)
+	}
+	busy[3] = 1
+	s.Observe(busy, work)
+	if s.Slow(3) {
+		t.Fatal("a rank that recovered is still called slow")
+	}
+}
+
+func TestForecastFollowsYesterday(t *testing.T) {
+	shape := Shape{Ranks: 1, Experts: 1, Layers: 1, Slots: 1}
+	s := NewSmoother(shape, 1, 4)
+	day := []float64{10, 14, 10, 8}
+	report := func(slot int, scale float64) { s.Observe(slot, Popularity{{day[slot] * scale}}) }
+	for slot := range day {
+		report(slot, 1)
+	}
+	report(0, 2)
+	if got := s.Estimate(1)[0][0]; math.Abs(got-28) > 1e-9 {
+		t.Fatalf("estimate %g, want 28", got)
+	}
+}
--- /dev/null
+++ b/standins/bench/bench.go
@@ -0,0 +1,39 @@
+// Package bench measures crowbridge's decisions and processes. Each figure is
+// one line: area/name value unit baseline ratio. A ratio compares two figures of
+// the same run.
+package bench
+
+import (
+	"fmt"
+	"io"
+	"slices"
+)
+
+// Reporter prints figures.
+type Reporter struct {
+	// Out is where the lines go.
+	Out io.Writer
+}
+
+// Figure prints a value that has no baseline.
+func (r *Reporter) Figure(name string, value float64, unit string) {
+	fmt.Fprintf(r.Out, "%-58s %12.4g %-10s %12s %8s\n", name, value, unit, "-", "-")
+}
+
+// Against prints a value beside the baseline's.
+func (r *Reporter) Against(name string, value float64, unit string, baseline float64) {
+	ratio := 0.0
+	if baseline != 0 {
+		ratio = value / baseline
+	}
+	fmt.Fprintf(r.Out, "%-58s %12.4g %-10s %12.4g %8.3f\n", name, value, unit, baseline, ratio)
+}
+
+// Quantile returns the q-quantile of values, which it sorts.
+func Quantile(values []float64, q float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[min(int(q*float64(len(values))), len(values)-1)]
+}
--- /dev/null
+++ b/standins/cmd/bench/main.go
@@ -0,0 +1,53 @@
+// Command bench prints the figures of `make bench`: one line each, as
+// area/name value unit baseline ratio.
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/crowbridge/crowbridge/standins/bench"
+	"github.com/pkg/errors"
+)
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	if len(args) == 0 {
+		return errors.New("usage: bench DIRECTORY-OF-BINARIES [AREA...]")
+	}
+	r := &bench.Reporter{Out: os.Stdout}
+	areas := []struct {
+		name string
+		run  func() error
+	}{
+		{"rebalance", func() error { r.Rebalance(); return nil }},
+	}
+	for _, area := range areas {
+		if !wanted(area.name, args[1:]) {
+			continue
+		}
+		if err := area.run(); err != nil {
+			return errors.Wrap(err, area.name)
+		}
+	}
+	return nil
+}
+
+func wanted(name string, areas []string) bool {
+	if len(areas) == 0 {
+		return true
+	}
+	for _, area := range areas {
+		if strings.EqualFold(area, name) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/standins/trace/trace.go
@@ -0,0 +1,85 @@
+// Package trace generates expert popularity over a day: a skewed base, slow
+// drift, the day's season, a sharp holiday peak, and noise. The same seed gives
+// the same trace.
+package trace
+
+import (
+	"math"
+	"math/rand/v2"
+
+	"github.com/crowbridge/crowbridge/internal/rebalance"
+)
+
+// Options shape a trace.
+type Options struct {
+	Shape rebalance.Shape
+	// Intervals is the trace's length; IntervalsPerDay the season's period.
+	Intervals, IntervalsPerDay int
+	// Zipf is the exponent of the base popularity.
+	Zipf float64
+	// Drift is the random walk's step per interval, in logarithms.
+	Drift float64
+	// Season is the amplitude of the daily wave, in logarithms.
+	Season float64
+	// Noise is a measurement's relative error.
+	Noise float64
+	// PeakAt and PeakLength place the holiday peak; PeakFactor multiplies the
+	// popularity of a few experts.
+	PeakAt, PeakLength int
+	PeakFactor         float64
+	Seed               uint64
+}
+
+// peakShare is one expert in this many that the holiday favours.
+const peakShare = 24
+
+// Trace generates one interval after the other.
+type Trace struct {
+	options Options
+	random  *rand.Rand
+	logs    rebalance.Popularity // base and drift
+	phases  rebalance.Popularity
+	peaks   [][]bool
+	at      int
+}
+
+// New returns a trace at its first interval.
+func New(options Options) *Trace {
+	t := &Trace{
+		options: options,
+		random:  rand.New(rand.NewPCG(options.Seed, 1)),
+		logs:    rebalance.NewPopularity(options.Shape),
+		phases:  rebalance.NewPopularity(options.Shape),
+		peaks:   make([][]bool, options.Shape.Layers),
+	}
+	for layer := range t.logs {
+		t.peaks[layer] = make([]bool, options.Shape.Experts)
+		for place, expert := range t.random.Perm(options.Shape.Experts) {
+			t.logs[layer][expert] = -options.Zipf * math.Log(float64(place+4))
+			t.phases[layer][expert] = t.random.Float64() * 2 * math.Pi
+			t.peaks[layer][expert] = t.random.IntN(peakShare) == 0
+		}
+	}
+	return t
+}
+
+// Next returns the interval's true popularity and what was measured of it.
+func (t *Trace) Next() (truth, measured rebalance.Popularity) {
+	o := t.options
+	truth, measured = rebalance.NewPopularity(o.Shape), rebalance.NewPopularity(o.Shape)
+	season := 2 * math.Pi * float64(t.at) / float64(o.IntervalsPerDay)
+	peak := t.at >= o.PeakAt && t.at < o.PeakAt+o.PeakLength
+	for layer := range truth {
+		for expert := range truth[layer] {
+			t.logs[layer][expert] += o.Drift * t.random.NormFloat64()
+			value := math.Exp(t.logs[layer][expert] + o.Season*math.Sin(season+t.phases[layer][expert]))
+			if peak && t.peaks[layer][expert] {
+				value *= o.PeakFactor
+			}
+			truth[layer][expert] = value
+			measured[layer][expert] = value * max(0, 1+o.Noise*t.random.NormFloat64())
+		}
+	}
+	t.at++
+	return truth, measured
+}
