--- a/internal/rebalance/layer.go
+++ b/internal/rebalance/layer.go
@@ -79,33 +79,98 @@
 	return into[:n]
 }
 
-// bestMove finds the move that lightens the slowest rank the most without
-// making another as slow: one of its experts gets a replica at one of the
-// coldest ranks, in the place of an expert that has other replicas.
-func (l *layer) bestMove(n int) (Move, bool) {
+// step is one change of a layer: a replica put in the place of another, or two
+// experts of two ranks exchanged.
+type step struct {
+	moves [2]Move
+	loads int
+}
+
+// bestStep finds the step that lightens the slowest rank the most without
+// making another as slow. One of its experts gets a replica at one of the
+// coldest ranks, in the place of an expert that has other replicas. Only when
+// no such step helps are exchanges tried, which cost two loads.
+func (l *layer) bestStep(n int) (step, bool) {
 	hot := l.slowestRank()
 	var buffer [coldest]int
 	cold := l.coldestRanks(&buffer)
-	best, found := Move{}, false
-	bestPeak := l.times[hot]
+	best, peak := step{}, l.times[hot]
+	for _, target := range cold {
+		l.tryReplicas(n, hot, target, &best, &peak)
+	}
+	if best.loads > 0 {
+		return best, true
+	}
+	for _, target := range cold {
+		l.tryExchanges(n, hot, target, &best, &peak)
+	}
+	return best, best.loads > 0
+}
+
+// tryReplicas tries a replica of each of the slowest rank's experts at target.
+func (l *layer) tryReplicas(n, hot, target int, best *step, bestPeak *float64) {
+	if target == hot {
+		return
+	}
 	for _, expert := range l.held(hot) {
-		for _, target := range cold {
-			if target == hot || contains(l.held(target), expert) {
+		if contains(l.held(target), expert) {
+			continue
+		}
+		for slot, victim := range l.held(target) {
+			if len(l.hosts[victim]) < 2 {
 				continue
 			}
-			for slot, victim := range l.held(target) {
-				if len(l.hosts[victim]) < 2 {
-					continue
-				}
-				peak := l.peakAfter(hot, target, int(expert), int(victim))
-				if peak < bestPeak {
-					bestPeak, found = peak, true
-					best = Move{Layer: n, Rank: target, Slot: slot, Expert: int(expert)}
-				}
+			if peak := l.peakAfter(hot, target, int(expert), int(victim)); peak < *bestPeak {
+				*bestPeak = peak
+				*best = step{moves: [2]Move{{Layer: n, Rank: target, Slot: slot, Expert: int(expert)}}, loads: 1}
 			}
 		}
 	}
-	return best, found
+}
+
+// tryExchanges tries to exchange each of the slowest rank's experts with each
+// of target's.
+func (l *layer) tryExchanges(n, hot, target int, best *step, bestPeak *float64) {
+	if target == hot {
+		return
+	}
+	for hotSlot, expert := range l.held(hot) {
+		if contains(l.held(target), expert) {
+			continue
+		}
+		for slot, victim := range l.held(target) {
+			if contains(l.held(hot), victim) {
+				continue
+			}
+			if peak := l.peakAfterExchange(hot, target, int(expert), int(victim)); peak < *bestPeak {
+				*bestPeak = peak
+				into := Move{Layer: n, Rank: target, Slot: slot, Expert: int(expert)}
+				back := Move{Layer: n, Rank: hot, Slot: hotSlot, Expert: int(victim)}
+				*best = step{moves: [2]Move{into, back}, loads: 2}
+			}
+		}
+	}
+}
+
+func (l *layer) peakAfterExchange(hot, target, expert, victim int) float64 {
+	difference := l.share(expert, 0) - l.share(victim, 0)
+	return max(l.times[hot]-difference/l.speeds[hot], l.times[target]+difference/l.speeds[target])
+}
+
+// take carries out a step.
+func (l *layer) take(s step) {
+	if s.loads == 1 {
+		l.apply(s.moves[0])
+		return
+	}
+	into, back := s.moves[0], s.moves[1]
+	difference := l.share(into.Expert, 0) - l.share(back.Expert, 0)
+	l.times[back.Rank] -= difference / l.speeds[back.Rank]
+	l.times[into.Rank] += difference / l.speeds[into.Rank]
+	l.hosts[into.Expert] = append(remove(l.hosts[into.Expert], int32(back.Rank)), int32(into.Rank))
+	l.hosts[back.Expert] = append(remove(l.hosts[back.Expert], int32(into.Rank)), int32(back.Rank))
+	l.held(into.Rank)[into.Slot] = int32(into.Expert)
+	l.held(back.Rank)[back.Slot] = int32(back.Expert)
 }
 
 // peakAfter is the time of the slowest rank that a move touches.
--- a/internal/rebalance/plan.go
+++ b/internal/rebalance/plan.go
@@ -16,6 +16,10 @@
 // maxMovesPerLayer bounds the search in one layer.
 const maxMovesPerLayer = 512
 
+// patience is how many moves in a row may bring no better net gain before the
+// search in a layer ends.
+const patience = 24
+
 // Planner turns popularity into moves. It keeps its arrays between plans. Not
 // safe for concurrent use.
 type Planner struct {
@@ -88,18 +92,18 @@
 	p.pending = p.pending[:0]
 	bestNet, bestLength := 0.0, 0
 	for len(p.pending) < maxMovesPerLayer {
-		move, found := l.bestMove(n)
+		best, found := l.bestStep(n)
 		if !found {
 			break
 		}
-		l.apply(move)
-		p.pending = append(p.pending, move)
+		l.take(best)
+		p.pending = append(p.pending, best.moves[:best.loads]...)
 		gain := (before - l.slowestTime()) / ideal * 100
 		net := gain - price*float64(len(p.pending))
 		if net > bestNet {
 			bestNet, bestLength = net, len(p.pending)
 		}
-		if p.hopeless(ideal, before, price, bestNet) {
+		if len(p.pending)-bestLength > patience || p.hopeless(ideal, before, price, bestNet) {
 			break
 		}
 	}
