--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	cd standins && $(GOLANGCI) run --config ../.golangci.yml ./...
 
 race: build
-	go test -race -count=1 $(PACKAGES)
+	go test -race -count=1 -parallel 4 $(PACKAGES)
 	go test -count=1 -run 'OneMap|Mutants|StepsAgain' ./internal/group
 
 bench: build
--- a/standins/harness/cluster.go
+++ b/standins/harness/cluster.go
@@ -282,11 +282,18 @@
 
 // OperatorAt runs the operators' command line against the given entries.
 func (c *Cluster) OperatorAt(controls string, args ...string) (string, error) {
+	return c.as(operatorToken, controls, args)
+}
+
+// Reader runs the operators' command line with the token of somebody who may
+// only read.
+func (c *Cluster) Reader(args ...string) (string, error) {
+	return c.as(readerToken, c.Entries[0].Control, args)
+}
+
+func (c *Cluster) as(token, controls string, args []string) (string, error) {
 	cmd := exec.Command(filepath.Join(c.bin, "crowbridge"), args...)
-	cmd.Env = append(os.Environ(), "CROWBRIDGE_ENTRY="+controls)
-	if os.Getenv("CROWBRIDGE_TOKEN") == "" {
-		cmd.Env = append(cmd.Env, "CROWBRIDGE_TOKEN="+operatorToken)
-	}
+	cmd.Env = append(os.Environ(), "CROWBRIDGE_ENTRY="+controls, "CROWBRIDGE_TOKEN="+token)
 	var out bytes.Buffer
 	cmd.Stdout, cmd.Stderr = &out, &out
 	err := cmd.Run()
--- a/standins/harness/process.go
+++ b/standins/harness/process.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -127,14 +128,30 @@
 	}
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// Ports below those that the system gives to outgoing connections, so that
+// nothing else takes one between its choice and its use.
+const (
+	firstPort = 18000
+	lastPort  = 32000
+)
+
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(firstPort + os.Getpid()*61%(lastPort-firstPort))) }
+
+// freeAddress returns a loopback address that no other caller in this process
+// gets, and that is free.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "free port")
+	for range lastPort - firstPort {
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		return address, errors.Wrap(listener.Close(), "free port")
 	}
-	address := listener.Addr().String()
-	return address, errors.Wrap(listener.Close(), "free port")
+	return "", errors.New("no free port")
 }
 
 func logFile(dir, name string) string { return filepath.Join(dir, fmt.Sprintf("%s.log", name)) }
--- /dev/null
+++ b/standins/scenarios/scenarios_test.go
@@ -0,0 +1,309 @@
+// Package scenarios runs scripted failures against real processes. The scripts
+// are in testdata; each is a testscript whose commands are below.
+package scenarios
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/crowbridge/crowbridge/standins/harness"
+	"github.com/crowbridge/crowbridge/standins/load"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// running is one script's deployment.
+type running struct {
+	cluster *harness.Cluster
+	loads   chan loadResult
+	options load.Options
+	saved   map[string]string
+}
+
+type loadResult struct {
+	report *load.Report
+	err    error
+}
+
+type runningKey struct{}
+
+var buildOnce = sync.OnceValues(func() (string, error) {
+	bin, err := os.MkdirTemp("", "crowbridge-bin-")
+	if err != nil {
+		return "", err
+	}
+	out, err := exec.Command("go", "build", "-o", bin+"/",
+		"github.com/crowbridge/crowbridge/cmd/...", "github.com/crowbridge/crowbridge/standins/cmd/standin").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build: %w: %s", err, out)
+	}
+	return bin, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if bin, err := buildOnce(); err == nil {
+		_ = os.RemoveAll(bin)
+	}
+	os.Exit(code)
+}
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			env.Values[runningKey{}] = &running{saved: map[string]string{}}
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"cluster":  cmdCluster,
+			"load":     cmdLoad,
+			"check":    cmdCheck,
+			"crash":    cmdCrash,
+			"retire":   cmdRetire,
+			"start":    cmdStart,
+			"pause":    cmdPause,
+			"resume":   cmdResume,
+			"log":      cmdLog,
+			"cut":      cmdCut,
+			"vm":       cmdVM,
+			"operator": cmdOperator,
+			"eventual": cmdEventual,
+			"converge": cmdConverge,
+			"pass":     cmdPass,
+		},
+	})
+}
+
+func of(ts *testscript.TestScript) *running {
+	r, ok := ts.Value(runningKey{}).(*running)
+	if !ok {
+		ts.Fatalf("no deployment")
+	}
+	return r
+}
+
+// settings reads name=value arguments.
+func settings(ts *testscript.TestScript, args []string) map[string]int {
+	values := map[string]int{}
+	for _, arg := range args {
+		name, value, _ := strings.Cut(arg, "=")
+		n, err := strconv.Atoi(value)
+		if err != nil {
+			ts.Fatalf("%s: not name=number", arg)
+		}
+		values[name] = n
+	}
+	return values
+}
+
+func valueOr(values map[string]int, name string, fallback int) int {
+	if v, ok := values[name]; ok {
+		return v
+	}
+	return fallback
+}
+
+// cmdCluster: cluster [zones=2] [entries=1] [engines=1] [plain=1] [step=ms] [drain=s]
+func cmdCluster(ts *testscript.TestScript, _ bool, args []string) {
+	v := settings(ts, args)
+	bin, err := buildOnce()
+	ts.Check(err)
+	var zones []string
+	for i := range valueOr(v, "zones", 2) {
+		zones = append(zones, string(rune('a'+i)))
+	}
+	dir := ts.Getenv("WORK")
+	cluster, err := harness.New(harness.Layout{
+		Zones: zones, EntriesPerZone: valueOr(v, "entries", 1), EnginesPerZone: valueOr(v, "engines", 1),
+		PlainPerZone: valueOr(v, "plain", 1), Step: time.Duration(valueOr(v, "step", 6)) * time.Millisecond,
+		KeyWindowSeconds: 60, ClockSkewMs: 50, Drain: time.Duration(valueOr(v, "drain", 20)) * time.Second,
+	}, bin, dir)
+	ts.Check(err)
+	of(ts).cluster = cluster
+	ts.Defer(cluster.KillAll)
+	ts.Check(cluster.Start())
+}
+
+// cmdLoad starts traffic in the background: load seconds=5 [rate=60] [plain=40] [stream=30] [unkeyed=20] [tokens=10] [customers=3]
+func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
+	r, v := of(ts), settings(ts, args)
+	r.options = load.Options{
+		Entries: r.cluster.Callers(), Keys: r.cluster.Keys, RunsURL: r.cluster.PlatformURL,
+		Rate: valueOr(v, "rate", 60), Duration: time.Duration(valueOr(v, "seconds", 5)) * time.Second,
+		Tokens: valueOr(v, "tokens", 10), PlainPercent: valueOr(v, "plain", 40), StreamPercent: valueOr(v, "stream", 30),
+		UnkeyedPercent: valueOr(v, "unkeyed", 20), DeadlineMs: 20000, Asks: valueOr(v, "asks", 30),
+	}
+	r.loads = make(chan loadResult, 1)
+	go func(options load.Options, done chan<- loadResult) {
+		report, err := load.Run(context.Background(), options)
+		done <- loadResult{report, err}
+	}(r.options, r.loads)
+}
+
+// cmdCheck waits for the traffic's end: every count adds up; and each named
+// count is at most the number given: check [unknown=0] [not-run=0] [silent=0]
+func cmdCheck(ts *testscript.TestScript, _ bool, args []string) {
+	r, v := of(ts), settings(ts, args)
+	result := <-r.loads
+	ts.Check(result.err)
+	report := result.report
+	ts.Logf("%s", report)
+	for _, note := range report.Notes {
+		ts.Logf("  %s", note)
+	}
+	if !report.OK() {
+		ts.Fatalf("the counts don't add up: %s", report)
+	}
+	if report.Answered == 0 {
+		ts.Fatalf("nothing was answered: %s", report)
+	}
+	for name, have := range map[string]int{"unknown": report.Unknown, "not-run": report.NotRun, "silent": report.Silent} {
+		if most, ok := v[name]; ok && have > most {
+			ts.Fatalf("%s=%d, want at most %d: %s", name, have, most, report)
+		}
+	}
+}
+
+func process(ts *testscript.TestScript, args []string) *harness.Process {
+	if len(args) != 1 {
+		ts.Fatalf("name one process")
+	}
+	p := of(ts).cluster.Processes[args[0]]
+	if p == nil {
+		ts.Fatalf("no process %s", args[0])
+	}
+	return p
+}
+
+func cmdCrash(ts *testscript.TestScript, _ bool, args []string) { ts.Check(process(ts, args).Kill()) }
+
+func cmdRetire(ts *testscript.TestScript, _ bool, args []string) { ts.Check(process(ts, args).Stop()) }
+
+func cmdStart(ts *testscript.TestScript, _ bool, args []string) { ts.Check(process(ts, args).Start()) }
+
+func cmdPause(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(process(ts, args).Signal(syscall.SIGSTOP))
+}
+
+func cmdResume(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(process(ts, args).Signal(syscall.SIGCONT))
+}
+
+// cmdLog sets the log's faults: log ok|down|lose-answers|slow|keep=N
+func cmdLog(ts *testscript.TestScript, _ bool, args []string) {
+	bodies := map[string]string{
+		"ok": `{}`, "down": `{"down":true}`, "lose-answers": `{"loseAnswers":true}`, "slow": `{"delayMs":300}`,
+	}
+	body, known := bodies[args[0]]
+	if n, ok := strings.CutPrefix(args[0], "keep="); ok {
+		body, known = `{"keep":`+n+`}`, true
+	}
+	if !known {
+		ts.Fatalf("log: unknown fault %s", args[0])
+	}
+	ts.Check(of(ts).cluster.Fault("/fault/log", body))
+}
+
+// cmdCut cuts a zone from the platform: cut ZONE on|off
+func cmdCut(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(of(ts).cluster.Fault("/fault/cut/"+args[0]+"/"+strconv.FormatBool(args[1] == "on"), ""))
+}
+
+// cmdVM sets what the platform's list says: vm NAME live|leaving
+func cmdVM(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(of(ts).cluster.Fault("/v1/vms/"+args[0]+"/"+args[1], ""))
+}
+
+// cmdOperator runs the operators' command line: operator [as-reader|@entry] ARGS...
+func cmdOperator(ts *testscript.TestScript, neg bool, args []string) {
+	out, err := runOperator(ts, args)
+	ts.Logf("%s", out)
+	ts.Check(os.WriteFile(filepath.Join(ts.Getenv("WORK"), "out"), []byte(out), 0o600))
+	if (err != nil) != neg {
+		ts.Fatalf("operator %v: error %v", args, err)
+	}
+}
+
+func runOperator(ts *testscript.TestScript, args []string) (string, error) {
+	cluster := of(ts).cluster
+	for i, arg := range args {
+		if strings.HasSuffix(arg, ".yaml") {
+			args[i] = ts.MkAbs(arg)
+		}
+	}
+	if args[0] == "as-reader" {
+		return cluster.Reader(args[1:]...)
+	}
+	name, at := strings.CutPrefix(args[0], "@")
+	if !at {
+		return cluster.Operator(args...)
+	}
+	for _, e := range cluster.Entries {
+		if e.Name == name {
+			return cluster.OperatorAt(e.Control, args[1:]...)
+		}
+	}
+	return "", fmt.Errorf("no entry %s", name)
+}
+
+const eventualTimeout = 15 * time.Second
+
+// cmdEventual repeats an operator's command until its output holds a text:
+// eventual TEXT [@entry] ARGS...
+func cmdEventual(ts *testscript.TestScript, neg bool, args []string) {
+	deadline := time.Now().Add(eventualTimeout)
+	for {
+		out, _ := runOperator(ts, args[1:])
+		if strings.Contains(out, args[0]) != neg {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("%q: found is %t in:\n%s", args[0], neg, out)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// cmdConverge waits until all running entries have the same offset and hash.
+func cmdConverge(ts *testscript.TestScript, _ bool, _ []string) {
+	cluster := of(ts).cluster
+	deadline := time.Now().Add(eventualTimeout)
+	for {
+		states := map[string]bool{}
+		for _, e := range cluster.Entries {
+			if !cluster.Processes[e.Name].Running() {
+				continue
+			}
+			out, err := cluster.OperatorAt(e.Control, "status")
+			if err != nil {
+				states[err.Error()] = true
+				continue
+			}
+			fields := strings.Fields(strings.SplitN(out, "\n", 2)[0])
+			states[fmt.Sprint(fields[5], fields[len(fields)-1])] = true
+		}
+		if len(states) == 1 {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("entries differ: %v", states)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// cmdPass lets the traffic go on: pass MILLISECONDS
+func cmdPass(ts *testscript.TestScript, _ bool, args []string) {
+	ms, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	time.Sleep(time.Duration(ms) * time.Millisecond)
+}
