Entry: 503 instead of 401 before the first configuration; load tool like a balancer

Cause: a replaced entry served callers before it had read the configuration, and called their keys unknown (seen in replace_all: not-run, unauthorized). Before: the new spec fails with 401.

--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -232,6 +232,12 @@
 	if g.SlotsPerRank*g.Ranks < g.Experts {
 		return o.wrong("group.slotsPerRank", g.SlotsPerRank, "ranks x slotsPerRank must hold every expert once")
 	}
+	if g.SlotsPerRank > g.Experts {
+		return o.wrong("group.slotsPerRank", g.SlotsPerRank, "a rank can't hold more replicas than there are experts")
+	}
+	if g.PlanSeconds < 0 || g.MaxMoves < 0 {
+		return o.wrong("group.planSeconds", g.PlanSeconds, "use 0 (the default) or more for planSeconds and maxMoves")
+	}
 	if g.SkewWeight < 0 || g.CostWeight < 0 {
 		return o.wrong("group.skewWeight", g.SkewWeight, "use 0 or more for both weights")
 	}
--- a/internal/entry/entry_suite_test.go
+++ b/internal/entry/entry_suite_test.go
@@ -72,6 +72,13 @@
 	manifest += servers("writer", engines) + servers("dispatch", plains)
 	rep := replica.New(time.Now)
 	Expect(rep.Fold(replica.Batch{Entries: []config.LogEntry{manifestEntry(manifest)}})).To(Succeed())
+	return serveEntry(rep)
+}
+
+// newEmptyFixture starts an entry without any configuration.
+func newEmptyFixture() *fixture { return serveEntry(replica.New(time.Now)) }
+
+func serveEntry(rep *replica.Replica) *fixture {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	e := entry.New(entry.Options{
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -281,6 +281,14 @@
 		Expect(f.send("\x00\x01\x02 nonsense\r\n\r\n")).To(ContainSubstring(" 400 "))
 	})
 
+	It("gets a 503 and a time to come back from an entry that has no configuration yet", func() {
+		f := newEmptyFixture()
+		response, content := f.post(keyOfRozsa, "/v1/chat/completions", completion, nil)
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(failureIn(content).Outcome).To(Equal("not-run"))
+	})
+
 	It("hides one customer's requests from another", func() {
 		release := make(chan struct{})
 		arrived := make(chan string, 1)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -72,6 +72,10 @@
 const bearer = "Bearer "
 
 func (e *Entry) authenticate(x *exchange) *failure.Error {
+	if e.replica.Offset() == config.NoOffset {
+		return failure.NotRun(failure.StepAuthenticate, e.options.Name, failure.CodeNoServer,
+			"this entry has no configuration yet").After(noServerRetry)
+	}
 	header := string(x.ctx.Request.Header.Peek(fasthttp.HeaderAuthorization))
 	if !strings.HasPrefix(header, bearer) {
 		return failure.NotRun(failure.StepAuthenticate, "", failure.CodeUnauthorized, "Authorization: missing: send Bearer and your API key")
--- a/standins/load/load.go
+++ b/standins/load/load.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -175,7 +176,13 @@
 		return outcomeSilent
 	}
 	response, err := r.client.Do(request)
+	if refused(err) {
+		// The platform's balancer takes a dead entry out; so do we.
+		time.Sleep(refusedPause)
+		return r.send(ctx, op, key)
+	}
 	if err != nil {
+		r.note("silent: " + err.Error())
 		return outcomeSilent
 	}
 	defer func() { _ = response.Body.Close() }() // read to its end below
@@ -200,6 +207,14 @@
 	return outcome
 }
 
+const refusedPause = 20 * time.Millisecond
+
+// refused tells that no connection was made, so nothing was sent.
+func refused(err error) bool {
+	var dial *net.OpError
+	return errors.As(err, &dial) && dial.Op == "dial"
+}
+
 func (r *runner) request(ctx context.Context, op *operation, key string) (*http.Request, error) {
 	address := r.options.Entries[rand.IntN(len(r.options.Entries))]
 	path, body := "/v1/chat/completions", fmt.Sprintf(
