Groups driven end to end: leases on the log, fenced orders, map switches, ranks

An entry claims a group's lease through the log (its offset is the fencing number), drives the holder's state machine, plans moves and switches maps; agents drive the rank's state machine and grant engines their steps. Five scenarios with four ranks whose engines ignore fencing numbers: switches, a holder that dies, one that is paused past its lease, agents that restart, a log outage longer than the lease.

--- a/cmd/crowbridged/agent.go
+++ b/cmd/crowbridged/agent.go
@@ -30,6 +30,8 @@
 			stringFlag("protocol", string(config.ProtocolEngine), "engine or plain"),
 			intFlag("max-body", defaultMaxBody, "largest request body in bytes"),
 			intFlag("max-answer", defaultMaxAnswer, "largest unstreamed answer in bytes"),
+			stringFlag("group", "", "group of which the engine is a rank; empty for none"),
+			intFlag("rank", 0, "the engine's rank in its group"),
 			intFlag("max-queued", 2000, "most waiting requests"),
 			intFlag("max-concurrency", 8, "most running requests"),
 			durationFlag("config-timeout", 3*time.Second, "how long the start waits for the configuration before it goes on with defaults"),
@@ -128,10 +130,17 @@
 	if err != nil {
 		return err
 	}
+	var rank *agent.RankControl
+	if name := cmd.String("group"); name != "" {
+		rank = agent.NewRankControl(name, cmd.Int("rank"), agent.NewHTTPEngine(cmd.String("backend")), log)
+	}
 	group.Go(func() error { return daemon.ServeHTTP(background, requests, a, time.Second) })
 	group.Go(func() error {
-		return daemon.ServeHTTP(background, control, agentControl(cmd.String("daemon-key"), a, rep), time.Second)
+		return daemon.ServeHTTP(background, control, agentControl(cmd.String("daemon-key"), a, rep, rank), time.Second)
 	})
+	if rank != nil {
+		group.Go(func() error { return rank.Run(background) })
+	}
 	group.Go(func() error {
 		ready := func() bool { return !a.Load().Leaving }
 		return daemon.ServeHTTP(background, metrics, daemon.MetricsHandler(ready, log.Logger), time.Second)
@@ -156,12 +165,16 @@
 	return err
 }
 
-func agentControl(key string, a *agent.Agent, rep *replica.Replica) http.Handler {
+func agentControl(key string, a *agent.Agent, rep *replica.Replica, rank *agent.RankControl) http.Handler {
 	agents := rpc.NewAgentsServer(&agent.Control{Agent: a, Offset: rep.Offset})
 	peers := rpc.NewPeersServer(&replica.PeerServer{Replica: rep})
 	mux := http.NewServeMux()
 	mux.Handle(agents.PathPrefix(), daemon.RequireKey(key, agents))
 	mux.Handle(peers.PathPrefix(), daemon.RequireKey(key, peers))
+	if rank != nil {
+		ranks := rpc.NewRanksServer(rank)
+		mux.Handle(ranks.PathPrefix(), daemon.RequireKey(key, ranks))
+	}
 	return mux
 }
 
--- a/cmd/crowbridged/entry.go
+++ b/cmd/crowbridged/entry.go
@@ -127,6 +127,8 @@
 	group.Go(func() error { return e.WatchServers(background) })
 	group.Go(func() error { e.WatchVMs(background, platform.NewHTTPVMList(cmd.String("vms-url"))); return nil })
 	group.Go(func() error { e.WriteSnapshots(background, platformLog); return nil })
+	groups := entry.NewGroups(cmd.String("name"), cmd.String("daemon-key"), rep, platformLog, time.Now, log)
+	group.Go(func() error { return groups.Run(background) })
 	log.WithField("listen", callers.Addr().String()).Info("entry serves")
 
 	select {
--- a/internal/rebalance/placement.go
+++ b/internal/rebalance/placement.go
@@ -2,7 +2,11 @@
 // ranks are stragglers. It is pure: state in, decision out.
 package rebalance
 
-import "github.com/pkg/errors"
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
 
 // Shape is a group's size.
 type Shape struct {
@@ -168,3 +172,32 @@
 	}
 	return total
 }
+
+// MarshalJSON encodes the placement for engines: the experts by layer, rank and
+// slot.
+func (p *Placement) MarshalJSON() ([]byte, error) {
+	data, err := json.Marshal(p.slots)
+	return data, errors.Wrap(err, "placement")
+}
+
+// DecodePlacement reads what MarshalJSON encoded.
+func DecodePlacement(shape Shape, data []byte) (*Placement, error) {
+	p := &Placement{Shape: shape}
+	if err := json.Unmarshal(data, &p.slots); err != nil {
+		return nil, errors.Wrap(err, "placement")
+	}
+	if len(p.slots) != shape.Layers {
+		return nil, errors.Errorf("placement: %d layers, want %d", len(p.slots), shape.Layers)
+	}
+	for layer, slots := range p.slots {
+		if len(slots) != shape.Ranks*shape.Slots {
+			return nil, errors.Errorf("placement: layer %d has %d slots, want %d", layer, len(slots), shape.Ranks*shape.Slots)
+		}
+		for _, expert := range slots {
+			if expert < 0 || int(expert) >= shape.Experts {
+				return nil, errors.Errorf("placement: layer %d: no expert %d", layer, expert)
+			}
+		}
+	}
+	return p, p.Valid()
+}
--- a/standins/cmd/standin/main.go
+++ b/standins/cmd/standin/main.go
@@ -70,11 +70,32 @@
 
 func engineCommand() *cli.Command {
 	return &cli.Command{
-		Name: "engine", Flags: serverFlags(),
-		Action: func(_ context.Context, cmd *cli.Command) error {
+		Name: "engine",
+		Flags: append(
+			serverFlags(),
+			&cli.StringFlag{Name: "group"},
+			&cli.IntFlag{Name: "ranks"},
+			&cli.IntFlag{Name: "experts"},
+			&cli.IntFlag{Name: "layers"},
+		),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			var rank *engine.Rank
+			if cmd.String("group") != "" {
+				rank = engine.NewRank(engine.RankOptions{
+					Group: cmd.String("group"), Ranks: cmd.Int("ranks"), Experts: cmd.Int("experts"), Layers: cmd.Int("layers"),
+					Step: cmd.Duration("step"), Barrier: cmd.String("recorder"),
+				})
+				go func() {
+					if err := rank.Run(ctx); err != nil {
+						fmt.Fprintln(os.Stderr, "rank:", err)
+						os.Exit(1)
+					}
+				}()
+			}
 			e := engine.New(engine.Options{
 				Name: cmd.String("name"), Step: cmd.Duration("step"), Batch: cmd.Int("batch"),
 				Recorder: &engine.Recorder{URL: cmd.String("recorder")},
+				Rank:     rank,
 			})
 			return serve(cmd, e.Handler())
 		},
--- a/standins/harness/cluster.go
+++ b/standins/harness/cluster.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -21,6 +23,8 @@
 	EntriesPerZone int
 	EnginesPerZone int
 	PlainPerZone   int
+	// RanksPerZone makes a group of ranks over all zones.
+	RanksPerZone int
 	// Step of the stand-in servers.
 	Step time.Duration
 	// KeyWindowSeconds and ClockSkewMs go into the policy.
@@ -41,6 +45,9 @@
 type Server struct {
 	Name, Zone, Service string
 	Protocol            string
+	// Group is set for a rank of the group; Rank is its number.
+	Group   string
+	Rank    int
 	backend             string
 	address             string
 	control             string
@@ -69,8 +76,18 @@
 	bin, dir  string
 	platforms map[string]string // the platform's address by zone
 	order     []string
+	ranks     int
 }
 
+// The harness's group of ranks.
+const (
+	GroupName    = "g1"
+	groupService = "expert-writer"
+	groupExperts = 16
+	groupLayers  = 2
+	groupSlots   = 8
+)
+
 // Customers of the harness's deployments.
 var customers = []string{"rozsa", "tulipan", "szegfu"}
 
@@ -130,6 +147,14 @@
 			return err
 		}
 	}
+	for i := range c.Layout.RanksPerZone {
+		if err := c.addServer(zone, groupService, "rank", i); err != nil {
+			return err
+		}
+		s := &c.Servers[len(c.Servers)-1]
+		s.Protocol, s.Group, s.Rank = "engine", GroupName, c.ranks
+		c.ranks++
+	}
 	for i := range c.Layout.PlainPerZone {
 		if err := c.addServer(zone, "dispatch-api", "plain", i); err != nil {
 			return err
@@ -172,10 +197,15 @@
 
 func (c *Cluster) addProcesses() {
 	for _, s := range c.Servers {
-		c.add("backend-"+s.Name, "standin", s.backend, []string{
+		args := []string{
 			s.Protocol, "--name", s.Name, "--listen", s.backend,
 			"--recorder", c.PlatformURL, "--step", c.Layout.Step.String(),
-		})
+		}
+		if s.Group != "" {
+			args = append(args, "--group", s.Group, "--ranks", strconv.Itoa(c.ranks),
+				"--experts", strconv.Itoa(groupExperts), "--layers", strconv.Itoa(groupLayers))
+		}
+		c.add("backend-"+s.Name, "standin", s.backend, args)
 	}
 	for _, e := range c.Entries {
 		c.add(e.Name, "crowbridged", e.Callers, append([]string{
@@ -188,12 +218,16 @@
 		}, c.peerArgs()...))
 	}
 	for _, s := range c.Servers {
-		c.add("agent-"+s.Name, "crowbridged", s.address, append([]string{
+		rank := []string{}
+		if s.Group != "" {
+			rank = []string{"--group", s.Group, "--rank", strconv.Itoa(s.Rank)}
+		}
+		c.add("agent-"+s.Name, "crowbridged", s.address, append(append([]string{
 			"agent", "--server", s.Name, "--zone", s.Zone, "--listen", s.address, "--control", s.control,
 			"--metrics", s.metrics, "--daemon-key", daemonKey, "--backend", "http://" + s.backend,
 			"--protocol", s.Protocol, "--log-level", "debug", "--drain-timeout", c.Layout.Drain.String(),
 			"--config-timeout", "1s",
-		}, c.peerArgs()...))
+		}, c.peerArgs()...), rank...))
 	}
 }
 
@@ -264,7 +298,17 @@
 	b.WriteString("---\nkind: Service\nname: dispatch-api\nservice: {protocol: plain, pathPrefix: /dispatch, maxConcurrency: 16, class: urgent}\n")
 	b.WriteString("---\nkind: Route\nname: writing\nroute: {service: petal-writer, customers: fleet=viragut}\n")
 	b.WriteString("---\nkind: Route\nname: dispatching\nroute: {service: dispatch-api, customers: fleet=viragut}\n")
+	if c.ranks > 0 {
+		fmt.Fprintf(&b, "---\nkind: Service\nname: %s\nservice: {protocol: engine, models: [expert-7b]}\n", groupService)
+		fmt.Fprintf(&b, "---\nkind: Group\nname: %s\ngroup: {service: %s, ranks: %d, experts: %d, layers: %d, slotsPerRank: %d, skewWeight: 1, costWeight: 0.1, planSeconds: 1}\n",
+			GroupName, groupService, c.ranks, groupExperts, groupLayers, groupSlots)
+	}
 	for _, s := range c.Servers {
+		if s.Group != "" {
+			fmt.Fprintf(&b, "---\nkind: BackendServer\nname: %s\nbackendServer: {service: %s, zone: %s, address: %q, control: %q, group: %s, rank: %d, ignoresFence: true}\n",
+				s.Name, s.Service, s.Zone, s.address, s.control, s.Group, s.Rank)
+			continue
+		}
 		fmt.Fprintf(&b, "---\nkind: BackendServer\nname: %s\nbackendServer: {service: %s, zone: %s, address: %q, control: %q}\n",
 			s.Name, s.Service, s.Zone, s.address, s.control)
 	}
@@ -327,6 +371,24 @@
 	return errors.Wrap(response.Body.Close(), "fault")
 }
 
+// GroupState is what the ranks did, as the barrier saw it.
+type GroupState struct {
+	Steps      int64          `json:"steps"`
+	Violations int            `json:"violations"`
+	Versions   map[string]int `json:"versions"`
+}
+
+// Group returns what the group's ranks did so far.
+func (c *Cluster) Group() (*GroupState, error) {
+	response, err := http.Get(c.PlatformURL + "/group/" + GroupName)
+	if err != nil {
+		return nil, errors.Wrap(err, "group")
+	}
+	defer func() { _ = response.Body.Close() }() // decoded below
+	var state GroupState
+	return &state, errors.Wrap(json.NewDecoder(response.Body).Decode(&state), "group")
+}
+
 // StopAll stops entries, then agents, gracefully, and ends the rest. It returns
 // the first planned stop that failed.
 func (c *Cluster) StopAll() error {
--- a/standins/platform/server.go
+++ b/standins/platform/server.go
@@ -25,6 +25,7 @@
 	vms     map[string]platform.VMState
 	runs    map[string]int // executions by operation
 	weights *rate.Limiter
+	groups  map[string]*barrier
 }
 
 // weightBytesPerSecond is the weight store's rate.
@@ -37,6 +38,7 @@
 		cut:     map[string]bool{},
 		vms:     map[string]platform.VMState{},
 		runs:    map[string]int{},
+		groups:  map[string]*barrier{},
 		weights: rate.NewLimiter(weightBytesPerSecond, weightBytesPerSecond),
 	}
 }
@@ -55,6 +57,8 @@
 	mux.HandleFunc("PUT /v1/vms/{name}/{state}", s.setVM)
 	mux.HandleFunc("POST /runs/{operation}", s.addRun)
 	mux.HandleFunc("GET /runs", s.getRuns)
+	mux.HandleFunc("POST /group/{group}/{ranks}/{step}/{version}", s.arrive)
+	mux.HandleFunc("GET /group/{group}", s.groupState)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	return server.Serve(listener)
 }
--- a/standins/scenarios/scenarios_test.go
+++ b/standins/scenarios/scenarios_test.go
@@ -79,6 +79,8 @@
 			"eventual": cmdEventual,
 			"converge": cmdConverge,
 			"pass":     cmdPass,
+			"steps":    cmdSteps,
+			"holder":   cmdHolder,
 		},
 	})
 }
@@ -112,7 +114,7 @@
 	return fallback
 }
 
-// cmdCluster: cluster [zones=2] [entries=1] [engines=1] [plain=1] [step=ms] [drain=s]
+// cmdCluster: cluster [zones=2] [entries=1] [engines=1] [plain=1] [ranks=0] [step=ms] [drain=s]
 func cmdCluster(ts *testscript.TestScript, _ bool, args []string) {
 	v := settings(ts, args)
 	bin, err := buildOnce()
@@ -124,7 +126,7 @@
 	dir := ts.Getenv("WORK")
 	cluster, err := harness.New(harness.Layout{
 		Zones: zones, EntriesPerZone: valueOr(v, "entries", 1), EnginesPerZone: valueOr(v, "engines", 1),
-		PlainPerZone: valueOr(v, "plain", 1), Step: time.Duration(valueOr(v, "step", 6)) * time.Millisecond,
+		PlainPerZone: valueOr(v, "plain", 1), RanksPerZone: valueOr(v, "ranks", 0), Step: time.Duration(valueOr(v, "step", 6)) * time.Millisecond,
 		KeyWindowSeconds: 60, ClockSkewMs: 50, Drain: time.Duration(valueOr(v, "drain", 20)) * time.Second,
 	}, bin, dir)
 	ts.Check(err)
@@ -307,3 +309,70 @@
 	ts.Check(err)
 	time.Sleep(time.Duration(ms) * time.Millisecond)
 }
+
+const stepsTimeout = 25 * time.Second
+
+// cmdSteps waits until the group has made so many more steps and so many more
+// map versions were used, and checks that all ranks used one map in each:
+// steps N [versions=N]
+func cmdSteps(ts *testscript.TestScript, _ bool, args []string) {
+	cluster := of(ts).cluster
+	more, err := strconv.ParseInt(args[0], 10, 64)
+	ts.Check(err)
+	versions := valueOr(settings(ts, args[1:]), "versions", 0)
+	first, err := cluster.Group()
+	ts.Check(err)
+	deadline := time.Now().Add(stepsTimeout)
+	for {
+		state, err := cluster.Group()
+		ts.Check(err)
+		if state.Violations > 0 {
+			ts.Fatalf("ranks used different maps in one step: %+v", state)
+		}
+		if state.Steps >= first.Steps+more && len(state.Versions) >= len(first.Versions)+versions {
+			ts.Logf("group: %+v", state)
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("the group doesn't get on: %+v, before %+v", state, first)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// cmdHolder does something to the entry that holds the group's lease:
+// holder crash|pause|resume|start. Resume and start name the one that was
+// paused or crashed.
+func cmdHolder(ts *testscript.TestScript, _ bool, args []string) {
+	r := of(ts)
+	name := r.saved["holder"]
+	if args[0] == "crash" || args[0] == "pause" {
+		name = holderOf(ts)
+		r.saved["holder"] = name
+	}
+	switch args[0] {
+	case "crash":
+		cmdCrash(ts, false, []string{name})
+	case "pause":
+		cmdPause(ts, false, []string{name})
+	case "resume":
+		cmdResume(ts, false, []string{name})
+	case "start":
+		cmdStart(ts, false, []string{name})
+	default:
+		ts.Fatalf("holder: unknown %s", args[0])
+	}
+}
+
+func holderOf(ts *testscript.TestScript) string {
+	out, err := runOperator(ts, []string{"status"})
+	ts.Check(err)
+	for _, line := range strings.Split(out, "\n") {
+		if fields := strings.Fields(line); len(fields) > 3 && fields[0] == "lease" {
+			name, _, _ := strings.Cut(fields[3], "/")
+			return name
+		}
+	}
+	ts.Fatalf("nobody holds the lease:\n%s", out)
+	return ""
+}
