Admission: goodput no longer collapses, urgent work stays prompt past saturation

Causes: (1) the share of slots kept for urgent work held the running requests under 80% of a small limit, so the limit never grew from 4 to what the server can do; (2) the wait estimate took all slots for usable, and requests were started that could only end after their deadline, so past saturation the server worked on answers that came too late. Ruled out: fair queueing (one customer only shows it), the deadline heap. Changes: the limit grows when requests are held back; requests that would end too late are given up before their start, with one always let through so that a wrong expectation corrects itself; overload is a latency of 1.12 of the best, was 2. The test 'grows although a part of it is kept free' fails on the old code (limit 4).

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -32,7 +32,7 @@
 const (
 	latencyWeight  = 0.1   // weight of one answer in the smoothed latency
 	bestDrift      = 1.001 // how fast the best latency is forgotten, per answer
-	slowFactor     = 2.0   // latency over best that counts as overload
+	slowFactor     = 1.12  // latency over the best that counts as overload
 	shrinkFactor   = 0.9
 	growthAnswers  = 1 // limit's worths of answers per growth by one
 	fullUsePercent = 80
@@ -49,12 +49,18 @@
 // Current is the limit now.
 func (l *Limit) Current() int { return int(l.limit) }
 
+// Expect returns how long a request of a cost will probably run; 0 when nothing
+// is known yet.
+func (l *Limit) Expect(cost float64) time.Duration {
+	return time.Duration(l.recent * cost * float64(time.Second))
+}
+
 // Latency is the smoothed time from start to end of a request.
 func (l *Limit) Latency() time.Duration { return time.Duration(l.latency * float64(time.Second)) }
 
-// Observe learns from one ended request: how long it ran, what it cost, and how
-// many ran beside it.
-func (l *Limit) Observe(took time.Duration, cost float64, inFlight int, ok bool) {
+// Observe learns from one ended request: how long it ran, what it cost, how many
+// ran beside it, and whether others were held back by the limit.
+func (l *Limit) Observe(took time.Duration, cost float64, inFlight int, heldBack, ok bool) {
 	perCost := took.Seconds() / cost
 	l.smooth(perCost, took.Seconds())
 	if l.Current() <= l.options.Min || 2*inFlight < l.Current() {
@@ -68,7 +74,7 @@
 	case !ok || l.recent > slowFactor*l.best:
 		l.probing = false
 		l.set(l.limit * shrinkFactor)
-	case inFlight*100 >= fullUsePercent*l.Current():
+	case heldBack || inFlight*100 >= fullUsePercent*l.Current():
 		l.set(l.limit + l.growth())
 	}
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -86,8 +86,9 @@
 	run     map[string]*running
 	perRank [rankCount]int // running requests by class
 
+	hopeless      []Request // given up since the last Expired
 	patientCredit float64
-	costRate      float64 // smoothed cost finished per second while busy
+	slotRate      float64 // smoothed cost finished per second and slot
 }
 
 // NewQueue returns an empty queue.
@@ -118,9 +119,9 @@
 		return failure.NotRun(failure.StepQueue, "", failure.CodeDeadline, "the deadline had passed on arrival")
 	}
 	wait := q.EstimateWait(request)
-	if wait > left {
+	if needed := wait + q.expect(request); needed > left {
 		return failure.NotRun(failure.StepQueue, "", failure.CodeOverloaded,
-			"the queue ahead is longer than the deadline allows").After(wait - left)
+			"the queue ahead is longer than the deadline allows").After(max(needed-left, minRetryAfter))
 	}
 	class := q.classes[rankOf(request.Class)]
 	if len(q.byID) >= q.options.MaxQueued && !q.evictFor(request) {
@@ -160,18 +161,40 @@
 	return false
 }
 
+// expectMargin allows for requests that cost more than their estimate.
+const expectMargin = 1.25
+
+// expect is how long the request will probably run. It's 0 while nothing runs:
+// one request is always let through, so that a wrong expectation can't refuse
+// all that would correct it.
+func (q *Queue) expect(request Request) time.Duration {
+	if len(q.run) == 0 {
+		return 0
+	}
+	return time.Duration(expectMargin * float64(q.limit.Expect(request.Cost)))
+}
+
 // EstimateWait is how long the request would wait for its start, judged by the
 // cost queued ahead of it and the rate at which cost has been finished lately.
 func (q *Queue) EstimateWait(request Request) time.Duration {
-	if len(q.run) < q.limit.Current() || q.costRate <= 0 {
+	own := rankOf(request.Class)
+	if q.slotRate <= 0 || (len(q.byID) == 0 && len(q.run) < q.slots(own)) {
 		return 0
 	}
-	ahead := 0.0
-	for r := rankUrgent; r < rankOf(request.Class); r++ {
+	ahead := q.classes[own].ahead(request)
+	for r := rankUrgent; r < own; r++ {
 		ahead += q.classes[r].cost
 	}
-	ahead += q.classes[rankOf(request.Class)].ahead(request)
-	return time.Duration(ahead / q.costRate * float64(time.Second))
+	return time.Duration(ahead / (q.slotRate * float64(q.slots(own))) * float64(time.Second))
+}
+
+// slots is how many requests of a class and those less urgent may run at once.
+func (q *Queue) slots(r rank) int {
+	limit := q.limit.Current()
+	if r == rankUrgent || limit < 2 {
+		return limit
+	}
+	return limit - max(1, limit/reserveDivisor)
 }
 
 // Next dispatches every request that may start now. The caller must start each
@@ -183,12 +206,23 @@
 		if item == nil {
 			break
 		}
+		if now.Add(q.expect(item.request)).After(item.request.Deadline) {
+			q.giveUp(item)
+			continue
+		}
 		q.dispatch(now, item)
 		granted = append(granted, item.request)
 	}
 	return granted
 }
 
+// giveUp takes out a request that would end after its deadline: the server's
+// time goes to those that can still be answered in time. Expired returns it.
+func (q *Queue) giveUp(item *waiting) {
+	q.remove(item)
+	q.hopeless = append(q.hopeless, item.request)
+}
+
 // pick chooses the class: patient work when its guaranteed share is due, else
 // the most urgent class that waits and may use the free slot.
 func (q *Queue) pick(now time.Time) *waiting {
@@ -214,13 +248,10 @@
 const reserveDivisor = 4
 
 func (q *Queue) mayRun(r rank) bool {
-	limit := q.limit.Current()
-	if r == rankUrgent || limit < 2 {
+	if r == rankUrgent {
 		return true
 	}
-	reserve := max(1, limit/reserveDivisor)
-	less := q.perRank[rankPatient] + q.perRank[rankNormal]
-	return less < limit-reserve
+	return q.perRank[rankPatient]+q.perRank[rankNormal] < q.slots(r)
 }
 
 func (q *Queue) dispatch(now time.Time, item *waiting) {
@@ -261,11 +292,11 @@
 		actualCost = item.request.Cost
 	}
 	q.classes[r].correct(item.flow, actualCost-item.request.Cost)
-	q.limit.Observe(now.Sub(item.started), actualCost, len(q.run)+1, ok)
+	q.limit.Observe(now.Sub(item.started), actualCost, len(q.run)+1, len(q.byID) > 0, ok)
 	q.learnRate(now, item, actualCost)
 }
 
-// rateWeight is the weight of one finished request in the smoothed cost rate.
+// rateWeight is the weight of one finished request in the smoothed rate.
 const rateWeight = 0.05
 
 func (q *Queue) learnRate(now time.Time, item *running, cost float64) {
@@ -273,12 +304,12 @@
 	if took <= 0 {
 		return
 	}
-	rate := cost / took * float64(q.limit.Current())
-	if q.costRate == 0 {
-		q.costRate = rate
+	rate := cost / took
+	if q.slotRate == 0 {
+		q.slotRate = rate
 		return
 	}
-	q.costRate += rateWeight * (rate - q.costRate)
+	q.slotRate += rateWeight * (rate - q.slotRate)
 }
 
 // Withdraw takes a waiting request out. True means that it had not started and
@@ -298,9 +329,15 @@
 }
 
 // Expired takes out and returns the requests that won't run any more, each with
-// its final answer: those whose deadline has passed and those that made room.
+// its final answer: those whose deadline has passed, those that made room, and
+// those that Next gave up. Call it before and after Next.
 func (q *Queue) Expired(now time.Time) []Refusal {
 	var refused []Refusal
+	for _, request := range q.hopeless {
+		refused = append(refused, Refusal{Request: request, Failure: failure.NotRun(failure.StepQueue, "",
+			failure.CodeDeadline, "it would end after its deadline").After(q.retryAfter(request))})
+	}
+	q.hopeless = nil
 	for _, class := range q.classes {
 		for _, request := range class.evicted {
 			refused = append(refused, Refusal{Request: request, Failure: failure.NotRun(failure.StepQueue, "",
--- a/internal/admission/queue_property_test.go
+++ b/internal/admission/queue_property_test.go
@@ -49,23 +49,28 @@
 }
 
 func (m *model) settle(t *rapid.T) {
-	for _, refusal := range m.queue.Expired(m.now) {
-		m.move(t, refusal.Request.ID, fateQueued, fateNotRun)
-		if refusal.Failure.Outcome != "not-run" || refusal.Failure.RetryAfter <= 0 {
-			t.Fatalf("a request given up on must be told so and when to come back: %+v", refusal.Failure)
-		}
-	}
+	m.refuse(t)
 	for _, request := range m.queue.Next(m.now) {
 		m.move(t, request.ID, fateQueued, fateRunning)
 		if !request.Deadline.After(m.now) {
 			t.Fatalf("%s started after its deadline", request.ID)
 		}
 	}
+	m.refuse(t)
 	if m.queue.Running() != len(m.ids(fateRunning)) || m.queue.Queued() != len(m.ids(fateQueued)) {
 		t.Fatalf("counts: queue says %d running, %d queued", m.queue.Running(), m.queue.Queued())
 	}
-	if m.queue.Running() > m.queue.Limit() && m.queue.Limit() >= 8 {
-		t.Fatalf("%d run over a limit of %d", m.queue.Running(), m.queue.Limit())
+	if m.queue.Running() > 8 {
+		t.Fatalf("%d run over the largest limit", m.queue.Running())
+	}
+}
+
+func (m *model) refuse(t *rapid.T) {
+	for _, refusal := range m.queue.Expired(m.now) {
+		m.move(t, refusal.Request.ID, fateQueued, fateNotRun)
+		if refusal.Failure.Outcome != "not-run" || refusal.Failure.RetryAfter <= 0 {
+			t.Fatalf("a request given up on must be told so and when to come back: %+v", refusal.Failure)
+		}
 	}
 }
 
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -184,27 +184,45 @@
 	It("shrinks when latency doubles and grows back, within its bounds", func() {
 		l := NewLimit(LimitOptions{Min: 2, Max: 32})
 		for range 400 {
-			l.Observe(10*time.Millisecond, 1, l.Current(), true)
+			l.Observe(10*time.Millisecond, 1, l.Current(), false, true)
 		}
 		Expect(l.Current()).To(Equal(32))
 		for range 400 {
-			l.Observe(50*time.Millisecond, 1, l.Current(), true)
+			l.Observe(50*time.Millisecond, 1, l.Current(), false, true)
 		}
 		slow := l.Current()
 		Expect(slow).To(BeNumerically("<", 16))
 		Expect(slow).To(BeNumerically(">=", 2))
 		for range 2000 {
-			l.Observe(10*time.Millisecond, 1, l.Current(), true)
+			l.Observe(10*time.Millisecond, 1, l.Current(), false, true)
 		}
 		Expect(l.Current()).To(Equal(32))
 	})
 
+	It("grows although a part of it is kept free for urgent work", func() {
+		q := NewQueue(Options{Limit: LimitOptions{Min: 1, Max: 64}, MaxQueued: 100000, PatientPercent: 10})
+		now := epoch
+		for id := range 4000 {
+			r := request(id, "c", config.ClassNormal, 10)
+			r.Deadline = epoch.Add(time.Hour * 10)
+			Expect(q.Offer(now, r)).To(BeNil())
+		}
+		for range 200 {
+			started := q.Next(now)
+			now = now.Add(10 * time.Millisecond)
+			for _, r := range started {
+				q.Done(now, r.ID, r.Cost, true)
+			}
+		}
+		Expect(q.Limit()).To(Equal(64))
+	})
+
 	It("settles near the knee of a server that slows down beyond it", func() {
 		const knee = 12
 		l := NewLimit(LimitOptions{Min: 1, Max: 100})
 		for range 5000 {
 			load := math.Max(1, float64(l.Current())/knee)
-			l.Observe(time.Duration(10*load*float64(time.Millisecond)), 1, l.Current(), true)
+			l.Observe(time.Duration(10*load*float64(time.Millisecond)), 1, l.Current(), false, true)
 		}
 		Expect(l.Current()).To(BeNumerically("<=", 4*knee))
 		Expect(l.Current()).To(BeNumerically(">=", knee))
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -188,20 +188,25 @@
 // The caller holds mu.
 func (a *Agent) pump() {
 	now := a.now()
-	for _, refusal := range a.queue.Expired(now) {
-		refusal.Failure.Peer = a.options.Server
-		if w := a.take(refusal.Request.ID); w != nil {
-			w.refused <- refusal.Failure
-		}
-	}
+	a.refuseExpired(now)
 	for _, request := range a.queue.Next(now) {
 		if w := a.take(request.ID); w != nil {
 			close(w.start)
 		}
 	}
+	a.refuseExpired(now)
 	a.arm(now)
 }
 
+func (a *Agent) refuseExpired(now time.Time) {
+	for _, refusal := range a.queue.Expired(now) {
+		refusal.Failure.Peer = a.options.Server
+		if w := a.take(refusal.Request.ID); w != nil {
+			w.refused <- refusal.Failure
+		}
+	}
+}
+
 func (a *Agent) take(id string) *waiter {
 	w := a.waiters[id]
 	delete(a.waiters, id)
--- /dev/null
+++ b/standins/bench/routing.go
@@ -0,0 +1,262 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/routing"
+	"github.com/crowbridge/crowbridge/internal/selector"
+	"github.com/crowbridge/crowbridge/internal/wire"
+)
+
+var benchStart = time.Date(2026, 6, 1, 10, 0, 0, 0, time.UTC)
+
+// fleetOf returns n servers over zones, in the order that routes keep.
+func fleetOf(n, zones int) []*selector.Server {
+	servers := make([]*selector.Server, 0, n)
+	for i := range n {
+		servers = append(servers, &selector.Server{
+			Name: fmt.Sprintf("server-%05d", i),
+			Spec: &config.BackendServer{Zone: fmt.Sprintf("zone-%d", i*zones/n), Address: fmt.Sprint(i)},
+		})
+	}
+	return servers
+}
+
+func tableOf(servers []*selector.Server) *routing.Table {
+	table := routing.NewTable("zone-0")
+	byName := map[string]*selector.Server{}
+	for _, s := range servers {
+		byName[s.Name] = s
+	}
+	table.Sync(byName)
+	for _, s := range servers {
+		table.Report(benchStart, s.Name, "1", wire.Load{Limit: 8, ServiceTime: 10 * time.Millisecond})
+	}
+	return table
+}
+
+// Routing measures decisions, and compares policies by waiting time.
+func (r *Reporter) Routing() {
+	base := 0.0
+	for _, n := range []int{24, 240, 2400} {
+		servers := fleetOf(n, 3)
+		table := tableOf(servers)
+		picker := routing.NewPicker(table)
+		random := rand.New(rand.NewPCG(1, 2))
+		result := testing.Benchmark(func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				name := picker.Pick(benchStart, random, routing.Query{Candidates: servers, Prefix: uint64(i%100 + 1)})
+				table.Sent(name)
+				table.Ended(name)
+			}
+		})
+		nanoseconds := float64(result.T.Nanoseconds()) / float64(result.N)
+		if base == 0 {
+			base = nanoseconds
+		}
+		r.Against(fmt.Sprintf("routing/decision-%d", n), nanoseconds, "ns", base)
+		r.Figure(fmt.Sprintf("routing/decision-%d-allocs", n), float64(result.AllocsPerOp()), "allocs")
+	}
+	r.policies()
+}
+
+// policySim is a small queueing model of one service behind several entries
+// whose load reports are stale: each server runs slots requests at once, first
+// in, first out.
+type policySim struct {
+	servers []simServer
+	random  *rand.Rand
+	tables  []*routing.Table
+	pickers []*routing.Picker
+	fleet   []*selector.Server
+	now     time.Time
+	waits   []float64
+	hits    int
+	next    int
+}
+
+type simServer struct {
+	ends   []time.Time // of running and waiting requests, in order of start
+	cache  []uint64    // prefixes, most recently used last
+	factor float64     // service time over a healthy server's
+}
+
+const (
+	simServers     = 16
+	simEntries     = 4
+	simSlots       = 4
+	simPrefixes    = 200
+	simCache       = 24
+	simRequests    = 60000
+	simUtilization = 0.8
+	simReportEvery = time.Second
+	simService     = 40 * time.Millisecond
+	simMissCost    = 20 * time.Millisecond
+)
+
+func newPolicySim(seed uint64) *policySim {
+	s := &policySim{random: rand.New(rand.NewPCG(seed, 3)), now: benchStart, fleet: fleetOf(simServers, 1)}
+	for i := range simServers {
+		factor := 1.0
+		if i == 0 {
+			factor = 3 // a straggler
+		}
+		s.servers = append(s.servers, simServer{factor: factor})
+	}
+	for range simEntries {
+		table := tableOf(s.fleet)
+		s.tables = append(s.tables, table)
+		s.pickers = append(s.pickers, routing.NewPicker(table))
+	}
+	return s
+}
+
+// busy is the number of requests at a server now.
+func (s *policySim) busy(server int) int {
+	ends := s.servers[server].ends
+	for len(ends) > 0 && !ends[0].After(s.now) {
+		ends = ends[1:]
+	}
+	s.servers[server].ends = ends
+	return len(ends)
+}
+
+// run sends requests; choose names the server.
+func (s *policySim) run(choose func(entry int, prefix uint64) int, own bool) {
+	mean := float64(simService+simMissCost/2) / simUtilization / (simServers * simSlots)
+	reported := s.now
+	for range simRequests {
+		s.now = s.now.Add(time.Duration(s.random.ExpFloat64() * mean))
+		if s.now.Sub(reported) > simReportEvery {
+			s.report()
+			reported = s.now
+		}
+		prefix := uint64(s.random.IntN(simPrefixes)*s.random.IntN(simPrefixes)/simPrefixes + 1)
+		entry := s.random.IntN(simEntries)
+		server := choose(entry, prefix)
+		if own {
+			s.tables[entry].Sent(s.fleet[server].Name)
+		}
+		s.serve(entry, server, prefix, own)
+	}
+}
+
+func (s *policySim) report() {
+	for i, server := range s.fleet {
+		busy := s.busy(i)
+		took := time.Duration(float64(simService) * s.servers[i].factor)
+		for _, table := range s.tables {
+			table.Report(s.now, server.Name, "1", wire.Load{
+				InFlight: min(busy, simSlots), Queued: max(busy-simSlots, 0), Limit: simSlots, ServiceTime: took,
+			})
+		}
+	}
+}
+
+func (s *policySim) serve(_, server int, prefix uint64, _ bool) {
+	state := &s.servers[server]
+	busy := s.busy(server)
+	start := s.now
+	if busy >= simSlots {
+		start = state.ends[busy-simSlots]
+	}
+	took := float64(simService) * s.random.ExpFloat64()
+	if state.hit(prefix) {
+		s.hits++
+	} else {
+		took += float64(simMissCost)
+	}
+	end := start.Add(time.Duration(took * state.factor))
+	at := len(state.ends)
+	for at > 0 && state.ends[at-1].After(end) {
+		at--
+	}
+	state.ends = append(state.ends[:at], append([]time.Time{end}, state.ends[at:]...)...)
+	s.waits = append(s.waits, end.Sub(s.now).Seconds()*1000)
+}
+
+func (c *simServer) hit(prefix uint64) bool {
+	for i, p := range c.cache {
+		if p == prefix {
+			c.cache = append(append(c.cache[:i], c.cache[i+1:]...), prefix)
+			return true
+		}
+	}
+	c.cache = append(c.cache, prefix)
+	if len(c.cache) > simCache {
+		c.cache = c.cache[1:]
+	}
+	return false
+}
+
+// load is what a stale report says of a server.
+func (s *policySim) load(entry, server int) int {
+	row := s.tables[entry].Row(s.fleet[server].Name)
+	return row.Reported.InFlight + row.Reported.Queued
+}
+
+func (r *Reporter) policies() {
+	policies := []struct {
+		name   string
+		own    bool
+		choose func(s *policySim) func(int, uint64) int
+	}{
+		{"random", false, func(s *policySim) func(int, uint64) int {
+			return func(int, uint64) int { return s.random.IntN(simServers) }
+		}},
+		{"round-robin", false, func(s *policySim) func(int, uint64) int {
+			return func(int, uint64) int { s.next++; return s.next % simServers }
+		}},
+		{"least-loaded-stale", false, leastLoaded},
+		{"power-of-two-stale", false, powerOfTwo},
+		{"ours", true, ours},
+	}
+	base := 0.0
+	for _, p := range policies {
+		s := newPolicySim(5)
+		s.run(p.choose(s), p.own)
+		p99 := Quantile(s.waits, 0.99)
+		if base == 0 {
+			base = p99
+		}
+		r.Against("routing/policy/"+p.name+"/p99", p99, "ms", base)
+		r.Figure("routing/policy/"+p.name+"/cache-hits", 100*float64(s.hits)/simRequests, "%")
+	}
+}
+
+func leastLoaded(s *policySim) func(int, uint64) int {
+	return func(entry int, _ uint64) int {
+		best := 0
+		for i := range simServers {
+			if s.load(entry, i) < s.load(entry, best) {
+				best = i
+			}
+		}
+		return best
+	}
+}
+
+func powerOfTwo(s *policySim) func(int, uint64) int {
+	return func(entry int, _ uint64) int {
+		a, b := s.random.IntN(simServers), s.random.IntN(simServers)
+		if s.load(entry, a) <= s.load(entry, b) {
+			return a
+		}
+		return b
+	}
+}
+
+func ours(s *policySim) func(int, uint64) int {
+	index := map[string]int{}
+	for i, server := range s.fleet {
+		index[server.Name] = i
+	}
+	return func(entry int, prefix uint64) int {
+		return index[s.pickers[entry].Pick(s.now, s.random, routing.Query{Candidates: s.fleet, Prefix: prefix})]
+	}
+}
--- a/standins/cmd/bench/main.go
+++ b/standins/cmd/bench/main.go
@@ -27,6 +27,8 @@
 		name string
 		run  func() error
 	}{
+		{"routing", func() error { r.Routing(); return nil }},
+		{"admission", func() error { r.Admission(); return nil }},
 		{"rebalance", func() error { r.Rebalance(); return nil }},
 	}
 	for _, area := range areas {
--- a/standins/harness/cluster.go
+++ b/standins/harness/cluster.go
@@ -48,10 +48,10 @@
 	// Group is set for a rank of the group; Rank is its number.
 	Group   string
 	Rank    int
-	backend             string
-	address             string
-	control             string
-	metrics             string
+	backend string
+	address string
+	control string
+	metrics string
 }
 
 // Entry is one entry.
