--- a/standins/bench/admission.go
+++ b/standins/bench/admission.go
@@ -249,7 +249,7 @@
 	id := 0
 	offer := func() {
 		id++
-		q.Offer(benchStart, admission.Request{
+		_ = q.Offer(benchStart, admission.Request{ // the queue is large enough
 			ID: fmt.Sprint(id), Customer: fmt.Sprint("customer-", id%customers), Weight: 1,
 			Class: config.ClassNormal, Cost: 20, Deadline: benchStart.Add(time.Hour),
 		})
--- /dev/null
+++ b/standins/bench/path.go
@@ -0,0 +1,209 @@
+package bench
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/crowbridge/crowbridge/standins/harness"
+	"github.com/pkg/errors"
+)
+
+// pathBody asks for one token; the stand-in's step is short here.
+const pathBody = `{"model":"petal-7b","max_tokens":1,"messages":[{"role":"user","content":"hello"}]}`
+
+const streamTokens = 200
+
+func streamBody() string {
+	return fmt.Sprintf(`{"model":"petal-7b","max_tokens":%d,"stream":true,"messages":[{"role":"user","content":"hello"}]}`, streamTokens)
+}
+
+// target is where the load goes.
+type target struct {
+	url, key string
+	client   *http.Client
+}
+
+func newTarget(url, key string) *target {
+	return &target{url: url, key: key, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+}
+
+func (t *target) post(body string) error {
+	request, err := http.NewRequest(http.MethodPost, t.url+"/v1/chat/completions", bytes.NewBufferString(body))
+	if err != nil {
+		return errors.Wrap(err, "request")
+	}
+	request.Header.Set("Authorization", "Bearer "+t.key)
+	response, err := t.client.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "request")
+	}
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return errors.Wrap(err, "answer")
+	}
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("status %d: %s", response.StatusCode, content)
+	}
+	return errors.Wrap(response.Body.Close(), "answer")
+}
+
+// paced sends at a rate and returns the times in milliseconds.
+func (t *target) paced(rate int, length time.Duration) ([]float64, error) {
+	var mu sync.Mutex
+	var times []float64
+	var failed error
+	var group sync.WaitGroup
+	ticker := time.NewTicker(time.Second / time.Duration(rate))
+	defer ticker.Stop()
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		<-ticker.C
+		group.Go(func() {
+			start := time.Now()
+			err := t.post(pathBody)
+			took := time.Since(start).Seconds() * 1000
+			mu.Lock()
+			defer mu.Unlock()
+			times = append(times, took)
+			if err != nil {
+				failed = err
+			}
+		})
+	}
+	group.Wait()
+	return times, failed
+}
+
+// closed keeps workers busy and returns the requests per second.
+func (t *target) closed(workers int, length time.Duration, body string) (float64, error) {
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	count := 0
+	var failed error
+	start := time.Now()
+	for range workers {
+		group.Go(func() {
+			for time.Since(start) < length {
+				err := t.post(body)
+				mu.Lock()
+				count++
+				if err != nil {
+					failed = err
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	return float64(count) / time.Since(start).Seconds(), failed
+}
+
+const (
+	pathLength  = 5 * time.Second
+	pathWorkers = 24
+)
+
+// Path measures what entry and agent add to a direct call.
+func (r *Reporter) Path(bin string) error {
+	dir, err := os.MkdirTemp("", "crowbridge-bench-")
+	if err != nil {
+		return errors.Wrap(err, "bench")
+	}
+	cluster, err := harness.New(harness.Layout{
+		Zones: []string{"a"}, EntriesPerZone: 1, EnginesPerZone: 2, Step: time.Millisecond,
+		KeyWindowSeconds: 60, ClockSkewMs: 50, Drain: 20 * time.Second, Quiet: true,
+	}, bin, dir)
+	if err != nil {
+		return err
+	}
+	defer cluster.KillAll()
+	if err := cluster.Start(); err != nil {
+		return err
+	}
+	direct := newTarget("http://"+cluster.Servers[0].Backend(), "")
+	through := newTarget("http://"+cluster.Entries[0].Callers, cluster.Keys[0])
+	entry, agent := cluster.Processes[cluster.Entries[0].Name], cluster.Processes["agent-"+cluster.Servers[0].Name]
+	return r.measurePath(direct, through, entry, agent)
+}
+
+func (r *Reporter) measurePath(direct, through *target, entry, agent *harness.Process) error {
+	if _, err := through.closed(pathWorkers, time.Second, pathBody); err != nil {
+		return err
+	}
+	entryBefore, agentBefore := cpuSeconds(entry), cpuSeconds(agent)
+	most, err := through.closed(pathWorkers, pathLength, pathBody)
+	if err != nil {
+		return err
+	}
+	r.Figure("path/requests-per-second", most, "req/s")
+	r.Figure("path/requests-per-entry-core", most*pathLength.Seconds()/(cpuSeconds(entry)-entryBefore), "req/s")
+	r.Figure("path/requests-per-agent-core", most*pathLength.Seconds()/2/(cpuSeconds(agent)-agentBefore), "req/s")
+	for _, share := range []struct {
+		name string
+		of   float64
+	}{{"tenth", 0.1}, {"half", 0.5}} {
+		rate := max(int(most*share.of), 1)
+		plain, err := direct.paced(rate, pathLength)
+		if err != nil {
+			return err
+		}
+		times, err := through.paced(rate, pathLength)
+		if err != nil {
+			return err
+		}
+		r.Against("path/"+share.name+"/p50", Quantile(times, 0.5), "ms", Quantile(plain, 0.5))
+		r.Against("path/"+share.name+"/p99", Quantile(times, 0.99), "ms", Quantile(plain, 0.99))
+	}
+	return r.measureStreams(through, entry)
+}
+
+func (r *Reporter) measureStreams(through *target, entry *harness.Process) error {
+	idle := rssMiB(entry)
+	before := cpuSeconds(entry)
+	streams, err := through.closed(pathWorkers, pathLength, streamBody())
+	if err != nil {
+		return err
+	}
+	r.Figure("path/streamed-tokens-per-entry-core", streams*streamTokens*pathLength.Seconds()/(cpuSeconds(entry)-before), "tokens/s")
+	r.Figure("path/entry-memory-idle", idle, "MiB")
+	r.Figure("path/entry-memory-with-streams", rssMiB(entry), "MiB")
+	return nil
+}
+
+// clockTick is the kernel's unit of processor time in /proc.
+const clockTick = 100.0
+
+// cpuSeconds returns the processor time that a process has used.
+func cpuSeconds(p *harness.Process) float64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID()))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(data[bytes.LastIndexByte(data, ')')+1:]))
+	const userField, systemField = 11, 12
+	user, _ := strconv.ParseFloat(fields[userField], 64)     // the kernel writes numbers
+	system, _ := strconv.ParseFloat(fields[systemField], 64) // the kernel writes numbers
+	return (user + system) / clockTick
+}
+
+// rssMiB returns a process's resident memory.
+func rssMiB(p *harness.Process) float64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(data), "\n") {
+		fields := strings.Fields(line)
+		if len(fields) > 1 && fields[0] == "VmRSS:" {
+			kib, _ := strconv.ParseFloat(fields[1], 64) // the kernel writes numbers
+			return kib / 1024
+		}
+	}
+	return 0
+}
--- a/standins/cmd/bench/main.go
+++ b/standins/cmd/bench/main.go
@@ -29,6 +29,8 @@
 	}{
 		{"routing", func() error { r.Routing(); return nil }},
 		{"admission", func() error { r.Admission(); return nil }},
+		{"config", r.Config},
+		{"path", func() error { return r.Path(args[0]) }},
 		{"rebalance", func() error { r.Rebalance(); return nil }},
 	}
 	for _, area := range areas {
--- a/standins/harness/cluster.go
+++ b/standins/harness/cluster.go
@@ -32,8 +32,20 @@
 	ClockSkewMs      int
 	// Drain bounds a planned stop.
 	Drain time.Duration
+	// Quiet logs warnings only and counts no executions, for measurements.
+	Quiet bool
 }
 
+func (l *Layout) logLevel() string {
+	if l.Quiet {
+		return "warn"
+	}
+	return "debug"
+}
+
+// Backend is the address of the backend server itself.
+func (s *Server) Backend() string { return s.backend }
+
 // Secrets of the harness's deployments.
 const (
 	daemonKey     = "harness-daemon-key"
@@ -197,9 +209,9 @@
 
 func (c *Cluster) addProcesses() {
 	for _, s := range c.Servers {
-		args := []string{
-			s.Protocol, "--name", s.Name, "--listen", s.backend,
-			"--recorder", c.PlatformURL, "--step", c.Layout.Step.String(),
+		args := []string{s.Protocol, "--name", s.Name, "--listen", s.backend, "--step", c.Layout.Step.String()}
+		if !c.Layout.Quiet {
+			args = append(args, "--recorder", c.PlatformURL)
 		}
 		if s.Group != "" {
 			args = append(args, "--group", s.Group, "--ranks", strconv.Itoa(c.ranks),
@@ -210,7 +222,7 @@
 	for _, e := range c.Entries {
 		c.add(e.Name, "crowbridged", e.Callers, append([]string{
 			"entry", "--name", e.Name, "--zone", e.Zone, "--listen", e.Callers, "--control", e.Control,
-			"--metrics", e.metrics, "--daemon-key", daemonKey, "--log-level", "debug",
+			"--metrics", e.metrics, "--daemon-key", daemonKey, "--log-level", c.Layout.logLevel(),
 			"--drain-timeout", c.Layout.Drain.String(),
 			"--log-url", "http://" + c.platforms[e.Zone], "--vms-url", "http://" + c.platforms[e.Zone],
 			"--operator", "ops:change:" + daemon.HashSecret(operatorToken),
@@ -225,7 +237,7 @@
 		c.add("agent-"+s.Name, "crowbridged", s.address, append(append([]string{
 			"agent", "--server", s.Name, "--zone", s.Zone, "--listen", s.address, "--control", s.control,
 			"--metrics", s.metrics, "--daemon-key", daemonKey, "--backend", "http://" + s.backend,
-			"--protocol", s.Protocol, "--log-level", "debug", "--drain-timeout", c.Layout.Drain.String(),
+			"--protocol", s.Protocol, "--log-level", c.Layout.logLevel(), "--drain-timeout", c.Layout.Drain.String(),
 			"--config-timeout", "1s",
 		}, c.peerArgs()...), rank...))
 	}
--- a/standins/harness/process.go
+++ b/standins/harness/process.go
@@ -113,6 +113,13 @@
 	}
 }
 
+// PID is the process's number.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
 // Running tells whether the process has not ended.
 func (p *Process) Running() bool {
 	p.mu.Lock()
