Entry: poll the own zone's agents too; slopes of control cost measured

Cause: the age of a report that never came is the largest duration, and the own zone's weight of four overflowed it to below zero, so an entry never polled its own zone's agents before their first answer. Found by the control bench at 96 servers ('entry-z0-1 doesn't route to all servers'). Before: the new spec sees 10 of 20 servers polled; after: 20. Ruled out: a lost poll (all others were polled).

--- a/cmd/crowbridged/entry.go
+++ b/cmd/crowbridged/entry.go
@@ -38,7 +38,7 @@
 			intFlag("max-body", defaultMaxBody, "largest request body in bytes"),
 			intFlag("max-answer", defaultMaxAnswer, "largest unstreamed answer in bytes"),
 			intFlag("max-concurrent", 20000, "most requests in flight"),
-			intFlag("reports-per-second", 40, "load reports asked of agents per second"),
+			intFlag("reports-per-second", 30, "load reports asked of agents per second"),
 		),
 		Action: runEntry,
 	}
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -15,10 +15,7 @@
 	reportTimeout = 800 * time.Millisecond
 	// reportWorkers is the size of the pool that polls agents.
 	reportWorkers = 8
-	// freshReport is the age below which a server isn't polled: its answers carry
-	// its load already.
-	freshReport = time.Second
-	vmListEvery = 2 * time.Second
+	vmListEvery   = 2 * time.Second
 )
 
 // WatchServers polls agents for their load until the context ends. The rate is
@@ -60,41 +57,10 @@
 	return group.Wait()
 }
 
-// ownZoneUrgency is how many times older an own-zone report counts.
-const ownZoneUrgency = 4
-
-// stalest returns a copy of the row to poll next, and marks it as polled.
 func (e *Entry) stalest() *routing.ServerState {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := e.now()
-	var oldest *routing.ServerState
-	var oldestAge time.Duration
-	for _, row := range e.table.Rows() {
-		age := now.Sub(later(row.ReportedAt, row.PolledAt))
-		if age < freshReport {
-			continue
-		}
-		if row.Server.Spec.Zone == e.options.Zone {
-			age *= ownZoneUrgency
-		}
-		if oldest == nil || age > oldestAge {
-			oldest, oldestAge = row, age
-		}
-	}
-	if oldest == nil {
-		return nil
-	}
-	oldest.PolledAt = now
-	polled := *oldest
-	return &polled
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
+	return e.table.Stalest(e.now())
 }
 
 func (e *Entry) poll(ctx context.Context, row *routing.ServerState) {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -181,6 +181,34 @@
 	})
 })
 
+var _ = Describe("polling", func() {
+	It("asks every server, those that never reported first, the own zone more often", func() {
+		servers := fleet([]string{"a", "b"}, 10)
+		table := NewTable("a")
+		byName := map[string]*selector.Server{}
+		for _, s := range servers {
+			byName[s.Name] = s
+		}
+		table.Sync(byName)
+		polls := map[string]int{}
+		now := start
+		for range 400 {
+			now = now.Add(100 * time.Millisecond)
+			if row := table.Stalest(now); row != nil {
+				polls[row.Server.Name]++
+				table.Report(now, row.Server.Name, "1", wire.Load{})
+			}
+		}
+		Expect(polls).To(HaveLen(20))
+		Expect(polls["a-0003"]).To(BeNumerically(">", 2*polls["b-0003"]))
+	})
+
+	It("leaves servers alone whose report is fresh", func() {
+		table := tableOf(fleet([]string{"a"}, 3))
+		Expect(table.Stalest(start.Add(freshReport / 2))).To(BeNil())
+	})
+})
+
 var _ = Describe("homes", func() {
 	It("move only the keys of a server that is gone", func() {
 		servers := fleet([]string{"a", "b"}, 5)
--- /dev/null
+++ b/standins/bench/control.go
@@ -0,0 +1,236 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/daemon"
+	"github.com/crowbridge/crowbridge/internal/replica"
+	"github.com/crowbridge/crowbridge/standins/harness"
+	"github.com/pkg/errors"
+)
+
+const controlLength = 10 * time.Second
+
+// Control measures what a daemon spends on control as daemons and servers grow,
+// how soon a change is in force, and how soon a fresh VM serves.
+func (r *Reporter) Control(bin string) error {
+	for _, size := range []struct{ entriesPerZone, serversPerZone int }{{2, 6}, {8, 6}, {32, 6}, {2, 24}, {2, 48}, {8, 48}} {
+		if err := r.controlAt(bin, size.entriesPerZone, size.serversPerZone); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const controlZones = 4
+
+func controlCluster(bin string, entriesPerZone, serversPerZone int) (*harness.Cluster, error) {
+	dir, err := os.MkdirTemp("", "crowbridge-bench-")
+	if err != nil {
+		return nil, errors.Wrap(err, "bench")
+	}
+	var zones []string
+	for i := range controlZones {
+		zones = append(zones, fmt.Sprintf("z%d", i))
+	}
+	cluster, err := harness.New(harness.Layout{
+		Zones: zones, EntriesPerZone: entriesPerZone, EnginesPerZone: serversPerZone, Step: time.Millisecond,
+		KeyWindowSeconds: 60, ClockSkewMs: 50, Drain: time.Second, Quiet: true, NoBackends: true,
+	}, bin, dir)
+	if err != nil {
+		return nil, err
+	}
+	if err := cluster.Start(); err != nil {
+		cluster.KillAll()
+		return nil, err
+	}
+	return cluster, nil
+}
+
+// usage is what a process has used.
+type usage struct {
+	cpu   float64
+	bytes float64
+}
+
+func usageOf(p *harness.Process) usage { return usage{cpu: cpuSeconds(p), bytes: ioBytes(p)} }
+
+// ioBytes returns the bytes that a process has read and written, sockets
+// included.
+func ioBytes(p *harness.Process) float64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", p.PID()))
+	if err != nil {
+		return 0
+	}
+	total := 0.0
+	for _, line := range strings.Split(string(data), "\n") {
+		name, value, found := strings.Cut(line, ": ")
+		if !found || (name != "rchar" && name != "wchar") {
+			continue
+		}
+		n, _ := strconv.ParseFloat(value, 64) // the kernel writes numbers
+		total += n
+	}
+	return total
+}
+
+func (r *Reporter) controlAt(bin string, entriesPerZone, serversPerZone int) error {
+	cluster, err := controlCluster(bin, entriesPerZone, serversPerZone)
+	if err != nil {
+		return err
+	}
+	defer cluster.KillAll()
+	name := fmt.Sprintf("control/%d-daemons-%d-servers", controlZones*entriesPerZone, controlZones*serversPerZone)
+	before := map[string]usage{}
+	for processName, p := range cluster.Processes {
+		before[processName] = usageOf(p)
+	}
+	time.Sleep(controlLength)
+	r.mean(cluster, before, name+"/entry", "entry-")
+	r.mean(cluster, before, name+"/agent", "agent-")
+	platform := usageOf(cluster.Processes["platform"])
+	r.Figure(name+"/log-cpu", 100*(platform.cpu-before["platform"].cpu)/controlLength.Seconds(), "% core")
+	r.Figure(name+"/log-bytes", (platform.bytes-before["platform"].bytes)/controlLength.Seconds()/1024, "KiB/s")
+	if err := r.inForce(cluster, name+"/in-force", "{}"); err != nil {
+		return err
+	}
+	if entriesPerZone != 2 || serversPerZone != 6 {
+		return nil
+	}
+	if err := r.inForce(cluster, name+"/in-force-slow-log", `{"delayMs":300}`); err != nil {
+		return err
+	}
+	return r.freshVM(cluster, name)
+}
+
+func (r *Reporter) mean(cluster *harness.Cluster, before map[string]usage, name, prefix string) {
+	n, cpu, traffic, memory := 0.0, 0.0, 0.0, 0.0
+	for processName, p := range cluster.Processes {
+		if !strings.HasPrefix(processName, prefix) {
+			continue
+		}
+		now := usageOf(p)
+		n++
+		cpu += now.cpu - before[processName].cpu
+		traffic += now.bytes - before[processName].bytes
+		memory += rssMiB(p)
+	}
+	seconds := controlLength.Seconds()
+	r.Figure(name+"-cpu", 100*cpu/n/seconds, "% core")
+	r.Figure(name+"-bytes", traffic/n/seconds/1024, "KiB/s")
+	r.Figure(name+"-memory", memory/n, "MiB")
+}
+
+const inForceChanges = 30
+
+// inForce appends changes and measures until every entry has each, against a
+// process that polls the log once a second.
+func (r *Reporter) inForce(cluster *harness.Cluster, name, faults string) error {
+	if err := cluster.Fault("/fault/log", faults); err != nil {
+		return err
+	}
+	client := daemon.NewControlClient(harness.DaemonKey)
+	var times []float64
+	for i := range inForceChanges {
+		offset, err := appendChange(cluster, fmt.Sprint(name, i))
+		if err != nil {
+			return err
+		}
+		start := time.Now()
+		var group sync.WaitGroup
+		var mu sync.Mutex
+		for _, e := range cluster.Entries {
+			group.Go(func() {
+				awaitOffset(client, e.Control, offset)
+				mu.Lock()
+				defer mu.Unlock()
+				times = append(times, time.Since(start).Seconds()*1000)
+			})
+		}
+		group.Wait()
+		time.Sleep(50 * time.Millisecond)
+	}
+	polled := make([]float64, 0, 1000)
+	for i := range 1000 {
+		polled = append(polled, float64(i)) // a poll once a second finds a change after 0 to 1000 ms
+	}
+	r.Against(name+"/p50", Quantile(times, 0.5), "ms", Quantile(polled, 0.5))
+	r.Against(name+"/p99", Quantile(times, 0.99), "ms", Quantile(polled, 0.99))
+	r.Against(name+"/worst", Quantile(times, 1), "ms", Quantile(polled, 1))
+	return cluster.Fault("/fault/log", "{}")
+}
+
+func awaitOffset(client *http.Client, control string, offset int64) {
+	source := replica.NewPeerSource(control, "", client)
+	for {
+		batch, err := source.Records(context.Background(), offset-1, 5*time.Second)
+		if err == nil && len(batch.Entries) > 0 {
+			return
+		}
+	}
+}
+
+func appendChange(cluster *harness.Cluster, command string) (int64, error) {
+	entry, err := bundleEntry(0, command, []*config.Object{customer(1, 1)})
+	if err != nil {
+		return 0, err
+	}
+	response, err := http.Post(cluster.PlatformURL+"/v1/records", "application/json", bytes.NewReader(entry.Data))
+	if err != nil {
+		return 0, errors.Wrap(err, "append")
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, errors.Wrap(err, "append")
+	}
+	var offset int64
+	if _, err := fmt.Sscanf(string(body), `{"offset":%d}`, &offset); err != nil {
+		return 0, errors.Wrapf(err, "append: %s", body)
+	}
+	return offset, errors.Wrap(response.Body.Close(), "append")
+}
+
+// freshVM measures from a process's start to its readiness.
+func (r *Reporter) freshVM(cluster *harness.Cluster, name string) error {
+	entry := cluster.Entries[0]
+	for _, log := range []struct{ name, faults string }{{"with-log", "{}"}, {"without-log", `{"down":true}`}} {
+		if err := cluster.Fault("/fault/log", log.faults); err != nil {
+			return err
+		}
+		var times []float64
+		for range 5 {
+			if err := cluster.Processes[entry.Name].Kill(); err != nil {
+				return err
+			}
+			start := time.Now()
+			if err := cluster.Processes[entry.Name].Start(); err != nil {
+				return err
+			}
+			for !ready(entry.Metrics()) {
+				time.Sleep(2 * time.Millisecond)
+			}
+			times = append(times, time.Since(start).Seconds()*1000)
+		}
+		r.Figure(name+"/fresh-entry-ready-"+log.name, Quantile(times, 0.5), "ms")
+	}
+	return cluster.Fault("/fault/log", "{}")
+}
+
+func ready(address string) bool {
+	response, err := http.Get("http://" + address + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close() // only the status matters
+	return response.StatusCode == http.StatusOK
+}
--- a/standins/harness/cluster.go
+++ b/standins/harness/cluster.go
@@ -34,6 +34,9 @@
 	Drain time.Duration
 	// Quiet logs warnings only and counts no executions, for measurements.
 	Quiet bool
+	// NoBackends starts agents without the servers behind them, to measure control
+	// traffic alone.
+	NoBackends bool
 }
 
 func (l *Layout) logLevel() string {
@@ -48,7 +51,7 @@
 
 // Secrets of the harness's deployments.
 const (
-	daemonKey     = "harness-daemon-key"
+	DaemonKey     = "harness-daemon-key"
 	operatorToken = "harness-operator-token"
 	readerToken   = "harness-reader-token"
 )
@@ -74,6 +77,9 @@
 	metrics    string
 }
 
+// Metrics is the address of the entry's metrics port.
+func (e *Entry) Metrics() string { return e.metrics }
+
 // Cluster is a running deployment.
 type Cluster struct {
 	Layout    Layout
@@ -217,12 +223,14 @@
 			args = append(args, "--group", s.Group, "--ranks", strconv.Itoa(c.ranks),
 				"--experts", strconv.Itoa(groupExperts), "--layers", strconv.Itoa(groupLayers))
 		}
-		c.add("backend-"+s.Name, "standin", s.backend, args)
+		if !c.Layout.NoBackends {
+			c.add("backend-"+s.Name, "standin", s.backend, args)
+		}
 	}
 	for _, e := range c.Entries {
 		c.add(e.Name, "crowbridged", e.Callers, append([]string{
 			"entry", "--name", e.Name, "--zone", e.Zone, "--listen", e.Callers, "--control", e.Control,
-			"--metrics", e.metrics, "--daemon-key", daemonKey, "--log-level", c.Layout.logLevel(),
+			"--metrics", e.metrics, "--daemon-key", DaemonKey, "--log-level", c.Layout.logLevel(),
 			"--drain-timeout", c.Layout.Drain.String(),
 			"--log-url", "http://" + c.platforms[e.Zone], "--vms-url", "http://" + c.platforms[e.Zone],
 			"--operator", "ops:change:" + daemon.HashSecret(operatorToken),
@@ -236,7 +244,7 @@
 		}
 		c.add("agent-"+s.Name, "crowbridged", s.address, append(append([]string{
 			"agent", "--server", s.Name, "--zone", s.Zone, "--listen", s.address, "--control", s.control,
-			"--metrics", s.metrics, "--daemon-key", daemonKey, "--backend", "http://" + s.backend,
+			"--metrics", s.metrics, "--daemon-key", DaemonKey, "--backend", "http://" + s.backend,
 			"--protocol", s.Protocol, "--log-level", c.Layout.logLevel(), "--drain-timeout", c.Layout.Drain.String(),
 			"--config-timeout", "1s",
 		}, c.peerArgs()...), rank...))
