--- a/cmd/crowbridged/entry.go
+++ b/cmd/crowbridged/entry.go
@@ -20,9 +20,6 @@
 const (
 	defaultMaxBody   = 8 << 20
 	defaultMaxAnswer = 16 << 20
-	// logReaders is how many entries of a zone read the log themselves; the
-	// others read from them.
-	logReaders = 2
 )
 
 func entryCommand() *cli.Command {
@@ -156,30 +153,44 @@
 	return mux
 }
 
-// entrySources orders where an entry reads from. The first two entries of a
-// zone read the log, the others read from them, so that the log's load doesn't
-// grow with the fleet; each falls back on all the rest.
+// entrySources orders where an entry reads from. The first entries of a zone
+// read the log; each other one reads from its parent in the zone's tree. All
+// fall back on the rest of the zone, the log, and the other zones.
 func entrySources(cmd *cli.Command, s *entrySettings, log platform.Log) []replica.Source {
-	self := cmd.String("control")
-	zone := cmd.String("zone")
+	self, zone := cmd.String("control"), cmd.String("zone")
 	client := daemon.NewControlClient(cmd.String("daemon-key"))
-	fromLog := replica.LogSource{Log: log}
-	var own, others []replica.Source
+	source := func(peer settings.Peer) replica.Source {
+		return replica.NewPeerSource(peer.Address, cmd.String("name"), client)
+	}
+	var own []settings.Peer
+	var others []replica.Source
 	place := 0
 	for _, peer := range s.peers {
-		if peer.Address == self {
+		switch {
+		case peer.Zone != zone:
+			others = append(others, source(peer))
+		case peer.Address == self:
 			place = len(own)
-			continue
+			own = append(own, peer)
+		default:
+			own = append(own, peer)
 		}
-		source := replica.NewPeerSource(peer.Address, cmd.String("name"), client)
-		if peer.Zone == zone {
-			own = append(own, source)
-		} else {
-			others = append(others, source)
+	}
+	fromLog := replica.LogSource{Log: log}
+	var sources []replica.Source
+	parent, child := replica.Parent(place)
+	if child {
+		sources = append(sources, source(own[parent]))
+	} else {
+		sources = append(sources, fromLog)
+	}
+	for i, peer := range own {
+		if peer.Address != self && (!child || i != parent) {
+			sources = append(sources, source(peer))
 		}
 	}
-	if place < logReaders {
-		return append(append([]replica.Source{fromLog}, own...), others...)
+	if child {
+		sources = append(sources, fromLog)
 	}
-	return append(append(own, fromLog), others...)
+	return append(sources, others...)
 }
--- /dev/null
+++ b/internal/httpapi/httpapi_test.go
@@ -0,0 +1,79 @@
+package httpapi
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestHTTPAPI(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "httpapi")
+}
+
+var _ = Describe("the event reader", func() {
+	It("gives whole events with their token offset", func() {
+		r := NewEventReader(strings.NewReader("id: 7\ndata: a\n\ndata: b\r\n\r\ndata: [DONE]\n\n"))
+		first, err := r.Next()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(first.ID).To(Equal(int64(7)))
+		Expect(string(first.Raw)).To(Equal("id: 7\ndata: a\n\n"))
+		second, err := r.Next()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second.ID).To(Equal(int64(-1)))
+		last, err := r.Next()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(last.Done).To(BeTrue())
+		_, err = r.Next()
+		Expect(err).To(MatchError(io.EOF))
+	})
+
+	It("never gives half an event", func() {
+		r := NewEventReader(strings.NewReader("id: 1\ndata: a"))
+		_, err := r.Next()
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+	})
+
+	It("bounds an event's length", func() {
+		r := NewEventReader(strings.NewReader(strings.Repeat("x", maxEventBytes+2*eventBuffer)))
+		_, err := r.Next()
+		Expect(err).To(MatchError(ErrEventTooLong))
+	})
+})
+
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\n"))
+	f.Add([]byte("id: x\r\n\r\n\n\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := NewEventReader(bytes.NewReader(data))
+		var all []byte
+		for {
+			event, err := r.Next()
+			if err != nil {
+				break
+			}
+			all = append(all, event.Raw...)
+		}
+		if !bytes.HasPrefix(data, all) {
+			t.Fatal("events aren't what was sent")
+		}
+	})
+}
+
+func FuzzCompletion(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"x"}]}`))
+	f.Add([]byte(`{"model":"m","prompt":"x","max_tokens":-1}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c, err := ParseCompletion(data)
+		if err == nil && c.Cost() < 0 {
+			t.Fatal("negative cost")
+		}
+		if err == nil {
+			c.Prefix()
+		}
+	})
+}
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,159 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/config"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+)
+
+func TestReplica(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "replica")
+}
+
+func entryAt(offset int64) config.LogEntry {
+	data, err := json.Marshal(config.Record{Format: 1, Kind: config.RecordLease, Lease: &config.LeaseClaim{Group: "g", Holder: "h", Previous: offset}})
+	Expect(err).NotTo(HaveOccurred())
+	return config.LogEntry{Offset: offset, Data: data}
+}
+
+func upTo(offset int64) *Replica {
+	r := New(time.Now)
+	for i := range offset + 1 {
+		Expect(r.Fold(Batch{Entries: []config.LogEntry{entryAt(i)}})).To(Succeed())
+	}
+	return r
+}
+
+// fakeSource serves another replica, or fails.
+type fakeSource struct {
+	name   string
+	from   *Replica
+	down   atomic.Bool
+	age    atomic.Int64 // milliseconds
+	asked  atomic.Int64
+	absent bool // records were dropped; only a snapshot is left
+}
+
+func (f *fakeSource) Name() string { return f.name }
+
+func (f *fakeSource) Records(_ context.Context, after int64, _ time.Duration) (Batch, error) {
+	f.asked.Add(1)
+	if f.down.Load() {
+		return Batch{}, errors.New("down")
+	}
+	batch := f.from.After(after)
+	batch.LogAge = time.Duration(f.age.Load()) * time.Millisecond
+	if f.absent && after < f.from.Offset() {
+		return Batch{Gone: true}, nil
+	}
+	return batch, nil
+}
+
+func (f *fakeSource) State(context.Context) (*config.State, error) {
+	data, _, err := f.from.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	return config.DecodeSnapshot(data)
+}
+
+func follow(r *Replica, sources ...Source) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	go func() { defer close(done); r.Follow(ctx, sources, logrus.NewEntry(logger)) }()
+	DeferCleanup(func() { cancel(); <-done })
+}
+
+var _ = Describe("a replica", func() {
+	It("never adopts an older state", func() {
+		r := upTo(5)
+		older, _, err := upTo(3).Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		state, err := config.DecodeSnapshot(older)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Adopt(state)).To(BeFalse())
+		Expect(r.Offset()).To(Equal(int64(5)))
+	})
+
+	It("refuses records that leave a gap, and ignores those it has", func() {
+		r := upTo(3)
+		Expect(r.Fold(Batch{Entries: []config.LogEntry{entryAt(2), entryAt(5)}})).To(MatchError(config.ErrGap))
+		Expect(r.Offset()).To(Equal(int64(3)))
+	})
+
+	It("goes to the next source when one is down or stale, and back", func() {
+		first := &fakeSource{name: "first", from: upTo(4)}
+		second := &fakeSource{name: "second", from: upTo(9)}
+		first.age.Store(staleAfter.Milliseconds() + 1)
+		r := New(time.Now)
+		follow(r, first, second)
+		Eventually(r.Offset, "5s").Should(Equal(int64(9)))
+		second.down.Store(true)
+		first.age.Store(0)
+		asked := first.asked.Load()
+		Eventually(first.asked.Load, "5s").Should(BeNumerically(">", asked))
+		Expect(r.Offset()).To(Equal(int64(9)))
+	})
+
+	It("heals from a snapshot when its history is gone", func() {
+		source := &fakeSource{name: "peer", from: upTo(9), absent: true}
+		r := upTo(2)
+		follow(r, source)
+		Eventually(r.Offset, "5s").Should(Equal(int64(9)))
+		_, mine := r.Hash()
+		_, theirs := source.from.Hash()
+		Expect(mine).To(Equal(theirs))
+	})
+
+	It("tells peers that ask for too old records so", func() {
+		r := upTo(3)
+		healed := New(time.Now)
+		data, _, err := r.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		state, err := config.DecodeSnapshot(data)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(healed.Adopt(state)).To(BeTrue())
+		Expect(healed.After(1).Gone).To(BeTrue())
+		Expect(healed.After(3).Gone).To(BeFalse())
+	})
+
+	It("adds up the age of what it hears of the log", func() {
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		r := New(func() time.Time { return now })
+		Expect(r.LogAge()).To(Equal(neverConfirmed))
+		Expect(r.Fold(Batch{LogAge: 2 * time.Second})).To(Succeed())
+		now = now.Add(time.Second)
+		Expect(r.LogAge()).To(Equal(3 * time.Second))
+		Expect(r.Fold(Batch{LogAge: 10 * time.Second})).To(Succeed()) // older news changes nothing
+		Expect(r.LogAge()).To(Equal(3 * time.Second))
+	})
+})
+
+var _ = Describe("the tree of a zone", func() {
+	It("gives no entry more than its fanout and reaches everybody", func() {
+		children := map[int]int{}
+		for place := range 200 {
+			parent, ok := Parent(place)
+			Expect(ok).To(Equal(place >= LogReaders))
+			if ok {
+				Expect(parent).To(BeNumerically("<", place))
+				children[parent]++
+			}
+		}
+		for parent, n := range children {
+			Expect(n).To(BeNumerically("<=", treeFanout), "%d", parent)
+		}
+	})
+})
--- /dev/null
+++ b/internal/replica/tree.go
@@ -0,0 +1,20 @@
+package replica
+
+const (
+	// LogReaders is how many entries of an availability zone read the log
+	// themselves; the others read from them, so that the log's load doesn't grow
+	// with the fleet.
+	LogReaders = 2
+	// treeFanout is how many entries read from one, so that no entry's load grows
+	// with the fleet either. Agents come on top.
+	treeFanout = 4
+)
+
+// Parent returns the place of the entry that the entry at a place of its zone's
+// list reads from, and false for those that read the log.
+func Parent(place int) (int, bool) {
+	if place < LogReaders {
+		return 0, false
+	}
+	return (place - LogReaders) / treeFanout, true
+}
--- a/standins/bench/control.go
+++ b/standins/bench/control.go
@@ -114,7 +114,7 @@
 }
 
 func (r *Reporter) mean(cluster *harness.Cluster, before map[string]usage, name, prefix string) {
-	n, cpu, traffic, memory := 0.0, 0.0, 0.0, 0.0
+	n, cpu, traffic, memory, most := 0.0, 0.0, 0.0, 0.0, 0.0
 	for processName, p := range cluster.Processes {
 		if !strings.HasPrefix(processName, prefix) {
 			continue
@@ -123,11 +123,13 @@
 		n++
 		cpu += now.cpu - before[processName].cpu
 		traffic += now.bytes - before[processName].bytes
+		most = max(most, now.bytes-before[processName].bytes)
 		memory += rssMiB(p)
 	}
 	seconds := controlLength.Seconds()
 	r.Figure(name+"-cpu", 100*cpu/n/seconds, "% core")
 	r.Figure(name+"-bytes", traffic/n/seconds/1024, "KiB/s")
+	r.Figure(name+"-bytes-most", most/seconds/1024, "KiB/s")
 	r.Figure(name+"-memory", memory/n, "MiB")
 }
 
--- a/standins/scenarios/scenarios_test.go
+++ b/standins/scenarios/scenarios_test.go
@@ -76,6 +76,7 @@
 			"cut":      cmdCut,
 			"vm":       cmdVM,
 			"operator": cmdOperator,
+			"daemon":   cmdDaemon,
 			"eventual": cmdEventual,
 			"converge": cmdConverge,
 			"pass":     cmdPass,
@@ -235,6 +236,21 @@
 	}
 }
 
+// cmdDaemon runs crowbridged for its output: daemon ARGS...
+func cmdDaemon(ts *testscript.TestScript, neg bool, args []string) {
+	bin, err := buildOnce()
+	ts.Check(err)
+	cmd := exec.Command(filepath.Join(bin, "crowbridged"), args...)
+	for _, name := range []string{"CROWBRIDGE_ZONE", "CROWBRIDGE_DAEMON_KEY"} {
+		cmd.Env = append(cmd.Env, name+"="+ts.Getenv(name))
+	}
+	out, err := cmd.CombinedOutput()
+	ts.Check(os.WriteFile(filepath.Join(ts.Getenv("WORK"), "out"), out, 0o600))
+	if (err != nil) != neg {
+		ts.Fatalf("crowbridged %v: error %v: %s", args, err, out)
+	}
+}
+
 func runOperator(ts *testscript.TestScript, args []string) (string, error) {
 	cluster := of(ts).cluster
 	for i, arg := range args {
