Planned replacements are exact: agents hand their key table over by the log

Ruled out: a shorter skew (clocks do differ by seconds). Now an agent records its beginning and, at a planned stop, the keys it has seen; the next run inherits that when the log shows no run in between. A run that the log doesn't know of waits 60 s before it starts keyed work, and an older handover is not taken for the last word; so a log outage can't hide a run.

--- a/cmd/crowbridged/agent.go
+++ b/cmd/crowbridged/agent.go
@@ -141,6 +141,8 @@
 	if rank != nil {
 		group.Go(func() error { return rank.Run(background) })
 	}
+	recorder := agent.NewRecorder(a, rep, entryAddresses(cmd), daemon.NewControlClient(cmd.String("daemon-key")), log)
+	group.Go(func() error { return recorder.Run(background) })
 	group.Go(func() error {
 		ready := func() bool { return !a.Load().Leaving }
 		return daemon.ServeHTTP(background, metrics, daemon.MetricsHandler(ready, log.Logger), time.Second)
@@ -156,6 +158,7 @@
 	defer timer.Stop()
 	select {
 	case <-a.Leave():
+		recorder.Seal(context.WithoutCancel(ctx))
 	case <-timer.C:
 		log.Warn("drain timeout: requests in flight are cut off")
 	}
@@ -178,6 +181,23 @@
 	return mux
 }
 
+// entryAddresses returns the entries' control addresses, the own zone's first.
+func entryAddresses(cmd *cli.Command) []string {
+	var own, others []string
+	for _, value := range cmd.StringSlice("entry-peer") {
+		peer, err := settings.ParsePeer(value)
+		if err != nil {
+			continue // checked at the start
+		}
+		if peer.Zone == cmd.String("zone") {
+			own = append(own, peer.Address)
+		} else {
+			others = append(others, peer.Address)
+		}
+	}
+	return append(own, others...)
+}
+
 // agentSources orders the entries an agent reads from: its own zone's first,
 // beginning at a place that differs by agent, so that they share the load.
 func agentSources(cmd *cli.Command, peers []settings.Peer) []replica.Source {
--- a/cmd/crowbridged/entry.go
+++ b/cmd/crowbridged/entry.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"github.com/crowbridge/crowbridge/internal/config"
 	"github.com/crowbridge/crowbridge/internal/daemon"
 	"github.com/crowbridge/crowbridge/internal/entry"
 	"github.com/crowbridge/crowbridge/internal/platform"
@@ -35,6 +36,7 @@
 			intFlag("max-body", defaultMaxBody, "largest request body in bytes"),
 			intFlag("max-answer", defaultMaxAnswer, "largest unstreamed answer in bytes"),
 			intFlag("max-concurrent", 20000, "most requests in flight"),
+			durationFlag("config-timeout", 3*time.Second, "how long the start waits for the configuration before callers are let in"),
 			intFlag("reports-per-second", 30, "load reports asked of agents per second"),
 		),
 		Action: runEntry,
@@ -94,10 +96,6 @@
 }
 
 func serveEntry(ctx context.Context, cmd *cli.Command, s *entrySettings, e *entry.Entry, rep *replica.Replica, log *logrus.Entry) error {
-	callers, err := daemon.Listen("listen", cmd.String("listen"))
-	if err != nil {
-		return err
-	}
 	control, err := daemon.Listen("control", cmd.String("control"))
 	if err != nil {
 		return err
@@ -112,9 +110,8 @@
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
 	group, background := errgroup.WithContext(background)
-	group.Go(func() error { return e.Serve(callers) })
 	group.Go(func() error {
-		return daemon.ServeHTTP(background, control, controlHandler(cmd.String("daemon-key"), admin, rep), time.Second)
+		return daemon.ServeHTTP(background, control, controlHandler(cmd.String("daemon-key"), admin, rep, platformLog), time.Second)
 	})
 	group.Go(func() error {
 		return daemon.ServeHTTP(background, metrics, daemon.MetricsHandler(e.Ready, log.Logger), time.Second)
@@ -126,6 +123,12 @@
 	group.Go(func() error { e.WriteSnapshots(background, platformLog); return nil })
 	groups := entry.NewGroups(cmd.String("name"), cmd.String("daemon-key"), rep, platformLog, time.Now, log)
 	group.Go(func() error { return groups.Run(background) })
+	awaitFirstNews(ctx, cmd.Duration("config-timeout"), rep)
+	callers, err := daemon.Listen("listen", cmd.String("listen"))
+	if err != nil {
+		return err
+	}
+	group.Go(func() error { return e.Serve(callers) })
 	log.WithField("listen", callers.Addr().String()).Info("entry serves")
 
 	select {
@@ -145,8 +148,25 @@
 	return err
 }
 
-func controlHandler(key string, admin *entry.Admin, rep *replica.Replica) http.Handler {
-	peers := rpc.NewPeersServer(&replica.PeerServer{Replica: rep, Seen: admin.Seen})
+// awaitFirstNews waits until the replica has a configuration, or has heard that
+// there is none yet, so that a replaced entry refuses nobody for want of one.
+func awaitFirstNews(ctx context.Context, timeout time.Duration, rep *replica.Replica) {
+	const poll = 10 * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	ticker := time.NewTicker(poll)
+	defer ticker.Stop()
+	for rep.Offset() == config.NoOffset && !rep.Heard() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func controlHandler(key string, admin *entry.Admin, rep *replica.Replica, log platform.Log) http.Handler {
+	peers := rpc.NewPeersServer(&replica.PeerServer{Replica: rep, Log: log, Seen: admin.Seen})
 	mux := http.NewServeMux()
 	mux.Handle(peers.PathPrefix(), daemon.RequireKey(key, peers))
 	mux.Handle(admin.PathPrefix(), admin.Handler())
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -52,6 +52,7 @@
 		Server: "s1", Backend: backend, Protocol: config.ProtocolPlain, Key: "daemon",
 		MaxBody: 1 << 20, MaxAnswer: 1 << 20, MaxQueued: 100, MaxConcurrency: slots,
 	}, policy, now, logrus.NewEntry(logger))
+	a.recorded(nil)
 	server := httptest.NewServer(a)
 	DeferCleanup(server.Close)
 	return &bench{agent: a, server: server}
--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -39,6 +39,7 @@
 	Offset  int64                   `json:"offset"`
 	Objects map[string]*Object      `json:"objects"`
 	Leases  map[string]Lease        `json:"leases"`
+	Agents  map[string]AgentRun     `json:"agents"`
 	Results map[string]Result       `json:"results"`
 	Order   []string                `json:"order"` // command IDs, oldest first
 	Audit   []AuditEntry            `json:"audit"`
@@ -68,6 +69,7 @@
 		Offset:       NoOffset,
 		Objects:      map[string]*Object{},
 		Leases:       map[string]Lease{},
+		Agents:       map[string]AgentRun{},
 		Results:      map[string]Result{},
 		SnapshotBase: NoOffset,
 		assembly:     map[string]*assembly{},
@@ -109,6 +111,8 @@
 		s.foldLease(record.Lease, entry)
 	case record.Kind == RecordSnapshot && record.Snapshot != nil:
 		s.foldSnapshotChunk(record.Snapshot)
+	case record.Kind == RecordAgent && record.Agent != nil:
+		s.foldAgent(record.Agent, entry)
 	default:
 		s.markUnread(record.Kind, entry.Offset)
 	}
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -17,6 +17,7 @@
 	RecordChange   RecordKind = "change"
 	RecordLease    RecordKind = "lease"
 	RecordSnapshot RecordKind = "snapshot"
+	RecordAgent    RecordKind = "agent"
 )
 
 // Record is one entry of the platform's log as crowbridge writes it.
@@ -26,6 +27,7 @@
 	Bundle   *Bundle        `json:"bundle,omitempty"`
 	Lease    *LeaseClaim    `json:"lease,omitempty"`
 	Snapshot *SnapshotChunk `json:"snapshot,omitempty"`
+	Agent    *AgentEvent    `json:"agent,omitempty"`
 }
 
 // Bundle is an all-or-nothing set of changes by one operator.
--- a/internal/config/view.go
+++ b/internal/config/view.go
@@ -13,6 +13,7 @@
 	Offset  int64
 	objects map[string]*Object
 	leases  map[string]Lease
+	agents  map[string]AgentRun
 }
 
 // View returns an immutable copy. The objects are shared, not copied, and the
@@ -23,6 +24,7 @@
 		Offset:  s.Offset,
 		objects: s.Objects,
 		leases:  maps.Clone(s.Leases),
+		agents:  s.Agents,
 	}
 }
 
@@ -50,6 +52,12 @@
 	return lease, ok
 }
 
+// Agent returns the last recorded run of a server's agent.
+func (v *View) Agent(server string) (AgentRun, bool) {
+	run, ok := v.agents[server]
+	return run, ok
+}
+
 // Leases returns all leases by group.
 func (v *View) Leases() []Lease {
 	found := slices.Collect(maps.Values(v.leases))
--- a/internal/outcome/keys.go
+++ b/internal/outcome/keys.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 )
 
@@ -66,8 +67,6 @@
 	// Started is when this agent began, on its wall clock. Keys that may have been
 	// seen by an earlier incarnation are not run.
 	Started time.Time
-	// First is true when no earlier incarnation of this agent can have run anything.
-	First bool
 	// Window is how long an ended key is kept.
 	Window time.Duration
 	// Skew bounds how far the clocks of any two VMs differ, and how far a key's
@@ -93,8 +92,85 @@
 	entries map[Key]*keyEntry
 	ended   *list.List // entries that ended, oldest first
 	bytes   int
+
+	recorded  bool
+	sealed    bool
+	inherited *Inheritance
+}
+
+// Inheritance is what the run before this one knew when it ended in a planned
+// stop, and that no other run was in between.
+type Inheritance struct {
+	// CoveredFrom is the time from which on it knew every key made since.
+	CoveredFrom time.Time
+	// Sealed is when it ended.
+	Sealed time.Time
+	// Untimed is set when it also knew every key without a time.
+	Untimed bool
+	// Seen are the hashes of the keys that may have run.
+	Seen map[uint64]bool
+}
+
+// UnrecordedDelay is how long a run that isn't on the log, because that can't be
+// reached, waits before it starts keyed requests. A run that is on the log may
+// take a handover younger than that for the last word: a run in between that the
+// log doesn't know of has started nothing yet.
+const UnrecordedDelay = 60 * time.Second
+
+// Recorded notes that this run is on the log, and what it inherits; nil when the
+// run before it didn't end in a planned stop.
+func (k *Keys) Recorded(inherited *Inheritance) {
+	k.recorded = true
+	if inherited == nil {
+		return
+	}
+	gap := k.options.Started.Sub(inherited.Sealed)
+	if gap < UnrecordedDelay-skewFactor*k.options.Skew {
+		k.inherited = inherited
+	}
+}
+
+// Hash identifies a key in a handover.
+func (key Key) Hash() uint64 { return xxhash.Sum64String(key.Customer + "\x00" + key.Value) }
+
+// Seal ends the table: nothing is started any more. It returns what the next
+// run may inherit, or nil when this run isn't on the log or knows too many keys.
+func (k *Keys) Seal(now time.Time) *Inheritance {
+	k.expire(now)
+	k.sealed = true
+	if !k.recorded || len(k.entries) > maxHandoverKeys {
+		return nil
+	}
+	handover := &Inheritance{
+		CoveredFrom: k.options.Started.Add(skewFactor * k.options.Skew),
+		Sealed:      now,
+		Untimed:     now.Sub(k.options.Started) >= k.options.Window,
+		Seen:        map[uint64]bool{},
+	}
+	for key := range k.entries {
+		handover.Seen[key.Hash()] = true
+	}
+	if k.inherited != nil {
+		handover.CoveredFrom = k.inherited.CoveredFrom
+		handover.Untimed = handover.Untimed || k.inherited.Untimed
+		k.inheritSeen(now, handover)
+	}
+	return handover
+}
+
+// inheritSeen passes on what this run had inherited, while its window lasts.
+func (k *Keys) inheritSeen(now time.Time, handover *Inheritance) {
+	if now.Sub(k.inherited.Sealed) >= k.options.Window {
+		return
+	}
+	for hash := range k.inherited.Seen {
+		handover.Seen[hash] = true
+	}
 }
 
+// maxHandoverKeys bounds a handover's size on the log.
+const maxHandoverKeys = 16384
+
 // NewKeys returns an empty table.
 func NewKeys(options KeysOptions) *Keys {
 	return &Keys{options: options, entries: map[Key]*keyEntry{}, ended: list.New()}
@@ -124,7 +200,7 @@
 	if entry := k.entries[key]; entry != nil {
 		return k.repeat(entry, bodyHash)
 	}
-	if k.mayHaveRun(now, key) {
+	if k.sealed || k.mayHaveRun(now, key) {
 		return VerdictUnresolved, Answer{}, nil
 	}
 	if len(k.entries) >= k.options.MaxKeys || k.bytes >= k.options.MaxBytes {
@@ -165,14 +241,31 @@
 // ahead of itself. So every key it can have run carries a time of at most
 // Started + 2*Skew, plus one Skew for the clock of the VM that was replaced.
 func (k *Keys) mayHaveRun(now time.Time, key Key) bool {
+	if !k.recorded && now.Sub(k.options.Started) < UnrecordedDelay {
+		return true
+	}
 	at, timed := KeyTime(key.Value)
+	if timed && at.Before(now.Add(-k.options.Window+skewFactor*k.options.Skew)) {
+		return true
+	}
+	if k.inherited != nil {
+		return k.mayHaveRunBefore(at, timed, now, key)
+	}
 	if !timed {
-		return !k.options.First && now.Before(k.options.Started.Add(k.options.Window))
+		return now.Before(k.options.Started.Add(k.options.Window))
 	}
-	if at.Before(now.Add(-k.options.Window + skewFactor*k.options.Skew)) {
+	return !at.After(k.options.Started.Add(skewFactor * k.options.Skew))
+}
+
+// mayHaveRunBefore goes by what the run before handed over.
+func (k *Keys) mayHaveRunBefore(at time.Time, timed bool, now time.Time, key Key) bool {
+	if k.inherited.Seen[key.Hash()] {
 		return true
 	}
-	return !k.options.First && !at.After(k.options.Started.Add(skewFactor*k.options.Skew))
+	if !timed {
+		return !k.inherited.Untimed && now.Before(k.options.Started.Add(k.options.Window))
+	}
+	return at.Before(k.inherited.CoveredFrom)
 }
 
 // skewFactor counts the clocks between a key's time and an agent's: the
--- a/internal/outcome/keys_property_test.go
+++ b/internal/outcome/keys_property_test.go
@@ -48,6 +48,18 @@
 	started map[string]int // starts that happened, by key
 	running map[string]bool
 	keys    []string
+	log     agentLog
+	run     int
+	record  int // the log's last record when this run read it
+	known   bool
+}
+
+// agentLog is what the log says of the agent's runs: one record each, with the
+// handover when the run ended in a planned stop.
+type agentLog struct {
+	records  int
+	run      int
+	handover *Inheritance
 }
 
 func (h *home) now() time.Time { return h.true_.Add(h.offset) }
@@ -57,14 +69,44 @@
 	return time.Duration(rapid.IntRange(-half, half).Draw(t, label)) * time.Millisecond
 }
 
+// restart is a crash, or the end of a planned stop: a new run begins.
 func (h *home) restart(t *rapid.T) {
 	h.offset = h.drawOffset(t, "clock error")
 	h.running = map[string]bool{}
+	h.run++
+	h.known = false
+	h.record = h.log.records
 	h.table = NewKeys(KeysOptions{
 		Started: h.now(), Window: testWindow, Skew: testSkew, MaxKeys: 1000, MaxBytes: 1 << 20,
 	})
 }
 
+// reachLog lets a run that isn't on the log record itself, now or much later.
+func (h *home) reachLog(*rapid.T) {
+	if h.known || h.record != h.log.records {
+		return
+	}
+	h.known = true
+	h.log.records++
+	h.table.Recorded(h.log.handover)
+	h.log.run, h.log.handover = h.run, nil
+}
+
+// plannedStop ends the run with a handover, if the log can be reached, and
+// begins another.
+func (h *home) plannedStop(t *rapid.T) {
+	for len(h.running) > 0 {
+		h.end(t)
+	}
+	handover := h.table.Seal(h.now())
+	if handover != nil && h.log.run == h.run && rapid.Bool().Draw(t, "log reached") {
+		h.log.records++
+		h.log.handover = handover
+	}
+	h.wait(t)
+	h.restart(t)
+}
+
 func (h *home) wait(t *rapid.T) {
 	h.true_ = h.true_.Add(time.Duration(rapid.IntRange(0, 30_000).Draw(t, "ms")) * time.Millisecond)
 }
@@ -128,7 +170,8 @@
 		h.restart(t)
 		span := time.Duration(0)
 		t.Repeat(map[string]func(*rapid.T){
-			"ask": h.ask, "end": h.end, "restart": h.restart,
+			"ask": h.ask, "ask again": h.ask, "end": h.end, "restart": h.restart,
+			"reach log": h.reachLog, "planned stop": h.plannedStop,
 			"wait": func(t *rapid.T) {
 				before := h.true_
 				h.wait(t)
@@ -157,6 +200,7 @@
 func TestRepeatGetsTheRecordedAnswer(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	k := NewKeys(KeysOptions{Started: now.Add(-time.Hour), Window: testWindow, Skew: testSkew, MaxKeys: 10, MaxBytes: 100})
+	k.Recorded(nil)
 	mine := Key{Customer: "mine", Value: keyAt(now, 1)}
 	other := Key{Customer: "other", Value: mine.Value}
 	if v, _, _ := k.Begin(now, mine, "h", false); v != VerdictRun {
@@ -180,9 +224,74 @@
 	}
 }
 
+// TestPlannedStopIsExact: after a planned stop the next run starts keys that the
+// one before never saw, also those made just before it began, and no other.
+func TestPlannedStopIsExact(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	options := KeysOptions{Started: now, Window: testWindow, Skew: testSkew, MaxKeys: 10, MaxBytes: 100}
+	first := NewKeys(options)
+	first.Recorded(nil)
+	now = now.Add(time.Minute)
+	seen := Key{Customer: "c", Value: keyAt(now, 1)}
+	if v, _, _ := first.Begin(now, seen, "h", false); v != VerdictRun {
+		t.Fatalf("first run: %v", v)
+	}
+	first.Lose(now, seen)
+	handover := first.Seal(now)
+	between := Key{Customer: "c", Value: keyAt(now.Add(time.Second), 2)}
+	if v, _, _ := first.Begin(now, between, "h", false); v != VerdictUnresolved {
+		t.Fatalf("a sealed table: %v", v)
+	}
+	options.Started = now.Add(2 * time.Second)
+	for _, test := range []struct {
+		name      string
+		inherited *Inheritance
+		recorded  bool
+		key       Key
+		want      Verdict
+	}{
+		{"never seen", handover, true, between, VerdictRun},
+		{"seen before", handover, true, seen, VerdictUnresolved},
+		{"no handover", nil, true, between, VerdictUnresolved},
+		{"not on the log", nil, false, between, VerdictUnresolved},
+	} {
+		second := NewKeys(options)
+		if test.recorded {
+			second.Recorded(test.inherited)
+		}
+		if v, _, _ := second.Begin(options.Started, test.key, "h", false); v != test.want {
+			t.Errorf("%s: %v, want %v", test.name, v, test.want)
+		}
+	}
+}
+
+// TestOldHandoverIsNotTheLastWord: when the log was away for long, a run that it
+// doesn't know of may have started keys since the handover.
+func TestOldHandoverIsNotTheLastWord(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	options := KeysOptions{Started: now, Window: 10 * testWindow, Skew: testSkew, MaxKeys: 10, MaxBytes: 100}
+	first := NewKeys(options)
+	first.Recorded(nil)
+	handover := first.Seal(now.Add(time.Minute))
+	options.Started = handover.Sealed.Add(time.Second)
+	unknown := NewKeys(options) // never gets onto the log
+	now = options.Started.Add(UnrecordedDelay)
+	key := Key{Customer: "c", Value: keyAt(now, 1)}
+	if v, _, _ := unknown.Begin(now, key, "h", false); v != VerdictRun {
+		t.Fatalf("a run that waited long enough: %v", v)
+	}
+	options.Started = now.Add(time.Second)
+	third := NewKeys(options)
+	third.Recorded(handover)
+	if v, _, _ := third.Begin(options.Started, key, "h", false); v != VerdictUnresolved {
+		t.Fatalf("the key ran meanwhile: %v", v)
+	}
+}
+
 func TestLeavingClosesUnseenKeys(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	k := NewKeys(KeysOptions{Started: now.Add(-time.Hour), Window: testWindow, Skew: testSkew, MaxKeys: 10, MaxBytes: 100})
+	k.Recorded(nil)
 	key := Key{Value: keyAt(now, 1)}
 	if v, _, _ := k.Begin(now, key, "h", true); v != VerdictClosed {
 		t.Fatalf("leaving: %v", v)
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -14,6 +14,9 @@
 const (
 	// pollWait is how long one read waits for new records.
 	pollWait = time.Second
+	// firstWait is used instead while there is no configuration, so that a fresh VM
+	// soon knows whether there is one.
+	firstWait = 50 * time.Millisecond
 	// staleAfter is the log age at which a source is given up for the next.
 	staleAfter = 4 * time.Second
 	// readTimeout bounds a read beyond its wait.
@@ -52,7 +55,11 @@
 func (r *Replica) followOnce(ctx context.Context, source Source) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, pollWait+readTimeout)
 	defer cancel()
-	batch, err := source.Records(ctx, r.Offset(), pollWait)
+	wait := pollWait
+	if r.Offset() == config.NoOffset {
+		wait = firstWait
+	}
+	batch, err := source.Records(ctx, r.Offset(), wait)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/replica/peer.go
+++ b/internal/replica/peer.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/platform"
 	"github.com/crowbridge/crowbridge/internal/rpc"
 	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
 )
 
 // PeerSource reads from another daemon.
@@ -56,6 +58,8 @@
 type PeerServer struct {
 	// Replica is what is served.
 	Replica *Replica
+	// Log takes the records of agents; nil where there's none.
+	Log platform.Log
 	// Seen is told the offset of each daemon that asks; it may be nil.
 	Seen func(daemon string, offset int64)
 }
@@ -84,6 +88,22 @@
 	return reply
 }
 
+// Append implements rpc.Peers: it relays a record of an agent, which has no way
+// to the log of its own.
+func (s *PeerServer) Append(ctx context.Context, request *rpc.AppendRequest) (*rpc.AppendReply, error) {
+	record, err := config.DecodeRecord(request.Record)
+	if err != nil || record.Kind != config.RecordAgent {
+		return nil, twirp.InvalidArgumentError("record", "not an agent's record")
+	}
+	if s.Log == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "this daemon doesn't write to the log")
+	}
+	if _, err := s.Log.Append(ctx, request.Record); err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return &rpc.AppendReply{}, nil
+}
+
 // State implements rpc.Peers.
 func (s *PeerServer) State(context.Context, *rpc.StateRequest) (*rpc.StateReply, error) {
 	data, offset, err := s.Replica.Snapshot()
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -142,6 +142,9 @@
 	return r.now().Sub(r.confirmed)
 }
 
+// Heard tells whether the log has been heard of since the start.
+func (r *Replica) Heard() bool { return r.LogAge() < neverConfirmed }
+
 // After returns the records kept after an offset, for a peer.
 func (r *Replica) After(offset int64) Batch {
 	r.mu.Lock()
@@ -167,6 +170,9 @@
 	return result, ok
 }
 
+// Agent returns the last recorded run of a server's agent.
+func (r *Replica) Agent(server string) (config.AgentRun, bool) { return r.View().Agent(server) }
+
 // Check tells whether a bundle would be accepted now.
 func (r *Replica) Check(bundle *config.Bundle) error {
 	r.mu.Lock()
