Agent names the true cause of a failed call; outlier detection; groups routed whole

Cause 2: an agent whose server is gone answers fast and reports no load, so entries sent it ever more until the retry budget was spent. Ruled out: the budget's size. Now a server that fails is ejected for a growing time, never all of them; and a group is out of routing while one of its ranks takes no requests. Before: the new agent spec reads 'canceled'.

--- a/Makefile
+++ b/Makefile
@@ -26,8 +26,9 @@
 	cd standins && $(GOLANGCI) run --config ../.golangci.yml ./...
 
 race: build
-	go test -race -count=1 -parallel 4 $(PACKAGES)
+	go test -race -count=1 $(filter-out %/scenarios,$(shell go list $(PACKAGES)))
 	go test -count=1 -run 'OneMap|Mutants|StepsAgain' ./internal/group
+	go test -count=1 -parallel 4 ./standins/scenarios
 
 bench: build
 	go run ./standins/cmd/bench $(BIN)
--- a/cmd/crowbridged/agent.go
+++ b/cmd/crowbridged/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"net/http"
 	"os"
 	"time"
@@ -199,21 +198,18 @@
 }
 
 // agentSources orders the entries an agent reads from: its own zone's first,
-// beginning at a place that differs by agent, so that they share the load.
+// beginning at one that differs by agent.
 func agentSources(cmd *cli.Command, peers []settings.Peer) []replica.Source {
+	name := cmd.String("server")
 	client := daemon.NewControlClient(cmd.String("daemon-key"))
-	digest := fnv.New32a()
-	_, _ = digest.Write([]byte(cmd.String("server"))) // a hash never fails to write
-	start := int(digest.Sum32() % uint32(len(peers)))
 	var own, others []replica.Source
-	for i := range peers {
-		peer := peers[(start+i)%len(peers)]
-		source := replica.NewPeerSource(peer.Address, cmd.String("server"), client)
+	for _, peer := range peers {
+		source := replica.NewPeerSource(peer.Address, name, client)
 		if peer.Zone == cmd.String("zone") {
 			own = append(own, source)
 		} else {
 			others = append(others, source)
 		}
 	}
-	return append(own, others...)
+	return append(replica.Spread(own, name), replica.Spread(others, name)...)
 }
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -176,6 +176,12 @@
 		Expect(runs.Load()).To(Equal(int64(1)))
 	})
 
+	It("name the lost server as the cause, not the caller", func() {
+		b := newBench(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, 4)
+		response, _ := b.do(ask{body: "x"})
+		Expect(response.Header.Get(wire.HeaderCode)).To(Equal("server-lost"))
+	})
+
 	It("are unknown when made before the agent started", func() {
 		var runs atomic.Int64
 		b := newBench(func(http.ResponseWriter, *http.Request) { runs.Add(1) }, 4)
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -54,9 +54,10 @@
 	request.Header.Set(wire.HeaderRequestID, j.envelope.RequestID)
 	response, err := transport.RoundTrip(request)
 	if err != nil {
+		f := a.callFailure(ctx, err)
 		cancel()
 		a.done(j.envelope.RequestID, 0, false)
-		return nil, a.callFailure(ctx, err)
+		return nil, f
 	}
 	return &call{response: response, cancel: cancel}, nil
 }
--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -196,8 +196,10 @@
 	header := r.response.Header
 	if f := wire.ReadFailure(header, server); f != nil {
 		e.settle(r)
+		e.noteFailure(server, f)
 		return &answer{failure: f, header: header, server: server}
 	}
+	e.noteSuccess(server)
 	if isEventStream(header) {
 		return &answer{status: r.response.StatusCode, header: header, events: r, server: server}
 	}
@@ -322,6 +324,22 @@
 	e.table.Failed(e.now(), server)
 }
 
+// noteFailure counts what the server behind an agent did wrong.
+func (e *Entry) noteFailure(server string, f *failure.Error) {
+	if f.Code != failure.CodeServerLost {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.table.Errored(e.now(), server)
+}
+
+func (e *Entry) noteSuccess(server string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.table.Succeeded(server)
+}
+
 func (e *Entry) noteLoad(server string, header http.Header) {
 	load, ok := wire.ParseLoad(header.Get(wire.HeaderLoad))
 	if !ok {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"sync/atomic"
 	"testing"
@@ -157,3 +158,17 @@
 		}
 	})
 })
+
+var _ = Describe("the agents of a zone", func() {
+	It("spread over its entries", func() {
+		counts := map[int]int{}
+		for i := range 800 {
+			order := Spread([]int{0, 1, 2, 3, 4, 5, 6, 7}, fmt.Sprint("engine-", i))
+			Expect(order).To(ConsistOf(0, 1, 2, 3, 4, 5, 6, 7))
+			counts[order[0]]++
+		}
+		for entry := range 8 {
+			Expect(counts[entry]).To(BeNumerically("~", 100, 40))
+		}
+	})
+})
--- a/internal/replica/tree.go
+++ b/internal/replica/tree.go
@@ -1,5 +1,7 @@
 package replica
 
+import "github.com/cespare/xxhash/v2"
+
 const (
 	// LogReaders is how many entries of an availability zone read the log
 	// themselves; the others read from them, so that the log's load doesn't grow
@@ -18,3 +20,13 @@
 	}
 	return (place - LogReaders) / treeFanout, true
 }
+
+// Spread returns the items beginning at a place that a name's hash chooses, so
+// that many daemons with the same list don't all begin with the same one.
+func Spread[T any](items []T, name string) []T {
+	if len(items) == 0 {
+		return nil
+	}
+	start := int(xxhash.Sum64String(name) % uint64(len(items)))
+	return append(append([]T(nil), items[start:]...), items[:start]...)
+}
--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -29,3 +29,25 @@
 func (DrainFilter) Allow(_ time.Time, row *ServerState) bool {
 	return !row.Server.Spec.Draining && !row.ListedLeaving
 }
+
+// OutlierFilter leaves out servers that are ejected for their errors. It's not
+// applied when it would leave out all.
+type OutlierFilter struct{}
+
+// Allow implements Filter.
+func (OutlierFilter) Allow(now time.Time, row *ServerState) bool {
+	return !now.Before(row.EjectedUntil)
+}
+
+// GroupFilter leaves out a group while one of its ranks takes no requests: the
+// others can't step without it.
+type GroupFilter struct {
+	// Table knows the groups' ranks.
+	Table *Table
+}
+
+// Allow implements Filter.
+func (g GroupFilter) Allow(_ time.Time, row *ServerState) bool {
+	group := row.Server.Spec.Group
+	return group == "" || g.Table.lost[group] == 0
+}
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -41,6 +41,7 @@
 type Picker struct {
 	table   *Table
 	filters []Filter
+	outlier OutlierFilter
 	scorers []Scorer
 }
 
@@ -48,7 +49,8 @@
 func NewPicker(table *Table) *Picker {
 	return &Picker{
 		table:   table,
-		filters: []Filter{HealthFilter{}, DrainFilter{}},
+		filters: []Filter{HealthFilter{}, DrainFilter{}, GroupFilter{Table: table}},
+		outlier: OutlierFilter{},
 		scorers: []Scorer{LoadScorer{}, ZoneScorer{Zone: table.zone}},
 	}
 }
@@ -57,7 +59,7 @@
 // request. It samples two servers of the own zone, two of all, and the one that
 // probably caches the prompt's prefix, and takes the best: constant work
 // however many servers there are. Only when sampling finds nothing are all
-// servers scanned.
+// servers scanned, the ejected ones last.
 func (p *Picker) Pick(now time.Time, random *rand.Rand, q Query) string {
 	own := p.ownZone(q.Candidates)
 	best := choice{}
@@ -65,7 +67,10 @@
 	p.sample(now, random, q.Candidates, q, &best)
 	p.consider(now, p.table.hints.server(q.Prefix), q, affinityBonus, &best)
 	if best.row == nil {
-		p.scan(now, q, &best)
+		p.scan(now, q, p.Allowed, &best)
+	}
+	if best.row == nil {
+		p.scan(now, q, p.allowedOutlier, &best)
 	}
 	if best.row == nil {
 		return ""
@@ -100,20 +105,29 @@
 	}
 }
 
-func (p *Picker) scan(now time.Time, q Query, best *choice) {
+func (p *Picker) scan(now time.Time, q Query, allowed func(time.Time, *ServerState) bool, best *choice) {
 	for _, server := range q.Candidates {
-		p.consider(now, server.Name, q, 0, best)
+		row := p.table.rows[server.Name]
+		if row != nil && !tried(q, row) && allowed(now, row) {
+			p.rate(now, row, 0, best)
+		}
 	}
 }
 
 func (p *Picker) consider(now time.Time, name string, q Query, bonus float64, best *choice) bool {
 	row := p.table.rows[name]
-	if row == nil || !p.allowed(now, row, q) {
+	if row == nil || tried(q, row) || !p.Allowed(now, row) {
 		return false
 	}
 	if bonus > 0 && !contains(q.Candidates, row.Server) {
 		return false
 	}
+	p.rate(now, row, bonus, best)
+	return true
+}
+
+// rate keeps the row when it's better than the best so far.
+func (p *Picker) rate(now time.Time, row *ServerState, bonus float64, best *choice) {
 	score := -bonus
 	for _, scorer := range p.scorers {
 		score += scorer.Score(now, row)
@@ -121,7 +135,15 @@
 	if best.row == nil || score < best.score {
 		*best = choice{row: row, score: score}
 	}
-	return true
+}
+
+func tried(q Query, row *ServerState) bool {
+	for _, name := range q.Tried {
+		if name == row.Server.Name {
+			return true
+		}
+	}
+	return false
 }
 
 // contains searches the candidates, which are ordered by zone and name.
@@ -130,17 +152,13 @@
 	return at < len(candidates) && candidates[at].Name == server.Name
 }
 
-func (p *Picker) allowed(now time.Time, row *ServerState, q Query) bool {
-	for _, tried := range q.Tried {
-		if tried == row.Server.Name {
-			return false
-		}
-	}
-	return p.Allowed(now, row)
+// Allowed tells whether a server passes all filters.
+func (p *Picker) Allowed(now time.Time, row *ServerState) bool {
+	return p.outlier.Allow(now, row) && p.allowedOutlier(now, row)
 }
 
-// Allowed tells whether a server passes the filters.
-func (p *Picker) Allowed(now time.Time, row *ServerState) bool {
+// allowedOutlier tells whether a server passes the filters that always hold.
+func (p *Picker) allowedOutlier(now time.Time, row *ServerState) bool {
 	for _, filter := range p.filters {
 		if !filter.Allow(now, row) {
 			return false
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -181,6 +181,47 @@
 	})
 })
 
+var _ = Describe("outlier detection", func() {
+	It("leaves a server alone that fails fast, although its agent reports no load", func() {
+		servers := fleet([]string{"a"}, 4)
+		table := tableOf(servers)
+		picker, random := NewPicker(table), newRandom()
+		for range 3 {
+			table.Errored(start, "a-0000")
+			table.Report(start, "a-0000", "1", wire.Load{Limit: 8})
+		}
+		for range 200 {
+			Expect(picker.Pick(start, random, Query{Candidates: servers})).NotTo(Equal("a-0000"))
+		}
+		Expect(picker.Allowed(start.Add(maxBackoff), table.Row("a-0000"))).To(BeTrue())
+		table.Succeeded("a-0000")
+		Expect(picker.Allowed(start, table.Row("a-0000"))).To(BeTrue())
+	})
+
+	It("never ejects everyone", func() {
+		servers := fleet([]string{"a"}, 3)
+		table := tableOf(servers)
+		for _, s := range servers {
+			table.Errored(start, s.Name)
+		}
+		Expect(NewPicker(table).Pick(start, newRandom(), Query{Candidates: servers})).NotTo(BeEmpty())
+	})
+
+	It("takes a group out while one of its ranks is gone", func() {
+		servers := fleet([]string{"a"}, 4)
+		servers[0].Spec.Group, servers[1].Spec.Group = "g", "g"
+		table := tableOf(servers)
+		table.Failed(start, servers[0].Name)
+		picker, random := NewPicker(table), newRandom()
+		for range 100 {
+			name := picker.Pick(start.Add(time.Hour), random, Query{Candidates: servers})
+			Expect(name).To(BeElementOf("a-0002", "a-0003"))
+		}
+		table.Report(start, servers[0].Name, "1", wire.Load{Limit: 8})
+		Expect(picker.Allowed(start, table.Row(servers[1].Name))).To(BeTrue())
+	})
+})
+
 var _ = Describe("polling", func() {
 	It("asks every server, those that never reported first, the own zone more often", func() {
 		servers := fleet([]string{"a", "b"}, 10)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -53,9 +53,13 @@
 	// that have not ended.
 	Sent     int
 	InFlight int
-	// Failures in a row, and until when the server is left alone after them.
+	// Failures to reach the agent in a row, and until when the server is left
+	// alone after them.
 	Failures int
 	RetryAt  time.Time
+	// Errors that the server gave in a row, and until when it's ejected for them.
+	Errors       int
+	EjectedUntil time.Time
 	// slow is the smoothed ratio of the server's service time to its peers'.
 	slow float64
 }
@@ -66,13 +70,15 @@
 	zone  string
 	rows  map[string]*ServerState
 	hints *affinity
+	// lost counts, by group, the ranks that take no requests.
+	lost map[string]int
 	// serviceTime is the smoothed service time over all servers.
 	serviceTime time.Duration
 }
 
 // NewTable returns an empty table for an entry in the given availability zone.
 func NewTable(zone string) *Table {
-	return &Table{zone: zone, rows: map[string]*ServerState{}, hints: newAffinity()}
+	return &Table{zone: zone, rows: map[string]*ServerState{}, hints: newAffinity(), lost: map[string]int{}}
 }
 
 // Sync takes over the servers of a new configuration and forgets those that
@@ -91,6 +97,30 @@
 			t.rows[name] = &ServerState{Server: server, slow: 1}
 		}
 	}
+	t.countLost()
+}
+
+// setHealth changes a row's health and keeps the count of its group's lost ranks.
+func (t *Table) setHealth(row *ServerState, health Health) {
+	group := row.Server.Spec.Group
+	if group != "" {
+		if row.Health != HealthUp {
+			t.lost[group]--
+		}
+		if health != HealthUp {
+			t.lost[group]++
+		}
+	}
+	row.Health = health
+}
+
+func (t *Table) countLost() {
+	clear(t.lost)
+	for _, row := range t.rows {
+		if group := row.Server.Spec.Group; group != "" && row.Health != HealthUp {
+			t.lost[group]++
+		}
+	}
 }
 
 // Row returns a server's row, or nil.
@@ -134,10 +164,11 @@
 	row.ReportedAt = now
 	row.Sent = 0
 	row.Failures = 0
-	row.Health = HealthUp
+	health := HealthUp
 	if load.Leaving || sameLeaving {
-		row.Health = HealthLeaving
+		health = HealthLeaving
 	}
+	t.setHealth(row, health)
 	t.learnSpeed(row, load.ServiceTime)
 }
 
@@ -172,9 +203,31 @@
 		return
 	}
 	row.Failures++
-	backoff := min(baseBackoff<<min(row.Failures-1, 5), maxBackoff)
-	row.RetryAt = now.Add(backoff)
+	row.RetryAt = now.Add(backoffAfter(row.Failures))
 	if row.Health != HealthLeaving {
-		row.Health = HealthDown
+		t.setHealth(row, HealthDown)
+	}
+}
+
+func backoffAfter(failures int) time.Duration {
+	const doublings = 5
+	return min(baseBackoff<<min(failures-1, doublings), maxBackoff)
+}
+
+// Errored notes that the agent was reached and the server behind it failed. A
+// server that fails fast reports little load and would attract ever more
+// requests, so it's ejected for a time that grows.
+func (t *Table) Errored(now time.Time, name string) {
+	if row := t.rows[name]; row != nil {
+		row.Errors++
+		row.EjectedUntil = now.Add(backoffAfter(row.Errors))
+	}
+}
+
+// Succeeded notes that the server answered.
+func (t *Table) Succeeded(name string) {
+	if row := t.rows[name]; row != nil {
+		row.Errors = 0
+		row.EjectedUntil = time.Time{}
 	}
 }
--- a/standins/bench/control.go
+++ b/standins/bench/control.go
@@ -24,7 +24,7 @@
 // Control measures what a daemon spends on control as daemons and servers grow,
 // how soon a change is in force, and how soon a fresh VM serves.
 func (r *Reporter) Control(bin string) error {
-	for _, size := range []struct{ entriesPerZone, serversPerZone int }{{2, 6}, {8, 6}, {32, 6}, {2, 24}, {2, 48}, {8, 48}} {
+	for _, size := range []struct{ entriesPerZone, serversPerZone int }{{2, 6}, {8, 6}, {32, 6}, {2, 24}, {2, 48}, {8, 24}, {8, 48}} {
 		if err := r.controlAt(bin, size.entriesPerZone, size.serversPerZone); err != nil {
 			return err
 		}
