--- a/cmd/crowbridged/agent.go
+++ b/cmd/crowbridged/agent.go
@@ -15,7 +15,6 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
-	"golang.org/x/sync/errgroup"
 )
 
 func agentCommand() *cli.Command {
@@ -71,26 +70,32 @@
 		printSettings(os.Stdout, cmd)
 		return nil
 	}
-	logger, err := daemon.NewLogger(cmd.String("log-level"))
+	p, err := newProcess(ctx, cmd, cmd.String("server"))
 	if err != nil {
 		return err
 	}
-	log := logger.WithFields(logrus.Fields{"daemon": cmd.String("server"), "zone": cmd.String("zone")})
 	rep := replica.New(time.Now)
-	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopBackground()
-	group, background := errgroup.WithContext(background)
-	group.Go(func() error { rep.Follow(background, agentSources(cmd, peers), log); return nil })
-	awaitConfiguration(ctx, cmd, rep, log)
+	p.loop(func(ctx context.Context) { rep.Follow(ctx, agentSources(cmd, peers), p.log) })
+	awaitConfiguration(ctx, cmd, rep, p.log)
 	a := agent.New(agent.Options{
 		Server: cmd.String("server"), Backend: cmd.String("backend"),
 		Protocol: config.Protocol(cmd.String("protocol")),
 		MaxBody:  int64(cmd.Int("max-body")), MaxAnswer: int64(cmd.Int("max-answer")),
 		MaxQueued: cmd.Int("max-queued"), MaxConcurrency: concurrency(cmd, rep.View()),
 		Key: cmd.String("daemon-key"),
-	}, rep.View().Policy(), time.Now, log)
+	}, rep.View().Policy(), time.Now, p.log)
 	daemon.ExportLedger(a.Ledger)
-	return serveAgent(ctx, background, stopBackground, cmd, group, a, rep, log)
+	recorder := agent.NewRecorder(a, rep, entryAddresses(peers, cmd.String("zone")), daemon.NewControlClient(cmd.String("daemon-key")), p.log)
+	p.run(recorder.Run)
+	err = serveAgent(p, a, rep)
+	if err == nil && p.awaitStop() {
+		leave(p, a, recorder)
+	}
+	if taskErr := p.finish(); err == nil {
+		err = taskErr
+	}
+	p.log.WithField("ledger", a.Ledger()).Info("agent stopped")
+	return err
 }
 
 // awaitConfiguration gives the first configuration a moment to arrive. An agent
@@ -116,55 +121,37 @@
 	return service.Service.MaxConcurrency
 }
 
-func serveAgent(ctx, background context.Context, stopBackground context.CancelFunc, cmd *cli.Command, group *errgroup.Group, a *agent.Agent, rep *replica.Replica, log *logrus.Entry) error {
-	requests, err := daemon.Listen("listen", cmd.String("listen"))
-	if err != nil {
-		return err
+func serveAgent(p *process, a *agent.Agent, rep *replica.Replica) error {
+	var rank *agent.RankControl
+	if name := p.cmd.String("group"); name != "" {
+		rank = agent.NewRankControl(name, p.cmd.Int("rank"), agent.NewHTTPEngine(p.cmd.String("backend")), p.log)
+		p.run(rank.Run)
 	}
-	control, err := daemon.Listen("control", cmd.String("control"))
-	if err != nil {
+	if err := p.serve("control", agentControl(p.cmd.String("daemon-key"), a, rep, rank)); err != nil {
 		return err
 	}
-	metrics, err := daemon.Listen("metrics", cmd.String("metrics"))
-	if err != nil {
+	ready := func() bool { return !a.Load().Leaving }
+	if err := p.serve("metrics", daemon.MetricsHandler(ready, p.log.Logger)); err != nil {
 		return err
 	}
-	var rank *agent.RankControl
-	if name := cmd.String("group"); name != "" {
-		rank = agent.NewRankControl(name, cmd.Int("rank"), agent.NewHTTPEngine(cmd.String("backend")), log)
-	}
-	group.Go(func() error { return daemon.ServeHTTP(background, requests, a, time.Second) })
-	group.Go(func() error {
-		return daemon.ServeHTTP(background, control, agentControl(cmd.String("daemon-key"), a, rep, rank), time.Second)
-	})
-	if rank != nil {
-		group.Go(func() error { return rank.Run(background) })
-	}
-	recorder := agent.NewRecorder(a, rep, entryAddresses(cmd), daemon.NewControlClient(cmd.String("daemon-key")), log)
-	group.Go(func() error { return recorder.Run(background) })
-	group.Go(func() error {
-		ready := func() bool { return !a.Load().Leaving }
-		return daemon.ServeHTTP(background, metrics, daemon.MetricsHandler(ready, log.Logger), time.Second)
-	})
-	log.WithField("listen", requests.Addr().String()).Info("agent serves")
-	select {
-	case <-ctx.Done():
-	case <-background.Done():
-		return group.Wait()
+	if err := p.serve("listen", a); err != nil {
+		return err
 	}
-	log.Info("planned stop: finishing the requests in flight")
-	timer := time.NewTimer(cmd.Duration("drain-timeout"))
+	p.log.WithField("listen", p.cmd.String("listen")).Info("agent serves")
+	return nil
+}
+
+// leave refuses new work, waits for the requests in flight, and hands the key
+// table over.
+func leave(p *process, a *agent.Agent, recorder *agent.Recorder) {
+	timer := time.NewTimer(p.cmd.Duration("drain-timeout"))
 	defer timer.Stop()
 	select {
 	case <-a.Leave():
-		recorder.Seal(context.WithoutCancel(ctx))
+		recorder.Seal(p.tasks)
 	case <-timer.C:
-		log.Warn("drain timeout: requests in flight are cut off")
+		p.log.Warn("drain timeout: requests in flight are cut off")
 	}
-	stopBackground()
-	err = group.Wait()
-	log.WithField("ledger", a.Ledger()).Info("agent stopped")
-	return err
 }
 
 func agentControl(key string, a *agent.Agent, rep *replica.Replica, rank *agent.RankControl) http.Handler {
@@ -181,14 +168,10 @@
 }
 
 // entryAddresses returns the entries' control addresses, the own zone's first.
-func entryAddresses(cmd *cli.Command) []string {
+func entryAddresses(peers []settings.Peer, zone string) []string {
 	var own, others []string
-	for _, value := range cmd.StringSlice("entry-peer") {
-		peer, err := settings.ParsePeer(value)
-		if err != nil {
-			continue // checked at the start
-		}
-		if peer.Zone == cmd.String("zone") {
+	for _, peer := range peers {
+		if peer.Zone == zone {
 			own = append(own, peer.Address)
 		} else {
 			others = append(others, peer.Address)
--- a/cmd/crowbridged/entry.go
+++ b/cmd/crowbridged/entry.go
@@ -13,9 +13,7 @@
 	"github.com/crowbridge/crowbridge/internal/replica"
 	"github.com/crowbridge/crowbridge/internal/rpc"
 	"github.com/crowbridge/crowbridge/internal/settings"
-	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
-	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -80,72 +78,62 @@
 		printSettings(os.Stdout, cmd)
 		return nil
 	}
-	logger, err := daemon.NewLogger(cmd.String("log-level"))
+	p, err := newProcess(ctx, cmd, cmd.String("name"))
 	if err != nil {
 		return err
 	}
-	log := logger.WithFields(logrus.Fields{"daemon": cmd.String("name"), "zone": cmd.String("zone")})
 	rep := replica.New(time.Now)
 	e := entry.New(entry.Options{
 		Name: cmd.String("name"), Zone: cmd.String("zone"), DaemonKey: cmd.String("daemon-key"),
 		MaxBody: cmd.Int("max-body"), MaxAnswer: int64(cmd.Int("max-answer")),
 		MaxConcurrent: cmd.Int("max-concurrent"), ReportsPerSecond: cmd.Int("reports-per-second"),
-	}, rep, time.Now, log)
+	}, rep, time.Now, p.log)
 	daemon.ExportLedger(e.Ledger)
-	return serveEntry(ctx, cmd, s, e, rep, log)
+	err = serveEntry(p, s, e, rep)
+	if err == nil {
+		p.awaitStop()
+		err = stopEntry(p, e)
+	}
+	if taskErr := p.finish(); err == nil {
+		err = taskErr
+	}
+	p.log.WithField("ledger", e.Ledger()).Info("entry stopped")
+	return err
 }
 
-func serveEntry(ctx context.Context, cmd *cli.Command, s *entrySettings, e *entry.Entry, rep *replica.Replica, log *logrus.Entry) error {
-	control, err := daemon.Listen("control", cmd.String("control"))
-	if err != nil {
+// stopEntry finishes the requests in flight; when a task has failed, it closes
+// at once.
+func stopEntry(p *process, e *entry.Entry) error {
+	ctx, cancel := context.WithTimeout(p.tasks, p.cmd.Duration("drain-timeout"))
+	defer cancel()
+	return e.Stop(ctx)
+}
+
+func serveEntry(p *process, s *entrySettings, e *entry.Entry, rep *replica.Replica) error {
+	key := p.cmd.String("daemon-key")
+	log := platform.NewHTTPLog(p.cmd.String("log-url"))
+	admin := entry.NewAdmin(e, log, s.operators, p.log)
+	if err := p.serve("control", controlHandler(key, admin, rep, log)); err != nil {
 		return err
 	}
-	metrics, err := daemon.Listen("metrics", cmd.String("metrics"))
-	if err != nil {
+	if err := p.serve("metrics", daemon.MetricsHandler(e.Ready, p.log.Logger)); err != nil {
 		return err
 	}
-	grace := cmd.Duration("drain-timeout")
-	platformLog := platform.NewHTTPLog(cmd.String("log-url"))
-	admin := entry.NewAdmin(e, platformLog, s.operators, log)
-	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopBackground()
-	group, background := errgroup.WithContext(background)
-	group.Go(func() error {
-		return daemon.ServeHTTP(background, control, controlHandler(cmd.String("daemon-key"), admin, rep, platformLog), time.Second)
-	})
-	group.Go(func() error {
-		return daemon.ServeHTTP(background, metrics, daemon.MetricsHandler(e.Ready, log.Logger), time.Second)
-	})
-	group.Go(func() error { rep.Follow(background, entrySources(cmd, s, platformLog), log); return nil })
-	group.Go(func() error { e.WatchConfiguration(background); return nil })
-	group.Go(func() error { return e.WatchServers(background) })
-	group.Go(func() error { e.WatchVMs(background, platform.NewHTTPVMList(cmd.String("vms-url"))); return nil })
-	group.Go(func() error { e.WriteSnapshots(background, platformLog); return nil })
-	groups := entry.NewGroups(cmd.String("name"), cmd.String("daemon-key"), rep, platformLog, time.Now, log)
-	group.Go(func() error { return groups.Run(background) })
-	awaitFirstNews(ctx, cmd.Duration("config-timeout"), rep)
-	callers, err := daemon.Listen("listen", cmd.String("listen"))
+	vms := platform.NewHTTPVMList(p.cmd.String("vms-url"))
+	p.loop(func(ctx context.Context) { rep.Follow(ctx, entrySources(p.cmd, s, log), p.log) })
+	p.loop(e.WatchConfiguration)
+	p.run(e.WatchServers)
+	p.loop(func(ctx context.Context) { e.WatchVMs(ctx, vms) })
+	p.loop(func(ctx context.Context) { e.WriteSnapshots(ctx, log) })
+	p.run(entry.NewGroups(p.cmd.String("name"), key, rep, log, time.Now, p.log).Run)
+	awaitFirstNews(p.asked, p.cmd.Duration("config-timeout"), rep)
+	callers, err := p.listen("listen")
 	if err != nil {
 		return err
 	}
-	group.Go(func() error { return e.Serve(callers) })
-	log.WithField("listen", callers.Addr().String()).Info("entry serves")
-
-	select {
-	case <-ctx.Done():
-	case <-background.Done():
-		return group.Wait()
-	}
-	log.Info("planned stop: finishing the requests in flight")
-	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
-	defer cancel()
-	err = e.Stop(stopCtx)
-	stopBackground()
-	if groupErr := group.Wait(); err == nil {
-		err = groupErr
-	}
-	log.WithField("ledger", e.Ledger()).Info("entry stopped")
-	return err
+	p.group.Go(func() error { return e.Serve(callers) })
+	p.log.WithField("listen", callers.Addr().String()).Info("entry serves")
+	return nil
 }
 
 // awaitFirstNews waits until the replica has a configuration, or has heard that
--- a/internal/agent/engine.go
+++ b/internal/agent/engine.go
@@ -15,7 +15,9 @@
 
 // EngineState is what an engine that is a rank of a group tells.
 type EngineState struct {
-	Plan group.EnginePlan `json:"plan"`
+	// Instance is another with each start of the engine.
+	Instance string           `json:"instance"`
+	Plan     group.EnginePlan `json:"plan"`
 	// Popularity counts the work per expert since the engine's start, layer by
 	// layer.
 	Popularity []int64 `json:"popularity,omitempty"`
--- a/internal/agent/rank.go
+++ b/internal/agent/rank.go
@@ -37,6 +37,8 @@
 	rank  *group.Rank
 	told  group.EnginePlan
 	state *EngineState
+	// instance of the engine that rank is about.
+	instance string
 }
 
 // NewRankControl returns a control that knows nothing until Run has read its
@@ -69,11 +71,12 @@
 		return err
 	}
 	c.state = state
-	if c.rank == nil || state.Plan.Step < c.rank.Plan.Step {
+	if c.rank == nil || state.Instance != c.instance {
 		// The agent just started, or the engine did and lost everything: go by what
 		// the engine knows, and wait for a holder.
 		c.rank = group.NewRank(rand.Uint64()>>1, state.Plan)
 		c.told = state.Plan
+		c.instance = state.Instance
 	}
 	c.rank.Began(state.Plan.Step)
 	c.rank.Grant(state.Plan.Step + grantWindow)
@@ -140,14 +143,14 @@
 	}
 	return group.Order{
 		Fence: request.Fence, Incarnation: incarnation, Kind: group.Kind(request.Kind),
-		Switch: group.Switch{Version: group.Version(request.MapVersion), Step: request.StartStep},
+		Switch: group.Switch{Version: group.Version(request.MapVersion), Step: request.StartStep, Jump: request.Jump},
 	}, nil
 }
 
 func (c *RankControl) encode(reply group.Reply) *rpc.OrderReply {
 	return &rpc.OrderReply{
 		Refusal: int64(reply.Refusal), Fence: reply.Fence, Incarnation: strconv.FormatUint(reply.Incarnation, 10),
-		CommittedVersion: int64(reply.Committed.Version), CommittedStep: reply.Committed.Step,
+		CommittedVersion: int64(reply.Committed.Version), CommittedStep: reply.Committed.Step, CommittedJump: reply.Committed.Jump,
 		Pending: reply.Pending, StagedVersion: int64(reply.Staged), GrantedThrough: reply.GrantedThrough,
 		Step: reply.Step, Recovering: reply.Recovering, BusyUs: c.state.BusyUs, Popularity: c.state.Popularity,
 	}
--- a/internal/entry/groups.go
+++ b/internal/entry/groups.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/config"
@@ -14,20 +12,21 @@
 	"github.com/crowbridge/crowbridge/internal/platform"
 	"github.com/crowbridge/crowbridge/internal/rebalance"
 	"github.com/crowbridge/crowbridge/internal/replica"
-	"github.com/crowbridge/crowbridge/internal/rpc"
 	"github.com/google/uuid"
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/errgroup"
 )
 
 const (
-	// leaseTime is how long a lease may go without renewal before others claim it.
-	leaseTime   = 6 * time.Second
-	renewEvery  = leaseTime / 3
-	groupTick   = 100 * time.Millisecond
-	orderWait   = 6 * time.Second
-	claimSpread = time.Second
+	// A lease is renewed every minRenewal, or every renewalPerGroup times the number
+	// of groups if that is longer, so that renewals stay few on the log; after
+	// renewalsPerLease of them without one, others claim it. Safety doesn't depend on
+	// these times.
+	minRenewal       = 2 * time.Second
+	renewalPerGroup  = 400 * time.Millisecond
+	renewalsPerLease = 3
+	groupTick        = 100 * time.Millisecond
+	orderWait        = 6 * time.Second
+	claimSpread      = time.Second
 	// orderWorkers bounds the orders in flight of one group.
 	orderWorkers = 32
 	// switchMargin is how many steps ahead of the last granted one a switch is
@@ -66,15 +65,18 @@
 	drivers := map[string]*driver{}
 	ticker := time.NewTicker(groupTick)
 	defer ticker.Stop()
+	var l *layout
 	for {
-		view := g.replica.View()
-		for _, object := range view.List(config.KindGroup) {
+		if view := g.replica.View(); l == nil || l.view != view {
+			l = newLayout(view)
+		}
+		for _, object := range l.groups {
 			d := drivers[object.Name]
 			if d == nil {
 				d = &driver{groups: g, name: object.Name, logger: g.logger.WithField("group", object.Name)}
 				drivers[object.Name] = d
 			}
-			d.start(ctx, view, object.Group)
+			d.start(ctx, l, object.Group)
 		}
 		select {
 		case <-ticker.C:
@@ -84,6 +86,35 @@
 	}
 }
 
+// layout is what one configuration says of groups, compiled once for it.
+type layout struct {
+	view   *config.View
+	groups []*config.Object
+	// ranks holds the control addresses of each group's agents, by rank.
+	ranks map[string]map[int]string
+	// renewEvery is the time between renewals of a lease.
+	renewEvery time.Duration
+}
+
+func newLayout(view *config.View) *layout {
+	l := &layout{view: view, groups: view.List(config.KindGroup), ranks: map[string]map[int]string{}}
+	l.renewEvery = max(minRenewal, time.Duration(len(l.groups))*renewalPerGroup)
+	if len(l.groups) == 0 {
+		return l
+	}
+	for _, object := range view.List(config.KindBackendServer) {
+		server := object.BackendServer
+		if server.Group == "" {
+			continue
+		}
+		if l.ranks[server.Group] == nil {
+			l.ranks[server.Group] = map[int]string{}
+		}
+		l.ranks[server.Group][server.Rank] = server.Control
+	}
+	return l
+}
+
 // driver is one group seen from this daemon. Its fields belong to one turn at a
 // time; turns don't overlap.
 type driver struct {
@@ -109,7 +140,7 @@
 }
 
 // start runs one turn in the background, unless the last is still running.
-func (d *driver) start(ctx context.Context, view *config.View, spec *config.Group) {
+func (d *driver) start(ctx context.Context, l *layout, spec *config.Group) {
 	if d.busy == nil {
 		d.busy = make(chan struct{}, 1)
 	}
@@ -120,15 +151,15 @@
 	}
 	go func() {
 		defer func() { <-d.busy }()
-		d.turn(ctx, view, spec)
+		d.turn(ctx, l, spec)
 	}()
 }
 
-func (d *driver) turn(ctx context.Context, view *config.View, spec *config.Group) {
-	lease, held := view.Lease(d.name)
+func (d *driver) turn(ctx context.Context, l *layout, spec *config.Group) {
+	lease, held := l.view.Lease(d.name)
 	if !held || lease.Holder != d.groups.holder {
-		d.watch(ctx, lease, held)
-	} else if d.groups.now().Sub(d.renewedAt) >= renewEvery {
+		d.watch(ctx, lease, held, renewalsPerLease*l.renewEvery)
+	} else if d.groups.now().Sub(d.renewedAt) >= l.renewEvery {
 		d.claim(ctx, lease.Last)
 	}
 	if held && lease.Holder == d.groups.holder && lease.Fence != d.fence {
@@ -142,12 +173,12 @@
 		d.holder = nil
 		return
 	}
-	d.drive(ctx, view, spec)
+	d.drive(ctx, l.ranks[d.name], spec)
 }
 
 // watch claims the lease when it has not moved for long enough, judged by this
 // daemon's own monotonic clock since it saw the last record.
-func (d *driver) watch(ctx context.Context, lease config.Lease, held bool) {
+func (d *driver) watch(ctx context.Context, lease config.Lease, held bool, leaseTime time.Duration) {
 	now := d.groups.now()
 	last := config.NoOffset
 	if held {
@@ -204,8 +235,7 @@
 }
 
 // drive sends the orders that are due, and plans when the group is ready.
-func (d *driver) drive(ctx context.Context, view *config.View, spec *config.Group) {
-	addresses := rankAddresses(view, d.name)
+func (d *driver) drive(ctx context.Context, addresses map[int]string, spec *config.Group) {
 	if len(addresses) != spec.Ranks {
 		return // not all ranks are configured yet
 	}
@@ -233,144 +263,3 @@
 	}
 	d.staged = nil
 }
-
-// rankAddresses returns the control addresses of a group's agents, by rank.
-func rankAddresses(view *config.View, name string) map[int]string {
-	addresses := map[int]string{}
-	for _, object := range view.List(config.KindBackendServer) {
-		if object.BackendServer.Group == name {
-			addresses[object.BackendServer.Rank] = object.BackendServer.Control
-		}
-	}
-	return addresses
-}
-
-// answered is one rank's reply to an order.
-type answered struct {
-	addressed  group.Addressed
-	reply      group.Reply
-	popularity []int64
-	expertMap  []byte
-}
-
-// send sends all due orders at once and hands the replies to the holder. It
-// returns the popularity counts of the ranks that answered.
-func (d *driver) send(ctx context.Context, addresses map[int]string) map[int][]int64 {
-	orders := d.holder.Orders()
-	replies := make(chan answered, len(orders))
-	var workers errgroup.Group
-	workers.SetLimit(orderWorkers)
-	for _, addressed := range orders {
-		workers.Go(func() error {
-			reply, err := d.order(ctx, addresses[addressed.Rank], addressed)
-			if err != nil {
-				d.logger.WithError(err).WithField("rank", addressed.Rank).Debug("order not answered")
-				return nil // it's sent again in the next turn
-			}
-			replies <- *reply
-			return nil
-		})
-	}
-	_ = workers.Wait() // the workers return no errors
-	close(replies)
-	counts := map[int][]int64{}
-	for r := range replies {
-		d.holder.Handle(r.addressed.Rank, r.addressed.Order, r.reply)
-		counts[r.addressed.Rank] = r.popularity
-		d.learn(r.expertMap)
-	}
-	return counts
-}
-
-// learn takes over the map that the ranks use, when this daemon begins to hold
-// the lease.
-func (d *driver) learn(expertMap []byte) {
-	if len(expertMap) == 0 {
-		return
-	}
-	placement, err := rebalance.DecodePlacement(d.placement.Shape, expertMap)
-	if err != nil {
-		d.logger.WithError(err).Error("the map in use can't be read; planning starts from the default one")
-		return
-	}
-	d.placement = placement
-}
-
-func (d *driver) order(ctx context.Context, address string, a group.Addressed) (*answered, error) {
-	request := &rpc.OrderRequest{
-		Group: d.name, Rank: int64(a.Rank), Fence: a.Order.Fence, Kind: rpc.OrderKind(a.Order.Kind),
-		MapVersion: int64(a.Order.Switch.Version), StartStep: a.Order.Switch.Step,
-	}
-	if a.Order.Kind != group.KindRaise {
-		request.Incarnation = strconv.FormatUint(a.Order.Incarnation, 10)
-	}
-	if a.Order.Kind == group.KindStage {
-		data, err := json.Marshal(d.staged)
-		if err != nil {
-			return nil, errors.Wrap(err, "expert map")
-		}
-		request.Map = data
-	}
-	request.WantMap = d.holder.Phase() == group.PhaseRaise && a.Rank == 0
-	ctx, cancel := context.WithTimeout(ctx, orderWait)
-	defer cancel()
-	reply, err := rpc.NewRanksProtobufClient("http://"+address, d.groups.client).Order(ctx, request)
-	if err != nil {
-		return nil, errors.Wrapf(err, "rank %d at %s", a.Rank, address)
-	}
-	incarnation, err := strconv.ParseUint(reply.Incarnation, 10, 64)
-	if err != nil {
-		return nil, errors.Wrapf(err, "rank %d at %s: incarnation", a.Rank, address)
-	}
-	return &answered{addressed: a, popularity: reply.Popularity, expertMap: reply.Map, reply: group.Reply{
-		Refusal: group.Refusal(reply.Refusal), Fence: reply.Fence, Incarnation: incarnation,
-		Committed: group.Switch{Version: group.Version(reply.CommittedVersion), Step: reply.CommittedStep},
-		Pending:   reply.Pending, Staged: group.Version(reply.StagedVersion),
-		GrantedThrough: reply.GrantedThrough, Step: reply.Step, Recovering: reply.Recovering,
-	}}, nil
-}
-
-// plan asks for a switch when moves pay.
-func (d *driver) plan(counts map[int][]int64, spec *config.Group) {
-	d.smoother.Observe(0, d.popularity(counts, spec))
-	speeds := make([]float64, spec.Ranks)
-	for rank := range speeds {
-		speeds[rank] = 1
-	}
-	limit := spec.MaxMoves
-	if limit == 0 {
-		limit = defaultMaxMoves
-	}
-	moves := d.planner.Plan(d.placement, d.smoother.Estimate(0), speeds, rebalance.Options{
-		SkewWeight: spec.SkewWeight, CostWeight: spec.CostWeight, MaxMoves: limit,
-	})
-	if len(moves) == 0 {
-		return
-	}
-	next := d.placement.Clone()
-	next.Apply(moves)
-	version, ok := d.holder.Want()
-	if !ok {
-		return
-	}
-	d.staged, d.version = next, version
-	d.logger.WithFields(logrus.Fields{"moves": len(moves), "version": version}).Info("switching the expert map")
-}
-
-// popularity returns the work per expert since the last plan, over all ranks.
-func (d *driver) popularity(counts map[int][]int64, spec *config.Group) rebalance.Popularity {
-	total := rebalance.NewPopularity(rebalance.Shape{Experts: spec.Experts, Layers: spec.Layers})
-	for rank, now := range counts {
-		before := d.counted[rank]
-		for i, count := range now {
-			if i < len(before) && before[i] <= count {
-				count -= before[i]
-			}
-			if layer := i / spec.Experts; layer < spec.Layers {
-				total[layer][i%spec.Experts] += float64(count)
-			}
-		}
-		d.counted[rank] = now
-	}
-	return total
-}
--- a/internal/group/holder.go
+++ b/internal/group/holder.go
@@ -190,6 +190,11 @@
 	switch h.phase {
 	case PhaseRaise:
 		h.target = h.newestCommitted()
+		if h.engineLost() {
+			h.target = Switch{Version: h.target.Version, Jump: true}
+			h.enter(PhaseStage)
+			return
+		}
 		h.enter(PhaseRepropose)
 	case PhaseRepropose:
 		h.enter(PhaseRecommit)
@@ -218,6 +223,17 @@
 	return newest
 }
 
+// engineLost tells whether a rank's engine has lost its place: it was granted
+// nothing, while the group has stepped. Before a group's first steps nobody was.
+func (h *Holder) engineLost() bool {
+	least, furthest := h.views[0].GrantedThrough, int64(0)
+	for _, view := range h.views {
+		least = min(least, view.GrantedThrough)
+		furthest = max(furthest, view.Step)
+	}
+	return least == 0 && furthest > 1
+}
+
 func (h *Holder) firstFreeStep() int64 {
 	first := int64(0)
 	for _, view := range h.views {
--- a/internal/group/model_test.go
+++ b/internal/group/model_test.go
@@ -18,6 +18,9 @@
 	modelRanks  = 3
 	modelWindow = 1 // steps granted ahead
 	modelLast   = 2 // the last step that engines begin, to bound the model
+	// jumpLast bounds the steps when engines are lost, which takes two steps before
+	// and a few after the jump.
+	jumpLast = 8
 )
 
 // state is one state of the model: ranks, holders, and every order that was
@@ -28,6 +31,7 @@
 	holders  [2]Holder
 	sent     []Addressed // with Round 0, which ranks ignore
 	restarts int
+	losses   int
 	wants    int
 }
 
@@ -90,13 +94,16 @@
 		}
 	}},
 	{name: "a rank assumes that a switch it hears nothing of is off", bounds: bounds{from: startProposed, wants: 1, restarts: 1, states: 20_000}, granting: func(r *Rank) { r.pending = false }},
+	{name: "a rank grants while a jump is undecided", bounds: bounds{from: startHalf, losses: 1, wants: 1, states: 200_000}, granting: func(r *Rank) {
+		r.pending = r.pending && !r.proposed.Jump
+	}},
 	{name: "a restarted agent grants before a holder spoke", bounds: bounds{from: startProposed, wants: 1, restarts: 1, states: 20_000}, restarted: func(r *Rank) { r.recovering = false }},
 }
 
 // bounds limit the model.
 type bounds struct {
-	restarts, wants, states int
-	from                    start
+	restarts, losses, wants, states int
+	from                            start
 }
 
 type checker struct {
@@ -115,6 +122,8 @@
 	startNew      start = iota // nobody has spoken
 	startFormed                // the first holder has raised and committed the first map
 	startProposed              // and all ranks have promised a switch, which it may commit
+	startStepped               // the group is formed and has begun two steps
+	startHalf                  // and a switch was committed at one rank only
 )
 
 func initial(from start) *state {
@@ -129,12 +138,20 @@
 	if from >= startFormed {
 		s.lead(PhaseReady)
 	}
-	if from == startProposed {
+	if from >= startStepped {
+		s.stepAll()
+		s.stepAll()
+	}
+	if from == startProposed || from == startHalf {
 		s.holders[0].Want()
 		s.wants++
 		s.publish(0)
 		s.lead(PhaseCommit)
 	}
+	if from == startHalf {
+		first := s.holders[0].Orders()[0]
+		s.holders[0].Handle(first.Rank, first.Order, s.ranks[first.Rank].Handle(first.Order))
+	}
 	s.publish(1)
 	return s
 }
@@ -198,6 +215,7 @@
 	for r := range s.ranks {
 		c.step(s, r)
 		c.restart(s, r)
+		c.loseEngine(s, r)
 	}
 }
 
@@ -263,7 +281,11 @@
 func (c *checker) begin(n *state, r int) bool {
 	rank := &n.ranks[r]
 	next := rank.Plan.Step + 1
-	if next > modelLast {
+	last := int64(modelLast)
+	if c.bounds.losses > 0 {
+		last = jumpLast
+	}
+	if next > last {
 		return false
 	}
 	for i := range n.ranks {
@@ -305,11 +327,23 @@
 	c.emit(n)
 }
 
+// loseEngine restarts a rank's engine and, since it notices, its agent's state.
+func (c *checker) loseEngine(s *state, r int) {
+	if s.losses >= c.bounds.losses {
+		return
+	}
+	n := s.clone()
+	n.losses++
+	n.ranks[r] = *NewRank(n.ranks[r].incarnation+1, EnginePlan{})
+	c.emit(n)
+}
+
 func compareAddressed(a, b Addressed) int {
 	for _, d := range []int64{
 		int64(a.Rank - b.Rank), a.Order.Fence - b.Order.Fence, int64(a.Order.Kind - b.Order.Kind),
 		int64(a.Order.Incarnation) - int64(b.Order.Incarnation),
 		int64(a.Order.Switch.Version - b.Order.Switch.Version), a.Order.Switch.Step - b.Order.Switch.Step,
+		flag(a.Order.Switch.Jump) - flag(b.Order.Switch.Jump),
 	} {
 		if d != 0 {
 			return int(d)
@@ -334,24 +368,25 @@
 	var b []byte
 	for i := range s.holders {
 		h := &s.holders[i]
-		b = put(b, int64(h.phase), int64(h.target.Version), h.target.Step, h.ahead, h.made, flag(h.wanted), flag(h.superseded))
+		b = put(b, int64(h.phase), int64(h.target.Version), h.target.Step, flag(h.target.Jump), h.ahead, h.made, flag(h.wanted), flag(h.superseded))
 	}
-	_, _ = digest.Write(put(b, int64(s.restarts), int64(s.wants)))
+	_, _ = digest.Write(put(b, int64(s.restarts), int64(s.losses), int64(s.wants)))
 	return digest.Sum64()
 }
 
 func (s *state) rankKey(rank int) []byte {
 	r := &s.ranks[rank]
-	b := put(make([]byte, 0, 128), int64(r.Plan.InUse.Version), r.Plan.InUse.Step, int64(r.Plan.Next.Version), r.Plan.Next.Step,
+	b := put(make([]byte, 0, 128), int64(r.Plan.InUse.Version), r.Plan.InUse.Step, flag(r.Plan.InUse.Jump), int64(r.Plan.Next.Version), r.Plan.Next.Step,
 		int64(r.Plan.Staged), r.Plan.GrantedThrough, r.Plan.Step, int64(r.incarnation), r.fence,
-		int64(r.proposed.Version), r.proposed.Step, r.proposedUnder, flag(r.pending), flag(r.recovering))
+		int64(r.proposed.Version), r.proposed.Step, flag(r.proposed.Jump), r.proposedUnder, flag(r.pending), flag(r.recovering))
 	for i := range s.holders {
 		h := &s.holders[i]
 		b = put(b, flag(h.acked[rank]), int64(h.views[rank].Incarnation))
 		// What a holder has been told matters to one phase only.
 		switch h.phase {
 		case PhaseRaise:
-			b = put(b, int64(h.views[rank].Committed.Version), h.views[rank].Committed.Step)
+			b = put(b, int64(h.views[rank].Committed.Version), h.views[rank].Committed.Step,
+				flag(h.views[rank].Committed.Jump), h.views[rank].GrantedThrough, h.views[rank].Step)
 		case PhaseStage:
 			b = put(b, h.views[rank].GrantedThrough, h.views[rank].Committed.Step)
 		default:
@@ -359,7 +394,7 @@
 	}
 	for _, a := range s.sent {
 		if a.Rank == rank {
-			b = put(b, a.Order.Fence, int64(a.Order.Kind), int64(a.Order.Incarnation), int64(a.Order.Switch.Version), a.Order.Switch.Step)
+			b = put(b, a.Order.Fence, int64(a.Order.Kind), int64(a.Order.Incarnation), int64(a.Order.Switch.Version), a.Order.Switch.Step, flag(a.Order.Switch.Jump))
 		}
 	}
 	return append(b, 0xff, 0xff)
@@ -390,6 +425,9 @@
 		{"a switch, and a second holder", bounds{from: startFormed, wants: 1, states: 200_000}, true},
 		{"a promised switch, a second holder and another switch", bounds{from: startProposed, wants: 2, states: 200_000}, true},
 		{"a promised switch, a second holder and a restart", bounds{from: startProposed, wants: 1, restarts: 1, states: 60_000}, false},
+		{"a group that has stepped, a lost engine and a second holder", bounds{from: startStepped, losses: 1, states: 60_000}, false},
+		{"a half-committed switch, a lost engine and a second holder", bounds{from: startHalf, losses: 1, wants: 1, states: 60_000}, false},
+		{"a group that has stepped, a lost engine and a switch", bounds{from: startStepped, losses: 1, wants: 1, states: 60_000}, false},
 		{"a new group, two holders and a restart", bounds{from: startNew, restarts: 1, states: 60_000}, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -425,8 +463,14 @@
 // are over and the newest holder's orders arrive, the group steps again and the
 // holder can switch maps.
 func TestGroupStepsAgain(t *testing.T) {
-	for _, from := range []start{startNew, startFormed, startProposed} {
-		c := &checker{bounds: bounds{from: from, wants: 2, restarts: 1, states: 8_000}}
+	for _, b := range []bounds{
+		{from: startNew, wants: 2, restarts: 1, states: 8_000},
+		{from: startFormed, wants: 2, restarts: 1, states: 8_000},
+		{from: startProposed, wants: 2, restarts: 1, states: 8_000},
+		{from: startStepped, wants: 1, losses: 2, states: 8_000},
+		{from: startHalf, wants: 1, losses: 1, restarts: 1, states: 8_000},
+	} {
+		c := &checker{bounds: b}
 		c.visit = func(s *state) {
 			if !s.clone().recovers() {
 				t.Fatal("the group stays stuck")
--- a/internal/group/order.go
+++ b/internal/group/order.go
@@ -28,6 +28,11 @@
 // what its engine was told, grants nothing, and waits for a holder. Its new
 // incarnation makes every order to the old one void, at the holder too: a holder
 // that meets a new incarnation starts again from raising.
+//
+// An engine that restarted has lost its maps and its place. The group then forms
+// anew: a switch that jumps, staged, proposed and committed like any other, to a
+// step that nobody can have begun. A rank that has promised a jump grants
+// nothing at all until it's decided.
 package group
 
 // Version identifies an expert map. It is made of the fencing number of the
@@ -71,6 +76,9 @@
 type Switch struct {
 	Version Version
 	Step    int64
+	// Jump is set when the group forms anew at Step, because an engine has lost its
+	// state: all ranks leave out the steps before that they have not begun.
+	Jump bool
 }
 
 // Order is one fenced order from a holder to a rank's agent.
--- a/internal/group/rank.go
+++ b/internal/group/rank.go
@@ -30,6 +30,17 @@
 	return p.InUse
 }
 
+// take adds a committed switch.
+func (p *EnginePlan) take(s Switch) {
+	if !s.Jump {
+		p.Next = s
+		return
+	}
+	p.InUse, p.Next = s, Switch{}
+	p.Step = s.Step - 1
+	p.GrantedThrough = s.Step - 1
+}
+
 // Rank is the state machine at the agent of one rank.
 //
 // Invariant: a step s is granted only while no proposal with a step at or
@@ -101,7 +112,10 @@
 // stage refuses a late copy of an earlier order, which would put older weights
 // in the place of those that a promise may already be about.
 func (r *Rank) stage(v Version) Refusal {
-	if v < r.Plan.Staged || v <= r.Plan.committed().Version {
+	if v == r.Plan.committed().Version {
+		return RefusalNone // its weights are loaded
+	}
+	if v < r.Plan.Staged || v < r.Plan.committed().Version {
 		return RefusalTooLate
 	}
 	r.Plan.Staged = v
@@ -125,12 +139,13 @@
 
 // checkNew checks a proposal of a switch that isn't committed here yet.
 func (r *Rank) checkNew(s Switch) Refusal {
+	loaded := s.Version == r.Plan.Staged || (s.Jump && s.Version == r.Plan.committed().Version)
 	switch {
-	case s.Version != r.Plan.Staged:
+	case !loaded:
 		return RefusalNotStaged
 	case s.Step <= r.Plan.GrantedThrough || s.Step <= r.Plan.committed().Step:
 		return RefusalTooLate
-	case r.Plan.Next != (Switch{}):
+	case r.Plan.Next != (Switch{}) && !s.Jump:
 		return RefusalBusy
 	default:
 		return RefusalNone
@@ -140,7 +155,7 @@
 func (r *Rank) commit(s Switch) Refusal {
 	if r.pending && s == r.proposed {
 		if s != r.Plan.committed() {
-			r.Plan.Next = s
+			r.Plan.take(s)
 		}
 		r.pending = false
 		r.recovering = false
@@ -158,6 +173,9 @@
 	if r.recovering {
 		return r.Plan.GrantedThrough
 	}
+	if r.pending && r.proposed.Jump && r.proposed != r.Plan.committed() {
+		return r.Plan.GrantedThrough
+	}
 	if r.pending {
 		through = min(through, r.proposed.Step-1)
 	}
--- a/standins/engine/rank.go
+++ b/standins/engine/rank.go
@@ -13,6 +13,7 @@
 
 	"github.com/crowbridge/crowbridge/internal/agent"
 	"github.com/crowbridge/crowbridge/internal/group"
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 )
 
@@ -36,6 +37,8 @@
 	plan       group.EnginePlan
 	maps       map[group.Version]json.RawMessage
 	popularity []int64
+	instance   string
+	jumped     chan struct{} // closed when the group forms anew
 }
 
 // NewRank returns a rank that was granted nothing.
@@ -43,6 +46,7 @@
 	return &Rank{
 		options: options, maps: map[group.Version]json.RawMessage{},
 		popularity: make([]int64, options.Layers*options.Experts),
+		instance:   uuid.NewString(), jumped: make(chan struct{}),
 	}
 }
 
@@ -58,7 +62,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	_ = json.NewEncoder(w).Encode(agent.EngineState{
-		Plan: r.plan, Popularity: r.popularity, BusyUs: r.options.Step.Microseconds(),
+		Instance: r.instance, Plan: r.plan, Popularity: r.popularity, BusyUs: r.options.Step.Microseconds(),
 	}) // the reader is gone
 }
 
@@ -70,7 +74,13 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	plan.Step = r.plan.Step // the engine knows better
+	if plan.InUse.Jump && plan.InUse.Step > r.plan.Step+1 {
+		plan.Step = plan.InUse.Step - 1
+		close(r.jumped)
+		r.jumped = make(chan struct{})
+	} else {
+		plan.Step = r.plan.Step // the engine knows better
+	}
 	plan.Staged = r.plan.Staged
 	r.plan = plan
 }
@@ -117,12 +127,12 @@
 // Run steps until the context ends.
 func (r *Rank) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		step, version, granted := r.next()
+		step, version, jumped, granted := r.next()
 		if !granted {
 			time.Sleep(grantPoll)
 			continue
 		}
-		if err := r.barrier(ctx, step, version); err != nil {
+		if err := r.barrier(ctx, jumped, step, version); err != nil {
 			return err
 		}
 		time.Sleep(r.options.Step)
@@ -131,12 +141,12 @@
 }
 
 // next begins the next step if it was granted.
-func (r *Rank) next() (int64, group.Version, bool) {
+func (r *Rank) next() (int64, group.Version, <-chan struct{}, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	step := r.plan.Step + 1
 	if step > r.plan.GrantedThrough {
-		return 0, 0, false
+		return 0, 0, nil, false
 	}
 	r.plan.Step = step
 	version := r.plan.VersionAt(step)
@@ -144,7 +154,7 @@
 		r.plan.InUse, r.plan.Next = r.plan.Next, group.Switch{}
 	}
 	r.count(step)
-	return step, version, true
+	return step, version, r.jumped, true
 }
 
 // hotShift is how many steps an expert stays the most popular.
@@ -158,13 +168,26 @@
 	}
 }
 
-func (r *Rank) barrier(ctx context.Context, step int64, version group.Version) error {
+// barrier waits until all ranks have begun the step, or the group forms anew.
+func (r *Rank) barrier(ctx context.Context, jumped <-chan struct{}, step int64, version group.Version) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-jumped:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	url := fmt.Sprintf("%s/group/%s/%d/%d/%d", r.options.Barrier, r.options.Group, r.options.Ranks, step, version)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
 	if err != nil {
 		return errors.Wrap(err, "barrier")
 	}
 	response, err := r.client.Do(request)
+	if ctx.Err() != nil {
+		return nil
+	}
 	if err != nil {
 		return errors.Wrap(err, "barrier")
 	}
--- a/standins/platform/barrier.go
+++ b/standins/platform/barrier.go
@@ -11,7 +11,7 @@
 type barrier struct {
 	mu         sync.Mutex
 	step       int64
-	version    string
+	used       map[int64]string // the version that each step was begun with
 	arrived    int
 	released   chan struct{}
 	Steps      int64          `json:"steps"`
@@ -24,7 +24,7 @@
 	defer s.mu.Unlock()
 	b := s.groups[name]
 	if b == nil {
-		b = &barrier{released: make(chan struct{}), Versions: map[string]int{}}
+		b = &barrier{used: map[int64]string{}, released: make(chan struct{}), Versions: map[string]int{}}
 		s.groups[name] = b
 	}
 	return b
@@ -52,12 +52,18 @@
 func (b *barrier) arrive(ranks int, step int64, version string) <-chan struct{} {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.arrived == 0 {
-		b.step, b.version = step, version
-	}
-	if step != b.step || version != b.version {
+	if used, begun := b.used[step]; begun && used != version {
 		b.Violations++
 	}
+	b.used[step] = version
+	if step > b.step {
+		// The first to begin a step; those left waiting in an earlier one belong to a
+		// group that forms anew.
+		b.step, b.arrived = step, 0
+	}
+	if step < b.step {
+		return b.released // left behind; it will jump
+	}
 	b.arrived++
 	released := b.released
 	if b.arrived == ranks {
