--- a/standins/cmd/standin/main.go
+++ b/standins/cmd/standin/main.go
@@ -14,6 +14,7 @@
 	"github.com/crowbridge/crowbridge/standins/load"
 	"github.com/crowbridge/crowbridge/standins/plain"
 	"github.com/crowbridge/crowbridge/standins/platform"
+	"github.com/crowbridge/crowbridge/standins/relay"
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
@@ -22,7 +23,7 @@
 func main() {
 	app := &cli.Command{
 		Name: "standin", Usage: "stand-ins for what crowbridge meets outside",
-		Commands: []*cli.Command{platformCommand(), engineCommand(), plainCommand(), loadCommand()},
+		Commands: []*cli.Command{platformCommand(), engineCommand(), plainCommand(), loadCommand(), relayCommand()},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
@@ -119,6 +120,16 @@
 	return server.ListenAndServe()
 }
 
+func relayCommand() *cli.Command {
+	return &cli.Command{
+		Name: "relay", Usage: "link between availability zones",
+		Flags: []cli.Flag{&cli.StringSliceFlag{Name: "pair", Usage: "listen=target"}},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			return relay.Run(cmd.StringSlice("pair"))
+		},
+	}
+}
+
 func loadCommand() *cli.Command {
 	return &cli.Command{
 		Name: "load", Usage: "send requests and check every answer",
--- a/standins/harness/cluster.go
+++ b/standins/harness/cluster.go
@@ -23,6 +23,9 @@
 	EntriesPerZone int
 	EnginesPerZone int
 	PlainPerZone   int
+	// Links puts a relay process between the daemons of each zone and the entries of
+	// the others, named link-ZONE.
+	Links bool
 	// RanksPerZone makes a group of ranks over all zones.
 	RanksPerZone int
 	// Step of the stand-in servers.
@@ -93,6 +96,7 @@
 
 	bin, dir  string
 	platforms map[string]string // the platform's address by zone
+	links     map[string]string // addresses by zone and entry
 	order     []string
 	ranks     int
 }
@@ -113,7 +117,7 @@
 func New(layout Layout, bin, dir string) (*Cluster, error) {
 	c := &Cluster{
 		Layout: layout, Processes: map[string]*Process{},
-		bin: bin, dir: dir, platforms: map[string]string{},
+		bin: bin, dir: dir, platforms: map[string]string{}, links: map[string]string{},
 	}
 	for _, customer := range customers {
 		c.Keys = append(c.Keys, "key-of-"+customer)
@@ -126,10 +130,37 @@
 			return nil, err
 		}
 	}
+	if err := c.addLinks(); err != nil {
+		return nil, err
+	}
 	c.addProcesses()
 	return c, nil
 }
 
+// addLinks lays a relay between each zone's daemons and the entries elsewhere.
+func (c *Cluster) addLinks() error {
+	for _, zone := range c.Layout.Zones {
+		args := []string{"relay"}
+		ready := ""
+		for _, e := range c.Entries {
+			if !c.Layout.Links || e.Zone == zone {
+				continue
+			}
+			address, err := freeAddress()
+			if err != nil {
+				return err
+			}
+			c.links[zone+e.Name] = address
+			args = append(args, "--pair", address+"="+e.Control)
+			ready = address
+		}
+		if ready != "" {
+			c.add("link-"+zone, "standin", ready, args)
+		}
+	}
+	return nil
+}
+
 func (c *Cluster) addPlatform() error {
 	listen, err := freeAddress()
 	if err != nil {
@@ -235,7 +266,7 @@
 			"--log-url", "http://" + c.platforms[e.Zone], "--vms-url", "http://" + c.platforms[e.Zone],
 			"--operator", "ops:change:" + daemon.HashSecret(operatorToken),
 			"--operator", "viewer:read:" + daemon.HashSecret(readerToken),
-		}, c.peerArgs()...))
+		}, c.peerArgs(e.Zone)...))
 	}
 	for _, s := range c.Servers {
 		rank := []string{}
@@ -247,14 +278,19 @@
 			"--metrics", s.metrics, "--daemon-key", DaemonKey, "--backend", "http://" + s.backend,
 			"--protocol", s.Protocol, "--log-level", c.Layout.logLevel(), "--drain-timeout", c.Layout.Drain.String(),
 			"--config-timeout", "1s",
-		}, c.peerArgs()...), rank...))
+		}, c.peerArgs(s.Zone)...), rank...))
 	}
 }
 
-func (c *Cluster) peerArgs() []string {
+// peerArgs names the entries as the daemons of a zone reach them.
+func (c *Cluster) peerArgs(zone string) []string {
 	var args []string
 	for _, e := range c.Entries {
-		args = append(args, "--entry-peer", e.Zone+"="+e.Control)
+		address := e.Control
+		if link := c.links[zone+e.Name]; link != "" {
+			address = link
+		}
+		args = append(args, "--entry-peer", e.Zone+"="+address)
 	}
 	return args
 }
@@ -271,7 +307,7 @@
 		}
 		return nil
 	}
-	for _, prefix := range []string{"platform", "backend-", "entry-"} {
+	for _, prefix := range []string{"platform", "link-", "backend-", "entry-"} {
 		if err := started(prefix); err != nil {
 			return err
 		}
--- a/standins/scenarios/scenarios_test.go
+++ b/standins/scenarios/scenarios_test.go
@@ -115,7 +115,7 @@
 	return fallback
 }
 
-// cmdCluster: cluster [zones=2] [entries=1] [engines=1] [plain=1] [ranks=0] [skew=ms] [step=ms] [drain=s]
+// cmdCluster: cluster [zones=2] [entries=1] [engines=1] [plain=1] [ranks=0] [links=0] [skew=ms] [step=ms] [drain=s]
 func cmdCluster(ts *testscript.TestScript, _ bool, args []string) {
 	v := settings(ts, args)
 	bin, err := buildOnce()
@@ -127,7 +127,7 @@
 	dir := ts.Getenv("WORK")
 	cluster, err := harness.New(harness.Layout{
 		Zones: zones, EntriesPerZone: valueOr(v, "entries", 1), EnginesPerZone: valueOr(v, "engines", 1),
-		PlainPerZone: valueOr(v, "plain", 1), RanksPerZone: valueOr(v, "ranks", 0), Step: time.Duration(valueOr(v, "step", 6)) * time.Millisecond,
+		PlainPerZone: valueOr(v, "plain", 1), RanksPerZone: valueOr(v, "ranks", 0), Links: valueOr(v, "links", 0) > 0, Step: time.Duration(valueOr(v, "step", 6)) * time.Millisecond,
 		KeyWindowSeconds: 60, ClockSkewMs: valueOr(v, "skew", 50), Drain: time.Duration(valueOr(v, "drain", 20)) * time.Second,
 	}, bin, dir)
 	ts.Check(err)
