--- a/internal/httpapi/events.go
+++ b/internal/httpapi/events.go
@@ -11,7 +11,8 @@
 
 // Event is one server-sent event, with its bytes as they came.
 type Event struct {
-	// Raw holds the event's lines and the blank line that ends it.
+	// Raw holds the event's lines and the blank line that ends it. It is valid until
+	// the next call of Next.
 	Raw []byte
 	// ID is the event's token offset, or -1 when it has none.
 	ID int64
@@ -22,6 +23,7 @@
 // EventReader splits a stream into whole events.
 type EventReader struct {
 	reader *bufio.Reader
+	raw    []byte
 }
 
 const (
@@ -36,6 +38,7 @@
 var (
 	idField   = []byte("id:")
 	doneField = []byte("data: [DONE]")
+	eventEnd  = []byte("\n\n")
 )
 
 // NewEventReader returns a reader of server-sent events.
@@ -46,7 +49,8 @@
 // Next returns the next whole event. A stream that ends inside an event gives
 // io.ErrUnexpectedEOF: half an event is never passed on.
 func (r *EventReader) Next() (Event, error) {
-	event := Event{ID: -1}
+	event := Event{ID: -1, Raw: r.raw[:0]}
+	defer func() { r.raw = event.Raw }()
 	for {
 		line, err := r.reader.ReadSlice('\n')
 		event.Raw = append(event.Raw, line...)
@@ -70,6 +74,13 @@
 	}
 }
 
+// Ready tells whether a whole event has arrived already, so that Next won't
+// block.
+func (r *EventReader) Ready() bool {
+	arrived, err := r.reader.Peek(r.reader.Buffered())
+	return err == nil && bytes.Contains(arrived, eventEnd)
+}
+
 func (e *Event) readField(line []byte) {
 	if bytes.HasPrefix(line, idField) {
 		id, err := strconv.ParseInt(string(bytes.TrimSpace(line[len(idField):])), 10, 64)
