Agents take configuration changes while they run; groups may change shape

Now each change is brought into force; a longer key window brings nothing back that a shorter one has let go (TestLongerWindowBringsNothingBack). Also: a group whose shape changed was driven with the old holder and could have indexed past its ranks; its driver claims anew now. A daemon that left its preferred source for another stayed there; it tries the first again after 30 s.

--- a/cmd/crowbridged/agent.go
+++ b/cmd/crowbridged/agent.go
@@ -85,6 +85,7 @@
 		Key: cmd.String("daemon-key"),
 	}, rep.View().Policy(), time.Now, p.log)
 	daemon.ExportLedger(a.Ledger)
+	p.loop(func(ctx context.Context) { followConfiguration(ctx, cmd, a, rep) })
 	recorder := agent.NewRecorder(a, rep, entryAddresses(peers, cmd.String("zone")), daemon.NewControlClient(cmd.String("daemon-key")), p.log)
 	p.run(recorder.Run)
 	err = serveAgent(p, a, rep)
@@ -108,6 +109,20 @@
 	}
 }
 
+// followConfiguration brings each change into force at the agent.
+func followConfiguration(ctx context.Context, cmd *cli.Command, a *agent.Agent, rep *replica.Replica) {
+	for {
+		changed := rep.Changed()
+		view := rep.View()
+		a.Configure(view.Policy(), concurrency(cmd, view))
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // concurrency returns the bound from the server's service, or the flag's.
 func concurrency(cmd *cli.Command, view *config.View) int {
 	server := view.Get(config.KindBackendServer, cmd.String("server"))
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -46,6 +46,12 @@
 	return l
 }
 
+// SetMax changes the upper bound.
+func (l *Limit) SetMax(most int) {
+	l.options.Max = most
+	l.limit = min(l.limit, float64(most))
+}
+
 // Current is the limit now.
 func (l *Limit) Current() int { return int(l.limit) }
 
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -377,6 +377,12 @@
 	return earliest, !earliest.IsZero()
 }
 
+// Configure changes what the operators set. Requests that run already go on.
+func (q *Queue) Configure(maxConcurrency, patientPercent int) {
+	q.limit.SetMax(maxConcurrency)
+	q.options.PatientPercent = patientPercent
+}
+
 // Queued is the number of waiting requests.
 func (q *Queue) Queued() int { return len(q.byID) }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -93,6 +93,16 @@
 	return a
 }
 
+// Configure takes over a configuration: policy, and the bound of running
+// requests.
+func (a *Agent) Configure(policy config.Policy, maxConcurrency int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue.Configure(maxConcurrency, policy.PatientPercent)
+	a.keys.SetTimes(a.now(), policy.KeyWindow(), policy.ClockSkew())
+	a.pump()
+}
+
 // Incarnation identifies this run of the agent.
 func (a *Agent) Incarnation() string { return a.incarnation }
 
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -271,6 +271,21 @@
 	})
 })
 
+var _ = Describe("a changed configuration", func() {
+	It("is in force at a running agent", func() {
+		release, arrived := make(chan struct{}), make(chan struct{}, 8)
+		b := newBench(func(http.ResponseWriter, *http.Request) { arrived <- struct{}{}; <-release }, 1)
+		for range 3 {
+			go b.do(ask{body: "x"})
+		}
+		<-arrived
+		Eventually(func() int { return b.agent.Load().Queued }, "5s").Should(Equal(2))
+		b.agent.Configure(config.Policy{}.WithDefaults(), 16)
+		close(release)
+		Eventually(func() int { return b.agent.Load().Limit }, "5s").Should(BeNumerically(">", 1))
+	})
+})
+
 var _ = Describe("leaving", func() {
 	It("finishes what runs, refuses the rest, closes keys, and says so in every answer", func() {
 		release, arrived := make(chan struct{}), make(chan struct{}, 4)
--- a/internal/entry/groups.go
+++ b/internal/entry/groups.go
@@ -50,12 +50,12 @@
 	now     func() time.Time
 }
 
-// NewGroups returns the driver of an entry. The holder's name is new with each
-// start: a restarted daemon must claim anew, since it knows nothing of what it
-// ordered under an older fencing number.
+// NewGroups returns the driver of an entry. A holder's identity on the log is
+// new with each start: a restarted daemon must claim anew, since it knows nothing
+// of what it ordered under an older fencing number.
 func NewGroups(name, daemonKey string, rep *replica.Replica, log platform.Log, now func() time.Time, logger *logrus.Entry) *Groups {
 	return &Groups{
-		holder: name + "/" + uuid.NewString(), replica: rep, log: log,
+		holder: name, replica: rep, log: log,
 		client: daemon.NewControlClient(daemonKey), now: now, logger: logger,
 	}
 }
@@ -128,6 +128,11 @@
 	patience  time.Duration // how long this daemon waits for a renewal
 	renewedAt time.Time
 
+	// name of the holder on the log, new for each shape of the group, since a map of
+	// one shape means nothing in another.
+	identity string
+	shape    rebalance.Shape
+
 	fence     int64
 	holder    *group.Holder
 	placement *rebalance.Placement
@@ -156,14 +161,16 @@
 }
 
 func (d *driver) turn(ctx context.Context, l *layout, spec *config.Group) {
+	d.adapt(spec)
 	lease, held := l.view.Lease(d.name)
-	if !held || lease.Holder != d.groups.holder {
+	mine := held && lease.Holder == d.identity
+	if !mine {
 		d.watch(ctx, lease, held, renewalsPerLease*l.renewEvery)
 	} else if d.groups.now().Sub(d.renewedAt) >= l.renewEvery {
 		d.claim(ctx, lease.Last)
 	}
-	if held && lease.Holder == d.groups.holder && lease.Fence != d.fence {
-		d.take(lease.Fence, spec)
+	if mine && lease.Fence != d.fence {
+		d.take(lease.Fence)
 	}
 	if d.holder == nil {
 		return
@@ -176,6 +183,18 @@
 	d.drive(ctx, l.ranks[d.name], spec)
 }
 
+// adapt gives up a holder whose group has changed its shape: it must claim anew
+// under another name and number.
+func (d *driver) adapt(spec *config.Group) {
+	shape := rebalance.Shape{Ranks: spec.Ranks, Experts: spec.Experts, Layers: spec.Layers, Slots: spec.SlotsPerRank}
+	if shape == d.shape {
+		return
+	}
+	d.shape = shape
+	d.identity = d.groups.holder + "/" + uuid.NewString()
+	d.holder = nil
+}
+
 // watch claims the lease when it has not moved for long enough, judged by this
 // daemon's own monotonic clock since it saw the last record.
 func (d *driver) watch(ctx context.Context, lease config.Lease, held bool, leaseTime time.Duration) {
@@ -202,7 +221,7 @@
 func (d *driver) claim(ctx context.Context, previous int64) {
 	d.renewedAt = d.groups.now()
 	record := &config.Record{Format: config.FormatVersion, Kind: config.RecordLease, Lease: &config.LeaseClaim{
-		Group: d.name, Holder: d.groups.holder, Previous: previous,
+		Group: d.name, Holder: d.identity, Previous: previous,
 	}}
 	data, err := record.Encode()
 	if err != nil {
@@ -217,18 +236,17 @@
 	}
 }
 
-func (d *driver) take(fence int64, spec *config.Group) {
-	shape := rebalance.Shape{Ranks: spec.Ranks, Experts: spec.Experts, Layers: spec.Layers, Slots: spec.SlotsPerRank}
-	placement, err := rebalance.NewPlacement(shape)
+func (d *driver) take(fence int64) {
+	placement, err := rebalance.NewPlacement(d.shape)
 	if err != nil {
 		d.logger.WithError(err).Error("group can't be driven")
 		return
 	}
 	d.fence = fence
 	// Fencing numbers are offsets, which start at 0; the ranks' start at 1.
-	d.holder = group.NewHolder(fence+1, spec.Ranks, switchMargin)
-	d.placement, d.planner = placement, rebalance.NewPlanner(shape)
-	d.smoother = rebalance.NewSmoother(shape, popularityWeight, 0)
+	d.holder = group.NewHolder(fence+1, d.shape.Ranks, switchMargin)
+	d.placement, d.planner = placement, rebalance.NewPlanner(d.shape)
+	d.smoother = rebalance.NewSmoother(d.shape, popularityWeight, 0)
 	d.counted = map[int][]int64{}
 	d.planAt = d.groups.now()
 	d.logger.WithField("fence", fence).Info("holding the lease")
--- a/internal/outcome/keys.go
+++ b/internal/outcome/keys.go
@@ -93,6 +93,7 @@
 	ended   *list.List // entries that ended, oldest first
 	bytes   int
 
+	floor     time.Time // keys made before may have been forgotten
 	recorded  bool
 	sealed    bool
 	inherited *Inheritance
@@ -117,6 +118,16 @@
 // log doesn't know of has started nothing yet.
 const UnrecordedDelay = 60 * time.Second
 
+// SetTimes changes the window and the clock skew. A longer window doesn't bring
+// back what the shorter one has let go, so keys from before stay unresolved.
+func (k *Keys) SetTimes(now time.Time, window, skew time.Duration) {
+	k.expire(now)
+	if window > k.options.Window {
+		k.floor = now.Add(-k.options.Window + skewFactor*max(skew, k.options.Skew))
+	}
+	k.options.Window, k.options.Skew = window, skew
+}
+
 // Recorded notes that this run is on the log, and what it inherits; nil when the
 // run before it didn't end in a planned stop.
 func (k *Keys) Recorded(inherited *Inheritance) {
@@ -245,7 +256,8 @@
 		return true
 	}
 	at, timed := KeyTime(key.Value)
-	if timed && at.Before(now.Add(-k.options.Window+skewFactor*k.options.Skew)) {
+	forgotten := now.Add(-k.options.Window + skewFactor*k.options.Skew)
+	if timed && (at.Before(forgotten) || at.Before(k.floor)) {
 		return true
 	}
 	if k.inherited != nil {
--- a/internal/outcome/keys_property_test.go
+++ b/internal/outcome/keys_property_test.go
@@ -288,6 +288,25 @@
 	}
 }
 
+// TestLongerWindowBringsNothingBack: a key that a short window has let go is not
+// run again when the window becomes longer.
+func TestLongerWindowBringsNothingBack(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	k := NewKeys(KeysOptions{Started: now.Add(-time.Hour), Window: testWindow, Skew: testSkew, MaxKeys: 10, MaxBytes: 100})
+	k.Recorded(nil)
+	key := Key{Value: keyAt(now, 1)}
+	k.Begin(now, key, "h", false)
+	k.Lose(now, key)
+	now = now.Add(2 * testWindow)
+	k.SetTimes(now, 10*testWindow, testSkew)
+	if v, _, _ := k.Begin(now, key, "h", false); v != VerdictUnresolved {
+		t.Fatalf("a key that was let go: %v", v)
+	}
+	if v, _, _ := k.Begin(now, Key{Value: keyAt(now, 2)}, "h", false); v != VerdictRun {
+		t.Fatalf("a new key: %v", v)
+	}
+}
+
 func TestLeavingClosesUnseenKeys(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	k := NewKeys(KeysOptions{Started: now.Add(-time.Hour), Window: testWindow, Skew: testSkew, MaxKeys: 10, MaxBytes: 100})
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -25,29 +25,55 @@
 	maxBackoff  = 2 * time.Second
 )
 
-// Follow keeps the replica up to date until the context ends. It reads from one
-// source at a time, the first that answers and isn't stale; when all are stale
-// it goes round them, so that whoever hears from the log first is found.
+// rotation chooses the source to read from: the first of the list that answers
+// and isn't stale. It comes back to the first one from time to time, so that a
+// daemon that had to go elsewhere doesn't stay there for good.
+type rotation struct {
+	sources  int
+	at       int
+	failures int // in a row
+	moved    time.Time
+}
+
+// preferAgain is how long after a move the first source is tried again.
+const preferAgain = 30 * time.Second
+
+// good notes that the present source answered and isn't stale.
+func (t *rotation) good(now time.Time) {
+	t.failures = 0
+	if t.at != 0 && now.Sub(t.moved) >= preferAgain {
+		t.at = 0
+	}
+}
+
+// bad moves on to the next source, and returns how long to pause before it's
+// asked: not at all until all have failed.
+func (t *rotation) bad(now time.Time) time.Duration {
+	t.at = (t.at + 1) % t.sources
+	t.moved = now
+	t.failures++
+	if t.failures%t.sources != 0 {
+		return 0
+	}
+	return backoff(t.failures / t.sources)
+}
+
+// Follow keeps the replica up to date until the context ends. When all sources
+// are stale it goes round them, so that whoever hears from the log first is found.
 func (r *Replica) Follow(ctx context.Context, sources []Source, log *logrus.Entry) {
-	current := 0
-	failures := 0
+	turn := rotation{sources: len(sources)}
 	for ctx.Err() == nil {
-		source := sources[current%len(sources)]
+		source := sources[turn.at]
 		age, err := r.followOnce(ctx, source)
 		if err == nil && age < staleAfter {
-			failures = 0
+			turn.good(r.now())
 			continue
 		}
 		if err != nil && ctx.Err() == nil {
 			log.WithError(err).WithField("source", source.Name()).Debug("read failed")
 		}
-		current++
-		failures++
-		if failures%len(sources) == 0 {
-			sleep(ctx, jitter(backoff(failures/len(sources))))
-		}
-		if failures > 0 && current%len(sources) == 0 {
-			current = 0
+		if pause := turn.bad(r.now()); pause > 0 {
+			sleep(ctx, jitter(pause))
 		}
 	}
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -142,6 +142,26 @@
 	})
 })
 
+var _ = Describe("the rotation over sources", func() {
+	It("pauses only after a whole round, longer each time, and returns to the first", func() {
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		turn := rotation{sources: 3}
+		Expect(turn.bad(now)).To(BeZero())
+		Expect(turn.bad(now)).To(BeZero())
+		first := turn.bad(now)
+		Expect(first).To(BeNumerically(">", 0))
+		Expect(turn.at).To(Equal(0))
+		turn.bad(now)
+		turn.bad(now)
+		Expect(turn.bad(now)).To(BeNumerically(">", first))
+		turn.bad(now)
+		turn.good(now.Add(preferAgain / 2))
+		Expect(turn.at).To(Equal(1))
+		turn.good(now.Add(preferAgain))
+		Expect(turn.at).To(Equal(0))
+	})
+})
+
 var _ = Describe("the tree of a zone", func() {
 	It("gives no entry more than its fanout and reaches everybody", func() {
 		children := map[int]int{}
