Keys whose home has moved are not run at the new one

Found by reading the key rules against 'at most once': adding or removing a server moves the homes of some keys, and the new home, which never saw them, would have run a key that ran at the old one. Now the fold notes when a service's homes changed; a key made before that (plus the clocks' margin) and not seen at its home is unknown, and an agent takes new keys only from entries that know the same change.

--- a/cmd/crowbridged/agent.go
+++ b/cmd/crowbridged/agent.go
@@ -114,7 +114,7 @@
 	for {
 		changed := rep.Changed()
 		view := rep.View()
-		a.Configure(view.Policy(), concurrency(cmd, view))
+		a.Configure(view.Policy(), concurrency(cmd, view), homes(cmd, view))
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -123,6 +123,15 @@
 	}
 }
 
+// homes returns when the homes of the service's keys changed last.
+func homes(cmd *cli.Command, view *config.View) config.HomesChange {
+	server := view.Get(config.KindBackendServer, cmd.String("server"))
+	if server == nil {
+		return config.HomesChange{}
+	}
+	return view.Homes(server.BackendServer.Service)
+}
+
 // concurrency returns the bound from the server's service, or the flag's.
 func concurrency(cmd *cli.Command, view *config.View) int {
 	server := view.Get(config.KindBackendServer, cmd.String("server"))
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -55,6 +55,7 @@
 	keys    *outcome.Keys
 	waiters map[string]*waiter
 	leaving bool
+	homes   int64 // offset of the last change of where the service's keys live
 	timer   *time.Timer
 	active  int // handlers between arrival and the last byte of the answer
 
@@ -78,6 +79,7 @@
 		now:         now,
 		waiters:     map[string]*waiter{},
 		idle:        make(chan struct{}),
+		homes:       config.NoOffset,
 	}
 	a.queue = admission.NewQueue(admission.Options{
 		Limit: admission.LimitOptions{
@@ -93,13 +95,17 @@
 	return a
 }
 
-// Configure takes over a configuration: policy, and the bound of running
-// requests.
-func (a *Agent) Configure(policy config.Policy, maxConcurrency int) {
+// Configure takes over a configuration: policy, the bound of running requests,
+// and when the homes of the service's keys changed last.
+func (a *Agent) Configure(policy config.Policy, maxConcurrency int, homes config.HomesChange) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.queue.Configure(maxConcurrency, policy.PatientPercent)
 	a.keys.SetTimes(a.now(), policy.KeyWindow(), policy.ClockSkew())
+	if homes != (config.HomesChange{}) {
+		a.homes = homes.Offset
+		a.keys.HomesChanged(time.UnixMilli(homes.TimeMs))
+	}
 	a.pump()
 }
 
@@ -242,10 +248,19 @@
 	a.pump()
 }
 
-// beginKey asks the key table whether a keyed request may start.
-func (a *Agent) beginKey(key outcome.Key, bodyHash string) (outcome.Verdict, outcome.Answer, <-chan struct{}) {
+// verdictStale says that entry and agent disagree about where keys live; it's
+// the agent's own, beside those of the key table.
+const verdictStale outcome.Verdict = -1
+
+// beginKey asks the key table whether a keyed request may start. A key that was
+// never seen is taken only from an entry that knows the same homes: one of the
+// two would send it elsewhere.
+func (a *Agent) beginKey(key outcome.Key, bodyHash string, homes int64) (outcome.Verdict, outcome.Answer, <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if homes != a.homes && !a.keys.Knows(key) {
+		return verdictStale, outcome.Answer{}, nil
+	}
 	return a.keys.Begin(a.now(), key, bodyHash, a.leaving)
 }
 
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -53,6 +53,7 @@
 		MaxBody: 1 << 20, MaxAnswer: 1 << 20, MaxQueued: 100, MaxConcurrency: slots,
 	}, policy, now, logrus.NewEntry(logger))
 	a.recorded(nil)
+	a.Configure(policy, slots, config.HomesChange{TimeMs: 1})
 	server := httptest.NewServer(a)
 	DeferCleanup(server.Close)
 	return &bench{agent: a, server: server}
@@ -176,6 +177,19 @@
 		Expect(runs.Load()).To(Equal(int64(1)))
 	})
 
+	It("are refused from an entry that knows other homes", func() {
+		var runs atomic.Int64
+		b := newBench(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintf(w, "run %d", runs.Add(1)) }, 4)
+		seen := newKey()
+		b.do(ask{key: seen, body: "x"})
+		b.agent.Configure(config.Policy{ClockSkewMs: 1}.WithDefaults(), 4, config.HomesChange{Offset: 7, TimeMs: time.Now().UnixMilli()})
+		response, _ := b.do(ask{key: newKey(), body: "x"}) // the entry knows offset 0
+		Expect(response.Header.Get(wire.HeaderCode)).To(Equal("stale-configuration"))
+		_, body := b.do(ask{key: seen, body: "x"})
+		Expect(body).To(Equal("run 1"))
+		Expect(runs.Load()).To(Equal(int64(1)))
+	})
+
 	It("name the lost server as the cause, not the caller", func() {
 		b := newBench(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, 4)
 		response, _ := b.do(ask{body: "x"})
@@ -280,7 +294,7 @@
 		}
 		<-arrived
 		Eventually(func() int { return b.agent.Load().Queued }, "5s").Should(Equal(2))
-		b.agent.Configure(config.Policy{}.WithDefaults(), 16)
+		b.agent.Configure(config.Policy{}.WithDefaults(), 16, config.HomesChange{})
 		close(release)
 		Eventually(func() int { return b.agent.Load().Limit }, "5s").Should(BeNumerically(">", 1))
 	})
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -116,7 +116,7 @@
 func (a *Agent) runTracked(j *job) *failure.Error {
 	key := j.key()
 	for {
-		verdict, answer, done := a.beginKey(key, requestHash(j))
+		verdict, answer, done := a.beginKey(key, requestHash(j), j.envelope.Homes)
 		switch verdict {
 		case outcome.VerdictRun:
 			return a.runKeyed(j, key)
@@ -152,6 +152,9 @@
 	case outcome.VerdictConflict:
 		return failure.NotRun(failure.StepQueue, server, failure.CodeKeyConflict,
 			"this key was used for another request: use a new key")
+	case verdictStale:
+		return failure.Unknown(failure.StepQueue, server, failure.CodeStaleHomes,
+			"entry and agent know different homes for this key: ask again").After(time.Second)
 	case outcome.VerdictFull:
 		return failure.NotRun(failure.StepQueue, server, failure.CodeOverloaded,
 			"no room for more idempotency keys").After(time.Second)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -99,6 +99,24 @@
 	})
 })
 
+var _ = Describe("the homes of keys", func() {
+	It("change with servers and routes, not with draining", func() {
+		s := NewState()
+		fold(s, "1", goodManifest, 0)
+		first := s.View().Homes("writer")
+		Expect(first.Offset).To(BeZero())
+		drained := "kind: BackendServer\nname: s1\nlabels: {region: hu}\nbackendServer: {service: writer, zone: a, address: \"10.0.0.1:80\", control: \"10.0.0.1:81\", draining: true}\n"
+		Expect(fold(s, "2", drained, AnyRevision).Accepted).To(BeTrue())
+		Expect(s.View().Homes("writer")).To(Equal(first))
+		Expect(fold(s, "3", strings.ReplaceAll(drained, "s1", "s2"), 0).Accepted).To(BeTrue())
+		Expect(s.View().Homes("writer").Offset).To(Equal(int64(2)))
+		foldBundle(s, &Bundle{CommandID: "4", Changes: []Change{{Kind: KindBackendServer, Name: "s2", ExpectedRevision: AnyRevision}}})
+		Expect(s.View().Homes("writer").Offset).To(Equal(int64(3)))
+		foldBundle(s, &Bundle{CommandID: "5", Changes: []Change{{Kind: KindRoute, Name: "r", ExpectedRevision: AnyRevision}}})
+		Expect(s.View().Homes("writer").Offset).To(Equal(int64(4)))
+	})
+})
+
 var _ = DescribeTable("mistakes name object, field, value and fix",
 	func(manifest string, parts ...string) {
 		_, err := ParseManifest([]byte(manifest))
--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -40,6 +40,7 @@
 	Objects map[string]*Object      `json:"objects"`
 	Leases  map[string]Lease        `json:"leases"`
 	Agents  map[string]AgentRun     `json:"agents"`
+	Homes   map[string]HomesChange  `json:"homes"` // by service
 	Results map[string]Result       `json:"results"`
 	Order   []string                `json:"order"` // command IDs, oldest first
 	Audit   []AuditEntry            `json:"audit"`
@@ -70,6 +71,7 @@
 		Objects:      map[string]*Object{},
 		Leases:       map[string]Lease{},
 		Agents:       map[string]AgentRun{},
+		Homes:        map[string]HomesChange{},
 		Results:      map[string]Result{},
 		SnapshotBase: NoOffset,
 		assembly:     map[string]*assembly{},
@@ -136,6 +138,7 @@
 	}
 	reason := s.Check(bundle)
 	if reason == nil {
+		s.noteHomes(bundle, entry)
 		s.commit(bundle, entry.Offset)
 	}
 	result := Result{Offset: entry.Offset, Accepted: reason == nil}
--- /dev/null
+++ b/internal/config/homes.go
@@ -0,0 +1,69 @@
+package config
+
+import (
+	"maps"
+	"reflect"
+)
+
+// HomesChange is the last change of where a service's idempotency keys live: of
+// its set of servers, or of a route to it.
+type HomesChange struct {
+	Offset int64 `json:"offset"`
+	TimeMs int64 `json:"timeMs"`
+}
+
+// noteHomes records whose keys' homes a bundle changes. It's called before the
+// bundle's objects are put in place.
+func (s *State) noteHomes(bundle *Bundle, entry LogEntry) {
+	changed := map[string]bool{}
+	for _, change := range bundle.Changes {
+		before := s.Objects[string(change.Kind)+"/"+change.Name]
+		for _, service := range homesMoved(before, change.Object) {
+			changed[service] = true
+		}
+	}
+	if len(changed) == 0 {
+		return
+	}
+	homes := maps.Clone(s.Homes) // views share the old one
+	for service := range changed {
+		homes[service] = HomesChange{Offset: entry.Offset, TimeMs: entry.TimeMs}
+	}
+	s.Homes = homes
+}
+
+// homesMoved returns the services whose keys' homes differ after an object has
+// changed. Draining doesn't move a home: the server closes its keys itself.
+func homesMoved(before, after *Object) []string {
+	from, to := homeOf(before), homeOf(after)
+	if reflect.DeepEqual(from, to) {
+		return nil
+	}
+	var services []string
+	for _, h := range []*home{from, to} {
+		if h != nil {
+			services = append(services, h.service)
+		}
+	}
+	return services
+}
+
+// home is what of an object decides about homes.
+type home struct {
+	service string
+	labels  map[string]string
+	route   Route
+}
+
+func homeOf(object *Object) *home {
+	switch {
+	case object == nil:
+		return nil
+	case object.BackendServer != nil:
+		return &home{service: object.BackendServer.Service, labels: object.Labels}
+	case object.Route != nil:
+		return &home{service: object.Route.Service, route: *object.Route}
+	default:
+		return nil
+	}
+}
--- a/internal/config/view.go
+++ b/internal/config/view.go
@@ -14,6 +14,7 @@
 	objects map[string]*Object
 	leases  map[string]Lease
 	agents  map[string]AgentRun
+	homes   map[string]HomesChange
 }
 
 // View returns an immutable copy. The objects are shared, not copied, and the
@@ -25,6 +26,7 @@
 		objects: s.Objects,
 		leases:  maps.Clone(s.Leases),
 		agents:  s.Agents,
+		homes:   s.Homes,
 	}
 }
 
@@ -58,6 +60,9 @@
 	return run, ok
 }
 
+// Homes returns the last change of where a service's keys live.
+func (v *View) Homes(service string) HomesChange { return v.homes[service] }
+
 // Leases returns all leases by group.
 func (v *View) Leases() []Lease {
 	found := slices.Collect(maps.Values(v.leases))
--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -264,7 +264,7 @@
 	return &wire.Envelope{
 		RequestID: x.id, Customer: x.customer.Name, Weight: max(x.customer.Spec.Weight, 1),
 		Class: x.intent.Class, Budget: x.deadline.Sub(e.now()), Idempotent: x.intent.Idempotent,
-		Key: x.intent.Key, Cost: x.cost, Server: server,
+		Key: x.intent.Key, Cost: x.cost, Server: server, Homes: x.homes,
 	}
 }
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -39,6 +39,9 @@
 	stream bool
 	cost   float64
 	prefix uint64
+	// homes is the offset of the last change of where the service's keys live. The
+	// route is from a configuration no older.
+	homes  int64
 	ticket *outcome.Ticket
 	tried  []string
 	// started is set once an attempt may have started the request.
@@ -135,17 +138,19 @@
 		return f
 	}
 	now := e.now()
+	index := e.index.Load()
 	if path == pathChat || path == pathCompletion {
-		if f := e.parseCompletion(x, now); f != nil {
+		if f := e.parseCompletion(x, index, now); f != nil {
 			return f
 		}
 	} else {
-		x.route = e.index.Load().RoutePath(x.customer, path, now)
+		x.route = index.RoutePath(x.customer, path, now)
 		x.cost = 1
 	}
 	if x.route == nil {
 		return failure.NotRun(failure.StepRoute, "", failure.CodeNotFound, "no route of yours serves this path or model now; see /v1/models")
 	}
+	x.homes = index.Homes(x.route.Spec.Service)
 	intent, err := httpapi.ParseIntent(x.header, defaults(x.route), now, e.replica.View().Policy().ClockSkew())
 	if err != nil {
 		return failure.NotRun(failure.StepParse, "", failure.CodeInvalid, err.Error())
@@ -184,7 +189,7 @@
 	return string(x.ctx.Request.Header.Peek(name))
 }
 
-func (e *Entry) parseCompletion(x *exchange, now time.Time) *failure.Error {
+func (e *Entry) parseCompletion(x *exchange, index *selector.Index, now time.Time) *failure.Error {
 	if !x.ctx.IsPost() {
 		return failure.NotRun(failure.StepParse, "", failure.CodeInvalid, "method: use POST")
 	}
@@ -195,7 +200,7 @@
 	x.stream = completion.Stream
 	x.cost = completion.Cost()
 	x.prefix = completion.Prefix()
-	x.route = e.index.Load().RouteModel(x.customer, completion.Model, now)
+	x.route = index.RouteModel(x.customer, completion.Model, now)
 	return nil
 }
 
--- a/internal/outcome/keys.go
+++ b/internal/outcome/keys.go
@@ -94,6 +94,7 @@
 	bytes   int
 
 	floor     time.Time // keys made before may have been forgotten
+	homed     time.Time // when the homes of keys changed last
 	recorded  bool
 	sealed    bool
 	inherited *Inheritance
@@ -128,6 +129,13 @@
 	k.options.Window, k.options.Skew = window, skew
 }
 
+// HomesChanged notes when the homes of the service's keys changed last, by the
+// log's clock: keys that are older may have run at another home.
+func (k *Keys) HomesChanged(at time.Time) { k.homed = at }
+
+// Knows tells whether the table has an entry for a key.
+func (k *Keys) Knows(key Key) bool { return k.entries[key] != nil }
+
 // Recorded notes that this run is on the log, and what it inherits; nil when the
 // run before it didn't end in a planned stop.
 func (k *Keys) Recorded(inherited *Inheritance) {
@@ -260,6 +268,9 @@
 	if timed && (at.Before(forgotten) || at.Before(k.floor)) {
 		return true
 	}
+	if k.mayHaveMoved(at, timed, now) {
+		return true
+	}
 	if k.inherited != nil {
 		return k.mayHaveRunBefore(at, timed, now, key)
 	}
@@ -269,6 +280,18 @@
 	return !at.After(k.options.Started.Add(skewFactor * k.options.Skew))
 }
 
+// mayHaveMoved tells whether a key that was never seen here may have lived at
+// another home before the last change.
+func (k *Keys) mayHaveMoved(at time.Time, timed bool, now time.Time) bool {
+	if k.homed.IsZero() {
+		return false
+	}
+	if !timed {
+		return now.Before(k.homed.Add(k.options.Window))
+	}
+	return !at.After(k.homed.Add(skewFactor * k.options.Skew))
+}
+
 // mayHaveRunBefore goes by what the run before handed over.
 func (k *Keys) mayHaveRunBefore(at time.Time, timed bool, now time.Time, key Key) bool {
 	if k.inherited.Seen[key.Hash()] {
--- a/internal/outcome/keys_property_test.go
+++ b/internal/outcome/keys_property_test.go
@@ -307,6 +307,26 @@
 	}
 }
 
+// TestMovedKeyIsNotRunAtItsNewHome: a key from before the homes changed may have
+// run at its old home.
+func TestMovedKeyIsNotRunAtItsNewHome(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	k := NewKeys(KeysOptions{Started: now.Add(-time.Hour), Window: testWindow, Skew: testSkew, MaxKeys: 10, MaxBytes: 100})
+	k.Recorded(nil)
+	seen, moved := Key{Value: keyAt(now, 1)}, Key{Value: keyAt(now, 2)}
+	k.Begin(now, seen, "h", false)
+	k.Finish(now, seen, Answer{Status: 200})
+	now = now.Add(time.Second)
+	k.HomesChanged(now)
+	now = now.Add(skewFactor*testSkew + 2*time.Second)
+	young := Key{Value: keyAt(now, 3)}
+	for key, want := range map[Key]Verdict{seen: VerdictReplay, moved: VerdictUnresolved, young: VerdictRun} {
+		if v, _, _ := k.Begin(now, key, "h", false); v != want {
+			t.Errorf("%v: %v, want %v", key, v, want)
+		}
+	}
+}
+
 func TestLeavingClosesUnseenKeys(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	k := NewKeys(KeysOptions{Started: now.Add(-time.Hour), Window: testWindow, Skew: testSkew, MaxKeys: 10, MaxBytes: 100})
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -41,6 +41,7 @@
 	prefixes  []prefixRoutes      // routes of plain services, longest prefix first
 	customers map[string]*Customer
 	byHash    map[string]*Customer
+	view      *config.View
 }
 
 // Customer is a customer with the routes open to it.
@@ -63,6 +64,7 @@
 		byModel:   map[string][]*Route{},
 		customers: map[string]*Customer{},
 		byHash:    map[string]*Customer{},
+		view:      view,
 	}
 	index.addServers(view)
 	if err := index.addRoutes(view); err != nil {
@@ -169,6 +171,9 @@
 	}
 }
 
+// Homes returns the offset of the last change of where a service's keys live.
+func (x *Index) Homes(service string) int64 { return x.view.Homes(service).Offset }
+
 // Customer returns a customer by name, or nil.
 func (x *Index) Customer(name string) *Customer { return x.customers[name] }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -35,8 +35,6 @@
 	HeaderCustomer     = "X-Crowbridge-Customer"
 	HeaderWeight       = "X-Crowbridge-Weight"
 	HeaderCost         = "X-Crowbridge-Cost"
-	HeaderTarget       = "X-Crowbridge-Target"
-	HeaderBodyHash     = "X-Crowbridge-Body-Hash"
 	HeaderStep         = "X-Crowbridge-Step"
 	HeaderCode         = "X-Crowbridge-Code"
 	HeaderDetail       = "X-Crowbridge-Detail"
@@ -45,6 +43,7 @@
 	HeaderIncarnation  = "X-Crowbridge-Incarnation"
 	HeaderKeyClosed    = "X-Crowbridge-Key-Closed"
 	HeaderWantServer   = "X-Crowbridge-Want-Server"
+	HeaderHomes        = "X-Crowbridge-Homes"
 )
 
 // Headers between agent and engine.
@@ -68,11 +67,13 @@
 	Budget     time.Duration
 	Idempotent bool
 	Key        string
-	BodyHash   string
 	// Cost is the estimated cost in tokens.
 	Cost float64
 	// Server is the backend server the entry means to reach.
 	Server string
+	// Homes is the offset of the last change of where the service's keys live, as
+	// the entry knows it.
+	Homes int64
 }
 
 // Write sets the envelope's headers.
@@ -85,7 +86,7 @@
 	h.Set(HeaderIdempotent, strconv.FormatBool(e.Idempotent))
 	h.Set(HeaderCost, strconv.FormatFloat(e.Cost, 'f', -1, 64))
 	h.Set(HeaderWantServer, e.Server)
-	h.Set(HeaderBodyHash, e.BodyHash)
+	h.Set(HeaderHomes, strconv.FormatInt(e.Homes, 10))
 	if e.Key != "" {
 		h.Set(HeaderIdempotencyKey, e.Key)
 	}
@@ -109,6 +110,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, HeaderCost)
 	}
+	homes, err := strconv.ParseInt(h.Get(HeaderHomes), 10, 64)
+	if err != nil {
+		return nil, errors.Wrap(err, HeaderHomes)
+	}
 	return &Envelope{
 		RequestID:  h.Get(HeaderRequestID),
 		Customer:   h.Get(HeaderCustomer),
@@ -117,9 +122,9 @@
 		Budget:     time.Duration(budget) * time.Millisecond,
 		Idempotent: idempotent,
 		Key:        h.Get(HeaderIdempotencyKey),
-		BodyHash:   h.Get(HeaderBodyHash),
 		Cost:       cost,
 		Server:     h.Get(HeaderWantServer),
+		Homes:      homes,
 	}, nil
 }
 
