--- a/internal/config/audit.go
+++ b/internal/config/audit.go
@@ -15,6 +15,7 @@
 const (
 	AuditChange AuditAction = "change"
 	AuditLease  AuditAction = "lease"
+	AuditMap    AuditAction = "map"
 )
 
 // AuditEntry tells who changed what, when, why, and what became of it. Each
@@ -41,6 +42,13 @@
 	}
 }
 
+func (s *State) foldEvent(event *Event, entry LogEntry) {
+	s.appendAudit(AuditEntry{
+		Offset: entry.Offset, TimeMs: entry.TimeMs, Actor: event.Actor, Action: event.Action,
+		Reason: event.Detail, Objects: []string{event.Object}, Accepted: true,
+	})
+}
+
 func chainHash(previous string, entry AuditEntry) string {
 	entry.Hash = previous
 	data, err := json.Marshal(entry)
--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -115,6 +115,8 @@
 		s.foldSnapshotChunk(record.Snapshot)
 	case record.Kind == RecordAgent && record.Agent != nil:
 		s.foldAgent(record.Agent, entry)
+	case record.Kind == RecordEvent && record.Event != nil:
+		s.foldEvent(record.Event, entry)
 	default:
 		s.markUnread(record.Kind, entry.Offset)
 	}
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -18,6 +18,7 @@
 	RecordLease    RecordKind = "lease"
 	RecordSnapshot RecordKind = "snapshot"
 	RecordAgent    RecordKind = "agent"
+	RecordEvent    RecordKind = "event"
 )
 
 // Record is one entry of the platform's log as crowbridge writes it.
@@ -28,6 +29,18 @@
 	Lease    *LeaseClaim    `json:"lease,omitempty"`
 	Snapshot *SnapshotChunk `json:"snapshot,omitempty"`
 	Agent    *AgentEvent    `json:"agent,omitempty"`
+	Event    *Event         `json:"event,omitempty"`
+}
+
+// Event tells the audit trail of something that a daemon did. It changes nothing
+// else.
+type Event struct {
+	Actor  string      `json:"actor"`
+	Action AuditAction `json:"action"`
+	// Object is what it was done to, as Kind/name.
+	Object string `json:"object"`
+	// Detail is for people.
+	Detail string `json:"detail,omitempty"`
 }
 
 // Bundle is an all-or-nothing set of changes by one operator.
--- a/internal/entry/groupplan.go
+++ b/internal/entry/groupplan.go
@@ -29,7 +29,7 @@
 	if !ok {
 		return
 	}
-	d.staged, d.version = next, version
+	d.staged, d.version, d.moves = next, version, len(moves)
 	d.logger.WithFields(logrus.Fields{"moves": len(moves), "version": version}).Info("switching the expert map")
 }
 
--- a/internal/entry/groups.go
+++ b/internal/entry/groups.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -138,6 +139,7 @@
 	placement *rebalance.Placement
 	staged    *rebalance.Placement
 	version   group.Version // of staged
+	moves     int           // from placement to staged
 	planner   *rebalance.Planner
 	smoother  *rebalance.Smoother
 	counted   map[int][]int64 // popularity counts by rank at the last plan
@@ -220,19 +222,23 @@
 
 func (d *driver) claim(ctx context.Context, previous int64) {
 	d.renewedAt = d.groups.now()
-	record := &config.Record{Format: config.FormatVersion, Kind: config.RecordLease, Lease: &config.LeaseClaim{
+	d.append(ctx, &config.Record{Format: config.FormatVersion, Kind: config.RecordLease, Lease: &config.LeaseClaim{
 		Group: d.name, Holder: d.identity, Previous: previous,
-	}}
+	}})
+}
+
+// append puts a record onto the log. Its answer may be lost; the fold tells
+// whether a claim was taken.
+func (d *driver) append(ctx context.Context, record *config.Record) {
 	data, err := record.Encode()
 	if err != nil {
-		d.logger.WithError(err).Error("lease claim not encoded")
+		d.logger.WithError(err).Error("record not encoded")
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	if _, err := d.groups.log.Append(ctx, data); err != nil {
-		// The claim may have been taken all the same; the fold will tell.
-		d.logger.WithError(err).Debug("lease claim not confirmed")
+		d.logger.WithError(err).WithField("kind", record.Kind).Debug("append not confirmed")
 	}
 }
 
@@ -261,7 +267,7 @@
 	if d.holder.Phase() != group.PhaseReady || len(counts) != spec.Ranks {
 		return
 	}
-	d.settle()
+	d.settle(ctx)
 	every := time.Duration(spec.PlanSeconds) * time.Second
 	if every == 0 {
 		every = defaultPlanSeconds * time.Second
@@ -275,9 +281,17 @@
 
 // settle takes over the placement that was switched to, or forgets it when the
 // switch came to nothing.
-func (d *driver) settle() {
-	if d.staged != nil && d.holder.Target().Version == d.version {
+func (d *driver) settle(ctx context.Context) {
+	if d.staged == nil {
+		return
+	}
+	target := d.holder.Target()
+	if target.Version == d.version {
 		d.placement = d.staged
+		d.append(ctx, &config.Record{Format: config.FormatVersion, Kind: config.RecordEvent, Event: &config.Event{
+			Actor: d.identity, Action: config.AuditMap, Object: string(config.KindGroup) + "/" + d.name,
+			Detail: fmt.Sprintf("map %d from step %d, %d experts loaded, fence %d", target.Version, target.Step, d.moves, d.fence),
+		}})
 	}
 	d.staged = nil
 }
--- /dev/null
+++ b/standins/bench/group.go
@@ -0,0 +1,110 @@
+package bench
+
+import (
+	"os"
+	"time"
+
+	"github.com/crowbridge/crowbridge/standins/harness"
+	"github.com/pkg/errors"
+)
+
+const (
+	groupLength  = 15 * time.Second
+	groupTimeout = 30 * time.Second
+	groupPoll    = 10 * time.Millisecond
+)
+
+// Group measures, with four ranks in real processes, how long map switches stall
+// the group, and how soon a new holder orders after one has died.
+func (r *Reporter) Group(bin string) error {
+	dir, err := os.MkdirTemp("", "crowbridge-bench-")
+	if err != nil {
+		return errors.Wrap(err, "bench")
+	}
+	cluster, err := harness.New(harness.Layout{
+		Zones: []string{"a", "b"}, EntriesPerZone: 2, RanksPerZone: 2, Step: 6 * time.Millisecond,
+		KeyWindowSeconds: 60, ClockSkewMs: 50, Drain: time.Second,
+	}, bin, dir)
+	if err != nil {
+		return err
+	}
+	defer cluster.KillAll()
+	if err := cluster.Start(); err != nil {
+		return err
+	}
+	if err := awaitVersions(cluster, 2); err != nil {
+		return err
+	}
+	if err := r.stalls(cluster); err != nil {
+		return err
+	}
+	return r.takeover(cluster)
+}
+
+func awaitVersions(cluster *harness.Cluster, n int) error {
+	for end := time.Now().Add(groupTimeout); time.Now().Before(end); time.Sleep(groupPoll) {
+		state, err := cluster.Group()
+		if err != nil {
+			return err
+		}
+		if len(state.Versions) >= n {
+			return nil
+		}
+	}
+	return errors.Errorf("the group has not used %d maps", n)
+}
+
+func (r *Reporter) stalls(cluster *harness.Cluster) error {
+	before, err := cluster.Group()
+	if err != nil {
+		return err
+	}
+	time.Sleep(groupLength)
+	after, err := cluster.Group()
+	if err != nil {
+		return err
+	}
+	if after.Violations > 0 {
+		return errors.Errorf("%d steps with two maps", after.Violations)
+	}
+	steps := int(after.Steps - before.Steps)
+	gaps := make([]float64, 0, steps)
+	for _, gap := range after.GapsUs[max(0, len(after.GapsUs)-steps):] {
+		gaps = append(gaps, float64(gap)/1000)
+	}
+	middle := Quantile(gaps, 0.5)
+	r.Figure("group/4-ranks/steps", float64(steps), "steps")
+	r.Figure("group/4-ranks/switches", float64(len(after.Versions)-len(before.Versions)), "switches")
+	r.Figure("group/4-ranks/step-p50", middle, "ms")
+	r.Against("group/4-ranks/step-p99", Quantile(gaps, 0.99), "ms", middle)
+	r.Against("group/4-ranks/step-worst", Quantile(gaps, 1), "ms", middle)
+	return nil
+}
+
+// takeover crashes the holder and waits for the next map that another brings in.
+func (r *Reporter) takeover(cluster *harness.Cluster) error {
+	holder, err := cluster.Holder()
+	if err != nil {
+		return err
+	}
+	start := time.Now()
+	if err := cluster.Processes[holder].Kill(); err != nil {
+		return err
+	}
+	for end := start.Add(groupTimeout); time.Now().Before(end); time.Sleep(groupPoll) {
+		next, err := cluster.Holder()
+		if err == nil && next != holder {
+			r.Figure("group/4-ranks/crash-to-next-holder", time.Since(start).Seconds(), "s")
+			state, err := cluster.Group()
+			if err != nil {
+				return err
+			}
+			if err := awaitVersions(cluster, len(state.Versions)+1); err != nil {
+				return err
+			}
+			r.Figure("group/4-ranks/crash-to-next-map", time.Since(start).Seconds(), "s")
+			return nil
+		}
+	}
+	return errors.New("nobody has taken the lease over")
+}
--- a/standins/cmd/bench/main.go
+++ b/standins/cmd/bench/main.go
@@ -32,6 +32,7 @@
 		{"config", r.Config},
 		{"path", func() error { return r.Path(args[0]) }},
 		{"control", func() error { return r.Control(args[0]) }},
+		{"group", func() error { return r.Group(args[0]) }},
 		{"rebalance", func() error { r.Rebalance(); return nil }},
 	}
 	for _, area := range areas {
--- a/standins/harness/cluster.go
+++ b/standins/harness/cluster.go
@@ -432,6 +432,8 @@
 	Steps      int64          `json:"steps"`
 	Violations int            `json:"violations"`
 	Versions   map[string]int `json:"versions"`
+	// GapsUs are the times between the ends of the latest steps, in microseconds.
+	GapsUs []int64 `json:"gapsUs"`
 }
 
 // Group returns what the group's ranks did so far.
@@ -445,6 +447,22 @@
 	return &state, errors.Wrap(json.NewDecoder(response.Body).Decode(&state), "group")
 }
 
+// Holder returns the name of the entry that holds the group's lease, as an entry
+// that answers knows it.
+func (c *Cluster) Holder() (string, error) {
+	out, err := c.Operator("status")
+	if err != nil {
+		return "", err
+	}
+	for _, line := range strings.Split(out, "\n") {
+		if fields := strings.Fields(line); len(fields) > 3 && fields[0] == "lease" {
+			name, _, _ := strings.Cut(fields[3], "/")
+			return name, nil
+		}
+	}
+	return "", errors.Errorf("nobody holds the lease:\n%s", out)
+}
+
 // StopAll stops entries, then agents, gracefully, and ends the rest. It returns
 // the first planned stop that failed.
 func (c *Cluster) StopAll() error {
--- a/standins/platform/barrier.go
+++ b/standins/platform/barrier.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 )
 
 // barrier holds the ranks of a group in lock-step and checks that all use one
@@ -14,6 +15,8 @@
 	used       map[int64]string // the version that each step was begun with
 	arrived    int
 	released   chan struct{}
+	last       time.Time
+	GapsUs     []int64        `json:"gapsUs"` // between the ends of the latest steps
 	Steps      int64          `json:"steps"`
 	Violations int            `json:"violations"`
 	Versions   map[string]int `json:"versions"` // steps by version
@@ -69,6 +72,7 @@
 	if b.arrived == ranks {
 		b.arrived = 0
 		b.Steps++
+		b.noteGap(time.Now())
 		b.Versions[version]++
 		close(b.released)
 		b.released = make(chan struct{})
@@ -82,3 +86,16 @@
 	defer b.mu.Unlock()
 	writeJSON(w, b)
 }
+
+// keptGaps bounds the gaps that are remembered.
+const keptGaps = 4096
+
+func (b *barrier) noteGap(now time.Time) {
+	if !b.last.IsZero() {
+		b.GapsUs = append(b.GapsUs, now.Sub(b.last).Microseconds())
+	}
+	if len(b.GapsUs) > keptGaps {
+		b.GapsUs = b.GapsUs[1:]
+	}
+	b.last = now
+}
--- a/standins/scenarios/scenarios_test.go
+++ b/standins/scenarios/scenarios_test.go
@@ -363,7 +363,9 @@
 	r := of(ts)
 	name := r.saved["holder"]
 	if args[0] == "crash" || args[0] == "pause" {
-		name = holderOf(ts)
+		holder, err := r.cluster.Holder()
+		ts.Check(err)
+		name = holder
 		r.saved["holder"] = name
 	}
 	switch args[0] {
@@ -379,16 +381,3 @@
 		ts.Fatalf("holder: unknown %s", args[0])
 	}
 }
-
-func holderOf(ts *testscript.TestScript) string {
-	out, err := runOperator(ts, []string{"status"})
-	ts.Check(err)
-	for _, line := range strings.Split(out, "\n") {
-		if fields := strings.Fields(line); len(fields) > 3 && fields[0] == "lease" {
-			name, _, _ := strings.Cut(fields[3], "/")
-			return name
-		}
-	}
-	ts.Fatalf("nobody holds the lease:\n%s", out)
-	return ""
-}
