--- a/internal/config/objects.go
+++ b/internal/config/objects.go
@@ -117,7 +117,8 @@
 	CostWeight float64 `json:"costWeight,omitempty"`
 	// PinnedMap stops rebalancing.
 	PinnedMap bool `json:"pinnedMap,omitempty"`
-	// PlanSeconds is the time between plans; default 60.
+	// PlanSeconds is the time between plans; default 300. A sudden skew is planned for
+	// at once.
 	PlanSeconds int `json:"planSeconds,omitempty"`
 	// MaxMoves bounds the expert loads of one plan; default 4096.
 	MaxMoves int `json:"maxMoves,omitempty"`
--- a/internal/entry/grouporders.go
+++ b/internal/entry/grouporders.go
@@ -17,12 +17,13 @@
 	addressed  group.Addressed
 	reply      group.Reply
 	popularity []int64
+	busyUs     int64
 	expertMap  []byte
 }
 
 // send sends all due orders at once and hands the replies to the holder. It
-// returns the popularity counts of the ranks that answered.
-func (d *driver) send(ctx context.Context, addresses map[int]string) map[int][]int64 {
+// returns the answers.
+func (d *driver) send(ctx context.Context, addresses map[int]string) []answered {
 	orders := d.holder.Orders()
 	replies := make(chan answered, len(orders))
 	var workers errgroup.Group
@@ -40,13 +41,13 @@
 	}
 	_ = workers.Wait() // the workers return no errors
 	close(replies)
-	counts := map[int][]int64{}
+	var got []answered
 	for r := range replies {
 		d.holder.Handle(r.addressed.Rank, r.addressed.Order, r.reply)
-		counts[r.addressed.Rank] = r.popularity
+		got = append(got, r)
 		d.learn(r.expertMap)
 	}
-	return counts
+	return got
 }
 
 // mapSources is how many ranks a new holder asks for the map in use: two, since
@@ -102,7 +103,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "rank %d at %s: incarnation", a.Rank, address)
 	}
-	return &answered{addressed: a, popularity: reply.Popularity, expertMap: reply.Map, reply: group.Reply{
+	return &answered{addressed: a, popularity: reply.Popularity, busyUs: reply.BusyUs, expertMap: reply.Map, reply: group.Reply{
 		Refusal: group.Refusal(reply.Refusal), Fence: reply.Fence, Incarnation: incarnation,
 		Committed: group.Switch{Version: group.Version(reply.CommittedVersion), Step: reply.CommittedStep, Jump: reply.CommittedJump},
 		Pending:   reply.Pending, Staged: group.Version(reply.StagedVersion),
--- a/internal/entry/groups.go
+++ b/internal/entry/groups.go
@@ -23,7 +23,7 @@
 	// renewalsPerLease of them without one, others claim it. Safety doesn't depend on
 	// these times.
 	minRenewal       = 2 * time.Second
-	renewalPerGroup  = 400 * time.Millisecond
+	renewalPerGroup  = time.Second
 	renewalsPerLease = 3
 	groupTick        = 100 * time.Millisecond
 	orderWait        = 6 * time.Second
@@ -33,7 +33,7 @@
 	// switchMargin is how many steps ahead of the last granted one a switch is
 	// proposed.
 	switchMargin       = 30
-	defaultPlanSeconds = 60
+	defaultPlanSeconds = 300
 	defaultMaxMoves    = 4096
 	popularityWeight   = 0.5
 )
@@ -142,8 +142,11 @@
 	moves     int           // from placement to staged
 	planner   *rebalance.Planner
 	smoother  *rebalance.Smoother
-	counted   map[int][]int64 // popularity counts by rank at the last plan
-	planAt    time.Time
+	// slowness of ranks, and of the whole group against what the last plan left.
+	stragglers *rebalance.Stragglers
+	trigger    rebalance.Trigger
+	counted    map[int][]int64 // popularity counts by rank at the last plan
+	planAt     time.Time
 }
 
 // start runs one turn in the background, unless the last is still running.
@@ -253,6 +256,7 @@
 	d.holder = group.NewHolder(fence+1, d.shape.Ranks, switchMargin)
 	d.placement, d.planner = placement, rebalance.NewPlanner(d.shape)
 	d.smoother = rebalance.NewSmoother(d.shape, popularityWeight, 0)
+	d.stragglers, d.trigger = rebalance.NewStragglers(d.shape.Ranks), rebalance.Trigger{}
 	d.counted = map[int][]int64{}
 	d.planAt = d.groups.now()
 	d.logger.WithField("fence", fence).Info("holding the lease")
@@ -263,20 +267,21 @@
 	if len(addresses) != spec.Ranks {
 		return // not all ranks are configured yet
 	}
-	counts := d.send(ctx, addresses)
-	if d.holder.Phase() != group.PhaseReady || len(counts) != spec.Ranks {
+	answers := d.send(ctx, addresses)
+	if d.holder.Phase() != group.PhaseReady || len(answers) != spec.Ranks {
 		return
 	}
 	d.settle(ctx)
+	sudden := d.watchSpeeds(answers)
 	every := time.Duration(spec.PlanSeconds) * time.Second
 	if every == 0 {
 		every = defaultPlanSeconds * time.Second
 	}
-	if spec.PinnedMap || d.groups.now().Sub(d.planAt) < every {
+	if spec.PinnedMap || (!sudden && d.groups.now().Sub(d.planAt) < every) {
 		return
 	}
 	d.planAt = d.groups.now()
-	d.plan(counts, spec)
+	d.plan(answers, spec)
 }
 
 // settle takes over the placement that was switched to, or forgets it when the
--- a/internal/rebalance/placement.go
+++ b/internal/rebalance/placement.go
@@ -165,6 +165,23 @@
 	return slowest / ideal
 }
 
+// Work returns the work that each rank has, over all layers, in popularity's unit.
+func (p *Placement) Work(popularity Popularity) []float64 {
+	healthy := make([]float64, p.Shape.Ranks)
+	for rank := range healthy {
+		healthy[rank] = 1
+	}
+	work := make([]float64, p.Shape.Ranks)
+	state := newLayer(p.Shape)
+	for n := range p.slots {
+		state.load(p, n, popularity[n], healthy)
+		for rank, time := range state.times {
+			work[rank] += time
+		}
+	}
+	return work
+}
+
 func sum(values []float64) float64 {
 	total := 0.0
 	for _, v := range values {
--- a/internal/rebalance/rebalance_test.go
+++ b/internal/rebalance/rebalance_test.go
@@ -190,6 +190,24 @@
 	}
 }
 
+func TestWorkAddsUpToThePopularity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shape := drawShape(t)
+		p, err := NewPlacement(shape)
+		if err != nil {
+			t.Fatal(err)
+		}
+		popularity := drawPopularity(t, shape)
+		total := 0.0
+		for _, layer := range popularity {
+			total += sum(layer)
+		}
+		if got := sum(p.Work(popularity)); math.Abs(got-total) > 1e-6 {
+			t.Fatalf("work %g, popularity %g", got, total)
+		}
+	})
+}
+
 func TestTriggerFiresOncePerPlan(t *testing.T) {
 	var trigger Trigger
 	if trigger.Due(5) {
