--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -86,7 +86,7 @@
 		for id := range 2000 {
 			Expect(q.Offer(epoch, request(id, fmt.Sprint("c", id%2), config.ClassNormal, 10))).To(BeNil())
 		}
-		real := map[string]float64{}
+		charged := map[string]float64{}
 		now := epoch
 		for range 400 {
 			for _, r := range q.Next(now) {
@@ -94,12 +94,12 @@
 				if r.Customer == "c1" {
 					cost = 40
 				}
-				real[r.Customer] += cost
+				charged[r.Customer] += cost
 				now = now.Add(time.Millisecond)
 				q.Done(now, r.ID, cost, true)
 			}
 		}
-		Expect(real["c1"] / real["c0"]).To(BeNumerically("~", 1, 0.05))
+		Expect(charged["c1"] / charged["c0"]).To(BeNumerically("~", 1, 0.05))
 	})
 
 	It("lets a full queue's longest customer make room", func() {
--- a/internal/outcome/keys_property_test.go
+++ b/internal/outcome/keys_property_test.go
@@ -42,7 +42,7 @@
 // knows: each reads a clock that is off by at most half the skew, so that any
 // two differ by at most the skew.
 type home struct {
-	true_   time.Time
+	truth   time.Time
 	offset  time.Duration // the present agent clock's error
 	table   *Keys
 	started map[string]int // starts that happened, by key
@@ -62,7 +62,7 @@
 	handover *Inheritance
 }
 
-func (h *home) now() time.Time { return h.true_.Add(h.offset) }
+func (h *home) now() time.Time { return h.truth.Add(h.offset) }
 
 func (h *home) drawOffset(t *rapid.T, label string) time.Duration {
 	half := int(testSkew.Milliseconds() / 2)
@@ -108,7 +108,7 @@
 }
 
 func (h *home) wait(t *rapid.T) {
-	h.true_ = h.true_.Add(time.Duration(rapid.IntRange(0, 30_000).Draw(t, "ms")) * time.Millisecond)
+	h.truth = h.truth.Add(time.Duration(rapid.IntRange(0, 30_000).Draw(t, "ms")) * time.Millisecond)
 }
 
 // ask sends a new key or repeats an old one.
@@ -134,7 +134,7 @@
 // newKey makes a key on a caller's clock, which an entry accepted: no more than
 // the skew ahead of the entry's own clock.
 func (h *home) newKey(t *rapid.T) string {
-	entryClock := h.true_.Add(h.drawOffset(t, "entry clock error"))
+	entryClock := h.truth.Add(h.drawOffset(t, "entry clock error"))
 	caller := entryClock.Add(time.Duration(rapid.IntRange(-200_000, int(testSkew.Milliseconds())).Draw(t, "caller clock")) * time.Millisecond)
 	key := keyAt(caller, uint64(len(h.keys)))
 	if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
@@ -166,16 +166,16 @@
 // promised this for the window only, so the model forgets it afterwards.
 func TestKeyStartsAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		h := &home{true_: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), started: map[string]int{}}
+		h := &home{truth: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), started: map[string]int{}}
 		h.restart(t)
 		span := time.Duration(0)
 		t.Repeat(map[string]func(*rapid.T){
 			"ask": h.ask, "ask again": h.ask, "end": h.end, "restart": h.restart,
 			"reach log": h.reachLog, "planned stop": h.plannedStop,
 			"wait": func(t *rapid.T) {
-				before := h.true_
+				before := h.truth
 				h.wait(t)
-				span += h.true_.Sub(before)
+				span += h.truth.Sub(before)
 				if span > testWindow/2 {
 					h.forgetUntimed()
 					span = 0
