--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -177,6 +177,19 @@
 		Expect(runs.Load()).To(Equal(int64(1)))
 	})
 
+	It("get the answer's headers too, the first time and again", func() {
+		b := newBench(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Receipt", "42")
+			w.WriteHeader(http.StatusCreated)
+		}, 4)
+		key := newKey()
+		for range 2 {
+			response, _ := b.do(ask{key: key, body: "x"})
+			Expect(response.StatusCode).To(Equal(http.StatusCreated))
+			Expect(response.Header.Get("X-Receipt")).To(Equal("42"))
+		}
+	})
+
 	It("are refused from an entry that knows other homes", func() {
 		var runs atomic.Int64
 		b := newBench(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintf(w, "run %d", runs.Add(1)) }, 4)
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -136,7 +136,6 @@
 	if f != nil {
 		return f
 	}
-	copyHeaders(j.writer.Header(), c.response.Header)
 	a.write(j, answer)
 	return nil
 }
@@ -154,11 +153,9 @@
 		return outcome.Answer{}, failure.Unknown(failure.StepRelay, a.options.Server, failure.CodeServerLost, "answer cut: "+err.Error())
 	}
 	a.done(j.envelope.RequestID, a.answerCost(body), c.response.StatusCode < http.StatusInternalServerError)
-	return outcome.Answer{
-		Status:      c.response.StatusCode,
-		ContentType: c.response.Header.Get("Content-Type"),
-		Body:        body,
-	}, nil
+	header := http.Header{}
+	copyHeaders(header, c.response.Header)
+	return outcome.Answer{Status: c.response.StatusCode, Header: header, Body: body}, nil
 }
 
 // usage is the part of an engine's answer that tells its cost.
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -191,9 +191,9 @@
 }
 
 func (a *Agent) write(j *job, answer outcome.Answer) {
+	copyHeaders(j.writer.Header(), answer.Header)
 	a.stamp(j.writer.Header())
 	j.writer.Header().Set(wire.HeaderOutcome, string(failure.OutcomeAnswered))
-	j.writer.Header().Set("Content-Type", answer.ContentType)
 	j.headers = true
 	j.writer.WriteHeader(answer.Status)
 	// The answer is recorded; an entry that left asks for it again.
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -167,7 +168,7 @@
 func (e *Entry) readBody(x *exchange) *failure.Error {
 	stream := x.ctx.RequestBodyStream()
 	if stream == nil {
-		x.body = x.ctx.PostBody()
+		x.body = bytes.Clone(x.ctx.PostBody()) // fasthttp uses its buffer again
 		return nil
 	}
 	body, err := io.ReadAll(io.LimitReader(stream, int64(e.options.MaxBody)+1))
--- a/internal/outcome/keys.go
+++ b/internal/outcome/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,9 +18,9 @@
 
 // Answer is a recorded answer, given again to every repeat of its key.
 type Answer struct {
-	Status      int
-	ContentType string
-	Body        []byte
+	Status int
+	Header http.Header
+	Body   []byte
 }
 
 // Verdict is what may be done with a keyed request.
--- a/standins/harness/cluster.go
+++ b/standins/harness/cluster.go
@@ -1,12 +1,10 @@
 package harness
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -343,63 +341,6 @@
 	return nil
 }
 
-// Manifest returns the deployment's configuration.
-func (c *Cluster) Manifest() string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "kind: Policy\nname: default\npolicy: {keyWindowSeconds: %d, clockSkewMs: %d}\n", c.Layout.KeyWindowSeconds, c.Layout.ClockSkewMs)
-	for i, customer := range customers {
-		fmt.Fprintf(&b, "---\nkind: Customer\nname: %s\nlabels: {fleet: viragut}\ncustomer: {weight: 1, keyHashes: [%s]}\n", customer, daemon.HashSecret(c.Keys[i]))
-	}
-	b.WriteString("---\nkind: Service\nname: petal-writer\nservice: {protocol: engine, models: [petal-7b], maxConcurrency: 16}\n")
-	b.WriteString("---\nkind: Service\nname: dispatch-api\nservice: {protocol: plain, pathPrefix: /dispatch, maxConcurrency: 16, class: urgent}\n")
-	b.WriteString("---\nkind: Route\nname: writing\nroute: {service: petal-writer, customers: fleet=viragut}\n")
-	b.WriteString("---\nkind: Route\nname: dispatching\nroute: {service: dispatch-api, customers: fleet=viragut}\n")
-	if c.ranks > 0 {
-		fmt.Fprintf(&b, "---\nkind: Service\nname: %s\nservice: {protocol: engine, models: [expert-7b]}\n", groupService)
-		fmt.Fprintf(&b, "---\nkind: Group\nname: %s\ngroup: {service: %s, ranks: %d, experts: %d, layers: %d, slotsPerRank: %d, skewWeight: 1, costWeight: 0.1, planSeconds: 1}\n",
-			GroupName, groupService, c.ranks, groupExperts, groupLayers, groupSlots)
-	}
-	for _, s := range c.Servers {
-		if s.Group != "" {
-			fmt.Fprintf(&b, "---\nkind: BackendServer\nname: %s\nbackendServer: {service: %s, zone: %s, address: %q, control: %q, group: %s, rank: %d, ignoresFence: true}\n",
-				s.Name, s.Service, s.Zone, s.address, s.control, s.Group, s.Rank)
-			continue
-		}
-		fmt.Fprintf(&b, "---\nkind: BackendServer\nname: %s\nbackendServer: {service: %s, zone: %s, address: %q, control: %q}\n",
-			s.Name, s.Service, s.Zone, s.address, s.control)
-	}
-	return b.String()
-}
-
-// Operator runs the operators' command line against all entries in turn.
-func (c *Cluster) Operator(args ...string) (string, error) {
-	controls := make([]string, 0, len(c.Entries))
-	for _, e := range c.Entries {
-		controls = append(controls, e.Control)
-	}
-	return c.OperatorAt(strings.Join(controls, ","), args...)
-}
-
-// OperatorAt runs the operators' command line against the given entries.
-func (c *Cluster) OperatorAt(controls string, args ...string) (string, error) {
-	return c.as(operatorToken, controls, args)
-}
-
-// Reader runs the operators' command line with the token of somebody who may
-// only read.
-func (c *Cluster) Reader(args ...string) (string, error) {
-	return c.as(readerToken, c.Entries[0].Control, args)
-}
-
-func (c *Cluster) as(token, controls string, args []string) (string, error) {
-	cmd := exec.Command(filepath.Join(c.bin, "crowbridge"), args...)
-	cmd.Env = append(os.Environ(), "CROWBRIDGE_ENTRY="+controls, "CROWBRIDGE_TOKEN="+token)
-	var out bytes.Buffer
-	cmd.Stdout, cmd.Stderr = &out, &out
-	err := cmd.Run()
-	return out.String(), errors.Wrapf(err, "crowbridge %s", strings.Join(args, " "))
-}
-
 // Callers returns the addresses for callers of the entries that run.
 func (c *Cluster) Callers() []string {
 	var found []string
--- /dev/null
+++ b/standins/harness/operator.go
@@ -0,0 +1,40 @@
+package harness
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Operator runs the operators' command line against all entries in turn.
+func (c *Cluster) Operator(args ...string) (string, error) {
+	controls := make([]string, 0, len(c.Entries))
+	for _, e := range c.Entries {
+		controls = append(controls, e.Control)
+	}
+	return c.OperatorAt(strings.Join(controls, ","), args...)
+}
+
+// OperatorAt runs the operators' command line against the given entries.
+func (c *Cluster) OperatorAt(controls string, args ...string) (string, error) {
+	return c.as(operatorToken, controls, args)
+}
+
+// Reader runs the operators' command line with the token of somebody who may
+// only read.
+func (c *Cluster) Reader(args ...string) (string, error) {
+	return c.as(readerToken, c.Entries[0].Control, args)
+}
+
+func (c *Cluster) as(token, controls string, args []string) (string, error) {
+	cmd := exec.Command(filepath.Join(c.bin, "crowbridge"), args...)
+	cmd.Env = append(os.Environ(), "CROWBRIDGE_ENTRY="+controls, "CROWBRIDGE_TOKEN="+token)
+	var out bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &out
+	err := cmd.Run()
+	return out.String(), errors.Wrapf(err, "crowbridge %s", strings.Join(args, " "))
+}
