A route's window no longer moves the homes of keys

Found by reading: homes were taken from the route that is open now, so a repeat after a window's end went to a server that had never seen the key and would have run it again. Homes come from all routes open to the customer at any time now; a customer's new labels count as a change of homes; two plain services can't share a path prefix. The selector spec has no equivalent on the old code (there was no such set); the old behaviour shows in its last line: the open routes' servers differ.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -81,6 +81,15 @@
 		Expect(s.Audit).To(HaveLen(1))
 	})
 
+	It("may not give two services one path prefix", func() {
+		s := NewState()
+		plain := "kind: Service\nname: %s\nservice: {protocol: plain, pathPrefix: /x}\n"
+		Expect(fold(s, "1", strings.ReplaceAll(plain, "%s", "one"), 0).Accepted).To(BeTrue())
+		result := fold(s, "2", strings.ReplaceAll(plain, "%s", "two"), 0)
+		Expect(result.Accepted).To(BeFalse())
+		Expect(result.Reason).To(ContainSubstring("service one has it already"))
+	})
+
 	It("may not delete what others name", func() {
 		s := NewState()
 		fold(s, "1", goodManifest, 0)
@@ -114,6 +123,12 @@
 		Expect(s.View().Homes("writer").Offset).To(Equal(int64(3)))
 		foldBundle(s, &Bundle{CommandID: "5", Changes: []Change{{Kind: KindRoute, Name: "r", ExpectedRevision: AnyRevision}}})
 		Expect(s.View().Homes("writer").Offset).To(Equal(int64(4)))
+		selective := "kind: Route\nname: some\nroute: {service: writer, customers: \"tier=gold\"}\n---\nkind: Customer\nname: c\nlabels: {tier: gold}\ncustomer: {}\n"
+		Expect(fold(s, "6", selective, 0).Accepted).To(BeTrue())
+		Expect(fold(s, "7", "kind: Customer\nname: c\nlabels: {tier: gold}\ncustomer: {weight: 3}\n", AnyRevision).Accepted).To(BeTrue())
+		Expect(s.View().Homes("writer").Offset).To(Equal(int64(5)))
+		Expect(fold(s, "8", "kind: Customer\nname: c\nlabels: {tier: tin}\ncustomer: {}\n", AnyRevision).Accepted).To(BeTrue())
+		Expect(s.View().Homes("writer").Offset).To(Equal(int64(7)))
 	})
 })
 
--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -292,11 +292,7 @@
 }
 
 func (o *overlay) get(kind Kind, name string) *Object {
-	id := string(kind) + "/" + name
-	if object, ok := o.changed[id]; ok {
-		return object
-	}
-	return o.base[id]
+	return o.object(string(kind) + "/" + name)
 }
 
 // checkReferences checks that what the changed objects name exists, and that
@@ -318,6 +314,9 @@
 }
 
 func (o *overlay) checkObject(object *Object) error {
+	if err := o.checkPrefix(object); err != nil {
+		return err
+	}
 	for _, ref := range object.references() {
 		if o.get(ref.kind, ref.name) == nil {
 			return object.wrong(ref.field, ref.name, fmt.Sprintf("no %s of that name: apply it first or in the same bundle", ref.kind))
@@ -326,12 +325,38 @@
 	return nil
 }
 
-func (o *overlay) checkUnused(deleted string) error {
-	for _, id := range slices.Sorted(maps.Keys(o.base)) {
-		object := o.base[id]
-		if replaced, ok := o.changed[id]; ok {
-			object = replaced
+// checkPrefix checks that no two plain services share a path prefix: a call's
+// service, and so the homes of its key, must not depend on the route.
+func (o *overlay) checkPrefix(object *Object) error {
+	if object.Service == nil || object.Service.PathPrefix == "" {
+		return nil
+	}
+	for _, id := range o.ids() {
+		other := o.object(id)
+		if other != nil && other.Service != nil && other.Name != object.Name && other.Service.PathPrefix == object.Service.PathPrefix {
+			return object.wrong("service.pathPrefix", object.Service.PathPrefix, "service "+other.Name+" has it already: use another")
 		}
+	}
+	return nil
+}
+
+// ids returns the IDs of the objects before and after the bundle, sorted.
+func (o *overlay) ids() []string {
+	all := maps.Clone(o.base)
+	maps.Copy(all, o.changed)
+	return slices.Sorted(maps.Keys(all))
+}
+
+func (o *overlay) object(id string) *Object {
+	if object, ok := o.changed[id]; ok {
+		return object
+	}
+	return o.base[id]
+}
+
+func (o *overlay) checkUnused(deleted string) error {
+	for _, id := range o.ids() {
+		object := o.object(id)
 		if object == nil {
 			continue
 		}
--- a/internal/config/homes.go
+++ b/internal/config/homes.go
@@ -21,6 +21,9 @@
 		for _, service := range homesMoved(before, change.Object) {
 			changed[service] = true
 		}
+		if relabeled(before, change.Object) {
+			s.eachSelectiveService(func(service string) { changed[service] = true })
+		}
 	}
 	if len(changed) == 0 {
 		return
@@ -32,6 +35,21 @@
 	s.Homes = homes
 }
 
+// relabeled tells whether a customer's labels change: other routes may be open to
+// it then.
+func relabeled(before, after *Object) bool {
+	return before != nil && after != nil && before.Customer != nil && !maps.Equal(before.Labels, after.Labels)
+}
+
+// eachSelectiveService visits the services that have a route for some customers.
+func (s *State) eachSelectiveService(visit func(service string)) {
+	for _, object := range s.Objects {
+		if object.Route != nil && object.Route.Customers != "" {
+			visit(object.Route.Service)
+		}
+	}
+}
+
 // homesMoved returns the services whose keys' homes differ after an object has
 // changed. Draining doesn't move a home: the server closes its keys itself.
 func homesMoved(before, after *Object) []string {
--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -135,10 +135,10 @@
 // homes returns the servers that may run a keyed request, in order, or nil when
 // any server may.
 func (e *Entry) homes(x *exchange) []*selector.Server {
-	if x.intent.Key == "" || x.intent.Idempotent {
+	if !x.tracked() {
 		return nil
 	}
-	return routing.Homes(x.route.Servers, x.customer.Name, x.intent.Key)
+	return routing.Homes(x.homeServers, x.customer.Name, x.intent.Key)
 }
 
 // noServerRetry is the hint when no server can take a request now.
@@ -272,7 +272,6 @@
 // keyed request may have run earlier, through another entry, so when its home
 // can't be reached nobody can say that it didn't.
 func (e *Entry) sendFailure(ctx context.Context, x *exchange, server string, err error, connected bool) *failure.Error {
-	tracked := x.intent.Key != "" && !x.intent.Idempotent
 	var dial *net.OpError
 	unsent := !connected || (errors.As(err, &dial) && dial.Op == "dial")
 	code := failure.CodeServerLost
@@ -286,7 +285,7 @@
 		e.noteFailed(server)
 	}
 	switch {
-	case unsent && tracked:
+	case unsent && x.tracked():
 		return failure.Unknown(failure.StepSend, server, code,
 			"the key's home can't be reached, and an earlier start there can't be ruled out: ask again with the same key").After(noServerRetry)
 	case unsent:
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -42,9 +42,11 @@
 	prefix uint64
 	// homes is the offset of the last change of where the service's keys live. The
 	// route is from a configuration no older.
-	homes  int64
-	ticket *outcome.Ticket
-	tried  []string
+	homes int64
+	// homeServers are the servers among which keys have their homes.
+	homeServers []*selector.Server
+	ticket      *outcome.Ticket
+	tried       []string
 	// started is set once an attempt may have started the request.
 	started bool
 }
@@ -157,6 +159,9 @@
 		return failure.NotRun(failure.StepParse, "", failure.CodeInvalid, err.Error())
 	}
 	x.intent = intent
+	if x.tracked() {
+		x.homeServers = index.HomeServers(x.customer, x.route.Spec.Service)
+	}
 	x.deadline = now.Add(intent.Deadline)
 	return nil
 }
@@ -186,6 +191,10 @@
 	return nil
 }
 
+// tracked tells whether the request must not be repeated and has a key: its home
+// decides about it.
+func (x *exchange) tracked() bool { return x.intent.Key != "" && !x.intent.Idempotent }
+
 func (x *exchange) header(name string) string {
 	return string(x.ctx.Request.Header.Peek(name))
 }
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -171,6 +171,27 @@
 	}
 }
 
+// HomeServers returns the servers among which a customer's idempotency keys for a
+// service have their homes: those of all routes open to the customer at any
+// time. Were it those of the route that is open now, a window's end would move
+// keys to servers that have never seen them.
+func (x *Index) HomeServers(customer *Customer, service string) []*Server {
+	var servers []*Server
+	seen := map[string]bool{}
+	for _, route := range x.routes {
+		if route.Spec.Service != service || !customer.routes[route] {
+			continue
+		}
+		for _, server := range route.Servers {
+			if !seen[server.Name] {
+				seen[server.Name] = true
+				servers = append(servers, server)
+			}
+		}
+	}
+	return servers
+}
+
 // Homes returns the offset of the last change of where a service's keys live.
 func (x *Index) Homes(service string) int64 { return x.view.Homes(service).Offset }
 
--- a/internal/selector/selector_test.go
+++ b/internal/selector/selector_test.go
@@ -93,6 +93,14 @@
 		Expect(x.Explain(route)).To(HaveKeyWithValue("west", ContainSubstring("side=east")))
 	})
 
+	It("give a customer's keys the same homes at any time of day", func() {
+		x := indexOf(world)
+		homes := x.HomeServers(x.Customer("gold"), "writer")
+		Expect(homes).To(HaveLen(2))
+		Expect(x.HomeServers(x.Customer("plain"), "writer")).To(HaveLen(1))
+		Expect(x.RouteModel(x.Customer("gold"), "m", day).Servers).NotTo(Equal(x.RouteModel(x.Customer("gold"), "m", night).Servers))
+	})
+
 	It("match paths at segment borders", func() {
 		x := indexOf(world)
 		Expect(x.RoutePath(x.Customer("plain"), "/api/x", day)).NotTo(BeNil())
