Keys move on from a server that the operators drain

Found by reading: drain took a server out of routing, but keyed calls went on to it, since homes don't look at draining (they must not). The agent closes keys that it has not seen while its server is drained, as it does when it's leaving.

--- a/cmd/crowbridged/agent.go
+++ b/cmd/crowbridged/agent.go
@@ -113,8 +113,7 @@
 func followConfiguration(ctx context.Context, cmd *cli.Command, a *agent.Agent, rep *replica.Replica) {
 	for {
 		changed := rep.Changed()
-		view := rep.View()
-		a.Configure(view.Policy(), concurrency(cmd, view), homes(cmd, view))
+		a.Configure(configuration(cmd, rep.View()))
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -123,13 +122,14 @@
 	}
 }
 
-// homes returns when the homes of the service's keys changed last.
-func homes(cmd *cli.Command, view *config.View) config.HomesChange {
-	server := view.Get(config.KindBackendServer, cmd.String("server"))
-	if server == nil {
-		return config.HomesChange{}
-	}
-	return view.Homes(server.BackendServer.Service)
+// configuration returns what a view says for this agent.
+func configuration(cmd *cli.Command, view *config.View) agent.Configuration {
+	c := agent.Configuration{Policy: view.Policy(), MaxConcurrency: concurrency(cmd, view)}
+	if server := view.Get(config.KindBackendServer, cmd.String("server")); server != nil {
+		c.Homes = view.Homes(server.BackendServer.Service)
+		c.Draining = server.BackendServer.Draining
+	}
+	return c
 }
 
 // concurrency returns the bound from the server's service, or the flag's.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -58,9 +58,11 @@
 	keys    *outcome.Keys
 	waiters map[string]*waiter
 	leaving bool
-	homes   int64 // offset of the last change of where the service's keys live
-	timer   *time.Timer
-	active  int // handlers between arrival and the last byte of the answer
+	// draining is set while the operators drain the server.
+	draining bool
+	homes    int64 // offset of the last change of where the service's keys live
+	timer    *time.Timer
+	active   int // handlers between arrival and the last byte of the answer
 
 	ledger outcome.Ledger
 	idle   chan struct{} // closed when leaving and nothing is active
@@ -98,16 +100,27 @@
 	return a
 }
 
-// Configure takes over a configuration: policy, the bound of running requests,
-// and when the homes of the service's keys changed last.
-func (a *Agent) Configure(policy config.Policy, maxConcurrency int, homes config.HomesChange) {
+// Configuration is what of the deployment's configuration concerns an agent.
+type Configuration struct {
+	Policy config.Policy
+	// MaxConcurrency bounds the running requests.
+	MaxConcurrency int
+	// Homes is the last change of where the service's keys live; zero if unknown.
+	Homes config.HomesChange
+	// Draining is set while the operators drain the server: its keys move on.
+	Draining bool
+}
+
+// Configure brings a configuration into force.
+func (a *Agent) Configure(c Configuration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.queue.Configure(maxConcurrency, policy.PatientPercent)
-	a.keys.SetTimes(a.now(), policy.KeyWindow(), policy.ClockSkew())
-	if homes != (config.HomesChange{}) {
-		a.homes = homes.Offset
-		a.keys.HomesChanged(time.UnixMilli(homes.TimeMs))
+	a.draining = c.Draining
+	a.queue.Configure(c.MaxConcurrency, c.Policy.PatientPercent)
+	a.keys.SetTimes(a.now(), c.Policy.KeyWindow(), c.Policy.ClockSkew())
+	if c.Homes != (config.HomesChange{}) {
+		a.homes = c.Homes.Offset
+		a.keys.HomesChanged(time.UnixMilli(c.Homes.TimeMs))
 	}
 	a.pump()
 }
@@ -264,7 +277,7 @@
 	if homes != a.homes && !a.keys.Knows(key) {
 		return verdictStale, outcome.Answer{}, nil
 	}
-	return a.keys.Begin(a.now(), key, bodyHash, a.leaving)
+	return a.keys.Begin(a.now(), key, bodyHash, a.leaving || a.draining)
 }
 
 // endKey records how a keyed request that was permitted to run ended.
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -53,7 +53,7 @@
 		MaxBody: 1 << 20, MaxAnswer: 1 << 20, MaxQueued: 100, MaxConcurrency: slots,
 	}, policy, now, logrus.NewEntry(logger))
 	a.recorded(nil)
-	a.Configure(policy, slots, config.HomesChange{TimeMs: 1})
+	a.Configure(Configuration{Policy: policy, MaxConcurrency: slots, Homes: config.HomesChange{TimeMs: 1}})
 	server := httptest.NewServer(a)
 	DeferCleanup(server.Close)
 	return &bench{agent: a, server: server}
@@ -195,7 +195,10 @@
 		b := newBench(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintf(w, "run %d", runs.Add(1)) }, 4)
 		seen := newKey()
 		b.do(ask{key: seen, body: "x"})
-		b.agent.Configure(config.Policy{ClockSkewMs: 1}.WithDefaults(), 4, config.HomesChange{Offset: 7, TimeMs: time.Now().UnixMilli()})
+		b.agent.Configure(Configuration{
+			Policy: config.Policy{ClockSkewMs: 1}.WithDefaults(), MaxConcurrency: 4,
+			Homes: config.HomesChange{Offset: 7, TimeMs: time.Now().UnixMilli()},
+		})
 		response, _ := b.do(ask{key: newKey(), body: "x"}) // the entry knows offset 0
 		Expect(response.Header.Get(wire.HeaderCode)).To(Equal("stale-configuration"))
 		_, body := b.do(ask{key: seen, body: "x"})
@@ -203,6 +206,17 @@
 		Expect(runs.Load()).To(Equal(int64(1)))
 	})
 
+	It("move on from a server that the operators drain, unless it has seen them", func() {
+		b := newBench(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ran") }, 4)
+		seen := newKey()
+		b.do(ask{key: seen, body: "x"})
+		b.agent.Configure(Configuration{Policy: config.Policy{ClockSkewMs: 1}.WithDefaults(), MaxConcurrency: 4, Draining: true})
+		response, _ := b.do(ask{key: newKey(), body: "x"})
+		Expect(response.Header.Get(wire.HeaderKeyClosed)).To(Equal("1"))
+		_, body := b.do(ask{key: seen, body: "x"})
+		Expect(body).To(Equal("ran"))
+	})
+
 	It("name the lost server as the cause, not the caller", func() {
 		b := newBench(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, 4)
 		response, _ := b.do(ask{body: "x"})
@@ -307,7 +321,7 @@
 		}
 		<-arrived
 		Eventually(func() int { return b.agent.Load().Queued }, "5s").Should(Equal(2))
-		b.agent.Configure(config.Policy{}.WithDefaults(), 16, config.HomesChange{})
+		b.agent.Configure(Configuration{Policy: config.Policy{}.WithDefaults(), MaxConcurrency: 16})
 		close(release)
 		Eventually(func() int { return b.agent.Load().Limit }, "5s").Should(BeNumerically(">", 1))
 	})
