One JSON client for outside systems; an unused call removed

The same request code stood in the log's, the VM list's and the engine's adapters. Agents.Withdraw was served and never called: a caller that leaves closes its connection, which withdraws the request already.

--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -24,8 +24,3 @@
 		Ledgers: []*rpc.Ledger{rpc.LedgerFrom(c.Agent.options.Server, c.Agent.Ledger())},
 	}, nil
 }
-
-// Withdraw implements rpc.Agents.
-func (c *Control) Withdraw(_ context.Context, request *rpc.WithdrawRequest) (*rpc.WithdrawReply, error) {
-	return &rpc.WithdrawReply{NotRun: c.Agent.withdraw(request.RequestId)}, nil
-}
--- a/internal/agent/engine.go
+++ b/internal/agent/engine.go
@@ -1,15 +1,14 @@
 package agent
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/group"
+	"github.com/crowbridge/crowbridge/internal/httpjson"
 	"github.com/pkg/errors"
 )
 
@@ -40,32 +39,31 @@
 
 // HTTPEngine speaks the engines' order protocol over HTTP.
 type HTTPEngine struct {
-	base   string
-	client *http.Client
+	client *httpjson.Client
 }
 
 const engineTimeout = 5 * time.Second
 
 // NewHTTPEngine returns a client for the engine at a base URL.
 func NewHTTPEngine(base string) *HTTPEngine {
-	return &HTTPEngine{base: base, client: &http.Client{Timeout: engineTimeout}}
+	return &HTTPEngine{client: httpjson.NewClient("engine", base, engineTimeout)}
 }
 
 // State implements EngineControl.
 func (e *HTTPEngine) State(ctx context.Context) (*EngineState, error) {
 	var state EngineState
-	return &state, e.call(ctx, http.MethodGet, "/admin/state", nil, &state)
+	return &state, e.client.Call(ctx, http.MethodGet, "/admin/state", nil, &state)
 }
 
 // Stage implements EngineControl.
 func (e *HTTPEngine) Stage(ctx context.Context, fence int64, version group.Version, expertMap []byte) error {
-	return e.call(ctx, http.MethodPut, fmt.Sprintf("/admin/stage/%d?fence=%d", version, fence), expertMap, nil)
+	return e.client.Call(ctx, http.MethodPut, fmt.Sprintf("/admin/stage/%d?fence=%d", version, fence), expertMap, nil)
 }
 
 // Map implements EngineControl.
 func (e *HTTPEngine) Map(ctx context.Context, version group.Version) ([]byte, error) {
 	var expertMap json.RawMessage
-	err := e.call(ctx, http.MethodGet, fmt.Sprintf("/admin/map/%d", version), nil, &expertMap)
+	err := e.client.Call(ctx, http.MethodGet, fmt.Sprintf("/admin/map/%d", version), nil, &expertMap)
 	return expertMap, err
 }
 
@@ -75,25 +73,5 @@
 	if err != nil {
 		return errors.Wrap(err, "plan")
 	}
-	return e.call(ctx, http.MethodPut, fmt.Sprintf("/admin/plan?fence=%d", fence), body, nil)
-}
-
-func (e *HTTPEngine) call(ctx context.Context, method, path string, body []byte, into any) error {
-	request, err := http.NewRequestWithContext(ctx, method, e.base+path, bytes.NewReader(body))
-	if err != nil {
-		return errors.Wrapf(err, "engine at %s", e.base)
-	}
-	response, err := e.client.Do(request)
-	if err != nil {
-		return errors.Wrapf(err, "engine at %s", e.base)
-	}
-	defer closeBody(response.Body)
-	if response.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(io.LimitReader(response.Body, 256)) // only for the message
-		return errors.Errorf("engine at %s: status %d: %s", e.base, response.StatusCode, text)
-	}
-	if into == nil {
-		return nil
-	}
-	return errors.Wrapf(json.NewDecoder(response.Body).Decode(into), "engine at %s: answer", e.base)
+	return e.client.Call(ctx, http.MethodPut, fmt.Sprintf("/admin/plan?fence=%d", fence), body, nil)
 }
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -4,15 +4,13 @@
 package platform
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/httpjson"
 	"github.com/pkg/errors"
 )
 
@@ -52,23 +50,19 @@
 
 // HTTPLog speaks the log service's HTTP protocol.
 type HTTPLog struct {
-	base   string
-	client *http.Client
+	client *httpjson.Client
 }
 
-// maxAnswerBytes bounds what is read from the platform in one answer.
-const maxAnswerBytes = 64 << 20
-
 // NewHTTPLog returns a client for the log at a base URL such as
 // http://10.0.0.1:7000.
 func NewHTTPLog(base string) *HTTPLog {
-	return &HTTPLog{base: base, client: &http.Client{}}
+	return &HTTPLog{client: httpjson.NewClient("log", base, 0)}
 }
 
 // Append implements Log.
 func (l *HTTPLog) Append(ctx context.Context, data []byte) (int64, error) {
 	var answer AppendAnswer
-	err := l.call(ctx, http.MethodPost, "/v1/records", bytes.NewReader(data), &answer)
+	err := l.client.Call(ctx, http.MethodPost, "/v1/records", data, &answer)
 	return answer.Offset, err
 }
 
@@ -76,7 +70,12 @@
 func (l *HTTPLog) Read(ctx context.Context, after int64, wait time.Duration) ([]config.LogEntry, error) {
 	path := fmt.Sprintf("/v1/records?after=%d&waitMs=%d", after, wait.Milliseconds())
 	var answer ReadAnswer
-	if err := l.call(ctx, http.MethodGet, path, nil, &answer); err != nil {
+	err := l.client.Call(ctx, http.MethodGet, path, nil, &answer)
+	var status *httpjson.StatusError
+	if errors.As(err, &status) && status.Status == http.StatusGone {
+		return nil, ErrGone
+	}
+	if err != nil {
 		return nil, err
 	}
 	entries := make([]config.LogEntry, 0, len(answer.Records))
@@ -89,31 +88,6 @@
 // First implements Log.
 func (l *HTTPLog) First(ctx context.Context) (int64, error) {
 	var answer ReadAnswer
-	err := l.call(ctx, http.MethodGet, "/v1/bounds", nil, &answer)
+	err := l.client.Call(ctx, http.MethodGet, "/v1/bounds", nil, &answer)
 	return answer.First, err
 }
-
-func (l *HTTPLog) call(ctx context.Context, method, path string, body io.Reader, into any) error {
-	request, err := http.NewRequestWithContext(ctx, method, l.base+path, body)
-	if err != nil {
-		return errors.Wrapf(err, "log at %s", l.base)
-	}
-	response, err := l.client.Do(request)
-	if err != nil {
-		return errors.Wrapf(err, "log at %s", l.base)
-	}
-	defer closeBody(response.Body)
-	switch response.StatusCode {
-	case http.StatusOK:
-	case http.StatusGone:
-		return ErrGone
-	default:
-		return errors.Errorf("log at %s: status %d", l.base, response.StatusCode)
-	}
-	err = json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(into)
-	return errors.Wrapf(err, "log at %s: answer", l.base)
-}
-
-func closeBody(body io.Closer) {
-	_ = body.Close() // nothing is left to do about a body that was read
-}
--- a/internal/platform/vms.go
+++ b/internal/platform/vms.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 
-	"github.com/pkg/errors"
+	"github.com/crowbridge/crowbridge/internal/httpjson"
 )
 
 // VMState is what the platform's list says of a VM.
@@ -32,30 +30,17 @@
 
 // HTTPVMList reads the list over HTTP.
 type HTTPVMList struct {
-	base   string
-	client *http.Client
+	client *httpjson.Client
 }
 
 // NewHTTPVMList returns a client for the list at a base URL.
 func NewHTTPVMList(base string) *HTTPVMList {
-	return &HTTPVMList{base: base, client: &http.Client{}}
+	return &HTTPVMList{client: httpjson.NewClient("VM list", base, 0)}
 }
 
 // VMs implements VMList.
 func (l *HTTPVMList) VMs(ctx context.Context) ([]VM, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, l.base+"/v1/vms", nil)
-	if err != nil {
-		return nil, errors.Wrapf(err, "VM list at %s", l.base)
-	}
-	response, err := l.client.Do(request)
-	if err != nil {
-		return nil, errors.Wrapf(err, "VM list at %s", l.base)
-	}
-	defer closeBody(response.Body)
-	if response.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("VM list at %s: status %d", l.base, response.StatusCode)
-	}
 	var vms []VM
-	err = json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(&vms)
-	return vms, errors.Wrapf(err, "VM list at %s: answer", l.base)
+	err := l.client.Call(ctx, http.MethodGet, "/v1/vms", nil, &vms)
+	return vms, err
 }
