--- a/cmd/crowbridged/agent.go
+++ b/cmd/crowbridged/agent.go
@@ -179,7 +179,7 @@
 }
 
 func agentControl(key string, a *agent.Agent, rep *replica.Replica, rank *agent.RankControl) http.Handler {
-	agents := rpc.NewAgentsServer(&agent.Control{Agent: a, Offset: rep.Offset})
+	agents := rpc.NewAgentsServer(&agent.Control{Agent: a})
 	peers := rpc.NewPeersServer(&replica.PeerServer{Replica: rep})
 	mux := http.NewServeMux()
 	mux.Handle(agents.PathPrefix(), daemon.RequireKey(key, agents))
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -217,6 +217,21 @@
 		Expect(q.Limit()).To(Equal(64))
 	})
 
+	It("follows a changed bound, up and down", func() {
+		l := NewLimit(LimitOptions{Min: 1, Max: 1})
+		for range 100 {
+			l.Observe(10*time.Millisecond, 1, l.Current(), true, true)
+		}
+		Expect(l.Current()).To(Equal(1))
+		l.SetMax(16)
+		for range 100 {
+			l.Observe(10*time.Millisecond, 1, l.Current(), true, true)
+		}
+		Expect(l.Current()).To(Equal(16))
+		l.SetMax(3)
+		Expect(l.Current()).To(Equal(3))
+	})
+
 	It("settles near the knee of a server that slows down beyond it", func() {
 		const knee = 12
 		l := NewLimit(LimitOptions{Min: 1, Max: 100})
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -10,8 +10,6 @@
 type Control struct {
 	// Agent is what is served.
 	Agent *Agent
-	// Offset returns the configuration offset in force here.
-	Offset func() int64
 }
 
 // Report implements rpc.Agents.
@@ -20,7 +18,6 @@
 	return &rpc.LoadReport{
 		Server: c.Agent.options.Server, Incarnation: c.Agent.incarnation, Leaving: load.Leaving,
 		InFlight: int64(load.InFlight), Queued: int64(load.Queued), Limit: int64(load.Limit),
-		Offset: c.Offset(), ServiceTimeUs: load.ServiceTime.Microseconds(),
-		Ledgers: []*rpc.Ledger{rpc.LedgerFrom(c.Agent.options.Server, c.Agent.Ledger())},
+		ServiceTimeUs: load.ServiceTime.Microseconds(),
 	}, nil
 }
--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -36,7 +36,10 @@
 // same offset has the same State, byte for byte. Not safe for concurrent use;
 // View gives an immutable copy.
 type State struct {
-	Offset  int64                   `json:"offset"`
+	Offset int64 `json:"offset"`
+	// Configured is the offset of the last accepted change.
+	Configured int64 `json:"configured"`
+
 	Objects map[string]*Object      `json:"objects"`
 	Leases  map[string]Lease        `json:"leases"`
 	Agents  map[string]AgentRun     `json:"agents"`
@@ -68,6 +71,7 @@
 func NewState() *State {
 	return &State{
 		Offset:       NoOffset,
+		Configured:   NoOffset,
 		Objects:      map[string]*Object{},
 		Leases:       map[string]Lease{},
 		Agents:       map[string]AgentRun{},
@@ -142,6 +146,7 @@
 	if reason == nil {
 		s.noteHomes(bundle, entry)
 		s.commit(bundle, entry.Offset)
+		s.Configured = entry.Offset
 	}
 	result := Result{Offset: entry.Offset, Accepted: reason == nil}
 	if reason != nil {
--- a/internal/config/view.go
+++ b/internal/config/view.go
@@ -10,7 +10,11 @@
 // objects with the State it came from; nobody may change them.
 type View struct {
 	// Offset up to which the log was folded.
-	Offset  int64
+	Offset int64
+	// Configured is the offset of the last accepted change: two views with the same
+	// have the same objects.
+	Configured int64
+
 	objects map[string]*Object
 	leases  map[string]Lease
 	agents  map[string]AgentRun
@@ -22,7 +26,7 @@
 func (s *State) View() *View {
 	s.shared = true
 	return &View{
-		Offset:  s.Offset,
+		Offset: s.Offset, Configured: s.Configured,
 		objects: s.Objects,
 		leases:  maps.Clone(s.Leases),
 		agents:  s.Agents,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -146,7 +146,7 @@
 // Ledger returns how the requests accepted here ended.
 func (e *Entry) Ledger() outcome.Counts { return e.ledger.Counts() }
 
-// WatchConfiguration recompiles the routes after each change until the context
+// WatchConfiguration brings each change into force until the context
 // ends.
 func (e *Entry) WatchConfiguration(ctx context.Context) {
 	for {
@@ -160,8 +160,13 @@
 	}
 }
 
+// rebuild compiles the routes if the configuration has changed since. Leases and
+// other records, which come far more often, don't touch them.
 func (e *Entry) rebuild() {
 	view := e.replica.View()
+	if index := e.index.Load(); index != nil && index.Configured() == view.Configured {
+		return
+	}
 	index, err := selector.NewIndex(view)
 	if err != nil {
 		// The fold validates selectors and references, so this is a fault of ours;
--- a/internal/entry/groups.go
+++ b/internal/entry/groups.go
@@ -68,7 +68,8 @@
 	defer ticker.Stop()
 	var l *layout
 	for {
-		if view := g.replica.View(); l == nil || l.view != view {
+		view := g.replica.View()
+		if l == nil || l.configured != view.Configured {
 			l = newLayout(view)
 		}
 		for _, object := range l.groups {
@@ -77,7 +78,7 @@
 				d = &driver{groups: g, name: object.Name, logger: g.logger.WithField("group", object.Name)}
 				drivers[object.Name] = d
 			}
-			d.start(ctx, l, object.Group)
+			d.start(ctx, view, l, object.Group)
 		}
 		select {
 		case <-ticker.C:
@@ -89,8 +90,8 @@
 
 // layout is what one configuration says of groups, compiled once for it.
 type layout struct {
-	view   *config.View
-	groups []*config.Object
+	configured int64
+	groups     []*config.Object
 	// ranks holds the control addresses of each group's agents, by rank.
 	ranks map[string]map[int]string
 	// renewEvery is the time between renewals of a lease.
@@ -98,7 +99,7 @@
 }
 
 func newLayout(view *config.View) *layout {
-	l := &layout{view: view, groups: view.List(config.KindGroup), ranks: map[string]map[int]string{}}
+	l := &layout{configured: view.Configured, groups: view.List(config.KindGroup), ranks: map[string]map[int]string{}}
 	l.renewEvery = max(minRenewal, time.Duration(len(l.groups))*renewalPerGroup)
 	if len(l.groups) == 0 {
 		return l
@@ -150,7 +151,7 @@
 }
 
 // start runs one turn in the background, unless the last is still running.
-func (d *driver) start(ctx context.Context, l *layout, spec *config.Group) {
+func (d *driver) start(ctx context.Context, view *config.View, l *layout, spec *config.Group) {
 	if d.busy == nil {
 		d.busy = make(chan struct{}, 1)
 	}
@@ -161,13 +162,13 @@
 	}
 	go func() {
 		defer func() { <-d.busy }()
-		d.turn(ctx, l, spec)
+		d.turn(ctx, view, l, spec)
 	}()
 }
 
-func (d *driver) turn(ctx context.Context, l *layout, spec *config.Group) {
+func (d *driver) turn(ctx context.Context, view *config.View, l *layout, spec *config.Group) {
 	d.adapt(spec)
-	lease, held := l.view.Lease(d.name)
+	lease, held := view.Lease(d.name)
 	mine := held && lease.Holder == d.identity
 	if !mine {
 		d.watch(ctx, lease, held, renewalsPerLease*l.renewEvery)
--- /dev/null
+++ b/internal/entry/rebuild_test.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/replica"
+	"github.com/sirupsen/logrus"
+)
+
+func foldRecord(t *testing.T, rep *replica.Replica, record *config.Record) {
+	t.Helper()
+	record.Format = config.FormatVersion
+	data, err := record.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	entry := config.LogEntry{Offset: rep.Offset() + 1, Data: data}
+	if err := rep.Fold(replica.Batch{Entries: []config.LogEntry{entry}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestOnlyChangesRebuildTheRoutes: leases, handovers and events come far more
+// often than changes, and compiling the routes costs tens of milliseconds at the
+// size to come.
+func TestOnlyChangesRebuildTheRoutes(t *testing.T) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	rep := replica.New(time.Now)
+	e := New(Options{Name: "e", Zone: "a", ReportsPerSecond: 1}, rep, time.Now, logrus.NewEntry(logger))
+	before := e.index.Load()
+	foldRecord(t, rep, &config.Record{Kind: config.RecordLease, Lease: &config.LeaseClaim{Group: "g", Holder: "h", Previous: config.NoOffset}})
+	e.rebuild()
+	if e.index.Load() != before {
+		t.Fatal("a lease record rebuilt the routes")
+	}
+	customer := &config.Object{Kind: config.KindCustomer, Name: "c", Customer: &config.Customer{}}
+	foldRecord(t, rep, &config.Record{Kind: config.RecordChange, Bundle: &config.Bundle{
+		CommandID: "1", Changes: []config.Change{{Kind: customer.Kind, Name: customer.Name, Object: customer}},
+	}})
+	e.rebuild()
+	if e.index.Load().Customer("c") == nil {
+		t.Fatal("a change did not rebuild the routes")
+	}
+}
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -192,6 +192,9 @@
 	return servers
 }
 
+// Configured is the offset of the change that the index was compiled for.
+func (x *Index) Configured() int64 { return x.view.Configured }
+
 // Homes returns the offset of the last change of where a service's keys live.
 func (x *Index) Homes(service string) int64 { return x.view.Homes(service).Offset }
 
