Hosted entry: the platform's adapter, a codec-free request pipeline, the whole path

What: platform/ decodes settings, store, headers and engines once; dispatch takes a request without a codec to its end; membership follows the store and, without it, other daemons. Ruled out: fasthttp towards callers on this path (it doesn't tell when a caller leaves). Left: expert maps, admission, tests of the new packages, the second copy of the pipeline (own API).

--- /dev/null
+++ b/cmd/crowbridged/hosted.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/crowbridge/crowbridge/internal/hosted"
+	"github.com/crowbridge/crowbridge/platform"
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+)
+
+// runner is a daemon on the users' platform.
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+// hostedCommand runs a daemon by the platform's settings file.
+func hostedCommand(name, usage string, build func(*platform.Settings, *logrus.Entry) runner) *cli.Command {
+	return &cli.Command{
+		Name:  name,
+		Usage: usage,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "the platform's settings file", Sources: cli.EnvVars(platform.SettingsEnv)},
+			&cli.BoolFlag{Name: "check", Usage: "print the settings in force and exit"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			s, err := platform.LoadSettings(cmd.String("settings"))
+			if err != nil {
+				return err
+			}
+			if cmd.Bool("check") {
+				fmt.Fprintf(os.Stdout, "%+v\n", *s)
+				return nil
+			}
+			return build(s, hosted.NewLogger(s.Daemon, s.Zone)).Run(ctx)
+		},
+	}
+}
+
+func hostedEntryCommand() *cli.Command {
+	return hostedCommand("hosted-entry", "serve callers on the users' platform",
+		func(s *platform.Settings, log *logrus.Entry) runner { return hosted.NewEntry(s, log) })
+}
--- /dev/null
+++ b/internal/dispatch/board.go
@@ -0,0 +1,236 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/fleet"
+)
+
+// Board is what an entry knows of the servers' present load and health. Its
+// lock is a leaf: no other lock is taken under it. Safe for concurrent use.
+type Board struct {
+	mu      sync.Mutex
+	rows    map[string]*row
+	groups  map[string]*groupState
+	budgets map[string]*retryBudget
+	policy  BudgetPolicy
+	zone    string
+	random  func(n int) int
+}
+
+// row is one server.
+type row struct {
+	// inFlight are own requests that have not ended.
+	inFlight int
+	// unread are prompt tokens of own requests without a first event yet.
+	unread int
+	// reported is the newest load known of the server, and when it came; sent are
+	// own requests since.
+	reported   Load
+	reportedAt time.Time
+	sent       int
+	failures   int
+	avoidUntil time.Time
+	slow       float64 // smoothed time of own plain answers, in seconds
+}
+
+// groupState is what is known of a group of ranks.
+type groupState struct {
+	// brokenAt is when a rank last said that the group can't run, with the epoch
+	// that was known then; zero when nothing says so.
+	brokenAt    time.Time
+	brokenEpoch int64
+	// heardOpen is when an agent last said that the group is open.
+	heardOpen time.Time
+	heardAny  time.Time
+	epoch     int64
+}
+
+// NewBoard returns an empty board. random returns a number below n.
+func NewBoard(policy BudgetPolicy, zone string, random func(n int) int) *Board {
+	return &Board{
+		rows: map[string]*row{}, groups: map[string]*groupState{}, budgets: map[string]*retryBudget{},
+		policy: policy, zone: zone, random: random,
+	}
+}
+
+func (b *Board) row(id string) *row {
+	r := b.rows[id]
+	if r == nil {
+		r = &row{}
+		b.rows[id] = r
+	}
+	return r
+}
+
+func (b *Board) group(name string) *groupState {
+	g := b.groups[name]
+	if g == nil {
+		g = &groupState{}
+		b.groups[name] = g
+	}
+	return g
+}
+
+// Keep forgets servers that are no longer registered and that no request is at.
+func (b *Board) Keep(servers *fleet.Servers) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, r := range b.rows {
+		if servers.Server(id) == nil && r.inFlight == 0 {
+			delete(b.rows, id)
+		}
+	}
+}
+
+// ReportLoad takes in a server's load as it was at a moment.
+func (b *Board) ReportLoad(id string, load Load, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.row(id)
+	if at.Before(r.reportedAt) {
+		return
+	}
+	r.reported, r.reportedAt, r.sent = load, at, 0
+}
+
+// ReportGroup takes in what the agent of a rank says of its group.
+func (b *Board) ReportGroup(rank fleet.GroupRank, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g := b.group(rank.Group)
+	if at.Before(g.heardAny) || rank.Epoch < g.epoch {
+		return
+	}
+	g.heardAny, g.epoch = at, rank.Epoch
+	if rank.Open {
+		g.heardOpen = at
+		if rank.Epoch > g.brokenEpoch || at.Sub(g.brokenAt) > reopenDelay {
+			g.brokenAt = time.Time{}
+		}
+		return
+	}
+	if g.brokenAt.IsZero() {
+		g.brokenAt = at
+	}
+	g.brokenEpoch = max(g.brokenEpoch, rank.Epoch)
+}
+
+// reopenDelay is how long a group that refused a request counts as broken when
+// its epoch hasn't changed since: reports lag by some hundred milliseconds.
+const reopenDelay = 400 * time.Millisecond
+
+// markBroken notes that a rank refused a request for its group's sake.
+func (b *Board) markBroken(server *fleet.Server, now time.Time) {
+	if server.Rank == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g := b.group(server.Rank.Group)
+	if g.brokenAt.IsZero() {
+		g.brokenAt = now
+	}
+	g.brokenEpoch = max(g.brokenEpoch, server.Rank.Epoch, g.epoch)
+}
+
+// brokenFor tells how long a group has been broken.
+func (b *Board) brokenFor(server *fleet.Server, now time.Time) (time.Duration, bool) {
+	if server.Rank == nil {
+		return 0, false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g := b.group(server.Rank.Group)
+	rank := server.Rank
+	if rank.Open && rank.Epoch > g.brokenEpoch {
+		g.brokenAt = time.Time{}
+	}
+	if !rank.Open && rank.Epoch >= g.epoch && g.brokenAt.IsZero() {
+		g.brokenAt, g.brokenEpoch = now, rank.Epoch
+	}
+	if g.brokenAt.IsZero() {
+		return 0, false
+	}
+	return now.Sub(g.brokenAt), true
+}
+
+// countRequest enters a request into its service's retry budget.
+func (b *Board) countRequest(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget(service).request(now)
+}
+
+// mayRepeat takes one repeat from a service's retry budget.
+func (b *Board) mayRepeat(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget(service).spend(now)
+}
+
+func (b *Board) budget(service string) *retryBudget {
+	budget := b.budgets[service]
+	if budget == nil {
+		budget = &retryBudget{policy: b.policy}
+		b.budgets[service] = budget
+	}
+	return budget
+}
+
+// sent notes that a request goes to a server.
+func (b *Board) sent(id string, promptTokens int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.row(id)
+	r.inFlight++
+	r.sent++
+	r.unread += promptTokens
+}
+
+// started notes that the server has begun to answer.
+func (b *Board) started(id string, promptTokens int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.row(id)
+	r.unread = max(r.unread-promptTokens, 0)
+}
+
+// ended notes that a request is no longer at a server.
+func (b *Board) ended(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.row(id)
+	r.inFlight = max(r.inFlight-1, 0)
+}
+
+const (
+	// avoidFirst and avoidMost bound how long a server that failed is passed over.
+	avoidFirst = 300 * time.Millisecond
+	avoidMost  = 3 * time.Second
+	// slowWeight is the weight of the newest answer in a server's smoothed time.
+	slowWeight = 0.2
+)
+
+// failed notes that a server didn't answer as it should.
+func (b *Board) failed(id string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.row(id)
+	r.failures++
+	r.avoidUntil = now.Add(min(avoidFirst<<min(r.failures-1, 4), avoidMost))
+}
+
+// succeeded notes that a server answered after a time.
+func (b *Board) succeeded(id string, took time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.row(id)
+	r.failures = 0
+	r.avoidUntil = time.Time{}
+	if r.slow == 0 {
+		r.slow = took.Seconds()
+	}
+	r.slow += slowWeight * (took.Seconds() - r.slow)
+}
--- /dev/null
+++ b/internal/dispatch/pick.go
@@ -0,0 +1,97 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/fleet"
+)
+
+// choice is a picked server with what decided.
+type choice struct {
+	server *fleet.Server
+	// load is the estimated number of requests at the server.
+	load float64
+	// full is set when every candidate's places are taken.
+	full bool
+}
+
+// freshLoad is how long a reported load is trusted; after that only own
+// requests count.
+const freshLoad = time.Second
+
+// pick chooses the server with the least estimated load among those of a
+// service that may get a request. Servers in tried come only if there is no
+// other; those that failed lately come last.
+func (b *Board) pick(now time.Time, servers []*fleet.Server, tried []string) choice {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var best choice
+	bestScore := 0.0
+	ties := 0
+	full := true
+	for _, server := range servers {
+		if server.Leaving || contains(tried, server.ID) {
+			continue
+		}
+		r := b.row(server.ID)
+		load := r.estimate(now)
+		if server.Capacity <= 0 || load < float64(server.Capacity) {
+			full = false
+		}
+		score := b.score(now, server, r, load)
+		switch {
+		case best.server == nil || score < bestScore:
+			best, bestScore, ties = choice{server: server, load: load}, score, 1
+		case score == bestScore:
+			ties++
+			if b.random(ties) == 0 {
+				best = choice{server: server, load: load}
+			}
+		}
+	}
+	best.full = full
+	return best
+}
+
+const (
+	// avoidPenalty puts servers that failed lately behind all others.
+	avoidPenalty = 1000
+	// tokensPerRequest is how many unread prompt tokens weigh as one request.
+	tokensPerRequest = 2000
+	// otherZone is what another zone costs, in requests.
+	otherZone = 0.25
+)
+
+func (b *Board) score(now time.Time, server *fleet.Server, r *row, load float64) float64 {
+	score := load + float64(r.unread)/tokensPerRequest
+	if server.Rank == nil {
+		score = (load + 1) * (1 + r.slow/slowReference)
+	}
+	if server.Zone != b.zone {
+		score += otherZone
+	}
+	if now.Before(r.avoidUntil) {
+		score += avoidPenalty
+	}
+	return score
+}
+
+// slowReference is the answer time, in seconds, that doubles a plain server's score.
+const slowReference = 0.05
+
+// estimate is the number of requests at the server, as far as it can be known.
+func (r *row) estimate(now time.Time) float64 {
+	if now.Sub(r.reportedAt) > freshLoad {
+		return float64(r.inFlight)
+	}
+	return float64(max(r.reported.Running+r.reported.Waiting+r.sent, r.inFlight))
+}
+
+func contains(list []string, value string) bool {
+	for _, v := range list {
+		if v == value {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/dispatch/pipeline.go
@@ -0,0 +1,343 @@
+package dispatch
+
+import (
+	"context"
+	"hash/fnv"
+	"net/http"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/failure"
+	"github.com/crowbridge/crowbridge/internal/fleet"
+	"github.com/sirupsen/logrus"
+)
+
+// Fleet is what the pipeline asks about the world. Both are nil until known.
+type Fleet interface {
+	Config() *fleet.Config
+	Servers() *fleet.Servers
+}
+
+// Pipeline takes requests from their arrival to their end. Safe for concurrent use.
+type Pipeline struct {
+	fleet   Fleet
+	board   *Board
+	backend Backend
+	now     func() time.Time
+	log     *logrus.Entry
+	metrics *meters
+}
+
+// NewPipeline returns a pipeline over a view of the fleet.
+func NewPipeline(f Fleet, board *Board, backend Backend, now func() time.Time, log *logrus.Entry) *Pipeline {
+	return &Pipeline{fleet: f, board: board, backend: backend, now: now, log: log, metrics: newMeters()}
+}
+
+// Result is how a request ended.
+type Result struct {
+	// Failure is nil when the caller got a server's whole answer.
+	Failure *failure.Error
+	// Begun is set when the caller got a part of an answer: with a Failure, the
+	// connection has to be broken so that the part doesn't look whole.
+	Begun bool
+}
+
+// exchange is one request on its way through the pipeline.
+type exchange struct {
+	request *Request
+	config  *fleet.Config
+	route   *fleet.Route
+	service *fleet.Service
+	// limit is when the caller gets its final answer at the latest.
+	limit time.Time
+	// tried are the servers that had their chance; sent counts those that may have
+	// got the request.
+	tried []string
+	sent  int
+	// mayHaveRun is set once a server that got the request hasn't said that it didn't run it.
+	mayHaveRun bool
+	begun      bool
+	// lastEvent is the last event that the caller got, or -1.
+	lastEvent int64
+	status    int
+	server    string
+}
+
+// Serve takes one request to its end. The context ends when the caller leaves.
+func (p *Pipeline) Serve(ctx context.Context, r *Request, caller Caller) Result {
+	x := &exchange{request: r, lastEvent: -1}
+	f := p.accept(x)
+	if f == nil {
+		limited, cancel := context.WithTimeout(ctx, x.limit.Sub(p.now()))
+		f = p.execute(limited, x, caller)
+		cancel()
+		f = p.explain(ctx, x, f)
+	}
+	p.record(x, f)
+	return Result{Failure: f, Begun: x.begun}
+}
+
+// accept authenticates the request and finds its route and limit.
+func (p *Pipeline) accept(x *exchange) *failure.Error {
+	r := x.request
+	x.config = p.fleet.Config()
+	if x.config == nil || p.fleet.Servers() == nil {
+		return failure.NotRun(failure.StepRoute, "", failure.CodeNoServer, "no configuration is known yet").After(unconfiguredRetry)
+	}
+	x.route = x.config.Route(r.Host, r.Path)
+	if x.route == nil {
+		return failure.NotRun(failure.StepRoute, "", failure.CodeNotFound, "no route has this host and path")
+	}
+	if x.config.NeedsKey(x.route) {
+		customer := x.config.Customer(r.APIKey)
+		if customer == nil {
+			return failure.NotRun(failure.StepAuthenticate, "", failure.CodeUnauthorized, "unknown API key")
+		}
+		r.Customer = customer.Name
+	}
+	x.service = x.config.Service(pickTarget(x.route, r.ID))
+	if x.service == nil {
+		return failure.NotRun(failure.StepRoute, x.route.Name, failure.CodeNoServer, "the route's service isn't configured").After(noServerRetry)
+	}
+	x.limit = r.Arrived.Add(x.route.Timeout)
+	if deadline := r.Arrived.Add(r.Patience); r.HasDeadline && deadline.Before(x.limit) {
+		x.limit = deadline
+	}
+	p.board.countRequest(x.service.Name, p.now())
+	return nil
+}
+
+const (
+	// unconfiguredRetry is the hint while a new entry learns its configuration.
+	unconfiguredRetry = 300 * time.Millisecond
+	// noServerRetry is the hint while no server of a service is there.
+	noServerRetry = 500 * time.Millisecond
+)
+
+// pickTarget spreads the requests of a route over its services by weight. The
+// same request ID always goes to the same one.
+func pickTarget(route *fleet.Route, id string) string {
+	if len(route.Targets) == 1 {
+		return route.Targets[0].Service
+	}
+	total := 0
+	for _, target := range route.Targets {
+		total += max(target.Weight, 0)
+	}
+	if total == 0 {
+		return route.Targets[0].Service
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // a hash can't fail
+	at := int(h.Sum32() % uint32(total))
+	for _, target := range route.Targets {
+		if at -= max(target.Weight, 0); at < 0 {
+			return target.Service
+		}
+	}
+	return route.Targets[0].Service
+}
+
+// execute sends the request until it has an end that can't be improved.
+func (p *Pipeline) execute(ctx context.Context, x *exchange, caller Caller) *failure.Error {
+	for {
+		server, f := p.choose(ctx, x)
+		if f != nil {
+			return f
+		}
+		f = p.attempt(ctx, x, server, caller)
+		if f == nil {
+			return nil
+		}
+		x.tried = append(x.tried, server.ID)
+		again := p.mayRepeat(ctx, x, f)
+		p.logAttempt(x, server, f, again)
+		if !again {
+			return f
+		}
+	}
+}
+
+// choose picks a server, or refuses.
+func (p *Pipeline) choose(ctx context.Context, x *exchange) (*fleet.Server, *failure.Error) {
+	now := p.now()
+	servers := p.fleet.Servers().Of(x.service.Name)
+	if f := p.awaitGroup(ctx, x, servers); f != nil {
+		return nil, f
+	}
+	picked := p.board.pick(now, servers, x.tried)
+	if picked.server == nil {
+		return nil, failure.NotRun(failure.StepRoute, x.service.Name, failure.CodeNoServer,
+			"no server of the service can take the request").After(noServerRetry)
+	}
+	return picked.server, nil
+}
+
+// mayRepeat decides whether another server may be asked after a failure.
+func (p *Pipeline) mayRepeat(ctx context.Context, x *exchange, f *failure.Error) bool {
+	if ctx.Err() != nil || x.sent >= x.route.MaxAttempts {
+		return false
+	}
+	if f.Outcome != failure.OutcomeNotRun && !x.route.Idempotent() {
+		return false
+	}
+	if f.Code == failure.CodeCanceled || f.Code == failure.CodeDeadline {
+		return false
+	}
+	if x.begun && x.lastEvent < 0 {
+		return false
+	}
+	return x.sent == 0 || p.board.mayRepeat(x.service.Name, p.now())
+}
+
+// explain turns the final failure into one that is true of the whole request.
+func (p *Pipeline) explain(caller context.Context, x *exchange, f *failure.Error) *failure.Error {
+	if f == nil {
+		return nil
+	}
+	switch {
+	case caller.Err() != nil:
+		f.Code = failure.CodeCanceled
+	case !p.now().Before(x.limit):
+		f.Code = failure.CodeDeadline
+	}
+	if x.mayHaveRun && f.Outcome == failure.OutcomeNotRun {
+		f.Outcome = failure.OutcomeUnknown
+	}
+	if f.RetryAfter > 0 {
+		left := x.limit.Sub(p.now())
+		f.RetryAfter = max(min(f.RetryAfter, left/retryAfterPart), 0)
+	}
+	return f
+}
+
+// retryAfterPart is the part of the time left up to which callers follow a hint
+// to come back.
+const retryAfterPart = 3
+
+// attempt sends the request to one server and passes its answer on.
+func (p *Pipeline) attempt(ctx context.Context, x *exchange, server *fleet.Server, caller Caller) *failure.Error {
+	ctx, cancel := p.attemptContext(ctx, x)
+	defer cancel()
+	began := p.now()
+	x.server = server.ID
+	prompt := x.request.PromptTokens
+	p.board.sent(server.ID, prompt)
+	defer p.board.ended(server.ID)
+	answer, sendErr := p.backend.Send(ctx, x.request, p.newAttempt(x, server))
+	p.board.started(server.ID, prompt)
+	if sendErr != nil {
+		return p.unanswered(ctx, x, server, sendErr)
+	}
+	defer func() { _ = answer.Body.Close() }() // read, or given up
+	x.sent++
+	if answer.Info.HasLoad && server.Rank == nil {
+		p.board.ReportLoad(server.ID, answer.Info.Load, p.now())
+	}
+	if f := p.judge(x, server, answer); f != nil {
+		return f
+	}
+	var f *failure.Error
+	if x.route.Kind == fleet.KindStreaming && answer.Status == http.StatusOK {
+		f = p.relayStream(ctx, x, server, answer, caller)
+	} else {
+		f = p.relayAnswer(ctx, x, server, answer, caller)
+	}
+	if f == nil {
+		p.board.succeeded(server.ID, p.now().Sub(began))
+	}
+	return f
+}
+
+// firstTryPart is the part of its objective after which an idempotent request
+// that has another attempt left is given to another server.
+const firstTryPart = 0.8
+
+// attemptContext bounds an attempt that can be followed by another.
+func (p *Pipeline) attemptContext(ctx context.Context, x *exchange) (context.Context, context.CancelFunc) {
+	another := x.sent+1 < x.route.MaxAttempts
+	if x.route.Kind != fleet.KindIdempotent || !another || x.route.Objective <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(firstTryPart*float64(x.route.Objective)))
+}
+
+func (p *Pipeline) newAttempt(x *exchange, server *fleet.Server) Attempt {
+	a := Attempt{
+		Server: server, Left: x.limit.Sub(p.now()), HasDeadline: true,
+		Resume: x.request.Resumes, ResumeAfter: x.request.LastEventID,
+	}
+	if x.lastEvent >= 0 {
+		a.Resume, a.ResumeAfter = true, x.lastEvent
+	}
+	return a
+}
+
+// unanswered explains an attempt without any answer.
+func (p *Pipeline) unanswered(ctx context.Context, x *exchange, server *fleet.Server, e *SendError) *failure.Error {
+	step, code, outcome := failure.StepSend, failure.CodeServerLost, failure.OutcomeNotRun
+	if e.Sent {
+		x.sent++
+		x.mayHaveRun = true
+		step, outcome = failure.StepRun, failure.OutcomeUnknown
+	}
+	if ctx.Err() == nil || !e.Sent {
+		p.board.failed(server.ID, p.now())
+	}
+	return &failure.Error{
+		Step: step, Peer: server.ID, Code: code, Outcome: outcome, Detail: e.Error(), RetryAfter: noServerRetry,
+	}
+}
+
+// judge returns why an answer can't be passed on, or nil.
+func (p *Pipeline) judge(x *exchange, server *fleet.Server, a *Answer) *failure.Error {
+	if a.Info.NotRun {
+		return p.refused(server, a)
+	}
+	x.mayHaveRun = true
+	garbled := ""
+	switch {
+	case a.Info.RequestID != x.request.ID:
+		garbled = "the answer belongs to another request"
+	case a.Info.Encoded:
+		garbled = "the answer's body isn't the server's"
+	case a.Status < http.StatusMultipleChoices && !a.Info.Signed:
+		garbled = "the answer isn't signed by a server"
+	case promisesNotRun(a.Status):
+		garbled = "the server failed without saying that it didn't run the request"
+	case a.Status >= http.StatusInternalServerError && x.route.Idempotent() && x.sent < x.route.MaxAttempts:
+		garbled = "the server failed"
+	}
+	if garbled == "" {
+		return nil
+	}
+	p.board.failed(server.ID, p.now())
+	f := failure.Unknown(failure.StepRun, server.ID, failure.CodeServerLost, garbled)
+	x.status = a.Status
+	return f
+}
+
+// promisesNotRun tells whether callers read a status as "not run".
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// refused explains an answer that says the request didn't run.
+func (p *Pipeline) refused(server *fleet.Server, a *Answer) *failure.Error {
+	now := p.now()
+	if a.Status == http.StatusMisdirectedRequest {
+		p.board.failed(server.ID, now)
+		return failure.NotRun(failure.StepSend, server.ID, failure.CodeWrongServer, "another server has the address").After(noServerRetry)
+	}
+	if server.Rank != nil && a.Info.FaultyServer != "" {
+		p.board.markBroken(server, now)
+		return failure.NotRun(failure.StepQueue, server.ID, failure.CodeNoServer,
+			"the server's group is broken at "+a.Info.FaultyServer).After(groupRetry)
+	}
+	p.board.failed(server.ID, now)
+	return failure.NotRun(failure.StepQueue, server.ID, failure.CodeOverloaded, "the server refused the request").After(max(a.Info.RetryAfter, noServerRetry))
+}
--- /dev/null
+++ b/internal/dispatch/record.go
@@ -0,0 +1,76 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/crowbridge/crowbridge/internal/failure"
+	"github.com/crowbridge/crowbridge/internal/fleet"
+	"github.com/sirupsen/logrus"
+)
+
+// meters are the pipeline's counters and histograms.
+type meters struct{}
+
+func newMeters() *meters { return &meters{} }
+
+func (*meters) firstByte(x *exchange, now time.Time) {
+	metrics.GetOrCreateHistogram(`crowbridge_first_byte_seconds{route_kind="` + kindName(x.route) + `"}`).
+		Update(now.Sub(x.request.Arrived).Seconds())
+}
+
+func (*meters) end(x *exchange, outcome failure.Outcome, code failure.Code, now time.Time) {
+	metrics.GetOrCreateCounter(`crowbridge_requests_total{outcome="` + string(outcome) + `",code="` + string(code) + `"}`).Inc()
+	if x.route != nil {
+		metrics.GetOrCreateHistogram(`crowbridge_request_seconds{route_kind="` + kindName(x.route) + `"}`).
+			Update(now.Sub(x.request.Arrived).Seconds())
+	}
+}
+
+func kindName(route *fleet.Route) string {
+	switch route.Kind {
+	case fleet.KindIdempotent:
+		return "idempotent"
+	case fleet.KindNonIdempotent:
+		return "non-idempotent"
+	case fleet.KindStreaming:
+		return "streaming"
+	default:
+		return "unknown"
+	}
+}
+
+// record counts a request's end and writes its one line.
+func (p *Pipeline) record(x *exchange, f *failure.Error) {
+	now := p.now()
+	fields := logrus.Fields{
+		"request": x.request.ID, "took_ms": now.Sub(x.request.Arrived).Milliseconds(),
+		"sent": x.sent, "server": x.server,
+	}
+	if x.config != nil {
+		fields["config"] = x.config.Version
+	}
+	if x.route != nil {
+		fields["route"] = x.route.Name
+	}
+	if f == nil {
+		p.metrics.end(x, failure.OutcomeAnswered, "", now)
+		fields["status"] = x.status
+		p.log.WithFields(fields).Info("request answered")
+		return
+	}
+	p.metrics.end(x, f.Outcome, f.Code, now)
+	fields["outcome"], fields["code"], fields["step"], fields["peer"] = f.Outcome, f.Code, f.Step, f.Peer
+	fields["cause"], fields["begun"], fields["last_event"] = f.Detail, x.begun, x.lastEvent
+	fields["retry_after_ms"] = f.RetryAfter.Milliseconds()
+	p.log.WithFields(fields).Warn("request failed")
+}
+
+// logAttempt writes why an attempt failed and whether another follows.
+func (p *Pipeline) logAttempt(x *exchange, server *fleet.Server, f *failure.Error, again bool) {
+	p.log.WithFields(logrus.Fields{
+		"request": x.request.ID, "server": server.ID, "address": server.Address, "step": f.Step, "outcome": f.Outcome,
+		"code": f.Code, "cause": f.Detail, "sent": x.sent, "begun": x.begun, "last_event": x.lastEvent,
+		"left_ms": x.limit.Sub(p.now()).Milliseconds(), "again": again,
+	}).Info("attempt failed")
+}
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -43,21 +43,22 @@
 
 // Causes that callers and scripts can match on.
 const (
-	CodeInvalid       Code = "invalid-request"
-	CodeUnauthorized  Code = "unauthorized"
-	CodeNotFound      Code = "not-found"
-	CodeTooLarge      Code = "too-large"
-	CodeNoServer      Code = "no-server"
-	CodeOverloaded    Code = "overloaded"
-	CodeDeadline      Code = "deadline-exceeded"
-	CodeLeaving       Code = "leaving"
-	CodeServerLost    Code = "server-lost"
-	CodeKeyUnresolved Code = "key-unresolved"
-	CodeKeyConflict   Code = "key-conflict"
-	CodeKeyInProgress Code = "key-in-progress"
-	CodeCanceled      Code = "canceled"
-	CodeWrongServer   Code = "wrong-server"
-	CodeStaleHomes    Code = "stale-configuration"
+	CodeInvalid        Code = "invalid-request"
+	CodeUnauthorized   Code = "unauthorized"
+	CodeNotFound       Code = "not-found"
+	CodeTooLarge       Code = "too-large"
+	CodeHeaderTooLarge Code = "header-too-large"
+	CodeNoServer       Code = "no-server"
+	CodeOverloaded     Code = "overloaded"
+	CodeDeadline       Code = "deadline-exceeded"
+	CodeLeaving        Code = "leaving"
+	CodeServerLost     Code = "server-lost"
+	CodeKeyUnresolved  Code = "key-unresolved"
+	CodeKeyConflict    Code = "key-conflict"
+	CodeKeyInProgress  Code = "key-in-progress"
+	CodeCanceled       Code = "canceled"
+	CodeWrongServer    Code = "wrong-server"
+	CodeStaleHomes     Code = "stale-configuration"
 )
 
 // Error is a failed request's final answer.
@@ -119,6 +120,7 @@
 	statusNotFound        = 404
 	statusConflict        = 409
 	statusTooLarge        = 413
+	statusHeaderTooLarge  = 431
 	statusTooManyRequests = 429
 	statusClientClosed    = 499
 	statusUnavailable     = 503
@@ -126,19 +128,20 @@
 )
 
 var statusOf = map[Code]int{
-	CodeInvalid:       statusBadRequest,
-	CodeUnauthorized:  statusUnauthorized,
-	CodeNotFound:      statusNotFound,
-	CodeTooLarge:      statusTooLarge,
-	CodeNoServer:      statusUnavailable,
-	CodeOverloaded:    statusTooManyRequests,
-	CodeDeadline:      statusGatewayTimeout,
-	CodeLeaving:       statusUnavailable,
-	CodeServerLost:    statusBadGateway,
-	CodeKeyUnresolved: statusBadGateway,
-	CodeKeyConflict:   statusConflict,
-	CodeKeyInProgress: statusConflict,
-	CodeCanceled:      statusClientClosed,
-	CodeWrongServer:   statusUnavailable,
-	CodeStaleHomes:    statusUnavailable,
+	CodeInvalid:        statusBadRequest,
+	CodeUnauthorized:   statusUnauthorized,
+	CodeNotFound:       statusNotFound,
+	CodeTooLarge:       statusTooLarge,
+	CodeHeaderTooLarge: statusHeaderTooLarge,
+	CodeNoServer:       statusUnavailable,
+	CodeOverloaded:     statusTooManyRequests,
+	CodeDeadline:       statusGatewayTimeout,
+	CodeLeaving:        statusUnavailable,
+	CodeServerLost:     statusBadGateway,
+	CodeKeyUnresolved:  statusBadGateway,
+	CodeKeyConflict:    statusConflict,
+	CodeKeyInProgress:  statusConflict,
+	CodeCanceled:       statusClientClosed,
+	CodeWrongServer:    statusUnavailable,
+	CodeStaleHomes:     statusUnavailable,
 }
--- /dev/null
+++ b/internal/fleet/server.go
@@ -0,0 +1,57 @@
+package fleet
+
+import "sort"
+
+// GroupRank is a server's place in a group whose ranks run in lock-step.
+type GroupRank struct {
+	Group string
+	// Epoch rises each time the group forms anew, with the default expert map.
+	Epoch int64
+	Rank  int
+	Size  int
+	// Open is false while the group can't run for want of a rank.
+	Open bool
+}
+
+// Server is one incarnation of a backend server, as it registered itself.
+type Server struct {
+	// ID is new at each start of the server.
+	ID      string
+	Service string
+	// Address is its IP:port. Another service may get it once this server is gone.
+	Address  string
+	Zone     string
+	Capacity int
+	// Leaving servers get no new requests.
+	Leaving bool
+	// Rank is nil for servers that are in no group.
+	Rank *GroupRank
+}
+
+// Servers is one state of the registry.
+type Servers struct {
+	byID      map[string]*Server
+	byService map[string][]*Server
+}
+
+// NewServers indexes a state of the registry.
+func NewServers(list []*Server) *Servers {
+	s := &Servers{byID: make(map[string]*Server, len(list)), byService: map[string][]*Server{}}
+	for _, server := range list {
+		s.byID[server.ID] = server
+		s.byService[server.Service] = append(s.byService[server.Service], server)
+	}
+	for _, servers := range s.byService {
+		sort.Slice(servers, func(i, j int) bool { return servers[i].ID < servers[j].ID })
+	}
+	return s
+}
+
+// Server returns a server by ID, or nil.
+func (s *Servers) Server(id string) *Server { return s.byID[id] }
+
+// Of returns the servers of a service, leaving ones included, ordered by ID.
+func (s *Servers) Of(service string) []*Server { return s.byService[service] }
+
+// All returns the servers by ID.
+func (s *Servers) All() map[string]*Server { return s.byID }
--- /dev/null
+++ b/internal/hosted/entry.go
@@ -0,0 +1,195 @@
+package hosted
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/daemon"
+	"github.com/crowbridge/crowbridge/internal/dispatch"
+	"github.com/crowbridge/crowbridge/internal/fleet"
+	"github.com/crowbridge/crowbridge/internal/frontend"
+	"github.com/crowbridge/crowbridge/internal/membership"
+	"github.com/crowbridge/crowbridge/internal/peerrpc"
+	"github.com/crowbridge/crowbridge/internal/upstream"
+	"github.com/crowbridge/crowbridge/platform"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// leaveDelay is how long a leaving entry goes on taking connections: the
+	// platform's balancer asks once a second and needs two misses.
+	leaveDelay = 2600 * time.Millisecond
+	// stopMargin is kept between the end of the last request and SIGKILL.
+	stopMargin = 500 * time.Millisecond
+	// metricsPort is the offset of the metrics port in the range of own ports.
+	metricsPort = 1
+	// controlTimeout bounds a call to another daemon.
+	controlTimeout = 600 * time.Millisecond
+	// headerTimeout bounds the header of a call from another daemon.
+	headerTimeout = 2 * time.Second
+)
+
+// Entry is the daemon that callers reach.
+type Entry struct {
+	settings *platform.Settings
+	log      *logrus.Entry
+	members  *membership.Membership
+	follower *membership.Follower
+	exchange *membership.Exchange
+	board    *dispatch.Board
+	frontend *frontend.Server
+	leaving  atomic.Bool
+}
+
+// NewEntry wires an entry.
+func NewEntry(s *platform.Settings, log *logrus.Entry) *Entry {
+	members := membership.New(platform.Records{}, time.Now, log)
+	control := &http.Client{Transport: upstream.NewTransport(), Timeout: controlTimeout}
+	e := &Entry{
+		settings: s, log: log, members: members,
+		follower: membership.NewFollower(members, platform.NewStore(s.Store, upstream.NewTransport()), log),
+		exchange: membership.NewExchange(members, s.Control, s.Seeds, control, log),
+		board: dispatch.NewBoard(dispatch.BudgetPolicy{
+			Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow,
+		}, s.Zone, rand.IntN),
+	}
+	backend := upstream.New(platform.Wire{})
+	members.OnServers(e.board.Keep)
+	members.OnServers(backend.Keep)
+	pipeline := dispatch.NewPipeline(members, e.board, backend, time.Now, log)
+	e.frontend = frontend.New(pipeline, platform.Wire{}, e.limits, time.Now)
+	return e
+}
+
+// limits returns the configured limits on callers.
+func (e *Entry) limits() fleet.Limits {
+	if config := e.members.Config(); config != nil {
+		return config.Limits
+	}
+	return fleet.Limits{}
+}
+
+// ready tells whether the platform may send new connections.
+func (e *Entry) ready() bool {
+	return !e.leaving.Load() && e.members.Config() != nil && e.members.Servers() != nil
+}
+
+// Run serves until the context ends, then finishes what is in flight.
+func (e *Entry) Run(ctx context.Context) error {
+	limitMemory(e.settings.MemoryMB)
+	tasks, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	group, tasks := errgroup.WithContext(tasks)
+	callers, err := daemon.Listen("listen.front", e.settings.Callers)
+	if err != nil {
+		return err
+	}
+	if err := e.serveSide(tasks, group); err != nil {
+		return err
+	}
+	group.Go(func() error { return e.frontend.Serve(callers) })
+	for _, task := range []func(context.Context){
+		e.follower.FollowConfig, e.follower.FollowServers, e.askPeers,
+	} {
+		group.Go(func() error {
+			task(tasks)
+			return nil
+		})
+	}
+	e.log.WithFields(logrus.Fields{"callers": e.settings.Callers, "store": e.settings.Store}).Info("entry started")
+	select {
+	case <-ctx.Done():
+		e.leave()
+	case <-tasks.Done():
+	}
+	end()
+	return errors.Wrap(group.Wait(), "entry")
+}
+
+// leave ends the entry within the grace of a planned stop.
+func (e *Entry) leave() {
+	e.log.Info("planned stop: no longer ready")
+	e.leaving.Store(true)
+	e.frontend.Leave()
+	time.Sleep(leaveDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), max(e.settings.Grace-leaveDelay-stopMargin, 0))
+	defer cancel()
+	if err := e.frontend.Shutdown(ctx); err != nil {
+		e.log.WithError(err).Warn("requests cut off at the end of the grace period")
+	}
+	e.log.Info("entry stopped")
+}
+
+// serveSide serves readiness, other daemons and metrics.
+func (e *Entry) serveSide(ctx context.Context, group *errgroup.Group) error {
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !e.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	control := http.NewServeMux()
+	peers := peerrpc.NewMembershipServer(e.exchange)
+	control.Handle(peers.PathPrefix(), peers)
+	for _, s := range []struct {
+		setting, address string
+		handler          http.Handler
+	}{
+		{"listen.ready", e.settings.Readiness, ready},
+		{"listen.admin", e.settings.Control, control},
+		{"port_range", metricsAddress(e.settings), daemon.MetricsHandler(e.ready, e.log.Logger)},
+	} {
+		if s.address == "" {
+			continue
+		}
+		listener, err := daemon.Listen(s.setting, s.address)
+		if err != nil {
+			return err
+		}
+		group.Go(func() error { return daemon.ServeHTTP(ctx, listener, s.handler, 0) })
+	}
+	return nil
+}
+
+func metricsAddress(s *platform.Settings) string {
+	return net.JoinHostPort(s.IP, portText(s.FirstPort+metricsPort))
+}
+
+const (
+	// peersPace is the time between rounds of asking other daemons while the store
+	// can't be reached; peersCalm otherwise, to stay known to them.
+	peersPace = 300 * time.Millisecond
+	peersCalm = 5 * time.Second
+	// peersAtOnce is how many are asked in a round.
+	peersAtOnce = 3
+)
+
+// askPeers asks other daemons for what is newer while the store can't be reached.
+func (e *Entry) askPeers(ctx context.Context) {
+	for ctx.Err() == nil {
+		peers := e.exchange.Peers()
+		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		for _, peer := range peers[:min(len(peers), peersAtOnce)] {
+			if err := e.exchange.Ask(ctx, peer); err != nil {
+				e.log.WithError(err).WithField("peer", peer).Debug("peer not reached")
+			}
+		}
+		pace := peersPace
+		if e.follower.Healthy() {
+			pace = peersCalm
+		}
+		timer := time.NewTimer(pace)
+		select {
+		case <-timer.C:
+		case <-e.follower.Lost():
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
--- /dev/null
+++ b/internal/membership/follow.go
@@ -0,0 +1,199 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// ErrGone says that the store no longer keeps the records that were asked for.
+var ErrGone = errors.New("records no longer kept")
+
+// Topic is one of the two topics that are followed.
+type Topic int
+
+// The topics.
+const (
+	TopicOperators Topic = iota
+	TopicServers
+)
+
+// Store reads the platform's store.
+type Store interface {
+	// Read returns the records of a topic from an offset on and the offset after
+	// them, waiting for the first. It returns ErrGone when they are no longer kept.
+	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) ([]Record, int64, error)
+	// Newest returns the newest record of each key and the offset to read on from.
+	Newest(ctx context.Context, topic Topic) ([]Record, int64, error)
+}
+
+const (
+	// configWait is how long one read waits for a new configuration. Each read is
+	// paid for, so it is long; a broken connection is noticed by keep-alive probes.
+	configWait = 20 * time.Second
+	// serversPace is the time between reads of registrations. It leaves most of the
+	// time within which requests must stop going to a leaving server.
+	serversPace = 900 * time.Millisecond
+	// callTimeout bounds one call beyond its wait. The store answers in some
+	// milliseconds; its slow spells are some fifty times that.
+	callTimeout = 900 * time.Millisecond
+	// retryFirst and retryMost bound the pause after a failed call.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 600 * time.Millisecond
+)
+
+// Follower keeps a Membership up to date from the store.
+type Follower struct {
+	members *Membership
+	store   Store
+	log     *logrus.Entry
+	// healthy is whether the last call to the store succeeded.
+	healthy atomic.Bool
+	// rereads wakes a long read whose connection may be dead.
+	rereads chan struct{}
+	// lost gets a value when the store can no longer be reached.
+	lost chan struct{}
+}
+
+// NewFollower returns a follower.
+func NewFollower(members *Membership, store Store, log *logrus.Entry) *Follower {
+	return &Follower{members: members, store: store, log: log, rereads: make(chan struct{}, 1), lost: make(chan struct{}, 1)}
+}
+
+// Healthy tells whether the store answered last time.
+func (f *Follower) Healthy() bool { return f.healthy.Load() }
+
+// Lost gets a value when the store can no longer be reached.
+func (f *Follower) Lost() <-chan struct{} { return f.lost }
+
+// FollowConfig follows the operators' topic until the context ends.
+func (f *Follower) FollowConfig(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		err := f.readConfig(ctx)
+		if err == nil {
+			failures = 0
+			continue
+		}
+		failures++
+		sleep(ctx, pause(failures))
+	}
+}
+
+func (f *Follower) readConfig(ctx context.Context) error {
+	from, _ := f.members.offsets()
+	if from == unknown {
+		return f.readNewest(ctx, TopicOperators)
+	}
+	ctx, cancel := context.WithTimeout(ctx, configWait+callTimeout)
+	defer cancel()
+	go func() {
+		select {
+		case <-f.rereads:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	records, next, err := f.store.Read(ctx, TopicOperators, from, configWait)
+	if errors.Is(err, ErrGone) {
+		return f.readNewest(ctx, TopicOperators)
+	}
+	if err == nil {
+		f.members.takeOperators(records, next, false, "store")
+	}
+	return err
+}
+
+// FollowServers follows the registrations until the context ends. It also finds
+// out whether the store can be reached.
+func (f *Follower) FollowServers(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		err := f.readServers(ctx)
+		f.note(err)
+		if err == nil {
+			failures = 0
+			sleep(ctx, serversPace)
+			continue
+		}
+		failures++
+		sleep(ctx, pause(failures))
+	}
+}
+
+func (f *Follower) readServers(ctx context.Context) error {
+	_, from := f.members.offsets()
+	if from == unknown {
+		return f.readNewest(ctx, TopicServers)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	records, next, err := f.store.Read(ctx, TopicServers, from, 0)
+	if errors.Is(err, ErrGone) {
+		return f.readNewest(ctx, TopicServers)
+	}
+	if err == nil {
+		f.members.takeServers(records, next, false, "store")
+	}
+	return err
+}
+
+func (f *Follower) readNewest(ctx context.Context, topic Topic) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	records, next, err := f.store.Newest(ctx, topic)
+	if err != nil {
+		return err
+	}
+	switch topic {
+	case TopicOperators:
+		f.members.takeOperators(records, next, true, "store")
+	case TopicServers:
+		f.members.takeServers(records, next, true, "store")
+	}
+	return nil
+}
+
+// note logs when the store is lost or regained.
+func (f *Follower) note(err error) {
+	was := f.healthy.Swap(err == nil)
+	switch {
+	case err != nil:
+		f.members.storeFailed()
+		if was {
+			f.log.WithError(err).Warn("store lost")
+			wake(f.lost)
+		}
+	case !was:
+		f.log.Info("store reached")
+		wake(f.rereads)
+	}
+}
+
+// wake puts a value into a channel that has room for one.
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// pause grows with the failures in a row; the random part keeps daemons that
+// failed together apart.
+func pause(failures int) time.Duration {
+	d := min(retryFirst<<min(failures-1, 4), retryMost)
+	return d/2 + rand.N(d/2+1)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/membership/topic.go
@@ -0,0 +1,65 @@
+// Package membership keeps a daemon's copy of the operators' configuration and
+// of the backend servers' registrations. It follows the platform's store, and
+// asks other daemons when the store can't be reached.
+package membership
+
+// Record is the newest record of a key. An empty value says that the key was
+// deleted.
+type Record struct {
+	Key    string
+	Value  []byte
+	Offset int64
+}
+
+// unknown is the offset of a topic of which nothing is known.
+const unknown = -1
+
+// topic is the newest record of each key of one topic. Invariant: next never
+// falls, and a key's record never gives way to an older one. Deleted keys stay,
+// so that they can be told on.
+type topic struct {
+	next    int64
+	records map[string]Record
+}
+
+func newTopic() *topic { return &topic{next: unknown, records: map[string]Record{}} }
+
+// take takes in records up to the offset next. It returns the keys that changed.
+func (t *topic) take(records []Record, next int64) []string {
+	var changed []string
+	for _, r := range records {
+		if old, known := t.records[r.Key]; known && old.Offset >= r.Offset {
+			continue
+		}
+		t.records[r.Key] = r
+		changed = append(changed, r.Key)
+	}
+	t.next = max(t.next, next)
+	return changed
+}
+
+// replace takes in the newest record of every key: keys that are missing were
+// deleted before the offset next.
+func (t *topic) replace(records []Record, next int64) []string {
+	present := make(map[string]bool, len(records))
+	for _, r := range records {
+		present[r.Key] = true
+	}
+	for key, r := range t.records {
+		if !present[key] && len(r.Value) > 0 && r.Offset < next {
+			records = append(records, Record{Key: key, Offset: next - 1})
+		}
+	}
+	return t.take(records, next)
+}
+
+// since returns the records from an offset on.
+func (t *topic) since(offset int64) []Record {
+	var found []Record
+	for _, r := range t.records {
+		if r.Offset >= offset {
+			found = append(found, r)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,135 @@
+// Package upstream carries requests to backend servers over HTTP.
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/dispatch"
+	"github.com/crowbridge/crowbridge/internal/fleet"
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout covers a lost opening packet's absence, not its repetition: another
+	// server is the better choice then.
+	dialTimeout = 400 * time.Millisecond
+	// idleTimeout is below the shortest keep-alive time that servers announce, so
+	// that a request doesn't cross the server's close.
+	idleTimeout = 900 * time.Millisecond
+	// unackedTimeout ends connections to a peer that doesn't acknowledge bytes.
+	unackedTimeout = 2500 * time.Millisecond
+	// idlePerServer bounds the connections kept open to one server.
+	idlePerServer = 16
+	// maxAnswerHeader bounds a server's header, in bytes.
+	maxAnswerHeader = 64 << 10
+)
+
+// Dialect names the headers on the way to and from servers.
+type Dialect interface {
+	ServerHeader(r *dispatch.Request, a dispatch.Attempt) http.Header
+	ReadAnswer(status int, h http.Header) dispatch.AnswerInfo
+}
+
+// Backend sends attempts to servers. It keeps connections by server, so that
+// none is used for another server at the same address. Safe for concurrent use.
+type Backend struct {
+	dialect Dialect
+
+	mu    sync.Mutex // a leaf
+	pools map[string]*http.Transport
+}
+
+// New returns a backend that speaks a dialect.
+func New(dialect Dialect) *Backend {
+	return &Backend{dialect: dialect, pools: map[string]*http.Transport{}}
+}
+
+// NewTransport returns a transport for calls whose peers may fall silent: it
+// ends connections on which bytes stay unacknowledged or keep-alive probes fail.
+func NewTransport() *http.Transport {
+	dialer := &net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var set error
+			if err := raw.Control(func(fd uintptr) {
+				set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+			}); err != nil {
+				return err
+			}
+			return set
+		},
+	}
+	return &http.Transport{
+		DialContext:            dialer.DialContext,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    idlePerServer,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxAnswerHeader,
+	}
+}
+
+// Keep drops the connections to servers that are no longer registered.
+func (b *Backend) Keep(servers *fleet.Servers) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, pool := range b.pools {
+		if servers.Server(id) == nil {
+			pool.CloseIdleConnections()
+			delete(b.pools, id)
+		}
+	}
+}
+
+func (b *Backend) pool(id string) *http.Transport {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	pool := b.pools[id]
+	if pool == nil {
+		pool = NewTransport()
+		b.pools[id] = pool
+	}
+	return pool
+}
+
+// unrepeatableBody keeps the HTTP library from sending a request again by
+// itself when a kept connection turns out to be dead.
+type unrepeatableBody struct{ io.Reader }
+
+func (unrepeatableBody) Close() error { return nil }
+
+// Send implements dispatch.Backend.
+func (b *Backend) Send(ctx context.Context, r *dispatch.Request, a dispatch.Attempt) (*dispatch.Answer, *dispatch.SendError) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	request := (&http.Request{
+		Method: r.Method,
+		URL:    &url.URL{Scheme: "http", Host: a.Server.Address, Opaque: r.URI},
+		Host:   r.Host,
+		Header: b.dialect.ServerHeader(r, a),
+		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		ContentLength: int64(len(r.Body)),
+		Body:          unrepeatableBody{bytes.NewReader(r.Body)},
+	}).WithContext(httptrace.WithClientTrace(ctx, trace))
+	response, err := b.pool(a.Server.ID).RoundTrip(request)
+	if err != nil {
+		return nil, &dispatch.SendError{Sent: connected.Load(), Err: errors.Wrap(err, a.Server.Address)}
+	}
+	return &dispatch.Answer{
+		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Body: response.Body,
+		Info: b.dialect.ReadAnswer(response.StatusCode, response.Header),
+	}, nil
+}
