Agents beside the engines switch expert maps under a lease on the store

Cause: with map 0 the most loaded rank had 3.39 times the mean and every stream waited for it. What: the agents read counts and give orders on the engine's own VM; one of them holds the lease (conditional append, its offset the fencing number) and plans; prepare, hold, arm, release.

--- a/cmd/crowbridged/hosted.go
+++ b/cmd/crowbridged/hosted.go
@@ -43,3 +43,8 @@
 	return hostedCommand("hosted-entry", "serve callers on the users' platform",
 		func(s *platform.Settings, log *logrus.Entry) runner { return hosted.NewEntry(s, log) })
 }
+
+func hostedAgentCommand() *cli.Command {
+	return hostedCommand("hosted-agent", "stand beside a model engine on the users' platform",
+		func(s *platform.Settings, log *logrus.Entry) runner { return hosted.NewAgent(s, log) })
+}
--- a/cmd/crowbridged/main.go
+++ b/cmd/crowbridged/main.go
@@ -19,7 +19,7 @@
 		Name:                  "crowbridged",
 		Usage:                 "load balancer daemon for expert-parallel model groups",
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{entryCommand(), agentCommand(), hostedEntryCommand()},
+		Commands:              []*cli.Command{entryCommand(), agentCommand(), hostedEntryCommand(), hostedAgentCommand()},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "crowbridged:", err)
--- /dev/null
+++ b/internal/experts/agent.go
@@ -0,0 +1,114 @@
+package experts
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// Engine is the model engine on the agent's VM.
+type Engine interface {
+	Report(ctx context.Context, address string) (RankReport, error)
+	Picked(ctx context.Context, address string) (Counts, error)
+	Experts(ctx context.Context, address string) ([][]int, error)
+	Order(ctx context.Context, address string, order Order) (Verdict, error)
+}
+
+// Agent stands beside one engine: it tells the holder of the group's lease what
+// the engine says, and gives the engine the holder's orders. Invariant: it gives
+// no order with a lower fence than it has heard of. Safe for concurrent use.
+type Agent struct {
+	engine  Engine
+	address string
+	now     func() time.Time
+	log     *logrus.Entry
+
+	mu sync.Mutex // a leaf
+	// fence is the highest heard of, heardAt when its holder called last.
+	fence   int64
+	heardAt time.Time
+	last    RankReport
+	// orders keeps orders one after the other, so that none with an old fence is on
+	// its way once a higher one has been heard of.
+	orders sync.Mutex
+}
+
+// NewAgent returns the agent of the engine at an address.
+func NewAgent(engine Engine, address string, now func() time.Time, log *logrus.Entry) *Agent {
+	return &Agent{engine: engine, address: address, now: now, log: log, heardAt: now()}
+}
+
+// hear notes a call of a holder. It tells whether its fence is the highest.
+func (a *Agent) hear(fence int64) (highest int64, current bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if fence < a.fence {
+		return a.fence, false
+	}
+	if fence > a.fence {
+		a.log.WithFields(logrus.Fields{"fence": fence, "before": a.fence}).Info("new holder heard of")
+	}
+	a.fence, a.heardAt = fence, a.now()
+	return fence, true
+}
+
+// Fence returns the highest fence heard of, and how long ago its holder called.
+func (a *Agent) Fence() (int64, time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.fence, a.now().Sub(a.heardAt)
+}
+
+// Observe answers a holder.
+func (a *Agent) Observe(ctx context.Context, fence int64, lists bool) (Observation, error) {
+	highest, current := a.hear(fence)
+	if !current {
+		return Observation{Fence: highest}, nil
+	}
+	report, err := a.Report(ctx)
+	if err != nil {
+		return Observation{Fence: highest}, err
+	}
+	counts, err := a.engine.Picked(ctx, a.address)
+	if err != nil {
+		return Observation{Fence: highest}, err
+	}
+	seen := Observation{Report: report, Counts: counts, Fence: highest}
+	seen.Report.Pass = max(report.Pass, counts.Pass)
+	if lists {
+		seen.Experts, err = a.engine.Experts(ctx, a.address)
+	}
+	return seen, err
+}
+
+// Report reads the engine's state.
+func (a *Agent) Report(ctx context.Context) (RankReport, error) {
+	report, err := a.engine.Report(ctx, a.address)
+	if err != nil {
+		return RankReport{}, err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.last = report
+	return report, nil
+}
+
+// Last returns the engine's last report.
+func (a *Agent) Last() RankReport {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.last
+}
+
+// Command gives the engine an order of a holder.
+func (a *Agent) Command(ctx context.Context, order Order) (Verdict, error) {
+	a.orders.Lock()
+	defer a.orders.Unlock()
+	if highest, current := a.hear(order.Fence); !current {
+		return Fenced, errors.Errorf("the order's fence is %d, the highest known %d", order.Fence, highest)
+	}
+	return a.engine.Order(ctx, a.address, order)
+}
--- /dev/null
+++ b/internal/experts/switch.go
@@ -0,0 +1,364 @@
+package experts
+
+import "time"
+
+// Stage is how far a switch to a new map has come.
+type Stage int
+
+// The stages, in order.
+const (
+	// StageIdle has no switch under way.
+	StageIdle Stage = iota
+	// StagePrepare waits until every rank has copied the experts of the new map.
+	StagePrepare
+	// StageHold waits until one rank keeps the pass of the switch from beginning.
+	StageHold
+	// StageArm waits until every rank has confirmed that it switches at that pass.
+	StageArm
+	// StageRelease waits until the pass may begin.
+	StageRelease
+	// StageSettle waits until every rank reports the new map.
+	StageSettle
+)
+
+// String names the stage for logs.
+func (s Stage) String() string {
+	return [...]string{"idle", "prepare", "hold", "arm", "release", "settle"}[s]
+}
+
+const (
+	// passMargin is how many passes ahead of the newest reported one the first hold
+	// is tried. Reports lag by a few passes; a refused hold is tried one pass later.
+	passMargin = 2
+	// holdTries bounds the passes that are tried before a switch is given up. Nothing
+	// is armed by then, so giving up is harmless.
+	holdTries = 40
+	// reportLag is how old an engine's report of itself may be.
+	reportLag = 400 * time.Millisecond
+	// staleHold is how long after a release a reported hold of the same pass counts
+	// as a second one, by an order that was carried out late.
+	staleHold = time.Second
+)
+
+// RankOrder is an order to one rank.
+type RankOrder struct {
+	Rank  int
+	Order Order
+}
+
+// Switch is the protocol by which one holder of a group's lease changes the
+// map. It is a pure state machine: reports and verdicts go in, orders come out.
+//
+// Invariant: between the first Arm of a pass and the confirmed Arm of the last
+// rank, one rank holds that pass. So the pass begins with all ranks armed, or
+// with none. Once an Arm has been sent, the pass is never given up: an order
+// without an answer may be carried out later, so Arm is repeated until every
+// rank has confirmed it, or the group forms anew.
+type Switch struct {
+	fence   int64
+	ownRank int
+	size    int
+	// trustFrom is when reports are recent enough to show what an earlier holder did.
+	trustFrom time.Time
+
+	epoch     int64
+	stage     Stage
+	version   int64
+	pass      int64
+	holdRank  int
+	holdsLeft int
+	lists     [][][]int
+	confirmed []bool
+	reports   []RankReport
+	reported  []time.Time
+	// lastVersion is the highest version seen in this epoch.
+	lastVersion int64
+	releasedAt  time.Time
+	fenced      bool
+}
+
+// NewSwitch returns the protocol's state of a new holder whose own rank is
+// ownRank, in a group of a size.
+func NewSwitch(now time.Time, fence int64, ownRank, size int) *Switch {
+	return &Switch{
+		fence: fence, ownRank: ownRank, size: size, trustFrom: now.Add(reportLag),
+		confirmed: make([]bool, size), reports: make([]RankReport, size), reported: make([]time.Time, size),
+	}
+}
+
+// Stage returns how far the present switch has come.
+func (s *Switch) Stage() Stage { return s.stage }
+
+// Fenced tells whether an engine has seen a higher fence: this holder must stop.
+func (s *Switch) Fenced() bool { return s.fenced }
+
+// Version returns the version of the present switch, or of the last one.
+func (s *Switch) Version() int64 { return s.version }
+
+// Epoch returns the group's epoch.
+func (s *Switch) Epoch() int64 { return s.epoch }
+
+// Report takes in a rank's state.
+func (s *Switch) Report(now time.Time, rank int, r RankReport) {
+	if rank < 0 || rank >= s.size || r.Epoch < s.epoch {
+		return
+	}
+	if r.Epoch > s.epoch {
+		s.startEpoch(r.Epoch)
+	}
+	s.reports[rank], s.reported[rank] = r, now
+	s.lastVersion = max(s.lastVersion, r.Map, r.Prepared, r.Armed)
+	s.advance(now)
+}
+
+// startEpoch forgets everything: a group that forms anew has the default map
+// and nothing prepared, armed or held.
+func (s *Switch) startEpoch(epoch int64) {
+	s.epoch, s.stage = epoch, StageIdle
+	s.version, s.pass, s.lastVersion = 0, 0, 0
+	s.lists = nil
+	s.releasedAt = time.Time{}
+	for rank := range s.size {
+		s.confirmed[rank], s.reports[rank], s.reported[rank] = false, RankReport{}, time.Time{}
+	}
+}
+
+// complete tells whether every rank has reported recently enough to be trusted.
+func (s *Switch) complete() bool {
+	for rank := range s.size {
+		if s.reported[rank].IsZero() || s.reported[rank].Before(s.trustFrom) {
+			return false
+		}
+	}
+	return true
+}
+
+// Ready tells whether a new switch may begin: the group is open, and all ranks
+// use one map with nothing armed or held.
+func (s *Switch) Ready() bool {
+	if s.stage != StageIdle || s.fenced || !s.complete() {
+		return false
+	}
+	for _, r := range s.reports {
+		if !r.Open || r.Armed != 0 || r.Held != 0 || r.Map != s.reports[0].Map {
+			return false
+		}
+	}
+	return true
+}
+
+// Begin starts the switch to a map, given as the experts by set and rank.
+func (s *Switch) Begin(lists [][][]int) {
+	s.lists = lists
+	s.version = s.lastVersion + 1
+	s.lastVersion = s.version
+	s.enter(StagePrepare)
+}
+
+func (s *Switch) enter(stage Stage) {
+	s.stage = stage
+	for rank := range s.confirmed {
+		s.confirmed[rank] = false
+	}
+}
+
+// advance moves on when the reports allow it.
+func (s *Switch) advance(now time.Time) {
+	switch s.stage {
+	case StageIdle:
+		s.resolveHold(now)
+	case StagePrepare:
+		if s.all(func(r RankReport) bool { return r.Prepared == s.version }) {
+			s.pass = s.newestPass() + passMargin
+			s.holdRank, s.holdsLeft = s.ownRank, holdTries
+			s.enter(StageHold)
+		}
+	case StageRelease:
+		if s.newestPass() >= s.pass {
+			s.released(now)
+		}
+	case StageSettle:
+		if s.all(func(r RankReport) bool { return r.Map == s.version }) {
+			s.enter(StageIdle)
+		}
+	case StageHold, StageArm:
+	}
+}
+
+// resolveHold finds a hold that nobody is going to release: of a holder that
+// died, or of an order that was carried out late.
+func (s *Switch) resolveHold(now time.Time) {
+	if !s.complete() {
+		return
+	}
+	for rank, r := range s.reports {
+		if r.Held == 0 || s.releasedLately(now, r.Held) {
+			continue
+		}
+		s.holdRank, s.pass = rank, r.Held
+		s.finish()
+		return
+	}
+}
+
+func (s *Switch) releasedLately(now time.Time, pass int64) bool {
+	return pass == s.pass && now.Sub(s.releasedAt) < staleHold
+}
+
+// finish completes a switch that an earlier holder began. A hold is placed only
+// when every rank has prepared the map, and Arm may have been sent to any of
+// them since, so all are armed before the release: undoing could meet an Arm
+// that is carried out late.
+func (s *Switch) finish() {
+	prepared := s.reports[0].Prepared
+	if prepared > s.reports[0].Map && s.all(func(r RankReport) bool { return r.Prepared == prepared }) {
+		s.version = prepared
+		s.enter(StageArm)
+		return
+	}
+	s.version = s.reports[0].Map
+	s.enter(StageRelease)
+}
+
+func (s *Switch) all(ok func(RankReport) bool) bool {
+	for rank, r := range s.reports {
+		if s.reported[rank].IsZero() || !ok(r) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Switch) newestPass() int64 {
+	newest := int64(0)
+	for _, r := range s.reports {
+		newest = max(newest, r.Pass)
+	}
+	return newest
+}
+
+// Orders returns the orders that have no confirmation yet.
+func (s *Switch) Orders() []RankOrder {
+	if s.fenced {
+		return nil
+	}
+	order := Order{Epoch: s.epoch, Fence: s.fence, Version: s.version, Pass: s.pass}
+	switch s.stage {
+	case StagePrepare:
+		order.Operation, order.Map = Prepare, s.lists
+		return s.toUnconfirmed(order)
+	case StageArm:
+		order.Operation = Arm
+		return s.toUnconfirmed(order)
+	case StageHold:
+		order.Operation = Hold
+		return []RankOrder{{Rank: s.holdRank, Order: order}}
+	case StageRelease:
+		order.Operation = Release
+		return []RankOrder{{Rank: s.holdRank, Order: order}}
+	case StageIdle, StageSettle:
+	}
+	return nil
+}
+
+func (s *Switch) toUnconfirmed(order Order) []RankOrder {
+	var orders []RankOrder
+	for rank, confirmed := range s.confirmed {
+		if !confirmed {
+			orders = append(orders, RankOrder{Rank: rank, Order: order})
+		}
+	}
+	return orders
+}
+
+// Verdict takes in what a rank's engine said to an order.
+func (s *Switch) Verdict(now time.Time, rank int, order Order, verdict Verdict) {
+	if verdict == Fenced {
+		s.fenced = true
+		return
+	}
+	if verdict == Unanswered || !s.current(order) {
+		return
+	}
+	switch order.Operation {
+	case Prepare:
+		s.prepared(rank, verdict)
+	case Hold:
+		s.held(verdict)
+	case Arm:
+		s.armed(rank, verdict)
+	case Release:
+		s.released(now)
+	case Disarm:
+	}
+}
+
+// current tells whether an order belongs to the present stage.
+func (s *Switch) current(order Order) bool {
+	if order.Epoch != s.epoch || order.Version != s.version {
+		return false
+	}
+	switch order.Operation {
+	case Prepare:
+		return s.stage == StagePrepare
+	case Hold:
+		return s.stage == StageHold && order.Pass == s.pass
+	case Arm:
+		return s.stage == StageArm && order.Pass == s.pass
+	case Release:
+		return s.stage == StageRelease && order.Pass == s.pass
+	case Disarm:
+	}
+	return false
+}
+
+// prepared notes that a rank copies the experts. A rank that refuses can't be
+// brought to this map; nothing is armed, so the switch is given up.
+func (s *Switch) prepared(rank int, verdict Verdict) {
+	if verdict == Accepted || s.reports[rank].Prepared == s.version {
+		s.confirmed[rank] = true
+		return
+	}
+	s.enter(StageIdle)
+}
+
+// held notes the answer to a hold. A pass that has begun can't be held.
+func (s *Switch) held(verdict Verdict) {
+	if verdict == Accepted {
+		s.enter(StageArm)
+		return
+	}
+	s.holdsLeft--
+	if s.holdsLeft == 0 {
+		s.enter(StageIdle)
+		return
+	}
+	s.pass = max(s.pass+1, s.newestPass()+1)
+}
+
+// armed notes that a rank switches at the pass. A refusal is tried again: the
+// pass is held, and other ranks may be armed.
+func (s *Switch) armed(rank int, verdict Verdict) {
+	if verdict != Accepted {
+		return
+	}
+	s.confirmed[rank] = true
+	for _, confirmed := range s.confirmed {
+		if !confirmed {
+			return
+		}
+	}
+	s.enter(StageRelease)
+}
+
+func (s *Switch) released(now time.Time) {
+	s.releasedAt = now
+	s.enter(StageSettle)
+}
+
+// Abandon gives up a switch of which nothing is armed or held.
+func (s *Switch) Abandon() {
+	if s.stage == StagePrepare {
+		s.enter(StageIdle)
+	}
+}
--- /dev/null
+++ b/internal/hosted/agent.go
@@ -0,0 +1,179 @@
+package hosted
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/daemon"
+	"github.com/crowbridge/crowbridge/internal/experts"
+	"github.com/crowbridge/crowbridge/internal/fleet"
+	"github.com/crowbridge/crowbridge/internal/membership"
+	"github.com/crowbridge/crowbridge/internal/peerrpc"
+	"github.com/crowbridge/crowbridge/internal/upstream"
+	"github.com/crowbridge/crowbridge/platform"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// reportPace is the time between an agent's own looks at its engine.
+	reportPace = 250 * time.Millisecond
+	// membersPace is the time between questions to an entry for what is newer. It
+	// costs no call to the store.
+	membersPace = time.Second
+	// engineTimeout bounds a look at the engine on the same VM.
+	engineTimeout = 200 * time.Millisecond
+	// claimTimeout bounds a claim of the lease.
+	claimTimeout = 1500 * time.Millisecond
+	// claimPause is kept after a claim that failed.
+	claimPause = 500 * time.Millisecond
+)
+
+// Agent is the daemon beside a model engine.
+type Agent struct {
+	settings *platform.Settings
+	log      *logrus.Entry
+	members  *membership.Membership
+	exchange *membership.Exchange
+	client   *http.Client
+	store    *platform.Store
+	engines  *platform.Engines
+	agent    *experts.Agent
+}
+
+// NewAgent wires an agent.
+func NewAgent(s *platform.Settings, log *logrus.Entry) *Agent {
+	members := membership.New(platform.Records{}, time.Now, log)
+	client := &http.Client{Transport: upstream.NewTransport(), Timeout: controlTimeout}
+	engines := platform.NewEngines(upstream.NewTransport())
+	return &Agent{
+		settings: s, log: log, members: members, client: client, engines: engines,
+		exchange: membership.NewExchange(members, "", s.Seeds, client, log),
+		store:    platform.NewStore(s.Store, upstream.NewTransport()),
+		agent:    experts.NewAgent(engines, s.LocalServer, time.Now, log),
+	}
+}
+
+// Run serves holders, and is one when it has the lease, until the context ends.
+func (a *Agent) Run(ctx context.Context) error {
+	limitMemory(a.settings.MemoryMB)
+	group, tasks := errgroup.WithContext(ctx)
+	mux := http.NewServeMux()
+	ranks := peerrpc.NewRanksServer(&rankService{agent: a.agent})
+	mux.Handle(ranks.PathPrefix(), ranks)
+	for _, s := range []struct {
+		offset  int
+		handler http.Handler
+	}{
+		{rankPort, mux},
+		{metricsPort, daemon.MetricsHandler(func() bool { return true }, a.log.Logger)},
+	} {
+		listener, err := daemon.Listen("port_range", ownAddress(a.settings, s.offset))
+		if err != nil {
+			return err
+		}
+		group.Go(func() error { return daemon.ServeHTTP(tasks, listener, s.handler, 0) })
+	}
+	group.Go(func() error {
+		a.followMembers(tasks)
+		return nil
+	})
+	group.Go(func() error {
+		a.hold(tasks)
+		return nil
+	})
+	a.log.WithField("engine", a.settings.LocalServer).Info("agent started")
+	err := errors.Wrap(group.Wait(), "agent")
+	a.log.Info("agent stopped")
+	return err
+}
+
+// followMembers keeps the fleet's state up to date from the entries.
+func (a *Agent) followMembers(ctx context.Context) {
+	for ctx.Err() == nil {
+		peers := a.exchange.Peers()
+		if len(peers) > 0 {
+			peer := peers[rand.IntN(len(peers))]
+			if err := a.exchange.Ask(ctx, peer); err != nil {
+				a.log.WithError(err).WithField("peer", peer).Debug("peer not reached")
+			}
+		}
+		pause(ctx, membersPace)
+	}
+}
+
+// hold looks at the engine, and claims the group's lease when no holder calls.
+func (a *Agent) hold(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, reportPace)
+		report := a.agent.Last()
+		fence, silent := a.agent.Fence()
+		if silent > reportPace || report.Size == 0 {
+			report = a.report(ctx)
+		}
+		if report.Size == 0 || silent < experts.Silence(report.Rank) {
+			continue
+		}
+		if engine := a.engineModel(); engine != nil {
+			a.claim(ctx, report, engine, fence)
+		}
+	}
+}
+
+func (a *Agent) report(ctx context.Context) experts.RankReport {
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	report, err := a.agent.Report(ctx)
+	if err != nil {
+		a.log.WithError(err).Debug("engine not reached")
+	}
+	return report
+}
+
+// engineModel returns the published figures of the engine beside this agent.
+func (a *Agent) engineModel() *fleet.EngineModel {
+	config, servers := a.members.Config(), a.members.Servers()
+	if config == nil || servers == nil {
+		return nil
+	}
+	for _, server := range servers.All() {
+		if server.Address != a.settings.LocalServer {
+			continue
+		}
+		if service := config.Service(server.Service); service != nil && service.Engine != nil && service.Engine.Sets > 0 {
+			return service.Engine
+		}
+	}
+	return nil
+}
+
+// claim tries to get the lease and steers the group while it has it.
+func (a *Agent) claim(ctx context.Context, report experts.RankReport, engine *fleet.EngineModel, knownFence int64) {
+	claiming, cancel := context.WithTimeout(ctx, claimTimeout)
+	fence, err := experts.Claim(claiming, a.store, report.Group, a.settings.Daemon, knownFence)
+	cancel()
+	log := a.log.WithFields(logrus.Fields{"group": report.Group, "rank": report.Rank, "known_fence": knownFence, "fence": fence})
+	if err != nil || fence == 0 {
+		log.WithField("error", err).Info("lease not claimed")
+		pause(ctx, claimPause)
+		return
+	}
+	log.Info("lease claimed")
+	ranks := &rankClient{
+		self: a.settings.Daemon, group: report.Group, port: portOf(a.settings, rankPort), members: a.members,
+		client: a.client, local: a.agent, ownRank: report.Rank, engine: a.engines,
+	}
+	experts.NewHolder(ranks, engine, report.Size, report.Rank, fence, experts.DefaultPolicy, time.Now, a.log).Run(ctx)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -27,12 +26,8 @@
 	leaveDelay = 2600 * time.Millisecond
 	// stopMargin is kept between the end of the last request and SIGKILL.
 	stopMargin = 500 * time.Millisecond
-	// metricsPort is the offset of the metrics port in the range of own ports.
-	metricsPort = 1
 	// controlTimeout bounds a call to another daemon.
 	controlTimeout = 600 * time.Millisecond
-	// headerTimeout bounds the header of a call from another daemon.
-	headerTimeout = 2 * time.Second
 )
 
 // Entry is the daemon that callers reach.
@@ -143,7 +138,7 @@
 	}{
 		{"listen.ready", e.settings.Readiness, ready},
 		{"listen.admin", e.settings.Control, control},
-		{"port_range", metricsAddress(e.settings), daemon.MetricsHandler(e.ready, e.log.Logger)},
+		{"port_range", ownAddress(e.settings, metricsPort), daemon.MetricsHandler(e.ready, e.log.Logger)},
 	} {
 		if s.address == "" {
 			continue
@@ -157,10 +152,6 @@
 	return nil
 }
 
-func metricsAddress(s *platform.Settings) string {
-	return net.JoinHostPort(s.IP, portText(s.FirstPort+metricsPort))
-}
-
 const (
 	// peersPace is the time between rounds of asking other daemons while the store
 	// can't be reached; peersCalm otherwise, to stay known to them.
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -1,5 +1,21 @@
 package hosted
 
-import "strconv"
+import (
+	"net"
+	"strconv"
 
-func portText(port int) string { return strconv.Itoa(port) }
+	"github.com/crowbridge/crowbridge/platform"
+)
+
+// Offsets in the range of ports for calls between daemons; two processes on one
+// VM share the range.
+const (
+	metricsPort = 1
+	rankPort    = 2
+)
+
+func portOf(s *platform.Settings, offset int) string { return strconv.Itoa(s.FirstPort + offset) }
+
+func ownAddress(s *platform.Settings, offset int) string { return joinPort(s.IP, portOf(s, offset)) }
+
+func joinPort(host, port string) string { return net.JoinHostPort(host, port) }
--- /dev/null
+++ b/internal/hosted/ranks.go
@@ -0,0 +1,208 @@
+package hosted
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+
+	"github.com/crowbridge/crowbridge/internal/experts"
+	"github.com/crowbridge/crowbridge/internal/fleet"
+	"github.com/crowbridge/crowbridge/internal/membership"
+	"github.com/crowbridge/crowbridge/internal/peerrpc"
+	"github.com/pkg/errors"
+)
+
+// rankService answers holders for one agent. It implements peerrpc.Ranks.
+type rankService struct {
+	agent *experts.Agent
+}
+
+// Observe implements peerrpc.Ranks.
+func (s *rankService) Observe(ctx context.Context, r *peerrpc.ObserveRequest) (*peerrpc.ObserveReply, error) {
+	seen, err := s.agent.Observe(ctx, r.GetFence(), r.GetLists())
+	reply := &peerrpc.ObserveReply{Fence: seen.Fence, CountsEpoch: seen.Counts.Epoch, State: encodeState(seen.Report)}
+	if err != nil {
+		reply.Failure = err.Error()
+		return reply, nil
+	}
+	for _, n := range seen.Counts.Chosen {
+		reply.Chosen = append(reply.Chosen, uint64(n))
+	}
+	for _, set := range seen.Experts {
+		reply.Experts = append(reply.Experts, encodeExperts(set))
+	}
+	return reply, nil
+}
+
+// Command implements peerrpc.Ranks.
+func (s *rankService) Command(ctx context.Context, r *peerrpc.CommandRequest) (*peerrpc.CommandReply, error) {
+	verdict, err := s.agent.Command(ctx, decodeOrder(r))
+	reply := &peerrpc.CommandReply{Verdict: int32(verdict)}
+	if err != nil {
+		reply.Detail = err.Error()
+	}
+	return reply, nil
+}
+
+func encodeExperts(list []int) *peerrpc.Experts {
+	encoded := &peerrpc.Experts{Experts: make([]int32, len(list))}
+	for i, expert := range list {
+		encoded.Experts[i] = int32(expert)
+	}
+	return encoded
+}
+
+func decodeExperts(encoded *peerrpc.Experts) []int {
+	list := make([]int, len(encoded.GetExperts()))
+	for i, expert := range encoded.GetExperts() {
+		list[i] = int(expert)
+	}
+	return list
+}
+
+func encodeState(r experts.RankReport) *peerrpc.RankState {
+	return &peerrpc.RankState{
+		Group: r.Group, Epoch: r.Epoch, Rank: int32(r.Rank), Size: int32(r.Size), Open: r.Open, Sequence: r.Sequence,
+		Pass: r.Pass, Map: r.Map, Prepared: r.Prepared, Armed: r.Armed, Held: r.Held,
+	}
+}
+
+func decodeState(s *peerrpc.RankState) experts.RankReport {
+	return experts.RankReport{
+		Group: s.GetGroup(), Epoch: s.GetEpoch(), Rank: int(s.GetRank()), Size: int(s.GetSize()), Open: s.GetOpen(),
+		Sequence: s.GetSequence(), Pass: s.GetPass(), Map: s.GetMap(), Prepared: s.GetPrepared(),
+		Armed: s.GetArmed(), Held: s.GetHeld(),
+	}
+}
+
+func encodeOrder(self string, o experts.Order) *peerrpc.CommandRequest {
+	r := &peerrpc.CommandRequest{
+		Holder: self, Fence: o.Fence, Operation: int32(o.Operation), Epoch: o.Epoch, Version: o.Version, Pass: o.Pass,
+		Sets: int32(len(o.Map)),
+	}
+	for _, set := range o.Map {
+		for _, rank := range set {
+			r.Map = append(r.Map, encodeExperts(rank))
+		}
+	}
+	return r
+}
+
+func decodeOrder(r *peerrpc.CommandRequest) experts.Order {
+	o := experts.Order{
+		Operation: experts.Operation(r.GetOperation()), Epoch: r.GetEpoch(), Version: r.GetVersion(),
+		Pass: r.GetPass(), Fence: r.GetFence(),
+	}
+	sets := int(r.GetSets())
+	if sets == 0 {
+		return o
+	}
+	ranks := len(r.GetMap()) / sets
+	for set := range sets {
+		lists := make([][]int, ranks)
+		for rank := range ranks {
+			lists[rank] = decodeExperts(r.GetMap()[set*ranks+rank])
+		}
+		o.Map = append(o.Map, lists)
+	}
+	return o
+}
+
+// rankClient reaches the agents of a group's ranks. It implements experts.Ranks.
+type rankClient struct {
+	self    string
+	group   string
+	port    string
+	members *membership.Membership
+	client  *http.Client
+	// local is this process's own agent, at rank ownRank.
+	local   *experts.Agent
+	ownRank int
+	engine  experts.Engine
+}
+
+// server returns the registered server of a rank, of the newest epoch.
+func (c *rankClient) server(rank int) (*fleet.Server, error) {
+	servers := c.members.Servers()
+	if servers == nil {
+		return nil, errors.New("no servers known yet")
+	}
+	var found *fleet.Server
+	for _, server := range servers.All() {
+		r := server.Rank
+		if r == nil || r.Group != c.group || r.Rank != rank {
+			continue
+		}
+		if found == nil || r.Epoch > found.Rank.Epoch {
+			found = server
+		}
+	}
+	if found == nil {
+		return nil, errors.Errorf("no server of group %s has rank %d", c.group, rank)
+	}
+	return found, nil
+}
+
+func (c *rankClient) agent(rank int) (peerrpc.Ranks, *fleet.Server, error) {
+	server, err := c.server(rank)
+	if err != nil {
+		return nil, nil, err
+	}
+	address, err := netip.ParseAddrPort(server.Address)
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "server %s", server.ID)
+	}
+	return peerrpc.NewRanksProtobufClient("http://"+joinPort(address.Addr().String(), c.port), c.client), server, nil
+}
+
+// Observe implements experts.Ranks.
+func (c *rankClient) Observe(ctx context.Context, rank int, fence int64, lists bool) (experts.Observation, error) {
+	if rank == c.ownRank {
+		return c.local.Observe(ctx, fence, lists)
+	}
+	agent, server, err := c.agent(rank)
+	if err != nil {
+		return experts.Observation{}, err
+	}
+	reply, err := agent.Observe(ctx, &peerrpc.ObserveRequest{Holder: c.self, Fence: fence, Lists: lists})
+	if err != nil {
+		return experts.Observation{}, errors.Wrapf(err, "agent of server %s", server.ID)
+	}
+	if reply.GetFailure() != "" {
+		return experts.Observation{Fence: reply.GetFence()}, errors.Errorf("agent of server %s: %s", server.ID, reply.GetFailure())
+	}
+	seen := experts.Observation{
+		Report: decodeState(reply.GetState()), Fence: reply.GetFence(),
+		Counts: experts.Counts{Epoch: reply.GetCountsEpoch()},
+	}
+	for _, n := range reply.GetChosen() {
+		seen.Counts.Chosen = append(seen.Counts.Chosen, float64(n))
+	}
+	for _, set := range reply.GetExperts() {
+		seen.Experts = append(seen.Experts, decodeExperts(set))
+	}
+	return seen, nil
+}
+
+// Command implements experts.Ranks. When the rank's agent can't be reached, the
+// order goes straight to the engine.
+func (c *rankClient) Command(ctx context.Context, rank int, order experts.Order) (experts.Verdict, error) {
+	if rank == c.ownRank {
+		return c.local.Command(ctx, order)
+	}
+	agent, server, err := c.agent(rank)
+	if err != nil {
+		return experts.Unanswered, err
+	}
+	reply, err := agent.Command(ctx, encodeOrder(c.self, order))
+	if err != nil {
+		if ctx.Err() == nil {
+			return c.engine.Order(ctx, server.Address, order)
+		}
+		return experts.Unanswered, errors.Wrapf(err, "agent of server %s", server.ID)
+	}
+	if reply.GetDetail() != "" {
+		return experts.Verdict(reply.GetVerdict()), errors.New(reply.GetDetail())
+	}
+	return experts.Verdict(reply.GetVerdict()), nil
+}
--- a/internal/rebalance/layer.go
+++ b/internal/rebalance/layer.go
@@ -9,6 +9,11 @@
 	speeds     []float64
 	hosts      [][]int32 // ranks by expert
 	times      []float64 // by rank
+	// start is what the slots held at first, added how many experts each rank has
+	// that it didn't have then, and maxAdded the bound on that, or 0.
+	start    []int32
+	added    []int
+	maxAdded int
 }
 
 func newLayer(shape Shape) *layer {
@@ -17,6 +22,8 @@
 		slots: make([]int32, shape.Ranks*shape.Slots),
 		hosts: make([][]int32, shape.Experts),
 		times: make([]float64, shape.Ranks),
+		start: make([]int32, shape.Ranks*shape.Slots),
+		added: make([]int, shape.Ranks),
 	}
 }
 
@@ -27,21 +34,67 @@
 		l.hosts[expert] = l.hosts[expert][:0]
 	}
 	for i, expert := range l.slots {
-		l.hosts[expert] = append(l.hosts[expert], int32(i/l.shape.Slots))
+		if expert != Empty {
+			l.hosts[expert] = append(l.hosts[expert], int32(i/l.shape.Slots))
+		}
 	}
 	clear(l.times)
 	for i, expert := range l.slots {
+		if expert == Empty {
+			continue
+		}
 		rank := i / l.shape.Slots
 		l.times[rank] += l.share(int(expert), 0) / speeds[rank]
 	}
 }
 
+// bound limits how many experts may be loaded at each rank from now on.
+func (l *layer) bound(limit int) {
+	copy(l.start, l.slots)
+	clear(l.added)
+	l.maxAdded = limit
+}
+
+func (l *layer) hadAtStart(rank int, expert int32) bool {
+	return contains(l.start[rank*l.shape.Slots:(rank+1)*l.shape.Slots], expert)
+}
+
+// mayAdd tells whether a rank may load an expert in the place of another.
+func (l *layer) mayAdd(rank int, expert, victim int32) bool {
+	if l.maxAdded == 0 || l.hadAtStart(rank, expert) {
+		return true
+	}
+	replaced := victim != Empty && !l.hadAtStart(rank, victim)
+	return replaced || l.added[rank] < l.maxAdded
+}
+
+// count keeps the number of experts that a rank has loaded.
+func (l *layer) count(rank int, expert, victim int32) {
+	if !l.hadAtStart(rank, expert) {
+		l.added[rank]++
+	}
+	if victim != Empty && !l.hadAtStart(rank, victim) {
+		l.added[rank]--
+	}
+}
+
 // share is the work that each replica of an expert gets when it has more (or
 // fewer) replicas than now.
 func (l *layer) share(expert, more int) float64 {
+	if expert == Empty {
+		return 0
+	}
 	return l.popularity[expert] / float64(len(l.hosts[expert])+more)
 }
 
+// hostsOf returns the ranks that hold an expert; an empty slot is held by none.
+func (l *layer) hostsOf(expert int) []int32 {
+	if expert == Empty {
+		return nil
+	}
+	return l.hosts[expert]
+}
+
 func (l *layer) slowestRank() int {
 	slowest := 0
 	for rank, time := range l.times {
@@ -113,11 +166,11 @@
 		return
 	}
 	for _, expert := range l.held(hot) {
-		if contains(l.held(target), expert) {
+		if expert == Empty || contains(l.held(target), expert) {
 			continue
 		}
 		for slot, victim := range l.held(target) {
-			if len(l.hosts[victim]) < 2 {
+			if (victim != Empty && len(l.hosts[victim]) < 2) || !l.mayAdd(target, expert, victim) {
 				continue
 			}
 			if peak := l.peakAfter(hot, target, int(expert), int(victim)); peak < *bestPeak {
@@ -135,11 +188,12 @@
 		return
 	}
 	for hotSlot, expert := range l.held(hot) {
-		if contains(l.held(target), expert) {
+		if expert == Empty || contains(l.held(target), expert) {
 			continue
 		}
 		for slot, victim := range l.held(target) {
-			if contains(l.held(hot), victim) {
+			if victim == Empty || contains(l.held(hot), victim) ||
+				!l.mayAdd(target, expert, victim) || !l.mayAdd(hot, victim, expert) {
 				continue
 			}
 			if peak := l.peakAfterExchange(hot, target, int(expert), int(victim)); peak < *bestPeak {
@@ -169,6 +223,8 @@
 	l.times[into.Rank] += difference / l.speeds[into.Rank]
 	l.hosts[into.Expert] = append(remove(l.hosts[into.Expert], int32(back.Rank)), int32(into.Rank))
 	l.hosts[back.Expert] = append(remove(l.hosts[back.Expert], int32(into.Rank)), int32(back.Rank))
+	l.count(into.Rank, int32(into.Expert), int32(back.Expert))
+	l.count(back.Rank, int32(back.Expert), int32(into.Expert))
 	l.held(into.Rank)[into.Slot] = int32(into.Expert)
 	l.held(back.Rank)[back.Slot] = int32(back.Expert)
 }
@@ -178,7 +234,7 @@
 	less := l.share(expert, 0) - l.share(expert, 1)
 	more := l.share(victim, -1) - l.share(victim, 0)
 	peak := l.times[target] + (l.share(expert, 1)-l.share(victim, 0))/l.speeds[target]
-	for _, rank := range l.hosts[victim] {
+	for _, rank := range l.hostsOf(victim) {
 		if int(rank) == target {
 			continue
 		}
@@ -189,7 +245,7 @@
 		peak = max(peak, time)
 	}
 	hotTime := l.times[hot] - less/l.speeds[hot]
-	if contains(l.hosts[victim], int32(hot)) {
+	if contains(l.hostsOf(victim), int32(hot)) {
 		hotTime += more / l.speeds[hot]
 	}
 	return max(peak, hotTime)
@@ -203,14 +259,17 @@
 		l.times[rank] -= less / l.speeds[rank]
 	}
 	more := l.share(victim, -1) - l.share(victim, 0)
-	for _, rank := range l.hosts[victim] {
+	for _, rank := range l.hostsOf(victim) {
 		if int(rank) != m.Rank {
 			l.times[rank] += more / l.speeds[rank]
 		}
 	}
 	l.times[m.Rank] += (l.share(m.Expert, 1) - l.share(victim, 0)) / l.speeds[m.Rank]
 	l.hosts[m.Expert] = append(l.hosts[m.Expert], int32(m.Rank))
-	l.hosts[victim] = remove(l.hosts[victim], int32(m.Rank))
+	if victim != Empty {
+		l.hosts[victim] = remove(l.hosts[victim], int32(m.Rank))
+	}
+	l.count(m.Rank, int32(m.Expert), int32(victim))
 	l.held(m.Rank)[m.Slot] = int32(m.Expert)
 }
 
--- a/internal/rebalance/placement.go
+++ b/internal/rebalance/placement.go
@@ -15,6 +15,9 @@
 	Slots int
 }
 
+// Empty is what a slot without an expert holds.
+const Empty = -1
+
 // Placement is an expert map: which expert each slot of each rank holds, by
 // layer. A rank holds an expert at most once per layer.
 type Placement struct {
@@ -103,6 +106,9 @@
 		for rank := range p.Shape.Ranks {
 			held := p.rank(layer, rank)
 			for slot, expert := range held {
+				if expert == Empty {
+					continue
+				}
 				if contains(held[:slot], expert) {
 					return errors.Errorf("layer %d: rank %d holds expert %d twice", layer, rank, expert)
 				}
@@ -126,7 +132,7 @@
 		for rank := range p.Shape.Ranks {
 			held := p.rank(layer, rank)
 			for _, expert := range other.rank(layer, rank) {
-				if !contains(held, expert) {
+				if expert != Empty && !contains(held, expert) {
 					loads++
 				}
 			}
@@ -190,6 +196,55 @@
 	return total
 }
 
+// FromLists returns a placement by the experts of each rank in each layer. Slots
+// that the lists leave are empty.
+func FromLists(shape Shape, lists [][][]int) (*Placement, error) {
+	p := &Placement{Shape: shape, slots: make([][]int32, shape.Layers)}
+	if len(lists) != shape.Layers {
+		return nil, errors.Errorf("placement: %d layers, want %d", len(lists), shape.Layers)
+	}
+	for layer, ranks := range lists {
+		if len(ranks) != shape.Ranks {
+			return nil, errors.Errorf("placement: layer %d: %d ranks, want %d", layer, len(ranks), shape.Ranks)
+		}
+		p.slots[layer] = make([]int32, shape.Ranks*shape.Slots)
+		for rank, experts := range ranks {
+			if len(experts) > shape.Slots {
+				return nil, errors.Errorf("placement: layer %d: rank %d holds %d experts, at most %d", layer, rank, len(experts), shape.Slots)
+			}
+			held := p.rank(layer, rank)
+			for slot := range held {
+				held[slot] = Empty
+			}
+			for slot, expert := range experts {
+				if expert < 0 || expert >= shape.Experts {
+					return nil, errors.Errorf("placement: layer %d: no expert %d", layer, expert)
+				}
+				held[slot] = int32(expert)
+			}
+		}
+	}
+	return p, p.Valid()
+}
+
+// Lists returns the experts of each rank in each layer.
+func (p *Placement) Lists() [][][]int {
+	lists := make([][][]int, len(p.slots))
+	for layer := range p.slots {
+		lists[layer] = make([][]int, p.Shape.Ranks)
+		for rank := range p.Shape.Ranks {
+			experts := make([]int, 0, p.Shape.Slots)
+			for _, expert := range p.rank(layer, rank) {
+				if expert != Empty {
+					experts = append(experts, int(expert))
+				}
+			}
+			lists[layer][rank] = experts
+		}
+	}
+	return lists
+}
+
 // MarshalJSON encodes the placement for engines: the experts by layer, rank and
 // slot.
 func (p *Placement) MarshalJSON() ([]byte, error) {
--- a/internal/rebalance/plan.go
+++ b/internal/rebalance/plan.go
@@ -11,6 +11,9 @@
 	// MaxMoves bounds the moves of one plan, from the weight store's rate and the
 	// planning interval.
 	MaxMoves int
+	// MaxNewPerRank bounds the experts of a layer that a plan may load at one rank;
+	// 0 means no bound.
+	MaxNewPerRank int
 }
 
 // maxMovesPerLayer bounds the search in one layer.
@@ -80,6 +83,7 @@
 func (p *Planner) planLayer(current *Placement, n int, popularity, speeds []float64, options Options) layerPlan {
 	l := p.layer
 	l.load(current, n, popularity, speeds)
+	l.bound(options.MaxNewPerRank)
 	ideal := sum(popularity) / sum(speeds)
 	if ideal == 0 {
 		return layerPlan{}
--- a/internal/rebalance/rebalance_test.go
+++ b/internal/rebalance/rebalance_test.go
@@ -225,3 +225,53 @@
 		t.Fatal("fires on a skew that the plan expected")
 	}
 }
+
+// TestPlansKeepTheBoundOnNewExperts: a plan loads no more experts of a layer at
+// a rank than the engine takes in one order, also into empty slots.
+func TestPlansKeepTheBoundOnNewExperts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shape := Shape{
+			Ranks: rapid.IntRange(2, 8).Draw(t, "ranks"), Experts: rapid.IntRange(4, 24).Draw(t, "experts"), Layers: 2,
+		}
+		least := (shape.Experts + shape.Ranks - 1) / shape.Ranks
+		shape.Slots = least + rapid.IntRange(0, 2).Draw(t, "spare slots")
+		bound := rapid.IntRange(1, 3).Draw(t, "bound")
+		lists := make([][][]int, shape.Layers)
+		for layer := range lists {
+			lists[layer] = make([][]int, shape.Ranks)
+			for expert := range shape.Experts {
+				rank := expert % shape.Ranks
+				lists[layer][rank] = append(lists[layer][rank], expert)
+			}
+		}
+		p, err := FromLists(shape, lists)
+		if err != nil {
+			t.Fatal(err)
+		}
+		planner := NewPlanner(shape)
+		for range 4 {
+			popularity := drawPopularity(t, shape)
+			next := p.Clone()
+			next.Apply(planner.Plan(p, popularity, drawSpeeds(t, shape.Ranks), Options{
+				SkewWeight: 1, MaxMoves: 1000, MaxNewPerRank: bound,
+			}))
+			if err := next.Valid(); err != nil {
+				t.Fatal(err)
+			}
+			for layer := range shape.Layers {
+				for rank := range shape.Ranks {
+					added := 0
+					for _, expert := range next.rank(layer, rank) {
+						if expert != Empty && !contains(p.rank(layer, rank), expert) {
+							added++
+						}
+					}
+					if added > bound {
+						t.Fatalf("layer %d, rank %d: %d new experts, at most %d", layer, rank, added, bound)
+					}
+				}
+			}
+			p = next
+		}
+	})
+}
