--- a/internal/dispatch/board.go
+++ b/internal/dispatch/board.go
@@ -14,9 +14,11 @@
 	rows    map[string]*row
 	groups  map[string]*groupState
 	budgets map[string]*retryBudget
-	policy  BudgetPolicy
-	zone    string
-	random  func(n int) int
+	// patience is the most that the callers of a route have shown.
+	patience map[string]time.Duration
+	policy   BudgetPolicy
+	zone     string
+	random   func(n int) int
 }
 
 // row is one server.
@@ -50,11 +52,21 @@
 // NewBoard returns an empty board. random returns a number below n.
 func NewBoard(policy BudgetPolicy, zone string, random func(n int) int) *Board {
 	return &Board{
-		rows: map[string]*row{}, groups: map[string]*groupState{}, budgets: map[string]*retryBudget{},
+		rows: map[string]*row{}, groups: map[string]*groupState{}, budgets: map[string]*retryBudget{}, patience: map[string]time.Duration{},
 		policy: policy, zone: zone, random: random,
 	}
 }
 
+// SetBudget changes the retry budget.
+func (b *Board) SetBudget(policy BudgetPolicy) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.policy = policy
+	for _, budget := range b.budgets {
+		budget.policy = policy
+	}
+}
+
 func (b *Board) row(id string) *row {
 	r := b.rows[id]
 	if r == nil {
@@ -156,11 +168,18 @@
 	return now.Sub(g.brokenAt), true
 }
 
-// countRequest enters a request into its service's retry budget.
-func (b *Board) countRequest(service string, now time.Time) {
+// countRequest enters a request into its service's retry budget. It tells
+// whether the caller has tried before: its patience is less than the most that
+// the route's callers have shown.
+func (b *Board) countRequest(service, route string, r *Request, now time.Time) (repeated bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.budget(service).request(now)
+	if !r.HasDeadline {
+		return false
+	}
+	b.patience[route] = max(b.patience[route], r.Patience)
+	return float64(r.Patience) < repeatPart*float64(b.patience[route])
 }
 
 // mayRepeat takes one repeat from a service's retry budget.
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -56,6 +56,8 @@
 	// mayHaveRun is set once a server that got the request hasn't said that it didn't run it.
 	mayHaveRun bool
 	begun      bool
+	// repeated is set when the caller has tried before.
+	repeated bool
 	// lastEvent is the last event that the caller got, or -1.
 	lastEvent int64
 	status    int
@@ -102,7 +104,7 @@
 	if deadline := r.Arrived.Add(r.Patience); r.HasDeadline && deadline.Before(x.limit) {
 		x.limit = deadline
 	}
-	p.board.countRequest(x.service.Name, p.now())
+	x.repeated = p.board.countRequest(x.service.Name, x.route.Name, r, p.now())
 	return nil
 }
 
@@ -159,12 +161,10 @@
 
 // choose picks a server, or refuses.
 func (p *Pipeline) choose(ctx context.Context, x *exchange) (*fleet.Server, *failure.Error) {
-	now := p.now()
-	servers := p.fleet.Servers().Of(x.service.Name)
-	if f := p.awaitGroup(ctx, x, servers); f != nil {
+	if f := p.awaitGroup(ctx, x); f != nil {
 		return nil, f
 	}
-	picked := p.board.pick(now, servers, x.tried)
+	picked := p.board.pick(p.now(), p.fleet.Servers().Of(x.service.Name), x.tried)
 	if picked.server == nil {
 		return nil, failure.NotRun(failure.StepRoute, x.service.Name, failure.CodeNoServer,
 			"no server of the service can take the request").After(noServerRetry)
--- a/internal/experts/agent.go
+++ b/internal/experts/agent.go
@@ -55,6 +55,9 @@
 	return fence, true
 }
 
+// Learn notes a fence that the lease's history shows.
+func (a *Agent) Learn(fence int64) { a.hear(fence) }
+
 // Fence returns the highest fence heard of, and how long ago its holder called.
 func (a *Agent) Fence() (int64, time.Duration) {
 	a.mu.Lock()
--- a/internal/experts/holder.go
+++ b/internal/experts/holder.go
@@ -34,9 +34,9 @@
 	ObservePace time.Duration
 	// HalfLife is the time in which the estimate of demand forgets half.
 	HalfLife time.Duration
-	// LeastGain is the part by which a new map must lower the predicted time of a
-	// pass's expert work.
-	LeastGain float64
+	// Trigger is the skew, the slowest rank's time over the mean, from which on a new
+	// map is planned; Target is the skew of a set at which a plan is good enough.
+	Trigger, Target float64
 	// MovePrice is what loading one expert has to gain, in per cent of a set's time.
 	MovePrice float64
 }
@@ -44,9 +44,10 @@
 // DefaultPolicy was chosen by runs on the users' days; see docs/decisions.
 var DefaultPolicy = Policy{
 	ObservePace: 150 * time.Millisecond,
-	HalfLife:    600 * time.Millisecond,
-	LeastGain:   0.03,
-	MovePrice:   0.2,
+	HalfLife:    500 * time.Millisecond,
+	Trigger:     1.4,
+	Target:      1.2,
+	MovePrice:   0.5,
 }
 
 const (
@@ -198,19 +199,20 @@
 		speeds[rank] = 1
 	}
 	popularity := h.demand.Popularity()
+	before := h.placement.Skew(popularity, speeds)
+	if before < h.policy.Trigger {
+		return
+	}
 	moves := h.planner.Plan(h.placement, popularity, speeds, rebalance.Options{
 		SkewWeight: 1, CostWeight: h.policy.MovePrice,
-		MaxMoves: h.shape.Ranks * h.shape.Slots * h.shape.Layers, MaxNewPerRank: h.engine.NewPerOrder,
+		MaxMoves: h.shape.Ranks * h.shape.Slots * h.shape.Layers, MaxNewPerRank: h.engine.NewPerOrder, GoodEnough: h.policy.Target,
 	})
 	if len(moves) == 0 {
 		return
 	}
 	next := h.placement.Clone()
 	next.Apply(moves)
-	before, after := h.placement.Skew(popularity, speeds), next.Skew(popularity, speeds)
-	if after > before*(1-h.policy.LeastGain) {
-		return
-	}
+	after := next.Skew(popularity, speeds)
 	h.planned, h.begun = next, h.now()
 	h.state.Begin(next.Lists())
 	h.log.WithFields(logrus.Fields{
--- a/internal/experts/lease.go
+++ b/internal/experts/lease.go
@@ -31,32 +31,44 @@
 	AppendLease(ctx context.Context, end int64, data []byte) (bool, error)
 }
 
-// Claim tries to become the holder of a group. It returns the fencing number, or
-// 0 when another claimed first. knownFence is the highest that is known: a newer
-// one in the history means that somebody else has just claimed.
-func Claim(ctx context.Context, store LeaseStore, group, self string, knownFence int64) (int64, error) {
-	end, records, err := store.ReadLeases(ctx, max(knownFence, 0))
+// Claimed is what became of a claim.
+type Claimed struct {
+	// Fence is the new lease's fencing number, or 0 when there is none.
+	Fence int64
+	// Newest is the highest fencing number in the history.
+	Newest int64
+}
+
+// Claim tries to become the holder of a group. knownFence is the highest number
+// that is known: a newer one in the history means that somebody else has
+// claimed since, and is given the time to call.
+func Claim(ctx context.Context, store LeaseStore, group, self string, knownFence int64) (Claimed, error) {
+	end, records, err := store.ReadLeases(ctx, knownFence)
 	if err != nil {
-		return 0, err
+		return Claimed{}, err
 	}
+	newest := knownFence
 	for _, r := range records {
 		var lease LeaseRecord
 		if err := json.Unmarshal(r.Data, &lease); err != nil {
-			return 0, errors.Wrapf(err, "lease at offset %d", r.Offset)
+			return Claimed{}, errors.Wrapf(err, "lease at offset %d", r.Offset)
 		}
-		if lease.Group == group && fenceOf(r.Offset) > knownFence && lease.Holder != self {
-			return 0, nil
+		if lease.Group == group {
+			newest = max(newest, fenceOf(r.Offset))
 		}
 	}
+	if newest > knownFence {
+		return Claimed{Newest: newest}, nil
+	}
 	data, err := json.Marshal(LeaseRecord{Group: group, Holder: self})
 	if err != nil {
-		return 0, errors.Wrap(err, "lease")
+		return Claimed{}, errors.Wrap(err, "lease")
 	}
 	claimed, err := store.AppendLease(ctx, end, data)
 	if err != nil || !claimed {
-		return 0, err
+		return Claimed{Newest: newest}, err
 	}
-	return fenceOf(end), nil
+	return Claimed{Fence: fenceOf(end), Newest: fenceOf(end)}, nil
 }
 
 // fenceOf returns the fencing number of an offset: offsets begin at 0, numbers at 1.
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -85,6 +85,10 @@
 		a.hold(tasks)
 		return nil
 	})
+	group.Go(func() error {
+		WatchSettings(tasks, a.settings, a.log, func(s *platform.Settings) { a.exchange.SetSeeds(s.Seeds) })
+		return nil
+	})
 	a.log.WithField("engine", a.settings.LocalServer).Info("agent started")
 	err := errors.Wrap(group.Wait(), "agent")
 	a.log.Info("agent stopped")
@@ -153,20 +157,27 @@
 // claim tries to get the lease and steers the group while it has it.
 func (a *Agent) claim(ctx context.Context, report experts.RankReport, engine *fleet.EngineModel, knownFence int64) {
 	claiming, cancel := context.WithTimeout(ctx, claimTimeout)
-	fence, err := experts.Claim(claiming, a.store, report.Group, a.settings.Daemon, knownFence)
+	claimed, err := experts.Claim(claiming, a.store, report.Group, a.settings.Daemon, knownFence)
 	cancel()
-	log := a.log.WithFields(logrus.Fields{"group": report.Group, "rank": report.Rank, "known_fence": knownFence, "fence": fence})
-	if err != nil || fence == 0 {
-		log.WithField("error", err).Info("lease not claimed")
+	log := a.log.WithFields(logrus.Fields{
+		"group": report.Group, "rank": report.Rank, "known_fence": knownFence, "fence": claimed.Fence, "newest": claimed.Newest,
+	})
+	if err != nil {
+		log.WithError(err).Info("lease not claimed: the store gave no answer")
 		pause(ctx, claimPause)
 		return
 	}
+	a.agent.Learn(claimed.Newest)
+	if claimed.Fence == 0 {
+		log.Info("lease not claimed: another daemon has it")
+		return
+	}
 	log.Info("lease claimed")
 	ranks := &rankClient{
 		self: a.settings.Daemon, group: report.Group, port: portOf(a.settings, rankPort), members: a.members,
 		client: a.client, local: a.agent, ownRank: report.Rank, engine: a.engines,
 	}
-	experts.NewHolder(ranks, engine, report.Size, report.Rank, fence, experts.DefaultPolicy, time.Now, a.log).Run(ctx)
+	experts.NewHolder(ranks, engine, report.Size, report.Rank, claimed.Fence, experts.DefaultPolicy, time.Now, a.log).Run(ctx)
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -50,9 +50,7 @@
 		settings: s, log: log, members: members,
 		follower: membership.NewFollower(members, platform.NewStore(s.Store, upstream.NewTransport()), log),
 		exchange: membership.NewExchange(members, s.Control, s.Seeds, control, log),
-		board: dispatch.NewBoard(dispatch.BudgetPolicy{
-			Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow,
-		}, s.Zone, rand.IntN),
+		board:    dispatch.NewBoard(budgetPolicy(s), s.Zone, rand.IntN),
 	}
 	backend := upstream.New(platform.Wire{})
 	members.OnServers(e.board.Keep)
@@ -62,6 +60,19 @@
 	return e
 }
 
+// watchSettings takes over what a changed settings file may change while the
+// process runs.
+func (e *Entry) watchSettings(ctx context.Context) {
+	WatchSettings(ctx, e.settings, e.log, func(s *platform.Settings) {
+		e.exchange.SetSeeds(s.Seeds)
+		e.board.SetBudget(budgetPolicy(s))
+	})
+}
+
+func budgetPolicy(s *platform.Settings) dispatch.BudgetPolicy {
+	return dispatch.BudgetPolicy{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow}
+}
+
 // limits returns the configured limits on callers.
 func (e *Entry) limits() fleet.Limits {
 	if config := e.members.Config(); config != nil {
@@ -90,7 +101,7 @@
 	}
 	group.Go(func() error { return e.frontend.Serve(callers) })
 	for _, task := range []func(context.Context){
-		e.follower.FollowConfig, e.follower.FollowServers, e.askPeers,
+		e.follower.FollowConfig, e.follower.FollowServers, e.askPeers, e.watchSettings,
 	} {
 		group.Go(func() error {
 			task(tasks)
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -36,6 +36,13 @@
 	}
 }
 
+// SetSeeds changes the daemons that are asked first.
+func (e *Exchange) SetSeeds(seeds []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seeds = seeds
+}
+
 // Exchange implements peerrpc.Membership.
 func (e *Exchange) Exchange(_ context.Context, r *peerrpc.ExchangeRequest) (*peerrpc.ExchangeReply, error) {
 	if r.GetControl() != "" {
--- a/internal/rebalance/plan.go
+++ b/internal/rebalance/plan.go
@@ -14,6 +14,9 @@
 	// MaxNewPerRank bounds the experts of a layer that a plan may load at one rank;
 	// 0 means no bound.
 	MaxNewPerRank int
+	// GoodEnough ends the search in a layer once its slowest rank's time is at most
+	// this many times the ideal one; 0 means that only cost does.
+	GoodEnough float64
 }
 
 // maxMovesPerLayer bounds the search in one layer.
@@ -95,7 +98,7 @@
 	before := l.slowestTime()
 	p.pending = p.pending[:0]
 	bestNet, bestLength := 0.0, 0
-	for len(p.pending) < maxMovesPerLayer {
+	for len(p.pending) < maxMovesPerLayer && l.slowestTime() > ideal*options.GoodEnough {
 		best, found := l.bestStep(n)
 		if !found {
 			break
