--- /dev/null
+++ b/internal/dispatch/pipeline_test.go
@@ -0,0 +1,237 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/failure"
+	"github.com/crowbridge/crowbridge/internal/fleet"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a request", func() {
+	It("is answered 'not run' while no configuration is known, never unauthorized or not found", func() {
+		b := newBench()
+		b.world.config = nil
+		result := b.serve("again")
+		Expect(result.Failure.Code).To(Equal(failure.CodeNoServer))
+		Expect(result.Failure.Outcome).To(Equal(failure.OutcomeNotRun))
+	})
+
+	DescribeTable("is refused for what it asks", func(change func(*Request), code failure.Code) {
+		b := newBench()
+		r := b.request("again", time.Second)
+		change(r)
+		Expect(b.pipeline.Serve(context.Background(), r, b.caller).Failure.Code).To(Equal(code))
+	},
+		Entry("without a route", func(r *Request) { r.Path = "/nowhere/" }, failure.CodeNotFound),
+		Entry("on another host", func(r *Request) { r.Host = "other.example" }, failure.CodeNotFound),
+		Entry("without a key", func(r *Request) { r.APIKey = "" }, failure.CodeUnauthorized),
+		Entry("with a removed key", func(r *Request) { r.APIKey = "old" }, failure.CodeUnauthorized),
+	)
+
+	It("carries the customer that holds the key, and none on public routes", func() {
+		b := newBench(signed(http.StatusOK, "x"), signed(http.StatusOK, "x"))
+		r := b.request("again", time.Second)
+		Expect(b.pipeline.Serve(context.Background(), r, b.caller).Failure).To(BeNil())
+		Expect(r.Customer).To(Equal("florist"))
+		r = b.request("public", time.Second)
+		r.APIKey = ""
+		Expect(b.pipeline.Serve(context.Background(), r, b.caller).Failure).To(BeNil())
+		Expect(r.Customer).To(BeEmpty())
+	})
+
+	It("gives servers no more time than the caller and the route leave", func() {
+		b := newBench(signed(http.StatusOK, ""), signed(http.StatusOK, ""))
+		b.pipeline.Serve(context.Background(), b.request("again", 900*time.Millisecond), b.caller)
+		b.pipeline.Serve(context.Background(), b.request("again", time.Minute), b.caller)
+		Expect(b.script.attempts[0].Left).To(Equal(900 * time.Millisecond))
+		Expect(b.script.attempts[1].Left).To(Equal(8 * time.Second))
+	})
+
+	Describe("that isn't idempotent", func() {
+		It("is never sent again once a server may have it", func() {
+			b := newBench(lost(true))
+			result := b.serve("once")
+			Expect(result.Failure.Outcome).To(Equal(failure.OutcomeUnknown))
+			Expect(b.script.attempts).To(HaveLen(1))
+		})
+
+		It("goes to another server when the first wasn't reached", func() {
+			b := newBench(lost(false), signed(http.StatusOK, "done"))
+			Expect(b.serve("once").Failure).To(BeNil())
+			Expect(b.script.attempts[1].Server.ID).NotTo(Equal(b.script.attempts[0].Server.ID))
+		})
+
+		It("goes to another server when the first says that it didn't run it", func() {
+			b := newBench(refuses(AnswerInfo{}), signed(http.StatusOK, "done"))
+			Expect(b.serve("once").Failure).To(BeNil())
+			Expect(b.caller.body.String()).To(Equal("done"))
+		})
+
+		It("isn't called 'not run' for a status alone", func() {
+			b := newBench(signed(http.StatusServiceUnavailable, "busy"))
+			result := b.serve("once")
+			Expect(result.Failure.Outcome).To(Equal(failure.OutcomeUnknown))
+			Expect(b.caller.begun).To(BeZero())
+		})
+
+		It("gets a server's own failure unchanged", func() {
+			b := newBench(signed(http.StatusInternalServerError, "oops"))
+			Expect(b.serve("once").Failure).To(BeNil())
+			Expect(b.caller.status).To(Equal(http.StatusInternalServerError))
+		})
+	})
+
+	Describe("that is idempotent", func() {
+		It("goes to another server after a failure", func() {
+			b := newBench(signed(http.StatusInternalServerError, "oops"), signed(http.StatusOK, "fine"))
+			Expect(b.serve("again").Failure).To(BeNil())
+			Expect(b.caller.body.String()).To(Equal("fine"))
+		})
+
+		It("goes to another server after an answer that breaks off", func() {
+			b := newBench(breaksOff("ha"), signed(http.StatusOK, "half and half"))
+			Expect(b.serve("again").Failure).To(BeNil())
+			Expect(b.caller.body.String()).To(Equal("half and half"))
+		})
+
+		It("gets the last server's failure when no attempt is left", func() {
+			b := newBench(signed(http.StatusInternalServerError, "1"), signed(http.StatusInternalServerError, "2"))
+			Expect(b.serve("again").Failure).To(BeNil())
+			Expect(b.caller.body.String()).To(Equal("2"))
+		})
+
+		It("isn't called 'not run' when an earlier attempt may have run", func() {
+			b := newBench(lost(true), refuses(AnswerInfo{}))
+			Expect(b.serve("again").Failure.Outcome).To(Equal(failure.OutcomeUnknown))
+		})
+	})
+
+	DescribeTable("never gets an answer that isn't its own or whole", func(r reply) {
+		b := newBench(r)
+		result := b.serve("once")
+		Expect(result.Failure.Outcome).To(Equal(failure.OutcomeUnknown))
+		Expect(b.caller.begun).To(BeZero())
+	},
+		Entry("of another request", answers(http.StatusOK, AnswerInfo{Signed: true, RequestID: "other"}, "x", false)),
+		Entry("without a signature", answers(http.StatusOK, AnswerInfo{}, "x", false)),
+		Entry("with an encoded body", answers(http.StatusOK, AnswerInfo{Signed: true, Encoded: true}, "x", false)),
+		Entry("that breaks off", breaksOff("x")),
+	)
+
+	It("has one log line with its ID, the configuration and the cause", func() {
+		b := newBench(lost(true))
+		b.serve("once")
+		line := b.logs.LastEntry()
+		Expect(line.Message).To(Equal("request failed"))
+		Expect(line.Data).To(HaveKeyWithValue("request", "id-once"))
+		Expect(line.Data).To(HaveKeyWithValue("config", int64(7)))
+		Expect(line.Data["cause"]).To(ContainSubstring("reset"))
+	})
+})
+
+var _ = Describe("a stream", func() {
+	const one, two, three = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"
+
+	It("goes on at another server after its last whole event, each event once", func() {
+		b := newBench(breaksOff(one+two+"id: 3\nda"), signed(http.StatusOK, two+three))
+		Expect(b.serve("stream").Failure).To(BeNil())
+		Expect(b.caller.body.String()).To(Equal(one + two + three))
+		Expect(b.caller.begun).To(Equal(1))
+		Expect(b.script.attempts[1].ResumeAfter).To(Equal(int64(2)))
+	})
+
+	It("asks again from the start when nothing has reached the caller", func() {
+		b := newBench(breaksOff("id: 1\nda"), signed(http.StatusOK, one))
+		Expect(b.serve("stream").Failure).To(BeNil())
+		Expect(b.script.attempts[1].Resume).To(BeFalse())
+		Expect(b.caller.body.String()).To(Equal(one))
+	})
+
+	It("that can't be resumed ends visibly broken", func() {
+		b := newBench(breaksOff(one))
+		result := b.serve("fixed")
+		Expect(result.Begun).To(BeTrue())
+		Expect(result.Failure.Outcome).To(Equal(failure.OutcomeUnknown))
+	})
+
+	It("that the caller resumes is asked for from there", func() {
+		b := newBench(signed(http.StatusOK, three))
+		r := b.request("stream", 8*time.Second)
+		r.Resumes, r.LastEventID = true, 2
+		Expect(b.pipeline.Serve(context.Background(), r, b.caller).Failure).To(BeNil())
+		Expect(b.script.attempts[0].ResumeAfter).To(Equal(int64(2)))
+	})
+})
+
+var _ = Describe("a broken group", func() {
+	breakGroup := func(b *bench) {
+		b.board.markBroken(b.world.Servers().Server("r0"), b.now)
+	}
+
+	It("is asked by nobody, and callers are told when to come back", func() {
+		b := newBench()
+		breakGroup(b)
+		result := b.serve("stream")
+		Expect(result.Failure.Outcome).To(Equal(failure.OutcomeNotRun))
+		Expect(result.Failure.RetryAfter).To(BeNumerically(">", 0))
+		Expect(result.Failure.RetryAfter).To(BeNumerically("<=", 8*time.Second/3))
+	})
+
+	It("is known from one refused request", func() {
+		b := newBench(refuses(AnswerInfo{FaultyServer: "r1"}))
+		Expect(b.serve("stream").Failure.Outcome).To(Equal(failure.OutcomeNotRun))
+		Expect(b.script.attempts).To(HaveLen(1))
+	})
+
+	It("is waited for by a request that was refused before", func() {
+		b := newBench(signed(http.StatusOK, "id: 1\ndata: a\n\n"))
+		b.board.countRequest("model", "stream", b.request("stream", 8*time.Second), b.now)
+		breakGroup(b)
+		b.now = b.now.Add(3 * time.Second)
+		reopened := time.AfterFunc(groupPoll, func() {
+			rank := &fleet.GroupRank{Group: "g", Epoch: 2, Rank: 0, Size: 1, Open: true}
+			b.world.setServers(&fleet.Server{ID: "r0", Service: "model", Capacity: 12, Rank: rank})
+		})
+		defer reopened.Stop()
+		result := b.pipeline.Serve(context.Background(), b.request("stream", 5*time.Second), b.caller)
+		Expect(result.Failure).To(BeNil())
+	})
+
+	It("opens when its epoch has risen, and not by an old report", func() {
+		b := newBench()
+		breakGroup(b)
+		server := b.world.Servers().Server("r0")
+		_, broken := b.board.brokenFor(server, b.now.Add(10*time.Second))
+		Expect(broken).To(BeTrue())
+		reopened := *server
+		reopened.Rank = &fleet.GroupRank{Group: "g", Epoch: 2, Open: true}
+		_, broken = b.board.brokenFor(&reopened, b.now)
+		Expect(broken).To(BeFalse())
+	})
+})
+
+var _ = Describe("picking", func() {
+	It("takes the server with the least load and no leaving one", func() {
+		b := newBench()
+		b.board.ReportLoad("a", Load{Running: 5}, b.now)
+		servers := []*fleet.Server{
+			{ID: "a", Zone: "z1", Rank: &fleet.GroupRank{}}, {ID: "b", Zone: "z1", Rank: &fleet.GroupRank{}},
+			{ID: "c", Zone: "z1", Leaving: true},
+		}
+		Expect(b.board.pick(b.now, servers, nil).server.ID).To(Equal("b"))
+		Expect(b.board.pick(b.now, servers, []string{"b"}).server.ID).To(Equal("a"))
+		Expect(b.board.pick(b.now, servers, []string{"a", "b"}).server).To(BeNil())
+	})
+
+	It("passes over a server that failed until its time is over", func() {
+		b := newBench()
+		servers := []*fleet.Server{{ID: "a", Zone: "z1"}, {ID: "b", Zone: "z2"}}
+		b.board.failed("a", b.now)
+		Expect(b.board.pick(b.now, servers, nil).server.ID).To(Equal("b"))
+		Expect(b.board.pick(b.now.Add(avoidFirst+1), servers, nil).server.ID).To(Equal("a"))
+	})
+})
--- a/internal/experts/switch.go
+++ b/internal/experts/switch.go
@@ -74,7 +74,10 @@
 	// lastVersion is the highest version seen in this epoch.
 	lastVersion int64
 	releasedAt  time.Time
-	fenced      bool
+	// strays are passes that ranks hold without this switch: orders that were carried
+	// out late. 0 means none.
+	strays []int64
+	fenced bool
 }
 
 // NewSwitch returns the protocol's state of a new holder whose own rank is
@@ -83,6 +86,7 @@
 	return &Switch{
 		fence: fence, ownRank: ownRank, size: size, trustFrom: now.Add(reportLag),
 		confirmed: make([]bool, size), reports: make([]RankReport, size), reported: make([]time.Time, size),
+		strays: make([]int64, size),
 	}
 }
 
@@ -108,6 +112,7 @@
 	}
 	s.reports[rank], s.reported[rank] = r, now
 	s.lastVersion = max(s.lastVersion, r.Map, r.Prepared, r.Armed)
+	s.strays[rank] = s.stray(now, rank, r.Held)
 	s.advance(now)
 }
 
@@ -119,7 +124,7 @@
 	s.lists = nil
 	s.releasedAt = time.Time{}
 	for rank := range s.size {
-		s.confirmed[rank], s.reports[rank], s.reported[rank] = false, RankReport{}, time.Time{}
+		s.confirmed[rank], s.reports[rank], s.reported[rank], s.strays[rank] = false, RankReport{}, time.Time{}, 0
 	}
 }
 
@@ -205,6 +210,16 @@
 	return pass == s.pass && now.Sub(s.releasedAt) < staleHold
 }
 
+// stray returns a held pass that this switch doesn't hold or has released. While
+// idle, resolveHold looks at it instead: an earlier holder may have armed ranks.
+func (s *Switch) stray(now time.Time, rank int, held int64) int64 {
+	own := held == s.pass && rank == s.holdRank && s.stage != StageSettle
+	if held == 0 || s.stage == StageIdle || own || s.releasedLately(now, held) {
+		return 0
+	}
+	return held
+}
+
 // finish completes a switch that an earlier holder began. A hold is placed only
 // when every rank has prepared the map, and Arm may have been sent to any of
 // them since, so all are armed before the release: undoing could meet an Arm
@@ -242,6 +257,10 @@
 	if s.fenced {
 		return nil
 	}
+	return append(s.stageOrders(), s.strayReleases()...)
+}
+
+func (s *Switch) stageOrders() []RankOrder {
 	order := Order{Epoch: s.epoch, Fence: s.fence, Version: s.version, Pass: s.pass}
 	switch s.stage {
 	case StagePrepare:
@@ -261,6 +280,18 @@
 	return nil
 }
 
+func (s *Switch) strayReleases() []RankOrder {
+	var orders []RankOrder
+	for rank, pass := range s.strays {
+		if pass != 0 && s.stage != StageIdle {
+			orders = append(orders, RankOrder{Rank: rank, Order: Order{
+				Operation: Release, Epoch: s.epoch, Fence: s.fence, Pass: pass,
+			}})
+		}
+	}
+	return orders
+}
+
 func (s *Switch) toUnconfirmed(order Order) []RankOrder {
 	var orders []RankOrder
 	for rank, confirmed := range s.confirmed {
@@ -277,7 +308,10 @@
 		s.fenced = true
 		return
 	}
-	if verdict == Unanswered || !s.current(order) {
+	if verdict != Unanswered && order.Operation == Release && s.strays[rank] == order.Pass {
+		s.strays[rank] = 0
+	}
+	if verdict == Unanswered || !s.current(rank, order) {
 		return
 	}
 	switch order.Operation {
@@ -293,8 +327,8 @@
 	}
 }
 
-// current tells whether an order belongs to the present stage.
-func (s *Switch) current(order Order) bool {
+// current tells whether a rank's order belongs to the present stage.
+func (s *Switch) current(rank int, order Order) bool {
 	if order.Epoch != s.epoch || order.Version != s.version {
 		return false
 	}
@@ -302,11 +336,11 @@
 	case Prepare:
 		return s.stage == StagePrepare
 	case Hold:
-		return s.stage == StageHold && order.Pass == s.pass
+		return s.stage == StageHold && order.Pass == s.pass && rank == s.holdRank
 	case Arm:
 		return s.stage == StageArm && order.Pass == s.pass
 	case Release:
-		return s.stage == StageRelease && order.Pass == s.pass
+		return s.stage == StageRelease && order.Pass == s.pass && rank == s.holdRank
 	case Disarm:
 	}
 	return false
