--- a/internal/experts/model_test.go
+++ b/internal/experts/model_test.go
@@ -398,8 +398,12 @@
 	}, verdict: counts(Arm, Refused)},
 	{name: "an unanswered arm counts as confirmed", verdict: counts(Arm, Unanswered)},
 	{name: "an unanswered hold counts as placed", verdict: counts(Hold, Unanswered)},
-	{name: "a refused arm counts as confirmed at a pass that may have begun", verdict: func(o Order, v Verdict) Verdict {
-		return counts(Arm, Refused)(o, counts(Hold, Refused)(o, v))
+	{name: "a pass is given up after an arm", after: func(s *Switch) {
+		if s.stage == StageArm && s.confirmed[1] && !s.confirmed[2] && s.holdsLeft == holdTries {
+			s.holdsLeft--
+			s.pass++
+			s.enter(StageHold)
+		}
 	}},
 	{name: "a successor releases a hold without arming", after: func(s *Switch) {
 		if s.fence == 2 && s.stage == StageArm && s.lists == nil && s.version != s.lastBegun() {
