--- /dev/null
+++ b/internal/dispatch/admission.go
@@ -0,0 +1,38 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/failure"
+	"github.com/crowbridge/crowbridge/internal/fleet"
+)
+
+const (
+	// fullFirst is the part of all places from which on a new request is refused: it
+	// would wait longer for a place than its objective allows, and all others with it.
+	// A refused request that is served in time when it comes again earns more than a
+	// late one. fullRepeat is the same for a request that was refused before: its
+	// caller may not come a third time. Both were chosen by runs on the users' days.
+	fullFirst  = 1.05
+	fullRepeat = 1.5
+	// comeBackLeast and comeBackMost bound the hint to come back; it's spread, so that
+	// those who were refused together don't return together.
+	comeBackLeast = 700 * time.Millisecond
+	comeBackMost  = 2200 * time.Millisecond
+)
+
+// admit refuses a stream at once when the servers are so full that it would
+// come too late.
+func (p *Pipeline) admit(x *exchange, picked choice) *failure.Error {
+	full := fullFirst
+	if x.repeated {
+		full = fullRepeat
+	}
+	if x.route.Kind != fleet.KindStreaming || x.begun || picked.server.Rank == nil || picked.occupied < full {
+		return nil
+	}
+	spread := time.Duration(p.board.random(int((comeBackMost - comeBackLeast).Milliseconds()))) * time.Millisecond
+	return failure.NotRun(failure.StepQueue, x.service.Name, failure.CodeOverloaded,
+		fmt.Sprintf("%.2f of the servers' places are taken, %.2f admitted", picked.occupied, full)).After(comeBackLeast + spread)
+}
--- a/internal/dispatch/board.go
+++ b/internal/dispatch/board.go
@@ -27,16 +27,36 @@
 	inFlight int
 	// unread are prompt tokens of own requests without a first event yet.
 	unread int
-	// reported is the newest load known of the server, and when it came; sent are
-	// own requests since.
+	// reported is the newest load known of the server, and when it came.
 	reported   Load
 	reportedAt time.Time
-	sent       int
+	// recent are the times of the last own sendings, which a report may not show yet.
+	recent     [recentSends]time.Time
+	next       int
 	failures   int
 	avoidUntil time.Time
 	slow       float64 // smoothed time of own plain answers, in seconds
 }
 
+const (
+	// recentSends is how many sendings to one server are remembered.
+	recentSends = 16
+	// loadLag is how old the load is that a report shows when it comes: engines tell
+	// it as of some hundred milliseconds ago.
+	loadLag = 250 * time.Millisecond
+)
+
+// unseen counts own sendings that the last report can't show yet.
+func (r *row) unseen() int {
+	n := 0
+	for _, at := range r.recent {
+		if at.After(r.reportedAt.Add(-loadLag)) {
+			n++
+		}
+	}
+	return n
+}
+
 // groupState is what is known of a group of ranks.
 type groupState struct {
 	// brokenAt is when a rank last said that the group can't run, with the epoch
@@ -104,7 +124,7 @@
 	if at.Before(r.reportedAt) {
 		return
 	}
-	r.reported, r.reportedAt, r.sent = load, at, 0
+	r.reported, r.reportedAt = load, at
 }
 
 // ReportGroup takes in what the agent of a rank says of its group.
@@ -199,12 +219,13 @@
 }
 
 // sent notes that a request goes to a server.
-func (b *Board) sent(id string, promptTokens int) {
+func (b *Board) sent(id string, promptTokens int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.row(id)
 	r.inFlight++
-	r.sent++
+	r.recent[r.next%recentSends] = now
+	r.next++
 	r.unread += promptTokens
 }
 
--- a/internal/dispatch/dispatch_suite_test.go
+++ b/internal/dispatch/dispatch_suite_test.go
@@ -94,9 +94,13 @@
 	}
 }
 
-func signed(status int, body string) reply { return answers(status, AnswerInfo{Signed: true}, body, false) }
+func signed(status int, body string) reply {
+	return answers(status, AnswerInfo{Signed: true}, body, false)
+}
 
-func breaksOff(body string) reply { return answers(http.StatusOK, AnswerInfo{Signed: true}, body, true) }
+func breaksOff(body string) reply {
+	return answers(http.StatusOK, AnswerInfo{Signed: true}, body, true)
+}
 
 func refuses(info AnswerInfo) reply {
 	info.NotRun = true
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -11,8 +11,9 @@
 	server *fleet.Server
 	// load is the estimated number of requests at the server.
 	load float64
-	// full is set when every candidate's places are taken.
-	full bool
+	// occupied is the part of all candidates' places that is taken; over 1, requests
+	// wait. 0 when nothing is known.
+	occupied float64
 }
 
 // freshLoad is how long a reported load is trusted; after that only own
@@ -28,16 +29,15 @@
 	var best choice
 	bestScore := 0.0
 	ties := 0
-	full := true
+	total, places := 0.0, 0
 	for _, server := range servers {
 		if server.Leaving || contains(tried, server.ID) {
 			continue
 		}
 		r := b.row(server.ID)
 		load := r.estimate(now)
-		if server.Capacity <= 0 || load < float64(server.Capacity) {
-			full = false
-		}
+		total += load
+		places += server.Capacity
 		score := b.score(now, server, r, load)
 		switch {
 		case best.server == nil || score < bestScore:
@@ -49,7 +49,9 @@
 			}
 		}
 	}
-	best.full = full
+	if places > 0 {
+		best.occupied = total / float64(places)
+	}
 	return best
 }
 
@@ -84,7 +86,7 @@
 	if now.Sub(r.reportedAt) > freshLoad {
 		return float64(r.inFlight)
 	}
-	return float64(max(r.reported.Running+r.reported.Waiting+r.sent, r.inFlight))
+	return float64(max(r.reported.Running+r.reported.Waiting+r.unseen(), r.inFlight))
 }
 
 func contains(list []string, value string) bool {
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -169,6 +169,9 @@
 		return nil, failure.NotRun(failure.StepRoute, x.service.Name, failure.CodeNoServer,
 			"no server of the service can take the request").After(noServerRetry)
 	}
+	if f := p.admit(x, picked); f != nil {
+		return nil, f
+	}
 	return picked.server, nil
 }
 
@@ -221,7 +224,7 @@
 	began := p.now()
 	x.server = server.ID
 	prompt := x.request.PromptTokens
-	p.board.sent(server.ID, prompt)
+	p.board.sent(server.ID, prompt, began)
 	defer p.board.ended(server.ID)
 	answer, sendErr := p.backend.Send(ctx, x.request, p.newAttempt(x, server))
 	p.board.started(server.ID, prompt)
--- a/internal/experts/agent.go
+++ b/internal/experts/agent.go
@@ -113,5 +113,18 @@
 	if highest, current := a.hear(order.Fence); !current {
 		return Fenced, errors.Errorf("the order's fence is %d, the highest known %d", order.Fence, highest)
 	}
-	return a.engine.Order(ctx, a.address, order)
+	verdict, err := a.engine.Order(ctx, a.address, order)
+	a.log.WithFields(logrus.Fields{
+		"operation": order.Operation.String(), "version": order.Version, "pass": order.Pass, "epoch": order.Epoch,
+		"fence": order.Fence, "verdict": verdict.String(), "error": errorText(err),
+	}).Info("order given")
+	return verdict, err
+}
+
+// errorText is empty without an error.
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
 }
--- a/internal/experts/demand.go
+++ b/internal/experts/demand.go
@@ -37,30 +37,41 @@
 	if rank < 0 || rank >= len(d.ranks) || len(counts.Chosen) != d.shape.Layers*d.shape.Experts {
 		return
 	}
-	d.decay(now)
 	last := d.ranks[rank]
 	d.ranks[rank] = rankCounts{epoch: counts.Epoch, chosen: counts.Chosen}
 	if last.chosen == nil || last.epoch != counts.Epoch {
 		return
 	}
+	more := make([]float64, len(counts.Chosen))
+	total := 0.0
 	for i, n := range counts.Chosen {
-		// A rank that started again counts from 0.
-		more := n - last.chosen[i]
-		if more < 0 {
-			return
+		more[i] = n - last.chosen[i]
+		if more[i] < 0 {
+			return // the rank started again and counts from 0
 		}
-		d.smoothed[i/d.shape.Experts][i%d.shape.Experts] += more
-		d.seen += more
+		total += more[i]
+	}
+	if total == 0 {
+		return
+	}
+	d.decay(now)
+	d.seen += total
+	for i, n := range more {
+		d.smoothed[i/d.shape.Experts][i%d.shape.Experts] += n
 	}
 }
 
+// longestDecay bounds what one pause forgets: a group that was stopped goes on
+// with what it knew of the demand.
+const longestDecay = 300 * time.Millisecond
+
 func (d *Demand) decay(now time.Time) {
-	if d.at.IsZero() || !now.After(d.at) {
-		d.at = now
+	since := min(now.Sub(d.at), longestDecay)
+	d.at = now
+	if since <= 0 {
 		return
 	}
-	keep := math.Exp2(-now.Sub(d.at).Seconds() / d.halfLife.Seconds())
-	d.at = now
+	keep := math.Exp2(-since.Seconds() / d.halfLife.Seconds())
 	d.seen *= keep
 	for _, set := range d.smoothed {
 		for expert := range set {
--- a/internal/experts/holder.go
+++ b/internal/experts/holder.go
@@ -25,7 +25,8 @@
 	// Observe reads a rank's state; lists asks for its experts too.
 	Observe(ctx context.Context, rank int, fence int64, lists bool) (Observation, error)
 	// Command gives a rank's engine an order.
-	Command(ctx context.Context, rank int, order Order) (Verdict, error)
+	// direct orders go past the rank's agent.
+	Command(ctx context.Context, rank int, order Order, direct bool) (Verdict, error)
 }
 
 // Policy are the weights and paces of a holder.
@@ -83,17 +84,20 @@
 	lists                            [][][]int
 	begun                            time.Time
 	highest                          int64
-	fence                            int64
+	stage                            Stage
+	// lost are the ranks that couldn't be observed last time.
+	lost  []bool
+	fence int64
 }
 
 // NewHolder returns a holder with a fresh lease.
-func NewHolder(ranks Ranks, engine *fleet.EngineModel, size, ownRank int, fence int64, policy Policy, now func() time.Time, log *logrus.Entry) *Holder {
+func NewHolder(ranks Ranks, engine *fleet.EngineModel, size, ownRank int, lease Claimed, policy Policy, now func() time.Time, log *logrus.Entry) *Holder {
 	shape := rebalance.Shape{Ranks: size, Experts: engine.Experts, Layers: engine.Sets, Slots: engine.Placements}
 	return &Holder{
-		ranks: ranks, engine: engine, policy: policy, now: now, fence: fence,
-		log:   log.WithField("fence", fence),
-		state: NewSwitch(now(), fence, ownRank, size), demand: NewDemand(shape, policy.HalfLife),
-		planner: rebalance.NewPlanner(shape), shape: shape,
+		ranks: ranks, engine: engine, policy: policy, now: now, fence: lease.Fence,
+		log:   log.WithField("fence", lease.Fence),
+		state: NewSwitch(now(), lease.Fence, ownRank, lease.FormerRank, size), demand: NewDemand(shape, policy.HalfLife),
+		planner: rebalance.NewPlanner(shape), shape: shape, lost: make([]bool, size),
 	}
 }
 
@@ -104,6 +108,7 @@
 		h.observe(ctx)
 		h.plan()
 		h.drive(ctx)
+		h.noteStage()
 		pace := h.policy.ObservePace
 		if h.state.Stage() != StageIdle {
 			pace = stagePace
@@ -132,8 +137,9 @@
 		seen, err := h.ranks.Observe(ctx, rank, h.fence, lists)
 		h.mu.Lock()
 		defer h.mu.Unlock()
+		h.noteRank(rank, err)
 		if err != nil {
-			h.log.WithError(err).WithField("rank", rank).Debug("rank not observed")
+			h.state.Missed(h.now(), rank)
 			return
 		}
 		h.highest = max(h.highest, seen.Fence)
@@ -148,6 +154,29 @@
 	}
 }
 
+// noteStage logs when a switch moves on; each stage ends within some passes.
+func (h *Holder) noteStage() {
+	stage := h.state.Stage()
+	if stage != h.stage {
+		h.log.WithFields(logrus.Fields{
+			"stage": stage.String(), "before": h.stage.String(), "version": h.state.Version(), "pass": h.state.pass,
+		}).Info("switch moved on")
+	}
+	h.stage = stage
+}
+
+// noteRank logs when a rank is lost or regained.
+func (h *Holder) noteRank(rank int, err error) {
+	log := h.log.WithField("rank", rank)
+	switch {
+	case err != nil && !h.lost[rank]:
+		log.WithError(err).Warn("rank lost")
+	case err == nil && h.lost[rank]:
+		log.Info("rank regained")
+	}
+	h.lost[rank] = err != nil
+}
+
 // each runs f for every rank at once.
 func (h *Holder) each(f func(rank int)) {
 	var all sync.WaitGroup
@@ -161,20 +190,12 @@
 
 // adoptLists takes the map that the ranks tell as the present one.
 func (h *Holder) adoptLists() {
-	if !h.state.Ready() {
+	lists, whole := h.listsBySet()
+	h.state.SetPresent(lists)
+	if !whole || !h.state.Ready() {
 		return
 	}
-	bySet := make([][][]int, h.shape.Layers)
-	for set := range bySet {
-		bySet[set] = make([][]int, h.shape.Ranks)
-		for rank, experts := range h.lists {
-			if len(experts) != h.shape.Layers {
-				return
-			}
-			bySet[set][rank] = experts[set]
-		}
-	}
-	placement, err := rebalance.FromLists(h.shape, bySet)
+	placement, err := rebalance.FromLists(h.shape, lists)
 	if err != nil {
 		h.log.WithError(err).Warn("the ranks' experts make no map")
 		return
@@ -182,6 +203,34 @@
 	h.placement, h.placementEpoch, h.placementVersion = placement, h.state.Epoch(), h.mapInUse()
 }
 
+// listsBySet orders what the ranks told by set. Ranks that told nothing get the
+// experts that no other rank has; whole says that there are none.
+func (h *Holder) listsBySet() (lists [][][]int, whole bool) {
+	whole = true
+	lists = make([][][]int, h.shape.Layers)
+	for set := range lists {
+		lists[set] = make([][]int, h.shape.Ranks)
+		held := make([]bool, h.shape.Experts)
+		silent := -1
+		for rank, sets := range h.lists {
+			if len(sets) != h.shape.Layers {
+				silent, whole = rank, false
+				continue
+			}
+			lists[set][rank] = sets[set]
+			for _, expert := range sets[set] {
+				held[expert%h.shape.Experts] = true
+			}
+		}
+		for expert, known := range held {
+			if !known && silent >= 0 {
+				lists[set][silent] = append(lists[set][silent], expert)
+			}
+		}
+	}
+	return lists, whole
+}
+
 // plan begins a switch if one pays.
 func (h *Holder) plan() {
 	if h.state.Stage() == StagePrepare && h.now().Sub(h.begun) > prepareTimeout {
@@ -241,13 +290,14 @@
 		if len(orders) == 0 {
 			return
 		}
-		stage, pass := h.state.Stage(), h.state.pass
+		stage, pass, due := h.state.Stage(), h.state.pass, len(orders)
 		var all sync.WaitGroup
 		for _, o := range orders {
 			all.Go(func() { h.command(ctx, o) })
 		}
 		all.Wait()
-		if h.state.Stage() == StagePrepare || (h.state.Stage() == stage && h.state.pass == pass) {
+		same := h.state.Stage() == stage && h.state.pass == pass
+		if h.state.Stage() == StagePrepare || (same && len(h.state.Orders()) >= due) {
 			return
 		}
 	}
@@ -256,7 +306,7 @@
 func (h *Holder) command(ctx context.Context, o RankOrder) {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	verdict, err := h.ranks.Command(ctx, o.Rank, o.Order)
+	verdict, err := h.ranks.Command(ctx, o.Rank, o.Order, o.Direct)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err != nil {
--- a/internal/experts/lease.go
+++ b/internal/experts/lease.go
@@ -14,6 +14,8 @@
 type LeaseRecord struct {
 	Group  string `json:"group"`
 	Holder string `json:"holder"`
+	// Rank is that of the engine beside the holder.
+	Rank int `json:"rank"`
 }
 
 // StoredRecord is a record with its offset.
@@ -37,30 +39,32 @@
 	Fence int64
 	// Newest is the highest fencing number in the history.
 	Newest int64
+	// FormerRank is the rank of the holder before, or -1 when that isn't known.
+	FormerRank int
 }
 
 // Claim tries to become the holder of a group. knownFence is the highest number
 // that is known: a newer one in the history means that somebody else has
 // claimed since, and is given the time to call.
-func Claim(ctx context.Context, store LeaseStore, group, self string, knownFence int64) (Claimed, error) {
-	end, records, err := store.ReadLeases(ctx, knownFence)
+func Claim(ctx context.Context, store LeaseStore, record LeaseRecord, knownFence int64) (Claimed, error) {
+	end, records, err := store.ReadLeases(ctx, max(knownFence-1, 0))
 	if err != nil {
 		return Claimed{}, err
 	}
-	newest := knownFence
+	newest, former := knownFence, -1
 	for _, r := range records {
 		var lease LeaseRecord
 		if err := json.Unmarshal(r.Data, &lease); err != nil {
 			return Claimed{}, errors.Wrapf(err, "lease at offset %d", r.Offset)
 		}
-		if lease.Group == group {
-			newest = max(newest, fenceOf(r.Offset))
+		if lease.Group == record.Group {
+			newest, former = max(newest, fenceOf(r.Offset)), lease.Rank
 		}
 	}
 	if newest > knownFence {
 		return Claimed{Newest: newest}, nil
 	}
-	data, err := json.Marshal(LeaseRecord{Group: group, Holder: self})
+	data, err := json.Marshal(record)
 	if err != nil {
 		return Claimed{}, errors.Wrap(err, "lease")
 	}
@@ -68,7 +72,7 @@
 	if err != nil || !claimed {
 		return Claimed{Newest: newest}, err
 	}
-	return Claimed{Fence: fenceOf(end), Newest: fenceOf(end)}, nil
+	return Claimed{Fence: fenceOf(end), Newest: fenceOf(end), FormerRank: former}, nil
 }
 
 // fenceOf returns the fencing number of an offset: offsets begin at 0, numbers at 1.
@@ -77,8 +81,8 @@
 const (
 	// silenceBase is how long the agents hear from no holder before one claims the
 	// lease, silenceStep how much longer each next rank waits, so that as a rule one claims.
-	silenceBase = 900 * time.Millisecond
-	silenceStep = 60 * time.Millisecond
+	silenceBase = 500 * time.Millisecond
+	silenceStep = 40 * time.Millisecond
 )
 
 // Silence is how long the agent of a rank waits for a holder before it claims.
--- a/internal/experts/model_test.go
+++ b/internal/experts/model_test.go
@@ -44,8 +44,12 @@
 	holders  [2]*Switch
 	began    [2]int
 	reformed bool
-	now      int64
-	trace    []string
+	// cutOff is set while the first holder's VM can't be reached by the second; cuts
+	// counts how often.
+	cutOff bool
+	cuts   int
+	now    int64
+	trace  []string
 }
 
 func clock(n int64) time.Time { return time.Unix(1_000_000+n*10, 0) }
@@ -65,7 +69,7 @@
 
 func newModel() *modelState {
 	m := &modelState{epoch: 1}
-	m.holders[0] = NewSwitch(clock(0).Add(-time.Hour), 1, 0, modelRanks)
+	m.holders[0] = NewSwitch(clock(0).Add(-time.Hour), 1, 0, -1, modelRanks)
 	return m
 }
 
@@ -87,13 +91,14 @@
 	c.reports = append([]RankReport(nil), s.reports...)
 	c.reported = append([]time.Time(nil), s.reported...)
 	c.strays = append([]int64(nil), s.strays...)
+	c.missed = append([]bool(nil), s.missed...)
 	return &c
 }
 
 // key identifies the state apart from the time.
 func (m *modelState) key() string {
 	var b strings.Builder
-	fmt.Fprint(&b, m.engines, m.heard, m.epoch, m.pass, m.reformed, m.began)
+	fmt.Fprint(&b, m.engines, m.heard, m.epoch, m.pass, m.reformed, m.began, m.cutOff, m.cuts)
 	for _, l := range m.late {
 		fmt.Fprint(&b, l.rank, l.order.Operation, l.order.Epoch, l.order.Version, l.order.Pass, l.order.Fence)
 	}
@@ -101,7 +106,7 @@
 		if h == nil {
 			continue
 		}
-		fmt.Fprint(&b, "|", h.epoch, h.stage, h.version, h.pass, h.holdRank, h.holdsLeft, h.confirmed, h.lastVersion, h.strays, h.fenced)
+		fmt.Fprint(&b, "|", h.epoch, h.stage, h.version, h.pass, h.holdRank, h.holdsLeft, h.confirmed, h.lastVersion, h.strays, h.fenced, h.missed)
 		for rank, r := range h.reports {
 			fmt.Fprint(&b, r.Map, r.Prepared, r.Armed, r.Held, r.Pass, h.reported[rank].IsZero())
 		}
@@ -210,8 +215,10 @@
 func (m *modelState) command(h int, o RankOrder, answered, later bool, bad *mutant) {
 	s := m.holders[h]
 	verdict := Fenced
-	if o.Order.Fence >= m.heard[o.Rank] || bad.deaf {
-		m.heard[o.Rank] = max(m.heard[o.Rank], o.Order.Fence)
+	if o.Direct || o.Order.Fence >= m.heard[o.Rank] || bad.deaf {
+		if !o.Direct {
+			m.heard[o.Rank] = max(m.heard[o.Rank], o.Order.Fence)
+		}
 		if later {
 			m.late = append(m.late, lateOrder{o.Rank, o.Order})
 			verdict = Unanswered
@@ -257,7 +264,7 @@
 	}
 	if m.holders[1] == nil {
 		add("takeover", func(m *modelState) {
-			m.holders[1] = NewSwitch(clock(m.now).Add(-reportLag), 2, 1, modelRanks)
+			m.holders[1] = NewSwitch(clock(m.now).Add(-reportLag), 2, 1, 0, modelRanks)
 		})
 	}
 	if !m.reformed && m.pass > 1 {
@@ -269,11 +276,26 @@
 			}
 		})
 	}
+	if m.cutOff || (m.holders[1] != nil && m.cuts < 2) {
+		add("cut", func(m *modelState) {
+			m.cutOff = !m.cutOff
+			m.cuts++
+		})
+	}
 	for h, s := range m.holders {
 		if s == nil || s.fenced {
 			continue
 		}
 		for rank := range modelRanks {
+			if h == 1 && rank == 0 && m.cutOff {
+				if !s.missed[0] {
+					add("holder 1 misses 0", func(m *modelState) {
+						m.holders[1].Missed(clock(m.now), 0)
+						bad.settle(m.holders[1])
+					})
+				}
+				continue
+			}
 			if !same(s.reports[rank], m.report(rank)) || s.reported[rank].IsZero() {
 				add(fmt.Sprint("holder ", h, " observes ", rank), func(m *modelState) { m.observe(h, rank, bad) })
 			}
@@ -286,6 +308,9 @@
 			})
 		}
 		for _, o := range s.Orders() {
+			if h == 1 && o.Rank == 0 && m.cutOff {
+				continue
+			}
 			name := fmt.Sprint("holder ", h, " orders ", o.Rank, " ", o.Order.Operation, " v", o.Order.Version, " p", o.Order.Pass)
 			add(name, func(m *modelState) { m.command(h, o, true, false, bad) })
 			if len(m.late) < modelLate && s.stage != StagePrepare {
@@ -392,14 +417,14 @@
 	{name: "held before all have prepared, refused arms given up", after: func(s *Switch) {
 		if s.stage == StagePrepare && s.confirmed[0] {
 			s.pass = s.newestPass() + passMargin
-			s.holdRank, s.holdsLeft = s.ownRank, holdTries
+			s.holdRank, s.holdsLeft = (s.ownRank+1)%s.size, holdTries
 			s.enter(StageHold)
 		}
 	}, verdict: counts(Arm, Refused)},
 	{name: "an unanswered arm counts as confirmed", verdict: counts(Arm, Unanswered)},
 	{name: "an unanswered hold counts as placed", verdict: counts(Hold, Unanswered)},
 	{name: "a pass is given up after an arm", after: func(s *Switch) {
-		if s.stage == StageArm && s.confirmed[1] && !s.confirmed[2] && s.holdsLeft == holdTries {
+		if s.stage == StageArm && s.confirmed[2] && !s.confirmed[1] && s.holdsLeft == holdTries {
 			s.holdsLeft--
 			s.pass++
 			s.enter(StageHold)
@@ -410,6 +435,17 @@
 			s.enter(StageRelease)
 		}
 	}},
+	{name: "the own rank is armed with the others, the successor undoes", after: func(s *Switch) {
+		if s.fence == 1 && s.stage == StageArm {
+			s.ownRank = modelRanks
+		}
+	}},
+	{name: "a successor undoes without burning the version", after: func(s *Switch) {
+		if s.stage == StageBurn {
+			s.version = s.reports[1].Map
+			s.enter(StageRelease)
+		}
+	}},
 	{name: "engines and orders don't know epochs", noEpoch: true},
 	{name: "an old holder goes on beside the new one", deaf: true},
 }
@@ -440,13 +476,17 @@
 // TestGroupGoesOnAgain: with faults over, the last holder releases every hold,
 // and its next switch completes.
 func TestGroupGoesOnAgain(t *testing.T) {
-	random := rand.New(rand.NewPCG(3, 3))
+	random := rand.New(rand.NewPCG(3, 4))
 	none := &mutant{}
-	for range walks / 10 {
-		m, _ := walk(random, random.IntN(walkLength), none)
+	for range walks {
+		m, trace := walk(random, random.IntN(walkLength), none)
+		if trace != nil {
+			t.Fatalf("two maps in one pass:\n%s", strings.Join(trace, "\n"))
+		}
 		if m.holders[1] == nil {
-			m.holders[1] = NewSwitch(clock(m.now).Add(-reportLag), 2, 1, modelRanks)
+			m.holders[1] = NewSwitch(clock(m.now).Add(-reportLag), 2, 1, 0, modelRanks)
 		}
+		m.cutOff = false
 		for len(m.late) > 0 {
 			l := m.late[0]
 			m.late = m.late[1:]
--- a/internal/experts/switch.go
+++ b/internal/experts/switch.go
@@ -19,11 +19,16 @@
 	StageRelease
 	// StageSettle waits until every rank reports the new map.
 	StageSettle
+	// StageUndo takes back what an earlier holder armed, before a release.
+	StageUndo
+	// StageBurn prepares a version that is never used, so that an Arm of the former
+	// holder that is carried out late finds its version no longer prepared.
+	StageBurn
 )
 
 // String names the stage for logs.
 func (s Stage) String() string {
-	return [...]string{"idle", "prepare", "hold", "arm", "release", "settle"}[s]
+	return [...]string{"idle", "prepare", "hold", "arm", "release", "settle", "undo", "burn"}[s]
 }
 
 const (
@@ -34,7 +39,7 @@
 	// is armed by then, so giving up is harmless.
 	holdTries = 40
 	// reportLag is how old an engine's report of itself may be.
-	reportLag = 400 * time.Millisecond
+	reportLag = 300 * time.Millisecond
 	// staleHold is how long after a release a reported hold of the same pass counts
 	// as a second one, by an order that was carried out late.
 	staleHold = time.Second
@@ -44,6 +49,9 @@
 type RankOrder struct {
 	Rank  int
 	Order Order
+	// Direct orders go from the holder straight to the engine, past its agent: a VM
+	// that stops right after it gave the order must not be the engine's own.
+	Direct bool
 }
 
 // Switch is the protocol by which one holder of a group's lease changes the
@@ -51,9 +59,13 @@
 //
 // Invariant: between the first Arm of a pass and the confirmed Arm of the last
 // rank, one rank holds that pass. So the pass begins with all ranks armed, or
-// with none. Once an Arm has been sent, the pass is never given up: an order
-// without an answer may be carried out later, so Arm is repeated until every
-// rank has confirmed it, or the group forms anew.
+// with none. A holder never gives up a pass of its own once it has sent an Arm:
+// an order without an answer may be carried out later, so Arm is repeated until
+// every rank has confirmed it, or the group forms anew.
+//
+// The holder's own rank is armed last, and another rank has the hold (ownLast).
+// So when the VM of a holder stops, its successor can release the hold, and as
+// long as any rank isn't armed, it knows that the silent one isn't either.
 type Switch struct {
 	fence   int64
 	ownRank int
@@ -61,6 +73,11 @@
 	// trustFrom is when reports are recent enough to show what an earlier holder did.
 	trustFrom time.Time
 
+	// formerRank is the rank of the holder before this one, or -1. missed are the
+	// ranks that couldn't be reached since their last report.
+	formerRank int
+	missed     []bool
+
 	epoch     int64
 	stage     Stage
 	version   int64
@@ -68,6 +85,8 @@
 	holdRank  int
 	holdsLeft int
 	lists     [][][]int
+	// present is the map in use, as far as it is known.
+	present   [][][]int
 	confirmed []bool
 	reports   []RankReport
 	reported  []time.Time
@@ -81,10 +100,11 @@
 }
 
 // NewSwitch returns the protocol's state of a new holder whose own rank is
-// ownRank, in a group of a size.
-func NewSwitch(now time.Time, fence int64, ownRank, size int) *Switch {
+// ownRank, in a group of a size. formerRank is that of the holder before it, or -1.
+func NewSwitch(now time.Time, fence int64, ownRank, formerRank, size int) *Switch {
 	return &Switch{
-		fence: fence, ownRank: ownRank, size: size, trustFrom: now.Add(reportLag),
+		fence: fence, ownRank: ownRank, formerRank: formerRank, size: size, trustFrom: now.Add(reportLag),
+		missed:    make([]bool, size),
 		confirmed: make([]bool, size), reports: make([]RankReport, size), reported: make([]time.Time, size),
 		strays: make([]int64, size),
 	}
@@ -110,12 +130,18 @@
 	if r.Epoch > s.epoch {
 		s.startEpoch(r.Epoch)
 	}
-	s.reports[rank], s.reported[rank] = r, now
+	s.reports[rank], s.reported[rank], s.missed[rank] = r, now, false
 	s.lastVersion = max(s.lastVersion, r.Map, r.Prepared, r.Armed)
 	s.strays[rank] = s.stray(now, rank, r.Held)
 	s.advance(now)
 }
 
+// Missed notes that a rank couldn't be reached.
+func (s *Switch) Missed(now time.Time, rank int) {
+	s.missed[rank] = !now.Before(s.trustFrom)
+	s.advance(now)
+}
+
 // startEpoch forgets everything: a group that forms anew has the default map
 // and nothing prepared, armed or held.
 func (s *Switch) startEpoch(epoch int64) {
@@ -175,7 +201,7 @@
 	case StagePrepare:
 		if s.all(func(r RankReport) bool { return r.Prepared == s.version }) {
 			s.pass = s.newestPass() + passMargin
-			s.holdRank, s.holdsLeft = s.ownRank, holdTries
+			s.holdRank, s.holdsLeft = (s.ownRank+1)%s.size, holdTries
 			s.enter(StageHold)
 		}
 	case StageRelease:
@@ -186,24 +212,72 @@
 		if s.all(func(r RankReport) bool { return r.Map == s.version }) {
 			s.enter(StageIdle)
 		}
-	case StageHold, StageArm:
+	case StageArm:
+		// The pass has begun: a former holder had armed all ranks and released it.
+		if s.newestPass() >= s.pass {
+			s.enter(StageSettle)
+		}
+	case StageUndo, StageBurn:
+		if s.newestPass() >= s.pass {
+			s.enter(StageIdle)
+		}
+	case StageHold:
 	}
 }
 
 // resolveHold finds a hold that nobody is going to release: of a holder that
 // died, or of an order that was carried out late.
 func (s *Switch) resolveHold(now time.Time) {
-	if !s.complete() {
+	rank := s.heldRank(now)
+	if rank < 0 {
 		return
 	}
+	switch {
+	case s.complete():
+		s.holdRank, s.pass = rank, s.reports[rank].Held
+		s.finish()
+	case s.formerHolderSilent() && s.someUnarmed():
+		s.holdRank, s.pass = rank, s.reports[rank].Held
+		s.enter(StageUndo)
+	}
+}
+
+// heldRank returns a rank that holds a pass, or -1.
+func (s *Switch) heldRank(now time.Time) int {
 	for rank, r := range s.reports {
-		if r.Held == 0 || s.releasedLately(now, r.Held) {
-			continue
+		trusted := !s.reported[rank].IsZero() && !s.reported[rank].Before(s.trustFrom)
+		if trusted && r.Held != 0 && !s.releasedLately(now, r.Held) {
+			return rank
 		}
-		s.holdRank, s.pass = rank, r.Held
-		s.finish()
-		return
 	}
+	return -1
+}
+
+// formerHolderSilent tells whether every rank has reported but that of the
+// former holder, which can't be reached.
+func (s *Switch) formerHolderSilent() bool {
+	for rank := range s.size {
+		known := !s.reported[rank].IsZero() && !s.reported[rank].Before(s.trustFrom)
+		if rank == s.formerRank {
+			if known || !s.missed[rank] {
+				return false
+			}
+		} else if !known {
+			return false
+		}
+	}
+	return s.formerRank >= 0
+}
+
+// someUnarmed tells whether a rank that reports isn't armed. Then the former
+// holder's own rank isn't either, and it can't have released the hold.
+func (s *Switch) someUnarmed() bool {
+	for rank, r := range s.reports {
+		if rank != s.formerRank && r.Armed == 0 {
+			return true
+		}
+	}
+	return false
 }
 
 func (s *Switch) releasedLately(now time.Time, pass int64) bool {
@@ -268,25 +342,79 @@
 		return s.toUnconfirmed(order)
 	case StageArm:
 		order.Operation = Arm
-		return s.toUnconfirmed(order)
+		return s.ownLast(s.toUnconfirmed(order))
 	case StageHold:
 		order.Operation = Hold
-		return []RankOrder{{Rank: s.holdRank, Order: order}}
+		return []RankOrder{{Rank: s.holdRank, Order: order, Direct: true}}
 	case StageRelease:
 		order.Operation = Release
-		return []RankOrder{{Rank: s.holdRank, Order: order}}
+		return []RankOrder{{Rank: s.holdRank, Order: order, Direct: true}}
+	case StageUndo:
+		return s.disarms(order)
+	case StageBurn:
+		order.Operation, order.Map = Prepare, s.present
+		return s.reachable(s.toUnconfirmed(order))
 	case StageIdle, StageSettle:
 	}
 	return nil
 }
 
+// ownLast keeps the order in which ranks are armed: first all but the holder's
+// own and the one with the hold, then the latter, then the own. A holder whose
+// VM stops in the first of the three leaves a rank unarmed, which shows that
+// its own isn't armed either.
+func (s *Switch) ownLast(orders []RankOrder) []RankOrder {
+	var first, second []RankOrder
+	for _, o := range orders {
+		switch o.Rank {
+		case s.ownRank:
+		case s.holdRank:
+			second = append(second, o)
+		default:
+			first = append(first, o)
+		}
+	}
+	switch {
+	case len(first) > 0:
+		return first
+	case len(second) > 0:
+		return second
+	default:
+		return orders
+	}
+}
+
+// reachable leaves the former holder's rank out.
+func (s *Switch) reachable(orders []RankOrder) []RankOrder {
+	var others []RankOrder
+	for _, o := range orders {
+		if o.Rank != s.formerRank {
+			others = append(others, o)
+		}
+	}
+	return others
+}
+
+// disarms takes back what the former holder armed.
+func (s *Switch) disarms(order Order) []RankOrder {
+	order.Operation = Disarm
+	var orders []RankOrder
+	for _, o := range s.reachable(s.toUnconfirmed(order)) {
+		if o.Order.Version = s.reports[o.Rank].Armed; o.Order.Version == 0 {
+			o.Order.Version = s.reports[o.Rank].Prepared
+		}
+		orders = append(orders, o)
+	}
+	return orders
+}
+
 func (s *Switch) strayReleases() []RankOrder {
 	var orders []RankOrder
 	for rank, pass := range s.strays {
 		if pass != 0 && s.stage != StageIdle {
 			orders = append(orders, RankOrder{Rank: rank, Order: Order{
 				Operation: Release, Epoch: s.epoch, Fence: s.fence, Pass: pass,
-			}})
+			}, Direct: true})
 		}
 	}
 	return orders
@@ -316,7 +444,11 @@
 	}
 	switch order.Operation {
 	case Prepare:
-		s.prepared(rank, verdict)
+		if s.stage == StageBurn {
+			s.burned(rank, verdict)
+		} else {
+			s.prepared(rank, verdict)
+		}
 	case Hold:
 		s.held(verdict)
 	case Arm:
@@ -324,17 +456,24 @@
 	case Release:
 		s.released(now)
 	case Disarm:
+		s.disarmed(rank)
 	}
 }
 
 // current tells whether a rank's order belongs to the present stage.
 func (s *Switch) current(rank int, order Order) bool {
-	if order.Epoch != s.epoch || order.Version != s.version {
+	if order.Epoch != s.epoch {
+		return false
+	}
+	if order.Operation == Disarm {
+		return s.stage == StageUndo && order.Pass == s.pass
+	}
+	if order.Version != s.version {
 		return false
 	}
 	switch order.Operation {
 	case Prepare:
-		return s.stage == StagePrepare
+		return s.stage == StagePrepare || s.stage == StageBurn
 	case Hold:
 		return s.stage == StageHold && order.Pass == s.pass && rank == s.holdRank
 	case Arm:
@@ -385,6 +524,43 @@
 	s.enter(StageRelease)
 }
 
+// disarmed notes that a rank isn't armed. A refusal says the same.
+func (s *Switch) disarmed(rank int) {
+	if s.confirmReachable(rank) {
+		s.version = s.lastVersion + 1
+		s.lastVersion = s.version
+		s.enter(StageBurn)
+	}
+}
+
+// burned notes what a rank said to the version that is never used. A refusal
+// means that an Arm was carried out late, or that the rank has had the version.
+func (s *Switch) burned(rank int, verdict Verdict) {
+	if verdict != Accepted {
+		s.enter(StageUndo)
+		return
+	}
+	if s.confirmReachable(rank) {
+		s.version = s.reports[rank].Map
+		s.enter(StageRelease)
+	}
+}
+
+// confirmReachable notes a rank's confirmation. It tells whether all but the
+// former holder's have confirmed.
+func (s *Switch) confirmReachable(rank int) bool {
+	s.confirmed[rank] = true
+	for other, confirmed := range s.confirmed {
+		if !confirmed && other != s.formerRank {
+			return false
+		}
+	}
+	return true
+}
+
+// SetPresent tells the map in use, as far as it is known.
+func (s *Switch) SetPresent(lists [][][]int) { s.present = lists }
+
 func (s *Switch) released(now time.Time) {
 	s.releasedAt = now
 	s.enter(StageSettle)
--- a/internal/experts/types.go
+++ b/internal/experts/types.go
@@ -19,6 +19,8 @@
 	// Armed the version that a coming pass will switch to, or 0; Held the pass that
 	// may not begin yet, or 0.
 	Map, Prepared, Armed, Held int64
+	// ArmedPass is the pass at which Armed comes into use.
+	ArmedPass int64
 	// Queued and Running count the rank's requests.
 	Queued, Running int
 	// Pace over 1 means that the rank is slower than usual.
@@ -50,6 +52,11 @@
 	Release
 )
 
+// String names the operation for logs.
+func (o Operation) String() string {
+	return [...]string{"prepare", "arm", "disarm", "hold", "release"}[o]
+}
+
 // Order is an order to one rank's engine.
 type Order struct {
 	Operation Operation
@@ -78,3 +85,8 @@
 	// Fenced orders came with an old lease.
 	Fenced
 )
+
+// String names the verdict for logs.
+func (v Verdict) String() string {
+	return [...]string{"unanswered", "accepted", "refused", "fenced"}[v]
+}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -32,13 +32,17 @@
 type Servers struct {
 	byID      map[string]*Server
 	byService map[string][]*Server
+	byAddress map[string]*Server
 }
 
 // NewServers indexes a state of the registry.
 func NewServers(list []*Server) *Servers {
-	s := &Servers{byID: make(map[string]*Server, len(list)), byService: map[string][]*Server{}}
+	s := &Servers{byID: make(map[string]*Server, len(list)), byService: map[string][]*Server{}, byAddress: map[string]*Server{}}
 	for _, server := range list {
 		s.byID[server.ID] = server
+		if old := s.byAddress[server.Address]; old == nil || supersedes(server, old) {
+			s.byAddress[server.Address] = server
+		}
 		s.byService[server.Service] = append(s.byService[server.Service], server)
 	}
 	for _, servers := range s.byService {
@@ -47,6 +51,18 @@
 	return s
 }
 
+// supersedes tells whether of two servers at one address the first is the
+// newer one, as far as that shows.
+func supersedes(a, b *Server) bool {
+	if a.Rank != nil && b.Rank != nil && a.Rank.Epoch != b.Rank.Epoch {
+		return a.Rank.Epoch > b.Rank.Epoch
+	}
+	return b.Leaving && !a.Leaving
+}
+
+// At returns the server at an address, or nil.
+func (s *Servers) At(address string) *Server { return s.byAddress[address] }
+
 // Server returns a server by ID, or nil.
 func (s *Servers) Server(id string) *Server { return s.byID[id] }
 
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -4,11 +4,13 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/daemon"
 	"github.com/crowbridge/crowbridge/internal/experts"
 	"github.com/crowbridge/crowbridge/internal/fleet"
+	"github.com/crowbridge/crowbridge/internal/loadfeed"
 	"github.com/crowbridge/crowbridge/internal/membership"
 	"github.com/crowbridge/crowbridge/internal/peerrpc"
 	"github.com/crowbridge/crowbridge/internal/upstream"
@@ -19,8 +21,11 @@
 )
 
 const (
-	// reportPace is the time between an agent's own looks at its engine.
-	reportPace = 250 * time.Millisecond
+	// loadPace is the time between an agent's own looks at its engine, after which it
+	// tells the entries what has changed.
+	loadPace = 120 * time.Millisecond
+	// holderPace is how often an agent looks whether a holder still calls.
+	holderPace = 50 * time.Millisecond
 	// membersPace is the time between questions to an entry for what is newer. It
 	// costs no call to the store.
 	membersPace = time.Second
@@ -85,12 +90,20 @@
 		a.hold(tasks)
 		return nil
 	})
+	sender, err := loadfeed.NewSender(a.settings.IP, a.settings.LocalServer, uint16(a.settings.FirstPort+loadPort))
+	if err != nil {
+		return err
+	}
+	group.Go(func() error {
+		a.feedLoad(tasks, sender)
+		return sender.Close()
+	})
 	group.Go(func() error {
 		WatchSettings(tasks, a.settings, a.log, func(s *platform.Settings) { a.exchange.SetSeeds(s.Seeds) })
 		return nil
 	})
 	a.log.WithField("engine", a.settings.LocalServer).Info("agent started")
-	err := errors.Wrap(group.Wait(), "agent")
+	err = errors.Wrap(group.Wait(), "agent")
 	a.log.Info("agent stopped")
 	return err
 }
@@ -109,15 +122,35 @@
 	}
 }
 
-// hold looks at the engine, and claims the group's lease when no holder calls.
+// feedLoad tells the entries the engine's load.
+func (a *Agent) feedLoad(ctx context.Context, sender *loadfeed.Sender) {
+	for ctx.Err() == nil {
+		if report := a.report(ctx); report.Size > 0 {
+			if err := sender.Send(time.Now(), report, a.entries()); err != nil {
+				a.log.WithError(err).Debug("load not told")
+			}
+		}
+		pause(ctx, loadPace)
+	}
+}
+
+// entries returns the addresses of the entries heard of.
+func (a *Agent) entries() []netip.Addr {
+	var found []netip.Addr
+	for _, peer := range a.exchange.Peers() {
+		if address, err := netip.ParseAddrPort(peer); err == nil {
+			found = append(found, address.Addr())
+		}
+	}
+	return found
+}
+
+// hold claims the group's lease when no holder calls.
 func (a *Agent) hold(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, reportPace)
+		pause(ctx, holderPace)
 		report := a.agent.Last()
 		fence, silent := a.agent.Fence()
-		if silent > reportPace || report.Size == 0 {
-			report = a.report(ctx)
-		}
 		if report.Size == 0 || silent < experts.Silence(report.Rank) {
 			continue
 		}
@@ -157,7 +190,8 @@
 // claim tries to get the lease and steers the group while it has it.
 func (a *Agent) claim(ctx context.Context, report experts.RankReport, engine *fleet.EngineModel, knownFence int64) {
 	claiming, cancel := context.WithTimeout(ctx, claimTimeout)
-	claimed, err := experts.Claim(claiming, a.store, report.Group, a.settings.Daemon, knownFence)
+	claimed, err := experts.Claim(claiming, a.store,
+		experts.LeaseRecord{Group: report.Group, Holder: a.settings.Daemon, Rank: report.Rank}, knownFence)
 	cancel()
 	log := a.log.WithFields(logrus.Fields{
 		"group": report.Group, "rank": report.Rank, "known_fence": knownFence, "fence": claimed.Fence, "newest": claimed.Newest,
@@ -175,9 +209,9 @@
 	log.Info("lease claimed")
 	ranks := &rankClient{
 		self: a.settings.Daemon, group: report.Group, port: portOf(a.settings, rankPort), members: a.members,
-		client: a.client, local: a.agent, ownRank: report.Rank, engine: a.engines,
+		client: a.client, local: a.agent, ownRank: report.Rank, engine: a.engines, silent: map[int]time.Time{},
 	}
-	experts.NewHolder(ranks, engine, report.Size, report.Rank, claimed.Fence, experts.DefaultPolicy, time.Now, a.log).Run(ctx)
+	experts.NewHolder(ranks, engine, report.Size, report.Rank, claimed, experts.DefaultPolicy, time.Now, a.log).Run(ctx)
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/crowbridge/crowbridge/internal/dispatch"
 	"github.com/crowbridge/crowbridge/internal/fleet"
 	"github.com/crowbridge/crowbridge/internal/frontend"
+	"github.com/crowbridge/crowbridge/internal/loadfeed"
 	"github.com/crowbridge/crowbridge/internal/membership"
 	"github.com/crowbridge/crowbridge/internal/peerrpc"
 	"github.com/crowbridge/crowbridge/internal/upstream"
@@ -100,6 +102,11 @@
 		return err
 	}
 	group.Go(func() error { return e.frontend.Serve(callers) })
+	load, err := net.ListenPacket("udp4", ownAddress(e.settings, loadPort))
+	if err != nil {
+		return errors.Wrap(err, "load feed")
+	}
+	group.Go(func() error { return loadfeed.Receive(tasks, load, e.members.Servers, e.board, time.Now, e.log) })
 	for _, task := range []func(context.Context){
 		e.follower.FollowConfig, e.follower.FollowServers, e.askPeers, e.watchSettings,
 	} {
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -12,6 +12,7 @@
 const (
 	metricsPort = 1
 	rankPort    = 2
+	loadPort    = 3
 )
 
 func portOf(s *platform.Settings, offset int) string { return strconv.Itoa(s.FirstPort + offset) }
--- a/internal/hosted/ranks.go
+++ b/internal/hosted/ranks.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"sync"
+	"time"
 
 	"github.com/crowbridge/crowbridge/internal/experts"
 	"github.com/crowbridge/crowbridge/internal/fleet"
@@ -119,6 +121,29 @@
 	local   *experts.Agent
 	ownRank int
 	engine  experts.Engine
+
+	mu sync.Mutex // a leaf
+	// silent are the ranks whose agents didn't answer, and when they are asked again.
+	silent map[int]time.Time
+}
+
+// agentRetry is how long a silent agent is left alone: its engine is asked
+// directly meanwhile, which costs more.
+const agentRetry = time.Second
+
+// agentCall bounds a call to an agent, so that time is left to ask its engine.
+const agentCall = 80 * time.Millisecond
+
+func (c *rankClient) isSilent(rank int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.silent[rank])
+}
+
+func (c *rankClient) markSilent(rank int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent[rank] = time.Now().Add(agentRetry)
 }
 
 // server returns the registered server of a rank, of the newest epoch.
@@ -155,7 +180,8 @@
 	return peerrpc.NewRanksProtobufClient("http://"+joinPort(address.Addr().String(), c.port), c.client), server, nil
 }
 
-// Observe implements experts.Ranks.
+// Observe implements experts.Ranks. When the rank's agent can't be reached, its
+// engine is asked for its state alone.
 func (c *rankClient) Observe(ctx context.Context, rank int, fence int64, lists bool) (experts.Observation, error) {
 	if rank == c.ownRank {
 		return c.local.Observe(ctx, fence, lists)
@@ -164,12 +190,30 @@
 	if err != nil {
 		return experts.Observation{}, err
 	}
+	if !c.isSilent(rank) {
+		seen, err := c.observeAgent(ctx, agent, server, fence, lists)
+		if err == nil {
+			return seen, nil
+		}
+		c.markSilent(rank)
+	}
+	report, err := c.engine.Report(ctx, server.Address)
+	seen := experts.Observation{Report: report, Fence: fence}
+	if err == nil && lists {
+		seen.Experts, err = c.engine.Experts(ctx, server.Address)
+	}
+	return seen, err
+}
+
+func (c *rankClient) observeAgent(ctx context.Context, agent peerrpc.Ranks, server *fleet.Server, fence int64, lists bool) (experts.Observation, error) {
+	ctx, cancel := context.WithTimeout(ctx, agentCall)
+	defer cancel()
 	reply, err := agent.Observe(ctx, &peerrpc.ObserveRequest{Holder: c.self, Fence: fence, Lists: lists})
 	if err != nil {
 		return experts.Observation{}, errors.Wrapf(err, "agent of server %s", server.ID)
 	}
 	if reply.GetFailure() != "" {
-		return experts.Observation{Fence: reply.GetFence()}, errors.Errorf("agent of server %s: %s", server.ID, reply.GetFailure())
+		return experts.Observation{}, errors.Errorf("agent of server %s: %s", server.ID, reply.GetFailure())
 	}
 	seen := experts.Observation{
 		Report: decodeState(reply.GetState()), Fence: reply.GetFence(),
@@ -185,8 +229,8 @@
 }
 
 // Command implements experts.Ranks. When the rank's agent can't be reached, the
-// order goes straight to the engine.
-func (c *rankClient) Command(ctx context.Context, rank int, order experts.Order) (experts.Verdict, error) {
+// order goes straight to the engine; engines refuse old fences themselves.
+func (c *rankClient) Command(ctx context.Context, rank int, order experts.Order, direct bool) (experts.Verdict, error) {
 	if rank == c.ownRank {
 		return c.local.Command(ctx, order)
 	}
@@ -194,11 +238,13 @@
 	if err != nil {
 		return experts.Unanswered, err
 	}
-	reply, err := agent.Command(ctx, encodeOrder(c.self, order))
+	if direct || c.isSilent(rank) {
+		return c.engine.Order(ctx, server.Address, order)
+	}
+	calling, cancel := context.WithTimeout(ctx, agentCall)
+	defer cancel()
+	reply, err := agent.Command(calling, encodeOrder(c.self, order))
 	if err != nil {
-		if ctx.Err() == nil {
-			return c.engine.Order(ctx, server.Address, order)
-		}
 		return experts.Unanswered, errors.Wrapf(err, "agent of server %s", server.ID)
 	}
 	if reply.GetDetail() != "" {
--- /dev/null
+++ b/internal/loadfeed/loadfeed.go
@@ -0,0 +1,119 @@
+// Package loadfeed carries the load of model engines from the agents beside
+// them to the entries, as datagrams. A lost one is made good by the next.
+package loadfeed
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/dispatch"
+	"github.com/crowbridge/crowbridge/internal/experts"
+	"github.com/crowbridge/crowbridge/internal/fleet"
+	"github.com/crowbridge/crowbridge/internal/peerrpc"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// maxDatagram bounds a report, in bytes.
+	maxDatagram = 1024
+	// refresh is how often a report is sent although nothing has changed.
+	refresh = 400 * time.Millisecond
+)
+
+// Sender sends an agent's reports. Not safe for concurrent use.
+type Sender struct {
+	conn    net.PacketConn
+	address string
+	port    uint16
+	last    experts.RankReport
+	sentAt  time.Time
+}
+
+// NewSender returns a sender of the load of the backend server at an address,
+// to entries that listen on a port.
+func NewSender(ip, address string, port uint16) (*Sender, error) {
+	conn, err := net.ListenPacket("udp4", net.JoinHostPort(ip, "0"))
+	return &Sender{conn: conn, address: address, port: port}, errors.Wrap(err, "load feed")
+}
+
+// Close releases the socket.
+func (s *Sender) Close() error { return s.conn.Close() }
+
+// Send tells the entries at some addresses if the load has changed or the last
+// report is old. It returns the first error; the others have been sent to.
+func (s *Sender) Send(now time.Time, report experts.RankReport, entries []netip.Addr) error {
+	if visible(report) == visible(s.last) && now.Sub(s.sentAt) < refresh {
+		return nil
+	}
+	s.last, s.sentAt = report, now
+	data, err := proto.Marshal(&peerrpc.LoadReport{
+		Address: s.address, Running: int32(report.Running), Queued: int32(report.Queued),
+		Group: report.Group, Epoch: report.Epoch, Rank: int32(report.Rank), Size: int32(report.Size), Open: report.Open,
+	})
+	if err != nil {
+		return errors.Wrap(err, "load feed")
+	}
+	var first error
+	for _, entry := range entries {
+		if _, err := s.conn.WriteTo(data, net.UDPAddrFromAddrPort(netip.AddrPortFrom(entry, s.port))); err != nil && first == nil {
+			first = errors.Wrapf(err, "load feed to %s", entry)
+		}
+	}
+	return first
+}
+
+// visible is the part of a report whose change is worth a datagram.
+func visible(r experts.RankReport) experts.RankReport {
+	return experts.RankReport{Epoch: r.Epoch, Open: r.Open, Running: r.Running, Queued: r.Queued}
+}
+
+// Board takes in what the agents tell.
+type Board interface {
+	ReportLoad(id string, load dispatch.Load, at time.Time)
+	ReportGroup(rank fleet.GroupRank, at time.Time)
+}
+
+// Receive reads reports until the context ends. servers returns what is
+// registered at present, or nil.
+func Receive(ctx context.Context, conn net.PacketConn, servers func() *fleet.Servers, board Board, now func() time.Time, log *logrus.Entry) error {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // ends the read
+	defer stop()
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := conn.ReadFrom(buffer)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "load feed")
+		}
+		var report peerrpc.LoadReport
+		if err := proto.Unmarshal(buffer[:n], &report); err != nil {
+			log.WithError(err).Debug("load report not understood")
+			continue
+		}
+		take(&report, servers(), board, now())
+	}
+}
+
+func take(report *peerrpc.LoadReport, servers *fleet.Servers, board Board, now time.Time) {
+	if servers == nil {
+		return
+	}
+	server := servers.At(report.GetAddress())
+	if server == nil {
+		return
+	}
+	board.ReportLoad(server.ID, dispatch.Load{
+		Running: int(report.GetRunning()), Waiting: int(report.GetQueued()), Slots: server.Capacity,
+	}, now)
+	if report.GetGroup() != "" {
+		board.ReportGroup(fleet.GroupRank{
+			Group: report.GetGroup(), Epoch: report.GetEpoch(), Rank: int(report.GetRank()), Size: int(report.GetSize()), Open: report.GetOpen(),
+		}, now)
+	}
+}
