--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -58,14 +58,16 @@
 const (
 	// avoidPenalty puts servers that failed lately behind all others.
 	avoidPenalty = 1000
-	// tokensPerRequest is how many unread prompt tokens weigh as one request.
-	tokensPerRequest = 2000
+	// tokensPerRequest is how many unread prompt tokens make a pass as much longer as
+	// one request that generates: 0.355 ms in each of 5 steps, 61.2 tokens a ms, with
+	// room for what is read by the time that the choice matters.
+	tokensPerRequest = 300
 	// otherZone is what another zone costs, in requests.
 	otherZone = 0.25
 )
 
 func (b *Board) score(now time.Time, server *fleet.Server, r *row, load float64) float64 {
-	score := load + float64(r.unread)/tokensPerRequest
+	score := (load + 1 + float64(r.unread)/tokensPerRequest) * max(r.reported.Pace, 1)
 	if server.Rank == nil {
 		score = (load + 1) * (1 + r.slow/slowReference)
 	}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -56,6 +56,8 @@
 // Load is what a server says of itself.
 type Load struct {
 	Running, Waiting, Slots int
+	// Pace over 1 means that the server is slower than usual; 0 when it doesn't tell.
+	Pace float64
 }
 
 // AnswerInfo is what the header of an answer says, besides its status.
--- a/internal/experts/holder.go
+++ b/internal/experts/holder.go
@@ -35,20 +35,27 @@
 	ObservePace time.Duration
 	// HalfLife is the time in which the estimate of demand forgets half.
 	HalfLife time.Duration
-	// Trigger is the skew, the slowest rank's time over the mean, from which on a new
-	// map is planned; Target is the skew of a set at which a plan is good enough.
-	Trigger, Target float64
+	// PassPart is the part of the longest pause between events that a pass's own work
+	// may take: prompts that are read make it longer. It gives the skew, the slowest
+	// rank's time over the mean, from which on a new map is planned.
+	PassPart float64
+	// TargetPart says how far a plan goes: 0 to a skew of 1, 1 not beyond the trigger.
+	TargetPart float64
+	// LeastTrigger and MostTrigger bound the trigger.
+	LeastTrigger, MostTrigger float64
 	// MovePrice is what loading one expert has to gain, in per cent of a set's time.
 	MovePrice float64
 }
 
 // DefaultPolicy was chosen by runs on the users' days; see docs/decisions.
 var DefaultPolicy = Policy{
-	ObservePace: 150 * time.Millisecond,
-	HalfLife:    500 * time.Millisecond,
-	Trigger:     1.4,
-	Target:      1.2,
-	MovePrice:   0.5,
+	ObservePace:  150 * time.Millisecond,
+	HalfLife:     500 * time.Millisecond,
+	PassPart:     0.52,
+	TargetPart:   0.5,
+	LeastTrigger: 1.2,
+	MostTrigger:  1.8,
+	MovePrice:    0.5,
 }
 
 const (
@@ -58,6 +65,8 @@
 	// order: an order without an answer is repeated.
 	callTimeout    = 250 * time.Millisecond
 	commandTimeout = 120 * time.Millisecond
+	// leastShare keeps the trigger finite for engines without experts.
+	leastShare = 0.01
 	// leastChoices is how many choices of experts a plan must rest on.
 	leastChoices = 2000
 	// prepareTimeout gives a switch up that isn't prepared everywhere by then.
@@ -68,6 +77,8 @@
 type Holder struct {
 	ranks  Ranks
 	engine *fleet.EngineModel
+	// pause is the longest pause between events that callers take as prompt.
+	pause  time.Duration
 	policy Policy
 	log    *logrus.Entry
 	now    func() time.Time
@@ -91,10 +102,10 @@
 }
 
 // NewHolder returns a holder with a fresh lease.
-func NewHolder(ranks Ranks, engine *fleet.EngineModel, size, ownRank int, lease Claimed, policy Policy, now func() time.Time, log *logrus.Entry) *Holder {
+func NewHolder(ranks Ranks, engine *fleet.EngineModel, pause time.Duration, size, ownRank int, lease Claimed, policy Policy, now func() time.Time, log *logrus.Entry) *Holder {
 	shape := rebalance.Shape{Ranks: size, Experts: engine.Experts, Layers: engine.Sets, Slots: engine.Placements}
 	return &Holder{
-		ranks: ranks, engine: engine, policy: policy, now: now, fence: lease.Fence,
+		ranks: ranks, engine: engine, pause: pause, policy: policy, now: now, fence: lease.Fence,
 		log:   log.WithField("fence", lease.Fence),
 		state: NewSwitch(now(), lease.Fence, ownRank, lease.FormerRank, size), demand: NewDemand(shape, policy.HalfLife),
 		planner: rebalance.NewPlanner(shape), shape: shape, lost: make([]bool, size),
@@ -243,18 +254,15 @@
 	if !h.state.Ready() || h.placement == nil || h.placementEpoch != h.state.Epoch() || h.placementVersion != h.mapInUse() || h.demand.Weight() < leastChoices {
 		return
 	}
-	speeds := make([]float64, h.shape.Ranks)
-	for rank := range speeds {
-		speeds[rank] = 1
-	}
+	speeds := h.speeds()
 	popularity := h.demand.Popularity()
-	before := h.placement.Skew(popularity, speeds)
-	if before < h.policy.Trigger {
+	before, trigger := h.placement.Skew(popularity, speeds), h.trigger()
+	if before < trigger {
 		return
 	}
 	moves := h.planner.Plan(h.placement, popularity, speeds, rebalance.Options{
 		SkewWeight: 1, CostWeight: h.policy.MovePrice,
-		MaxMoves: h.shape.Ranks * h.shape.Slots * h.shape.Layers, MaxNewPerRank: h.engine.NewPerOrder, GoodEnough: h.policy.Target,
+		MaxMoves: h.shape.Ranks * h.shape.Slots * h.shape.Layers, MaxNewPerRank: h.engine.NewPerOrder, GoodEnough: 1 + (trigger-1)*h.policy.TargetPart,
 	})
 	if len(moves) == 0 {
 		return
@@ -265,10 +273,34 @@
 	h.planned, h.begun = next, h.now()
 	h.state.Begin(next.Lists())
 	h.log.WithFields(logrus.Fields{
-		"version": h.state.Version(), "epoch": h.state.Epoch(), "moves": len(moves), "skew": before, "planned_skew": after,
+		"version": h.state.Version(), "epoch": h.state.Epoch(), "moves": len(moves), "skew": before, "trigger": trigger, "planned_skew": after,
 	}).Info("expert map: switch begun")
 }
 
+// trigger is the skew from which on a new map pays: the busier the ranks, the
+// longer a pass is without any skew, and the less of it fits.
+func (h *Holder) trigger() float64 {
+	busiest := 0
+	for _, r := range h.state.reports {
+		busiest = max(busiest, r.Running)
+	}
+	e := h.engine
+	step := e.Step + time.Duration(busiest)*e.StepPerRequest
+	even := float64(e.Stride) * step.Seconds()
+	room := h.policy.PassPart * h.pause.Seconds() / even
+	skew := (room - (1 - e.ExpertShare)) / max(e.ExpertShare, leastShare)
+	return min(max(skew, h.policy.LeastTrigger), h.policy.MostTrigger)
+}
+
+// speeds are the ranks' speeds relative to a healthy one's.
+func (h *Holder) speeds() []float64 {
+	speeds := make([]float64, h.shape.Ranks)
+	for rank := range speeds {
+		speeds[rank] = 1 / max(h.state.reports[rank].Pace, 1)
+	}
+	return speeds
+}
+
 // finishSwitch notes the end of a switch.
 func (h *Holder) finishSwitch() {
 	log := h.log.WithFields(logrus.Fields{
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -164,3 +164,22 @@
 
 // Service returns a service by name, or nil.
 func (c *Config) Service(name string) *Service { return c.services[name] }
+
+// EventPause returns the shortest pause between events that any route to a
+// service calls prompt, or 0 when none does.
+func (c *Config) EventPause(service string) time.Duration {
+	shortest := time.Duration(0)
+	for _, routes := range c.routes {
+		for _, route := range routes {
+			if route.EventPause <= 0 || (shortest > 0 && route.EventPause >= shortest) {
+				continue
+			}
+			for _, target := range route.Targets {
+				if target.Service == service {
+					shortest = route.EventPause
+				}
+			}
+		}
+	}
+	return shortest
+}
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -154,8 +154,8 @@
 		if report.Size == 0 || silent < experts.Silence(report.Rank) {
 			continue
 		}
-		if engine := a.engineModel(); engine != nil {
-			a.claim(ctx, report, engine, fence)
+		if engine, pause := a.engineModel(); engine != nil {
+			a.claim(ctx, report, engine, pause, fence)
 		}
 	}
 }
@@ -170,25 +170,26 @@
 	return report
 }
 
-// engineModel returns the published figures of the engine beside this agent.
-func (a *Agent) engineModel() *fleet.EngineModel {
+// engineModel returns the published figures of the engine beside this agent,
+// and the longest pause between events that its callers take as prompt.
+func (a *Agent) engineModel() (*fleet.EngineModel, time.Duration) {
 	config, servers := a.members.Config(), a.members.Servers()
 	if config == nil || servers == nil {
-		return nil
+		return nil, 0
 	}
-	for _, server := range servers.All() {
-		if server.Address != a.settings.LocalServer {
-			continue
-		}
-		if service := config.Service(server.Service); service != nil && service.Engine != nil && service.Engine.Sets > 0 {
-			return service.Engine
-		}
+	server := servers.At(a.settings.LocalServer)
+	if server == nil {
+		return nil, 0
+	}
+	service := config.Service(server.Service)
+	if service == nil || service.Engine == nil || service.Engine.Sets == 0 {
+		return nil, 0
 	}
-	return nil
+	return service.Engine, config.EventPause(service.Name)
 }
 
 // claim tries to get the lease and steers the group while it has it.
-func (a *Agent) claim(ctx context.Context, report experts.RankReport, engine *fleet.EngineModel, knownFence int64) {
+func (a *Agent) claim(ctx context.Context, report experts.RankReport, engine *fleet.EngineModel, pauseBound time.Duration, knownFence int64) {
 	claiming, cancel := context.WithTimeout(ctx, claimTimeout)
 	claimed, err := experts.Claim(claiming, a.store,
 		experts.LeaseRecord{Group: report.Group, Holder: a.settings.Daemon, Rank: report.Rank}, knownFence)
@@ -211,7 +212,7 @@
 		self: a.settings.Daemon, group: report.Group, port: portOf(a.settings, rankPort), members: a.members,
 		client: a.client, local: a.agent, ownRank: report.Rank, engine: a.engines, silent: map[int]time.Time{},
 	}
-	experts.NewHolder(ranks, engine, report.Size, report.Rank, claimed, experts.DefaultPolicy, time.Now, a.log).Run(ctx)
+	experts.NewHolder(ranks, engine, pauseBound, report.Size, report.Rank, claimed, experts.DefaultPolicy, time.Now, a.log).Run(ctx)
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/hosted/ranks.go
+++ b/internal/hosted/ranks.go
@@ -66,6 +66,7 @@
 	return &peerrpc.RankState{
 		Group: r.Group, Epoch: r.Epoch, Rank: int32(r.Rank), Size: int32(r.Size), Open: r.Open, Sequence: r.Sequence,
 		Pass: r.Pass, Map: r.Map, Prepared: r.Prepared, Armed: r.Armed, Held: r.Held,
+		Running: int32(r.Running), Pace: r.Pace,
 	}
 }
 
@@ -73,7 +74,7 @@
 	return experts.RankReport{
 		Group: s.GetGroup(), Epoch: s.GetEpoch(), Rank: int(s.GetRank()), Size: int(s.GetSize()), Open: s.GetOpen(),
 		Sequence: s.GetSequence(), Pass: s.GetPass(), Map: s.GetMap(), Prepared: s.GetPrepared(),
-		Armed: s.GetArmed(), Held: s.GetHeld(),
+		Armed: s.GetArmed(), Held: s.GetHeld(), Running: int(s.GetRunning()), Pace: s.GetPace(),
 	}
 }
 
--- a/internal/loadfeed/loadfeed.go
+++ b/internal/loadfeed/loadfeed.go
@@ -53,6 +53,7 @@
 	data, err := proto.Marshal(&peerrpc.LoadReport{
 		Address: s.address, Running: int32(report.Running), Queued: int32(report.Queued),
 		Group: report.Group, Epoch: report.Epoch, Rank: int32(report.Rank), Size: int32(report.Size), Open: report.Open,
+		Pace: report.Pace,
 	})
 	if err != nil {
 		return errors.Wrap(err, "load feed")
@@ -109,7 +110,7 @@
 		return
 	}
 	board.ReportLoad(server.ID, dispatch.Load{
-		Running: int(report.GetRunning()), Waiting: int(report.GetQueued()), Slots: server.Capacity,
+		Running: int(report.GetRunning()), Waiting: int(report.GetQueued()), Slots: server.Capacity, Pace: report.GetPace(),
 	}, now)
 	if report.GetGroup() != "" {
 		board.ReportGroup(fleet.GroupRank{
