--- a/internal/experts/agent.go
+++ b/internal/experts/agent.go
@@ -113,7 +113,9 @@
 	if highest, current := a.hear(order.Fence); !current {
 		return Fenced, errors.Errorf("the order's fence is %d, the highest known %d", order.Fence, highest)
 	}
-	verdict, err := a.engine.Order(ctx, a.address, order)
+	verdict, err := Repeat(ctx, localTry, func(ctx context.Context) (Verdict, error) {
+		return a.engine.Order(ctx, a.address, order)
+	})
 	a.log.WithFields(logrus.Fields{
 		"operation": order.Operation.String(), "version": order.Version, "pass": order.Pass, "epoch": order.Epoch,
 		"fence": order.Fence, "verdict": verdict.String(), "error": errorText(err),
@@ -121,6 +123,23 @@
 	return verdict, err
 }
 
+// localTry bounds one try of an order to the engine on the same VM, which
+// answers in well under a millisecond.
+const localTry = 12 * time.Millisecond
+
+// Repeat gives an order until it is answered or the context ends. Orders are
+// idempotent: one that was carried out already is accepted again.
+func Repeat(ctx context.Context, try time.Duration, give func(ctx context.Context) (Verdict, error)) (Verdict, error) {
+	for {
+		attempt, cancel := context.WithTimeout(ctx, try)
+		verdict, err := give(attempt)
+		cancel()
+		if verdict != Unanswered || ctx.Err() != nil {
+			return verdict, err
+		}
+	}
+}
+
 // errorText is empty without an error.
 func errorText(err error) string {
 	if err == nil {
--- a/internal/experts/switch.go
+++ b/internal/experts/switch.go
@@ -35,6 +35,9 @@
 	// passMargin is how many passes ahead of the newest reported one the first hold
 	// is tried. Reports lag by a few passes; a refused hold is tried one pass later.
 	passMargin = 2
+	// mostExtra bounds the passes that are added to that while orders stay
+	// unanswered: a held pass makes every stream late, a later switch only some.
+	mostExtra = 4
 	// holdTries bounds the passes that are tried before a switch is given up. Nothing
 	// is armed by then, so giving up is harmless.
 	holdTries = 40
@@ -84,6 +87,9 @@
 	pass      int64
 	holdRank  int
 	holdsLeft int
+	// extra passes are added to the margin; unanswered counts the orders of this
+	// switch that had no answer.
+	extra, unanswered int64
 	lists     [][][]int
 	// present is the map in use, as far as it is known.
 	present   [][][]int
@@ -183,6 +189,8 @@
 	s.lists = lists
 	s.version = s.lastVersion + 1
 	s.lastVersion = s.version
+	s.extra = min(s.unanswered, mostExtra)
+	s.unanswered = 0
 	s.enter(StagePrepare)
 }
 
@@ -200,7 +208,7 @@
 		s.resolveHold(now)
 	case StagePrepare:
 		if s.all(func(r RankReport) bool { return r.Prepared == s.version }) {
-			s.pass = s.newestPass() + passMargin
+			s.pass = s.newestPass() + passMargin + s.extra
 			s.holdRank, s.holdsLeft = (s.ownRank+1)%s.size, holdTries
 			s.enter(StageHold)
 		}
@@ -436,6 +444,9 @@
 		s.fenced = true
 		return
 	}
+	if verdict == Unanswered && (order.Operation == Arm || order.Operation == Hold) {
+		s.unanswered++
+	}
 	if verdict != Unanswered && order.Operation == Release && s.strays[rank] == order.Pass {
 		s.strays[rank] = 0
 	}
@@ -506,7 +517,7 @@
 		s.enter(StageIdle)
 		return
 	}
-	s.pass = max(s.pass+1, s.newestPass()+1)
+	s.pass = max(s.pass+1+s.extra, s.newestPass()+1)
 }
 
 // armed notes that a rank switches at the pass. A refusal is tried again: the
--- a/internal/hosted/ranks.go
+++ b/internal/hosted/ranks.go
@@ -132,6 +132,10 @@
 // directly meanwhile, which costs more.
 const agentRetry = time.Second
 
+// remoteTry bounds one try of an order to an engine on another VM: some round
+// trips between zones.
+const remoteTry = 20 * time.Millisecond
+
 // agentCall bounds a call to an agent, so that time is left to ask its engine.
 const agentCall = 80 * time.Millisecond
 
@@ -240,7 +244,9 @@
 		return experts.Unanswered, err
 	}
 	if direct || c.isSilent(rank) {
-		return c.engine.Order(ctx, server.Address, order)
+		return experts.Repeat(ctx, remoteTry, func(ctx context.Context) (experts.Verdict, error) {
+			return c.engine.Order(ctx, server.Address, order)
+		})
 	}
 	calling, cancel := context.WithTimeout(ctx, agentCall)
 	defer cancel()
