Leases are claimed for open groups only; admission follows the pause between events

Cause: after a zone cut the cut zone's agents claimed the lease the moment they reached the store, so the living holder lost it and the new one needed another second on map 0; restarted agents waited twice.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -16,6 +16,10 @@
 	// caller may not come a third time. Both were chosen by runs on the users' days.
 	fullFirst  = 1.05
 	fullRepeat = 1.5
+	// fullSlow replaces fullFirst while events come so slowly that every stream is
+	// late: slowPart is the part of the longest prompt pause from which on they do.
+	fullSlow = 0.4
+	slowPart = 0.95
 	// comeBackLeast and comeBackMost bound the hint to come back; it's spread, so that
 	// those who were refused together don't return together.
 	comeBackLeast = 700 * time.Millisecond
@@ -26,13 +30,18 @@
 // come too late.
 func (p *Pipeline) admit(x *exchange, picked choice) *failure.Error {
 	full := fullFirst
-	if x.repeated {
+	pause := p.board.pause(x.service.Name, p.now())
+	switch {
+	case x.repeated:
 		full = fullRepeat
+	case pause > time.Duration(slowPart*float64(x.route.EventPause)) && x.route.EventPause > 0:
+		full = fullSlow
 	}
 	if x.route.Kind != fleet.KindStreaming || x.begun || picked.server.Rank == nil || picked.occupied < full {
 		return nil
 	}
 	spread := time.Duration(p.board.random(int((comeBackMost - comeBackLeast).Milliseconds()))) * time.Millisecond
 	return failure.NotRun(failure.StepQueue, x.service.Name, failure.CodeOverloaded,
-		fmt.Sprintf("%.2f of the servers' places are taken, %.2f admitted", picked.occupied, full)).After(comeBackLeast + spread)
+		fmt.Sprintf("%.2f of the servers' places are taken, %.2f admitted at %d ms between events",
+			picked.occupied, full, pause.Milliseconds())).After(comeBackLeast + spread)
 }
--- a/internal/dispatch/board.go
+++ b/internal/dispatch/board.go
@@ -14,6 +14,8 @@
 	rows    map[string]*row
 	groups  map[string]*groupState
 	budgets map[string]*retryBudget
+	// pauses is the smoothed pause between events of own streams, by service.
+	pauses map[string]*pauseEstimate
 	// patience is the most that the callers of a route have shown.
 	patience map[string]time.Duration
 	policy   BudgetPolicy
@@ -72,7 +74,7 @@
 // NewBoard returns an empty board. random returns a number below n.
 func NewBoard(policy BudgetPolicy, zone string, random func(n int) int) *Board {
 	return &Board{
-		rows: map[string]*row{}, groups: map[string]*groupState{}, budgets: map[string]*retryBudget{}, patience: map[string]time.Duration{},
+		rows: map[string]*row{}, groups: map[string]*groupState{}, budgets: map[string]*retryBudget{}, patience: map[string]time.Duration{}, pauses: map[string]*pauseEstimate{},
 		policy: policy, zone: zone, random: random,
 	}
 }
@@ -245,6 +247,43 @@
 	r.inFlight = max(r.inFlight-1, 0)
 }
 
+// pauseEstimate follows the pauses between events.
+type pauseEstimate struct {
+	smoothed time.Duration
+	at       time.Time
+}
+
+const (
+	// pauseWeight is the weight of one pause: some twenty, of all own streams
+	// together, make the estimate.
+	pauseWeight = 0.05
+	// pauseFresh is how long an estimate is used without news.
+	pauseFresh = 500 * time.Millisecond
+)
+
+// sawPause notes the pause between two events of a stream.
+func (b *Board) sawPause(service string, pause time.Duration, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.pauses[service]
+	if e == nil || now.Sub(e.at) > pauseFresh {
+		b.pauses[service] = &pauseEstimate{smoothed: pause, at: now}
+		return
+	}
+	e.smoothed += time.Duration(pauseWeight * float64(pause-e.smoothed))
+	e.at = now
+}
+
+// pause returns the smoothed pause between events, or 0 when none is known.
+func (b *Board) pause(service string, now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e := b.pauses[service]; e != nil && now.Sub(e.at) <= pauseFresh {
+		return e.smoothed
+	}
+	return 0
+}
+
 const (
 	// avoidFirst and avoidMost bound how long a server that failed is passed over.
 	avoidFirst = 300 * time.Millisecond
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/crowbridge/crowbridge/internal/failure"
 	"github.com/crowbridge/crowbridge/internal/fleet"
@@ -68,8 +69,12 @@
 func (p *Pipeline) relayStream(ctx context.Context, x *exchange, server *fleet.Server, a *Answer, caller Caller) *failure.Error {
 	reader := httpapi.NewEventReader(a.Body)
 	var pending []byte
+	var last time.Time
 	for {
 		event, err := reader.Next()
+		if err == nil {
+			last = p.notePause(x, last)
+		}
 		if err == nil && (event.ID < 0 || event.ID > x.lastEvent) {
 			pending = append(pending, event.Raw...)
 			x.lastEvent = max(x.lastEvent, event.ID)
@@ -90,6 +95,15 @@
 	}
 }
 
+// notePause tells the board the pause since the last event, and returns the time.
+func (p *Pipeline) notePause(x *exchange, last time.Time) time.Time {
+	now := p.now()
+	if !last.IsZero() {
+		p.board.sawPause(x.service.Name, now.Sub(last), now)
+	}
+	return now
+}
+
 // begin starts the caller's answer, once.
 func (p *Pipeline) begin(x *exchange, a *Answer, caller Caller) {
 	if x.begun {
--- a/internal/experts/agent.go
+++ b/internal/experts/agent.go
@@ -31,6 +31,8 @@
 	fence   int64
 	heardAt time.Time
 	last    RankReport
+	// openedAt is when the group was seen to open last.
+	openedAt time.Time
 	// orders keeps orders one after the other, so that none with an old fence is on
 	// its way once a higher one has been heard of.
 	orders sync.Mutex
@@ -58,11 +60,20 @@
 // Learn notes a fence that the lease's history shows.
 func (a *Agent) Learn(fence int64) { a.hear(fence) }
 
-// Fence returns the highest fence heard of, and how long ago its holder called.
-func (a *Agent) Fence() (int64, time.Duration) {
+// Silent tells the highest fence heard of, and for how long an open group has
+// gone without a call of its holder. A group that isn't open needs none, and its
+// holder may be on the other side of what broke it.
+func (a *Agent) Silent() (fence int64, silent time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.fence, a.now().Sub(a.heardAt)
+	if !a.last.Open {
+		return a.fence, 0
+	}
+	since := a.heardAt
+	if a.openedAt.After(since) {
+		since = a.openedAt
+	}
+	return a.fence, a.now().Sub(since)
 }
 
 // Observe answers a holder.
@@ -95,6 +106,9 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if report.Open && !a.last.Open {
+		a.openedAt = a.now()
+	}
 	a.last = report
 	return report, nil
 }
--- a/internal/experts/lease.go
+++ b/internal/experts/lease.go
@@ -33,6 +33,32 @@
 	AppendLease(ctx context.Context, end int64, data []byte) (bool, error)
 }
 
+// Newest returns the highest fencing number in a group's history.
+func Newest(ctx context.Context, store LeaseStore, group string) (int64, error) {
+	_, records, err := store.ReadLeases(ctx, 0)
+	if err != nil {
+		return 0, err
+	}
+	newest, _, err := newestOf(records, group)
+	return newest, err
+}
+
+// newestOf returns the highest fencing number of a group among records and its
+// holder's rank, or 0 and -1.
+func newestOf(records []StoredRecord, group string) (fence int64, rank int, err error) {
+	rank = -1
+	for _, r := range records {
+		var lease LeaseRecord
+		if err := json.Unmarshal(r.Data, &lease); err != nil {
+			return 0, -1, errors.Wrapf(err, "lease at offset %d", r.Offset)
+		}
+		if lease.Group == group {
+			fence, rank = max(fence, fenceOf(r.Offset)), lease.Rank
+		}
+	}
+	return fence, rank, nil
+}
+
 // Claimed is what became of a claim.
 type Claimed struct {
 	// Fence is the new lease's fencing number, or 0 when there is none.
@@ -51,15 +77,9 @@
 	if err != nil {
 		return Claimed{}, err
 	}
-	newest, former := knownFence, -1
-	for _, r := range records {
-		var lease LeaseRecord
-		if err := json.Unmarshal(r.Data, &lease); err != nil {
-			return Claimed{}, errors.Wrapf(err, "lease at offset %d", r.Offset)
-		}
-		if lease.Group == record.Group {
-			newest, former = max(newest, fenceOf(r.Offset)), lease.Rank
-		}
+	newest, former, err := newestOf(records, record.Group)
+	if err != nil {
+		return Claimed{}, err
 	}
 	if newest > knownFence {
 		return Claimed{Newest: newest}, nil
--- a/internal/experts/switch.go
+++ b/internal/experts/switch.go
@@ -90,7 +90,7 @@
 	// extra passes are added to the margin; unanswered counts the orders of this
 	// switch that had no answer.
 	extra, unanswered int64
-	lists     [][][]int
+	lists             [][][]int
 	// present is the map in use, as far as it is known.
 	present   [][][]int
 	confirmed []bool
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -147,10 +147,11 @@
 
 // hold claims the group's lease when no holder calls.
 func (a *Agent) hold(ctx context.Context) {
+	a.learnFence(ctx)
 	for ctx.Err() == nil {
 		pause(ctx, holderPace)
 		report := a.agent.Last()
-		fence, silent := a.agent.Fence()
+		fence, silent := a.agent.Silent()
 		if report.Size == 0 || silent < experts.Silence(report.Rank) {
 			continue
 		}
@@ -170,6 +171,22 @@
 	return report
 }
 
+// learnFence reads the lease's history, so that an agent that started again can
+// claim without waiting twice.
+func (a *Agent) learnFence(ctx context.Context) {
+	for ctx.Err() == nil && a.agent.Last().Size == 0 {
+		pause(ctx, holderPace)
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	newest, err := experts.Newest(ctx, a.store, a.agent.Last().Group)
+	if err != nil {
+		a.log.WithError(err).Info("the lease's history wasn't read: it will be when the lease is claimed")
+		return
+	}
+	a.agent.Learn(newest)
+}
+
 // engineModel returns the published figures of the engine beside this agent,
 // and the longest pause between events that its callers take as prompt.
 func (a *Agent) engineModel() (*fleet.EngineModel, time.Duration) {
