--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 
 race: build
 	go test -race -count=1 $(filter-out %/scenarios,$(shell go list $(PACKAGES)))
-	go test -count=1 -run 'OneMap|Mutants|StepsAgain' ./internal/group
+	go test -count=1 -run 'OneMap|Mutants|StepsAgain|GoesOn' ./internal/group ./internal/experts
 	go test -count=1 -parallel 4 ./standins/scenarios
 
 bench: build
--- a/internal/dispatch/pipeline_test.go
+++ b/internal/dispatch/pipeline_test.go
@@ -219,7 +219,8 @@
 		b := newBench()
 		b.board.ReportLoad("a", Load{Running: 5}, b.now)
 		servers := []*fleet.Server{
-			{ID: "a", Zone: "z1", Rank: &fleet.GroupRank{}}, {ID: "b", Zone: "z1", Rank: &fleet.GroupRank{}},
+			{ID: "a", Zone: "z1", Rank: &fleet.GroupRank{}},
+			{ID: "b", Zone: "z1", Rank: &fleet.GroupRank{}},
 			{ID: "c", Zone: "z1", Leaving: true},
 		}
 		Expect(b.board.pick(b.now, servers, nil).server.ID).To(Equal("b"))
--- /dev/null
+++ b/internal/experts/agent_test.go
@@ -0,0 +1,182 @@
+package experts
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/rebalance"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+	logrustest "github.com/sirupsen/logrus/hooks/test"
+)
+
+func TestExperts(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "experts")
+}
+
+// fakeEngine takes orders and reports what it's told to.
+type fakeEngine struct {
+	report RankReport
+	orders []Order
+	// unanswered orders come before the first that is answered.
+	unanswered int
+}
+
+func (e *fakeEngine) Report(context.Context, string) (RankReport, error) { return e.report, nil }
+
+func (e *fakeEngine) Picked(context.Context, string) (Counts, error) { return Counts{}, nil }
+
+func (e *fakeEngine) Experts(context.Context, string) ([][]int, error) { return nil, nil }
+
+func (e *fakeEngine) Order(_ context.Context, _ string, o Order) (Verdict, error) {
+	e.orders = append(e.orders, o)
+	if len(e.orders) <= e.unanswered {
+		return Unanswered, errors.New("no answer")
+	}
+	return Accepted, nil
+}
+
+// fakeLeases is a history in memory.
+type fakeLeases struct {
+	records []StoredRecord
+	err     error
+}
+
+func (l *fakeLeases) add(group string, rank int) {
+	data, err := json.Marshal(LeaseRecord{Group: group, Rank: rank})
+	Expect(err).NotTo(HaveOccurred())
+	l.records = append(l.records, StoredRecord{Offset: int64(len(l.records)), Data: data})
+}
+
+func (l *fakeLeases) ReadLeases(_ context.Context, from int64) (int64, []StoredRecord, error) {
+	return int64(len(l.records)), l.records[min(int(from), len(l.records)):], l.err
+}
+
+func (l *fakeLeases) AppendLease(_ context.Context, end int64, data []byte) (bool, error) {
+	if end != int64(len(l.records)) {
+		return false, nil
+	}
+	l.records = append(l.records, StoredRecord{Offset: end, Data: data})
+	return true, nil
+}
+
+var _ = Describe("an agent", func() {
+	var engine *fakeEngine
+	var agent *Agent
+	var now time.Time
+	BeforeEach(func() {
+		engine, now = &fakeEngine{report: RankReport{Group: "g", Size: 2, Open: true}}, time.Unix(1000, 0)
+		logger, _ := logrustest.NewNullLogger()
+		agent = NewAgent(engine, "1.1.1.1:1", func() time.Time { return now }, logrus.NewEntry(logger))
+	})
+	ctx := context.Background()
+
+	It("gives no order of a holder that another has replaced", func() {
+		_, err := agent.Observe(ctx, 7, false)
+		Expect(err).NotTo(HaveOccurred())
+		verdict, _ := agent.Command(ctx, Order{Operation: Arm, Fence: 6})
+		Expect(verdict).To(Equal(Fenced))
+		Expect(engine.orders).To(BeEmpty())
+	})
+
+	It("tells a replaced holder the higher fence and nothing else", func() {
+		agent.Learn(7)
+		seen, err := agent.Observe(ctx, 6, true)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(seen).To(Equal(Observation{Fence: 7}))
+	})
+
+	It("repeats an order until it's answered", func() {
+		engine.unanswered = 2
+		verdict, err := agent.Command(ctx, Order{Operation: Arm, Fence: 1})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(verdict).To(Equal(Accepted))
+		Expect(engine.orders).To(HaveLen(3))
+	})
+
+	It("misses the holder of an open group only, from its opening on", func() {
+		silence := func() time.Duration {
+			_, err := agent.Report(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			_, silent := agent.Silent()
+			return silent
+		}
+		engine.report.Open = false
+		now = now.Add(time.Minute)
+		Expect(silence()).To(BeZero())
+		engine.report.Open = true
+		Expect(silence()).To(BeZero())
+		now = now.Add(time.Second)
+		Expect(silence()).To(Equal(time.Second))
+	})
+})
+
+var _ = Describe("the lease", func() {
+	ctx := context.Background()
+	record := LeaseRecord{Group: "g", Holder: "me", Rank: 3}
+
+	It("goes to the first that claims it", func() {
+		leases := &fakeLeases{}
+		claimed, err := Claim(ctx, leases, record, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(claimed).To(Equal(Claimed{Fence: 1, Newest: 1, FormerRank: -1}))
+	})
+
+	It("isn't claimed from somebody who has just claimed it", func() {
+		leases := &fakeLeases{}
+		leases.add("g", 5)
+		claimed, err := Claim(ctx, leases, record, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(claimed).To(Equal(Claimed{Newest: 1}))
+	})
+
+	It("is claimed after an agent that forgot everything has learned the history", func() {
+		leases := &fakeLeases{}
+		leases.add("g", 5)
+		leases.add("other", 1)
+		newest, err := Newest(ctx, leases, "g")
+		Expect(err).NotTo(HaveOccurred())
+		claimed, err := Claim(ctx, leases, record, newest)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(claimed).To(Equal(Claimed{Fence: 3, Newest: 3, FormerRank: 5}))
+	})
+
+	It("isn't taken as claimed when the store doesn't answer", func() {
+		_, err := Claim(ctx, &fakeLeases{err: errors.New("down")}, record, 0)
+		Expect(err).To(HaveOccurred())
+	})
+})
+
+var _ = Describe("demand", func() {
+	It("follows what is chosen now, and forgets nothing while a group is stopped", func() {
+		shape := rebalance.Shape{Ranks: 1, Experts: 2, Layers: 1, Slots: 2}
+		d := NewDemand(shape, 100*time.Millisecond)
+		now := time.Unix(1000, 0)
+		see := func(a, b float64) {
+			now = now.Add(100 * time.Millisecond)
+			d.Observe(now, 0, Counts{Epoch: 1, Chosen: []float64{a, b}})
+		}
+		see(0, 0)
+		see(100, 0)
+		Expect(d.Popularity()[0][0]).To(BeNumerically(">", 99))
+		see(100, 400)
+		Expect(d.Popularity()[0][1]).To(BeNumerically(">", 3*d.Popularity()[0][0]))
+		before := d.Weight()
+		now = now.Add(time.Minute)
+		see(100, 400)
+		Expect(d.Weight()).To(Equal(before))
+	})
+
+	It("takes a rank that counts from 0 again as started anew", func() {
+		d := NewDemand(rebalance.Shape{Ranks: 1, Experts: 1, Layers: 1, Slots: 1}, time.Second)
+		d.Observe(time.Unix(1000, 0), 0, Counts{Epoch: 1, Chosen: []float64{500}})
+		d.Observe(time.Unix(1001, 0), 0, Counts{Epoch: 1, Chosen: []float64{3}})
+		d.Observe(time.Unix(1002, 0), 0, Counts{Epoch: 2, Chosen: []float64{90}})
+		Expect(d.Weight()).To(BeZero())
+	})
+})
--- a/internal/experts/demand.go
+++ b/internal/experts/demand.go
@@ -15,7 +15,6 @@
 	ranks    []rankCounts
 	smoothed rebalance.Popularity
 	at       time.Time
-	epoch    int64
 	seen     float64
 }
 
--- a/internal/experts/model_test.go
+++ b/internal/experts/model_test.go
@@ -1,3 +1,7 @@
+//go:build !race
+
+// The walks have one goroutine; the race detector would only slow them down.
+
 package experts
 
 import (
--- /dev/null
+++ b/internal/frontend/frontend_test.go
@@ -0,0 +1,194 @@
+package frontend
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/dispatch"
+	"github.com/crowbridge/crowbridge/internal/failure"
+	"github.com/crowbridge/crowbridge/internal/fleet"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestFrontend(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "frontend")
+}
+
+type plainDialect struct{}
+
+func (plainDialect) ReadRequest(r *dispatch.Request) { r.ID = r.Header.Get("X-Id") }
+
+func (plainDialect) CallerHeader(h http.Header) http.Header { return h.Clone() }
+
+func (plainDialect) FailureHeader(id string, after time.Duration) http.Header {
+	return http.Header{"X-Id": {id}, "Retry-After": {after.String()}}
+}
+
+type pipelineFunc func(ctx context.Context, r *dispatch.Request, caller dispatch.Caller) dispatch.Result
+
+func (f pipelineFunc) Serve(ctx context.Context, r *dispatch.Request, caller dispatch.Caller) dispatch.Result {
+	return f(ctx, r, caller)
+}
+
+var testLimits = fleet.Limits{MaxHeaderBytes: 400, MaxBodyBytes: 10, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+
+// serve starts a frontend and returns its address and itself.
+func serve(pipeline pipelineFunc, limits fleet.Limits) (string, *Server) {
+	s := New(pipeline, plainDialect{}, func() fleet.Limits { return limits }, time.Now)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	go func() { _ = s.Serve(listener) }()
+	DeferCleanup(s.http.Close)
+	return listener.Addr().String(), s
+}
+
+// exchange sends raw bytes and reads one answer.
+func exchange(address, request string) (*http.Response, string, error) {
+	conn, err := net.Dial("tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	_, err = conn.Write([]byte(request))
+	Expect(err).NotTo(HaveOccurred())
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(response.Body)
+	return response, string(body), err
+}
+
+func failsWith(f *failure.Error, begun bool) pipelineFunc {
+	return func(_ context.Context, _ *dispatch.Request, caller dispatch.Caller) dispatch.Result {
+		if begun {
+			caller.Begin(http.StatusOK, http.Header{}, -1)
+			_ = caller.Write([]byte("id: 1\ndata: x\n\n"))
+		}
+		return dispatch.Result{Failure: f, Begun: begun}
+	}
+}
+
+const get = "GET /a HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\n\r\n"
+
+var _ = Describe("a caller", func() {
+	DescribeTable("gets a status that is true", func(f *failure.Error, status int) {
+		address, _ := serve(failsWith(f, false), testLimits)
+		response, body, err := exchange(address, get)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(status))
+		Expect(response.Header.Get("X-Id")).To(Equal("7"))
+		Expect(body).To(ContainSubstring(string(f.Code)))
+	},
+		Entry("no server, not run", failure.NotRun(failure.StepRoute, "", failure.CodeNoServer, ""), 503),
+		Entry("overloaded, not run", failure.NotRun(failure.StepQueue, "", failure.CodeOverloaded, ""), 503),
+		Entry("deadline, not run", failure.NotRun(failure.StepQueue, "", failure.CodeDeadline, ""), 503),
+		Entry("overloaded, but it may have run", failure.Unknown(failure.StepRun, "", failure.CodeOverloaded, ""), 502),
+		Entry("no server, but it may have run", failure.Unknown(failure.StepRun, "", failure.CodeNoServer, ""), 502),
+		Entry("deadline, and it may have run", failure.Unknown(failure.StepRun, "", failure.CodeDeadline, ""), 504),
+		Entry("no key", failure.NotRun(failure.StepAuthenticate, "", failure.CodeUnauthorized, ""), 401),
+		Entry("no route", failure.NotRun(failure.StepRoute, "", failure.CodeNotFound, ""), 404),
+	)
+
+	It("sees an answer that broke off as broken", func() {
+		address, _ := serve(failsWith(failure.Unknown(failure.StepRelay, "", failure.CodeServerLost, ""), true), testLimits)
+		_, body, err := exchange(address, get)
+		Expect(err).To(HaveOccurred())
+		Expect(body).To(ContainSubstring("data: x"))
+	})
+
+	It("gets events as they come", func() {
+		next := make(chan struct{})
+		address, _ := serve(func(_ context.Context, _ *dispatch.Request, caller dispatch.Caller) dispatch.Result {
+			caller.Begin(http.StatusOK, http.Header{}, -1)
+			_ = caller.Write([]byte("id: 1\n\n"))
+			<-next
+			_ = caller.Write([]byte("id: 2\n\n"))
+			return dispatch.Result{Begun: true}
+		}, testLimits)
+		conn, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, _ = conn.Write([]byte(get))
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		first := make([]byte, len("id: 1\n\n"))
+		_, err = io.ReadFull(response.Body, first)
+		Expect(err).NotTo(HaveOccurred())
+		close(next)
+		rest, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(rest)).To(Equal("id: 2\n\n"))
+	})
+
+	It("who leaves ends the request", func() {
+		ended := make(chan struct{})
+		address, _ := serve(func(ctx context.Context, _ *dispatch.Request, _ dispatch.Caller) dispatch.Result {
+			<-ctx.Done()
+			close(ended)
+			return dispatch.Result{Failure: failure.Unknown(failure.StepRun, "", failure.CodeCanceled, "")}
+		}, testLimits)
+		conn, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		_, _ = conn.Write([]byte(get))
+		Expect(conn.Close()).To(Succeed())
+		Eventually(ended).Should(BeClosed())
+	})
+
+	DescribeTable("is held to the limits", func(request string, status int) {
+		address, _ := serve(failsWith(failure.NotRun(failure.StepRoute, "", failure.CodeNotFound, ""), false), testLimits)
+		response, _, err := exchange(address, request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(status))
+	},
+		Entry("header", "GET /a HTTP/1.1\r\nHost: h\r\nX-Long: "+strings.Repeat("x", 500)+"\r\n\r\n", 431),
+		Entry("body with a length", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n01234567890", 413),
+		Entry("body in chunks", "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nb\r\n01234567890\r\n0\r\n\r\n", 413),
+		Entry("within them", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n0123456789", 404),
+	)
+
+	DescribeTable("can't smuggle a request", func(request string) {
+		served := 0
+		address, _ := serve(func(context.Context, *dispatch.Request, dispatch.Caller) dispatch.Result {
+			served++
+			return dispatch.Result{Failure: failure.NotRun(failure.StepRoute, "", failure.CodeNotFound, "")}
+		}, testLimits)
+		response, _, err := exchange(address, request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusBadRequest))
+		Expect(served).To(BeZero())
+	},
+		Entry("two lengths", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxy"),
+		Entry("a bad length", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: +1\r\n\r\nx"),
+		Entry("two hosts", "GET /a HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n"),
+		Entry("a space before the colon", "GET /a HTTP/1.1\r\nHost : h\r\n\r\n"),
+	)
+
+	It("is told that its connection ends when the process leaves", func() {
+		address, s := serve(failsWith(failure.NotRun(failure.StepRoute, "", failure.CodeNotFound, ""), false), testLimits)
+		s.Leave()
+		response, _, err := exchange(address, get)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Close).To(BeTrue())
+	})
+
+	DescribeTable("loses a connection that stays idle, or in the middle of a header", func(limits fleet.Limits, request string) {
+		address, _ := serve(failsWith(failure.NotRun(failure.StepRoute, "", failure.CodeNotFound, ""), false), limits)
+		conn, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, _ = conn.Write([]byte(request))
+		Expect(conn.SetReadDeadline(time.Now().Add(time.Minute))).To(Succeed())
+		_, err = io.ReadAll(conn)
+		Expect(err).NotTo(HaveOccurred(), "the connection ends")
+	},
+		Entry("idle", fleet.Limits{IdleTimeout: time.Millisecond}, get),
+		Entry("half a header", fleet.Limits{HeaderTimeout: time.Millisecond}, "GET /a HTTP/1.1\r\nHo"),
+	)
+})
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -78,11 +78,13 @@
 	if whole {
 		take = m.operators.replace
 	}
-	for _, key := range take(records, next) {
-		if key == m.decoder.ConfigKey() {
-			m.adopt(m.operators.records[key], source)
+	known, met := m.operators.records[m.decoder.ConfigKey()]
+	for _, r := range records {
+		if r.Key == m.decoder.ConfigKey() && (!met || r.Offset > known.Offset) {
+			m.adopt(r, source)
 		}
 	}
+	take(records, next)
 }
 
 // adopt puts a configuration in force if it is newer and well-formed.
--- /dev/null
+++ b/internal/membership/membership_suite_test.go
@@ -0,0 +1,283 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/fleet"
+	"github.com/crowbridge/crowbridge/internal/peerrpc"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+	logrustest "github.com/sirupsen/logrus/hooks/test"
+)
+
+func TestMembership(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "membership")
+}
+
+// plainDecoder reads "VERSION" as a configuration and "ADDRESS [leaving]" as a
+// server.
+type plainDecoder struct{}
+
+func (plainDecoder) ConfigKey() string { return "config" }
+
+func (plainDecoder) DecodeConfig(data []byte) (*fleet.Config, error) {
+	version, err := strconv.ParseInt(string(data), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	return fleet.NewConfig(version, fleet.Limits{}, nil, nil, nil, false), nil
+}
+
+func (plainDecoder) DecodeServer(id string, data []byte) (*fleet.Server, error) {
+	address, rest, _ := strings.Cut(string(data), " ")
+	if address == "" {
+		return nil, errors.New("no address")
+	}
+	return &fleet.Server{ID: id, Service: "s", Address: address, Leaving: rest == "leaving"}, nil
+}
+
+// fakeStore keeps one list of records a topic.
+type fakeStore struct {
+	records map[Topic][]Record
+	// first is the oldest offset that Read returns.
+	first map[Topic]int64
+	err   error
+	reads int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{records: map[Topic][]Record{}, first: map[Topic]int64{}}
+}
+
+func (s *fakeStore) append(topic Topic, key, value string) {
+	s.records[topic] = append(s.records[topic], Record{Key: key, Value: []byte(value), Offset: int64(len(s.records[topic]))})
+}
+
+func (s *fakeStore) Read(_ context.Context, topic Topic, from int64, _ time.Duration) ([]Record, int64, error) {
+	s.reads++
+	if s.err != nil {
+		return nil, 0, s.err
+	}
+	if from < s.first[topic] {
+		return nil, 0, ErrGone
+	}
+	all := s.records[topic]
+	return all[min(from, int64(len(all))):], int64(len(all)), nil
+}
+
+func (s *fakeStore) Newest(_ context.Context, topic Topic) ([]Record, int64, error) {
+	if s.err != nil {
+		return nil, 0, s.err
+	}
+	newest := map[string]Record{}
+	for _, r := range s.records[topic] {
+		newest[r.Key] = r
+	}
+	var found []Record
+	for _, r := range newest {
+		if len(r.Value) > 0 {
+			found = append(found, r)
+		}
+	}
+	return found, int64(len(s.records[topic])), nil
+}
+
+type bench struct {
+	now      time.Time
+	store    *fakeStore
+	members  *Membership
+	follower *Follower
+	logs     *logrustest.Hook
+}
+
+func newBench() *bench {
+	logger, logs := logrustest.NewNullLogger()
+	b := &bench{now: time.Unix(1000, 0), store: newFakeStore(), logs: logs}
+	log := logrus.NewEntry(logger)
+	b.members = New(plainDecoder{}, func() time.Time { return b.now }, log)
+	b.follower = NewFollower(b.members, b.store, log)
+	return b
+}
+
+func (b *bench) read() error {
+	config := b.follower.readConfig(context.Background())
+	servers := b.follower.readServers(context.Background())
+	b.follower.note(servers)
+	return errors.Join(config, servers)
+}
+
+func (b *bench) ids() []string {
+	var ids []string
+	for id := range b.members.Servers().All() {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+var _ = Describe("following the store", func() {
+	It("knows nothing until it has read both topics", func() {
+		b := newBench()
+		Expect(b.members.Config()).To(BeNil())
+		Expect(b.members.Servers()).To(BeNil())
+		b.store.append(TopicOperators, "config", "4")
+		Expect(b.read()).To(Succeed())
+		Expect(b.members.Config().Version).To(Equal(int64(4)))
+		Expect(b.members.Servers()).NotTo(BeNil())
+	})
+
+	It("puts newer configurations in force and never an older one", func() {
+		b := newBench()
+		b.store.append(TopicOperators, "config", "4")
+		Expect(b.read()).To(Succeed())
+		b.store.append(TopicOperators, "config", "9")
+		b.store.append(TopicOperators, "config", "7")
+		Expect(b.read()).To(Succeed())
+		Expect(b.members.Config().Version).To(Equal(int64(9)))
+	})
+
+	It("keeps the last configuration when one doesn't decode, and says so", func() {
+		b := newBench()
+		b.store.append(TopicOperators, "config", "4")
+		Expect(b.read()).To(Succeed())
+		b.store.append(TopicOperators, "config", "rubbish")
+		b.store.append(TopicOperators, "other", "x")
+		Expect(b.read()).To(Succeed())
+		Expect(b.members.Config().Version).To(Equal(int64(4)))
+		Expect(b.logs.LastEntry().Message).To(ContainSubstring("refused"))
+	})
+
+	It("sees servers come, leave and go", func() {
+		b := newBench()
+		b.store.append(TopicServers, "a", "1.1.1.1:1")
+		Expect(b.read()).To(Succeed())
+		b.store.append(TopicServers, "a", "1.1.1.1:1 leaving")
+		Expect(b.read()).To(Succeed())
+		Expect(b.members.Servers().Server("a").Leaving).To(BeTrue())
+		b.store.append(TopicServers, "a", "")
+		Expect(b.read()).To(Succeed())
+		Expect(b.ids()).To(BeEmpty())
+	})
+
+	It("reads the newest of each key when the history is gone, and drops who is missing", func() {
+		b := newBench()
+		b.store.append(TopicServers, "a", "1.1.1.1:1")
+		b.store.append(TopicServers, "b", "1.1.1.2:1")
+		Expect(b.read()).To(Succeed())
+		b.store.append(TopicServers, "a", "")
+		b.store.append(TopicServers, "c", "1.1.1.3:1")
+		b.store.first[TopicServers] = 4
+		Expect(b.read()).To(Succeed())
+		Expect(b.ids()).To(ConsistOf("b", "c"))
+	})
+
+	Describe("around an outage", func() {
+		It("keeps a lapsed server until it has had the time to register again", func() {
+			b := newBench()
+			b.store.append(TopicServers, "a", "1.1.1.1:1")
+			b.store.append(TopicServers, "b", "1.1.1.2:1")
+			Expect(b.read()).To(Succeed())
+			b.store.err = errors.New("down")
+			Expect(b.read()).NotTo(Succeed())
+			b.store.err = nil
+			b.store.append(TopicServers, "a", "")
+			b.store.append(TopicServers, "b", "")
+			Expect(b.read()).To(Succeed())
+			Expect(b.ids()).To(ConsistOf("a", "b"))
+			b.store.append(TopicServers, "a", "1.1.1.1:1")
+			b.now = b.now.Add(outageGrace + time.Millisecond)
+			Expect(b.read()).To(Succeed())
+			Expect(b.ids()).To(ConsistOf("a"))
+		})
+
+		It("takes a server that was leaving as gone at once", func() {
+			b := newBench()
+			b.store.append(TopicServers, "a", "1.1.1.1:1 leaving")
+			Expect(b.read()).To(Succeed())
+			b.store.err = errors.New("down")
+			Expect(b.read()).NotTo(Succeed())
+			b.store.err = nil
+			b.store.append(TopicServers, "a", "")
+			Expect(b.read()).To(Succeed())
+			Expect(b.ids()).To(BeEmpty())
+		})
+
+		It("logs the loss and the return once each", func() {
+			b := newBench()
+			Expect(b.read()).To(Succeed())
+			b.store.err = errors.New("down")
+			for range 3 {
+				Expect(b.read()).NotTo(Succeed())
+			}
+			b.store.err = nil
+			Expect(b.read()).To(Succeed())
+			var messages []string
+			for _, entry := range b.logs.AllEntries() {
+				messages = append(messages, entry.Message)
+			}
+			Expect(messages).To(Equal([]string{"store reached", "store lost", "store reached"}))
+		})
+	})
+})
+
+var _ = Describe("daemons among themselves", func() {
+	// serve puts an exchange on a loopback port and returns its address.
+	serve := func(b *bench) (string, *Exchange) {
+		e := NewExchange(b.members, "", nil, http.DefaultClient, logrus.NewEntry(logrus.New()))
+		server := httptest.NewServer(peerrpc.NewMembershipServer(e))
+		DeferCleanup(server.Close)
+		return strings.TrimPrefix(server.URL, "http://"), e
+	}
+
+	It("pass on what the asking side lacks", func() {
+		knowing, asking := newBench(), newBench()
+		knowing.store.append(TopicOperators, "config", "5")
+		knowing.store.append(TopicServers, "a", "1.1.1.1:1")
+		Expect(knowing.read()).To(Succeed())
+		address, _ := serve(knowing)
+		e := NewExchange(asking.members, "", []string{address}, http.DefaultClient, asking.follower.log)
+		Expect(e.Ask(context.Background(), address)).To(Succeed())
+		Expect(asking.members.Config().Version).To(Equal(int64(5)))
+		Expect(asking.ids()).To(ConsistOf("a"))
+	})
+
+	It("pass on what the asked side lacks, at the second call", func() {
+		asked, asking := newBench(), newBench()
+		asking.store.append(TopicOperators, "config", "5")
+		Expect(asking.read()).To(Succeed())
+		address, _ := serve(asked)
+		e := NewExchange(asking.members, "10.0.0.9:1", []string{address}, http.DefaultClient, asking.follower.log)
+		Expect(e.Ask(context.Background(), address)).To(Succeed())
+		Expect(e.Ask(context.Background(), address)).To(Succeed())
+		Expect(asked.members.Config().Version).To(Equal(int64(5)))
+	})
+
+	It("never bring an older configuration back", func() {
+		old, newer := newBench(), newBench()
+		old.store.append(TopicOperators, "config", "5")
+		Expect(old.read()).To(Succeed())
+		newer.store.append(TopicOperators, "config", "5")
+		newer.store.append(TopicOperators, "config", "8")
+		Expect(newer.read()).To(Succeed())
+		address, _ := serve(old)
+		e := NewExchange(newer.members, "", []string{address}, http.DefaultClient, newer.follower.log)
+		Expect(e.Ask(context.Background(), address)).To(Succeed())
+		Expect(newer.members.Config().Version).To(Equal(int64(8)))
+	})
+
+	It("learn of each other", func() {
+		asked, asking := newBench(), newBench()
+		address, server := serve(asked)
+		e := NewExchange(asking.members, "10.0.0.9:1", []string{address}, http.DefaultClient, asking.follower.log)
+		Expect(e.Ask(context.Background(), address)).To(Succeed())
+		Expect(server.Peers()).To(ConsistOf("10.0.0.9:1"))
+	})
+})
