--- a/cmd/crowbridged/entry.go
+++ b/cmd/crowbridged/entry.go
@@ -9,10 +9,11 @@
 	"github.com/crowbridge/crowbridge/internal/config"
 	"github.com/crowbridge/crowbridge/internal/daemon"
 	"github.com/crowbridge/crowbridge/internal/entry"
-	"github.com/crowbridge/crowbridge/internal/platform"
 	"github.com/crowbridge/crowbridge/internal/replica"
 	"github.com/crowbridge/crowbridge/internal/rpc"
 	"github.com/crowbridge/crowbridge/internal/settings"
+	"github.com/crowbridge/crowbridge/internal/upstream"
+	"github.com/crowbridge/crowbridge/platform"
 	"github.com/urfave/cli/v3"
 )
 
@@ -28,8 +29,7 @@
 		Flags: append(
 			commonFlags(),
 			stringFlag("name", "", "name of this daemon, unique in the deployment"),
-			stringFlag("log-url", "", "base URL of the platform's log"),
-			stringFlag("vms-url", "", "base URL of the platform's list of VMs"),
+			stringFlag("store", "", "IP:port of the platform's store: the log of configuration and the list of servers"),
 			listFlag("operator", "name:role:sha256-of-token of an operator; role is read or change; repeat for each"),
 			intFlag("max-body", defaultMaxBody, "largest request body in bytes"),
 			intFlag("max-answer", defaultMaxAnswer, "largest unstreamed answer in bytes"),
@@ -51,12 +51,9 @@
 	for _, name := range []string{"name", "zone", "daemon-key"} {
 		c.Required(name, cmd.String(name))
 	}
-	for _, name := range []string{"listen", "control", "metrics"} {
+	for _, name := range []string{"listen", "control", "metrics", "store"} {
 		c.IPPort(name, cmd.String(name))
 	}
-	for _, name := range []string{"log-url", "vms-url"} {
-		c.URL(name, cmd.String(name))
-	}
 	for _, name := range []string{"max-body", "max-answer", "max-concurrent", "reports-per-second"} {
 		c.Positive(name, int64(cmd.Int(name)))
 	}
@@ -111,7 +108,8 @@
 
 func serveEntry(p *process, s *entrySettings, e *entry.Entry, rep *replica.Replica) error {
 	key := p.cmd.String("daemon-key")
-	log := platform.NewHTTPLog(p.cmd.String("log-url"))
+	store := platform.NewStore(p.cmd.String("store"), upstream.NewTransport())
+	log := platform.ConfigLog{Store: store, Now: time.Now}
 	admin := entry.NewAdmin(e, log, s.operators, p.log)
 	if err := p.serve("control", controlHandler(key, admin, rep, log)); err != nil {
 		return err
@@ -119,11 +117,10 @@
 	if err := p.serve("metrics", daemon.MetricsHandler(e.Ready, p.log.Logger)); err != nil {
 		return err
 	}
-	vms := platform.NewHTTPVMList(p.cmd.String("vms-url"))
 	p.loop(func(ctx context.Context) { rep.Follow(ctx, entrySources(p.cmd, s, log), p.log) })
 	p.loop(e.WatchConfiguration)
 	p.run(e.WatchServers)
-	p.loop(func(ctx context.Context) { e.WatchVMs(ctx, vms) })
+	p.loop(func(ctx context.Context) { e.WatchVMs(ctx, store) })
 	p.loop(func(ctx context.Context) { e.WriteSnapshots(ctx, log) })
 	p.run(entry.NewGroups(p.cmd.String("name"), key, rep, log, time.Now, p.log).Run)
 	awaitFirstNews(p.asked, p.cmd.Duration("config-timeout"), rep)
@@ -153,7 +150,7 @@
 	}
 }
 
-func controlHandler(key string, admin *entry.Admin, rep *replica.Replica, log platform.Log) http.Handler {
+func controlHandler(key string, admin *entry.Admin, rep *replica.Replica, log replica.Log) http.Handler {
 	peers := rpc.NewPeersServer(&replica.PeerServer{Replica: rep, Log: log, Seen: admin.Seen})
 	mux := http.NewServeMux()
 	mux.Handle(peers.PathPrefix(), daemon.RequireKey(key, peers))
@@ -164,7 +161,7 @@
 // entrySources orders where an entry reads from. The first entries of a zone
 // read the log; each other one reads from its parent in the zone's tree. All
 // fall back on the rest of the zone, the log, and the other zones.
-func entrySources(cmd *cli.Command, s *entrySettings, log platform.Log) []replica.Source {
+func entrySources(cmd *cli.Command, s *entrySettings, log replica.Log) []replica.Source {
 	self, zone := cmd.String("control"), cmd.String("zone")
 	client := daemon.NewControlClient(cmd.String("daemon-key"))
 	source := func(peer settings.Peer) replica.Source {
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -9,8 +9,10 @@
 // choice is a picked server with what decided.
 type choice struct {
 	server *fleet.Server
-	// load is the estimated number of requests at the server.
-	load float64
+	// load is the estimated number of requests at the server, from a report that
+	// came loadAge ago.
+	load    float64
+	loadAge time.Duration
 	// occupied is the part of all candidates' places that is taken; over 1, requests
 	// wait. 0 when nothing is known.
 	occupied float64
@@ -41,11 +43,11 @@
 		score := b.score(now, server, r, load)
 		switch {
 		case best.server == nil || score < bestScore:
-			best, bestScore, ties = choice{server: server, load: load}, score, 1
+			best, bestScore, ties = choice{server: server, load: load, loadAge: now.Sub(r.reportedAt)}, score, 1
 		case score == bestScore:
 			ties++
 			if b.random(ties) == 0 {
-				best = choice{server: server, load: load}
+				best = choice{server: server, load: load, loadAge: now.Sub(r.reportedAt)}
 			}
 		}
 	}
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -61,7 +61,9 @@
 	// lastEvent is the last event that the caller got, or -1.
 	lastEvent int64
 	status    int
-	server    string
+	// server got the last attempt; picked is what decided for it.
+	server string
+	picked choice
 }
 
 // Serve takes one request to its end. The context ends when the caller leaves.
@@ -172,6 +174,7 @@
 	if f := p.admit(x, picked); f != nil {
 		return nil, f
 	}
+	x.picked = picked
 	return picked.server, nil
 }
 
--- a/internal/dispatch/pipeline_test.go
+++ b/internal/dispatch/pipeline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -133,6 +134,48 @@
 	})
 })
 
+var _ = Describe("the log", func() {
+	// lines are the messages about a request, with their causes.
+	lines := func(b *bench, id string) []string {
+		var found []string
+		for _, entry := range b.logs.AllEntries() {
+			if entry.Data["request"] == id {
+				found = append(found, fmt.Sprintf("%s: %v/%v: %v", entry.Message, entry.Data["outcome"], entry.Data["step"], entry.Data["cause"]))
+			}
+		}
+		return found
+	}
+
+	It("leads from a refused request to the group that was broken", func() {
+		b := newBench()
+		b.board.markBroken(b.world.Servers().Server("r0"), b.now)
+		b.now = b.now.Add(time.Second)
+		b.serve("stream")
+		Expect(lines(b, "id-stream")).To(Equal([]string{"request failed: not-run/queue: the group has been broken for 1s"}))
+	})
+
+	It("leads from a stream cut off midway to the server that broke it off", func() {
+		b := newBench(breaksOff("id: 1\ndata: a\n\n"), lost(false))
+		b.serve("stream")
+		Expect(lines(b, "id-stream")).To(Equal([]string{
+			"attempt failed: unknown/relay: connection reset by peer",
+			"attempt failed: not-run/send: connection reset by peer",
+			"request failed: unknown/route: no server of the service can take the request",
+		}))
+		Expect(b.logs.AllEntries()[0].Data).To(HaveKeyWithValue("last_event", int64(1)))
+	})
+
+	It("leads from a lost answer to the server that may have run the request", func() {
+		b := newBench(lost(true))
+		b.serve("once")
+		Expect(lines(b, "id-once")).To(Equal([]string{
+			"attempt failed: unknown/run: connection reset by peer",
+			"request failed: unknown/run: connection reset by peer",
+		}))
+		Expect(b.logs.LastEntry().Data["server"]).To(BeElementOf("a", "b"))
+	})
+})
+
 var _ = Describe("a stream", func() {
 	const one, two, three = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"
 
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -47,6 +48,10 @@
 		"request": x.request.ID, "took_ms": now.Sub(x.request.Arrived).Milliseconds(),
 		"sent": x.sent, "server": x.server,
 	}
+	if x.picked.server != nil {
+		fields["load"], fields["load_age_ms"] = x.picked.load, loadAge(x.picked)
+		fields["occupied"] = math.Round(x.picked.occupied*100) / 100
+	}
 	if x.config != nil {
 		fields["config"] = x.config.Version
 	}
@@ -66,11 +71,23 @@
 	p.log.WithFields(fields).Warn("request failed")
 }
 
+// loadAge is the age of the report behind a choice in milliseconds, or -1 when
+// there was none.
+func loadAge(c choice) int64 {
+	if c.loadAge > neverReported {
+		return -1
+	}
+	return c.loadAge.Milliseconds()
+}
+
+// neverReported is an age that only a missing report has.
+const neverReported = 24 * time.Hour
+
 // logAttempt writes why an attempt failed and whether another follows.
 func (p *Pipeline) logAttempt(x *exchange, server *fleet.Server, f *failure.Error, again bool) {
 	p.log.WithFields(logrus.Fields{
 		"request": x.request.ID, "server": server.ID, "address": server.Address, "step": f.Step, "outcome": f.Outcome,
 		"code": f.Code, "cause": f.Detail, "sent": x.sent, "begun": x.begun, "last_event": x.lastEvent,
-		"left_ms": x.limit.Sub(p.now()).Milliseconds(), "again": again,
+		"left_ms": x.limit.Sub(p.now()).Milliseconds(), "again": again, "load": x.picked.load, "load_age_ms": loadAge(x.picked),
 	}).Info("attempt failed")
 }
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -9,9 +9,10 @@
 	"sync"
 	"time"
 
+	"github.com/crowbridge/crowbridge/internal/replica"
+
 	"github.com/crowbridge/crowbridge/internal/config"
 	"github.com/crowbridge/crowbridge/internal/daemon"
-	"github.com/crowbridge/crowbridge/internal/platform"
 	"github.com/crowbridge/crowbridge/internal/rpc"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -21,7 +22,7 @@
 // Admin serves rpc.Operators.
 type Admin struct {
 	entry     *Entry
-	log       platform.Log
+	log       replica.Log
 	operators []daemon.Operator
 	logger    *logrus.Entry
 
@@ -30,7 +31,7 @@
 }
 
 // NewAdmin returns the administration API of an entry.
-func NewAdmin(entry *Entry, log platform.Log, operators []daemon.Operator, logger *logrus.Entry) *Admin {
+func NewAdmin(entry *Entry, log replica.Log, operators []daemon.Operator, logger *logrus.Entry) *Admin {
 	return &Admin{entry: entry, log: log, operators: operators, logger: logger, peers: map[string]int64{}}
 }
 
--- a/internal/entry/groups.go
+++ b/internal/entry/groups.go
@@ -10,7 +10,6 @@
 	"github.com/crowbridge/crowbridge/internal/config"
 	"github.com/crowbridge/crowbridge/internal/daemon"
 	"github.com/crowbridge/crowbridge/internal/group"
-	"github.com/crowbridge/crowbridge/internal/platform"
 	"github.com/crowbridge/crowbridge/internal/rebalance"
 	"github.com/crowbridge/crowbridge/internal/replica"
 	"github.com/google/uuid"
@@ -45,7 +44,7 @@
 type Groups struct {
 	holder  string
 	replica *replica.Replica
-	log     platform.Log
+	log     replica.Log
 	client  *http.Client
 	logger  *logrus.Entry
 	now     func() time.Time
@@ -54,7 +53,7 @@
 // NewGroups returns the driver of an entry. A holder's identity on the log is
 // new with each start: a restarted daemon must claim anew, since it knows nothing
 // of what it ordered under an older fencing number.
-func NewGroups(name, daemonKey string, rep *replica.Replica, log platform.Log, now func() time.Time, logger *logrus.Entry) *Groups {
+func NewGroups(name, daemonKey string, rep *replica.Replica, log replica.Log, now func() time.Time, logger *logrus.Entry) *Groups {
 	return &Groups{
 		holder: name, replica: rep, log: log,
 		client: daemon.NewControlClient(daemonKey), now: now, logger: logger,
--- a/internal/entry/snapshot.go
+++ b/internal/entry/snapshot.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/crowbridge/crowbridge/internal/platform"
+	"github.com/crowbridge/crowbridge/internal/replica"
 )
 
 const (
@@ -16,7 +16,7 @@
 
 // WriteSnapshots puts a snapshot onto the log when the newest one is old. Each
 // entry waits a random time first, so that usually one writes; two are harmless.
-func (e *Entry) WriteSnapshots(ctx context.Context, log platform.Log) {
+func (e *Entry) WriteSnapshots(ctx context.Context, log replica.Log) {
 	for {
 		timer := time.NewTimer(snapshotCheck + rand.N(snapshotCheck))
 		select {
@@ -31,7 +31,7 @@
 	}
 }
 
-func (e *Entry) writeSnapshot(ctx context.Context, log platform.Log) error {
+func (e *Entry) writeSnapshot(ctx context.Context, log replica.Log) error {
 	records, err := e.replica.SnapshotDue(snapshotEvery)
 	if err != nil {
 		return err
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/crowbridge/crowbridge/internal/platform"
 	"github.com/crowbridge/crowbridge/internal/routing"
 	"github.com/crowbridge/crowbridge/internal/rpc"
 	"github.com/crowbridge/crowbridge/internal/wire"
@@ -85,9 +84,15 @@
 	e.table.Report(e.now(), row.Server.Name, report.Incarnation, load)
 }
 
+// VMList is the platform's list of backend servers.
+type VMList interface {
+	// Leaving tells of each listed server whether it is leaving.
+	Leaving(ctx context.Context) (map[string]bool, error)
+}
+
 // WatchVMs reads the platform's list until the context ends. The list lags, so
 // it only ever takes servers out of routing; what agents say comes first.
-func (e *Entry) WatchVMs(ctx context.Context, list platform.VMList) {
+func (e *Entry) WatchVMs(ctx context.Context, list VMList) {
 	ticker := time.NewTicker(vmListEvery)
 	defer ticker.Stop()
 	for {
@@ -100,17 +105,17 @@
 	}
 }
 
-func (e *Entry) readVMs(ctx context.Context, list platform.VMList) {
+func (e *Entry) readVMs(ctx context.Context, list VMList) {
 	ctx, cancel := context.WithTimeout(ctx, vmListEvery)
 	defer cancel()
-	vms, err := list.VMs(ctx)
+	listed, err := list.Leaving(ctx)
 	if err != nil {
 		e.log.WithError(err).Debug("VM list not read; keeping the last one")
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, vm := range vms {
-		e.table.Listed(vm.Name, vm.State == platform.VMLeaving)
+	for name, leaving := range listed {
+		e.table.Listed(name, leaving)
 	}
 }
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/config"
-	"github.com/crowbridge/crowbridge/internal/platform"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 )
@@ -129,7 +128,7 @@
 // LogSource reads the platform's log.
 type LogSource struct {
 	// Log is the platform's log service.
-	Log platform.Log
+	Log Log
 }
 
 // Name implements Source.
@@ -138,7 +137,7 @@
 // Records implements Source.
 func (s LogSource) Records(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
 	entries, err := s.Log.Read(ctx, after, wait)
-	if errors.Is(err, platform.ErrGone) {
+	if errors.Is(err, ErrGone) {
 		return Batch{Gone: true}, nil
 	}
 	return Batch{Entries: entries}, err
--- a/internal/replica/peer.go
+++ b/internal/replica/peer.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/config"
-	"github.com/crowbridge/crowbridge/internal/platform"
 	"github.com/crowbridge/crowbridge/internal/rpc"
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
@@ -59,7 +58,7 @@
 	// Replica is what is served.
 	Replica *Replica
 	// Log takes the records of agents; nil where there's none.
-	Log platform.Log
+	Log Log
 	// Seen is told the offset of each daemon that asks; it may be nil.
 	Seen func(daemon string, offset int64)
 }
--- a/standins/harness/cluster.go
+++ b/standins/harness/cluster.go
@@ -263,7 +263,7 @@
 			"entry", "--name", e.Name, "--zone", e.Zone, "--listen", e.Callers, "--control", e.Control,
 			"--metrics", e.metrics, "--daemon-key", DaemonKey, "--log-level", c.Layout.logLevel(),
 			"--drain-timeout", c.Layout.Drain.String(),
-			"--log-url", "http://" + c.platforms[e.Zone], "--vms-url", "http://" + c.platforms[e.Zone],
+			"--store", c.platforms[e.Zone],
 			"--operator", "ops:change:" + daemon.HashSecret(operatorToken),
 			"--operator", "viewer:read:" + daemon.HashSecret(readerToken),
 		}, append(c.peerArgs(e.Zone), c.Layout.EntryArgs...)...))
--- a/standins/platform/log.go
+++ b/standins/platform/log.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/config"
-	"github.com/crowbridge/crowbridge/internal/platform"
+	"github.com/crowbridge/crowbridge/internal/replica"
 	"github.com/pkg/errors"
 )
 
@@ -19,7 +19,7 @@
 // ErrLostAnswer is returned for a record that was taken while answers get lost.
 var ErrLostAnswer = errors.New("log stand-in: answer lost")
 
-// Log is an in-memory log. It implements the product's platform.Log, so tests
+// Log is an in-memory log. It implements the product's replica.Log, so tests
 // can use it without a network.
 type Log struct {
 	mu      sync.Mutex
@@ -65,7 +65,7 @@
 	l.entries = append([]config.LogEntry(nil), l.entries[drop:]...)
 }
 
-// Append implements platform.Log.
+// Append implements replica.Log.
 func (l *Log) Append(_ context.Context, data []byte) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -84,7 +84,7 @@
 	return offset, nil
 }
 
-// Read implements platform.Log.
+// Read implements replica.Log.
 func (l *Log) Read(ctx context.Context, after int64, wait time.Duration) ([]config.LogEntry, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -111,14 +111,14 @@
 		return nil, nil, ErrDown
 	}
 	if after+1 < l.first {
-		return nil, nil, platform.ErrGone
+		return nil, nil, replica.ErrGone
 	}
 	from := min(max(after+1-l.first, 0), int64(len(l.entries)))
 	to := min(from+maxRead, int64(len(l.entries)))
 	return append([]config.LogEntry(nil), l.entries[from:to]...), l.grown, nil
 }
 
-// First implements platform.Log.
+// First implements replica.Log.
 func (l *Log) First(context.Context) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/standins/platform/server.go
+++ b/standins/platform/server.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
-	"github.com/crowbridge/crowbridge/internal/platform"
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 )
@@ -22,8 +20,8 @@
 
 	mu      sync.Mutex
 	cut     map[string]bool
-	vms     map[string]platform.VMState
-	runs    map[string]int // executions by operation
+	vms     map[string]string // state by server
+	runs    map[string]int    // executions by operation
 	weights *rate.Limiter
 	groups  map[string]*barrier
 }
@@ -36,7 +34,7 @@
 	return &Server{
 		log:     NewLog(now),
 		cut:     map[string]bool{},
-		vms:     map[string]platform.VMState{},
+		vms:     map[string]string{},
 		runs:    map[string]int{},
 		groups:  map[string]*barrier{},
 		weights: rate.NewLimiter(weightBytesPerSecond, weightBytesPerSecond),
@@ -54,7 +52,7 @@
 	mux := s.mux()
 	mux.HandleFunc("PUT /fault/log", s.setFaults)
 	mux.HandleFunc("PUT /fault/cut/{zone}/{on}", s.setCut)
-	mux.HandleFunc("PUT /v1/vms/{name}/{state}", s.setVM)
+	mux.HandleFunc("PUT /fault/server/{name}/{state}", s.setVM)
 	mux.HandleFunc("POST /runs/{operation}", s.addRun)
 	mux.HandleFunc("GET /runs", s.getRuns)
 	mux.HandleFunc("POST /group/{group}/{ranks}/{step}/{version}", s.arrive)
@@ -77,83 +75,20 @@
 
 func (s *Server) mux() *http.ServeMux {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/records", s.appendRecord)
-	mux.HandleFunc("GET /v1/records", s.readRecords)
-	mux.HandleFunc("GET /v1/bounds", s.bounds)
-	mux.HandleFunc("GET /v1/vms", s.listVMs)
+	mux.HandleFunc("POST /log-append", s.appendRecord)
+	mux.HandleFunc("GET /log-read", s.readRecords)
+	mux.HandleFunc("GET /log-newest", s.newest)
 	mux.HandleFunc("GET /v1/weights/{bytes}", s.readWeights)
 	return mux
 }
 
-func (s *Server) appendRecord(w http.ResponseWriter, r *http.Request) {
-	time.Sleep(s.log.delay())
-	data, err := io.ReadAll(r.Body)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	offset, err := s.log.Append(r.Context(), data)
-	if errors.Is(err, ErrLostAnswer) {
-		panic(http.ErrAbortHandler)
-	}
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		return
-	}
-	writeJSON(w, platform.AppendAnswer{Offset: offset})
-}
-
-func (s *Server) readRecords(w http.ResponseWriter, r *http.Request) {
-	time.Sleep(s.log.delay())
-	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
-	if err != nil {
-		http.Error(w, "after: not a number", http.StatusBadRequest)
-		return
-	}
-	waitMs, err := strconv.ParseInt(r.URL.Query().Get("waitMs"), 10, 64)
-	if err != nil {
-		http.Error(w, "waitMs: not a number", http.StatusBadRequest)
-		return
-	}
-	entries, err := s.log.Read(r.Context(), after, time.Duration(waitMs)*time.Millisecond)
-	if errors.Is(err, platform.ErrGone) {
-		http.Error(w, err.Error(), http.StatusGone)
-		return
-	}
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		return
-	}
-	answer := platform.ReadAnswer{}
-	for _, e := range entries {
-		answer.Records = append(answer.Records, platform.RecordAnswer{Offset: e.Offset, TimeMs: e.TimeMs, Data: e.Data})
-	}
-	writeJSON(w, answer)
-}
-
-func (s *Server) bounds(w http.ResponseWriter, r *http.Request) {
-	first, err := s.log.First(r.Context())
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		return
-	}
-	writeJSON(w, platform.ReadAnswer{First: first})
-}
-
-func (s *Server) listVMs(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	vms := []platform.VM{}
-	for name, state := range s.vms {
-		vms = append(vms, platform.VM{Name: name, State: state})
-	}
-	writeJSON(w, vms)
-}
+// registered are the states that servers register, by what scripts call them.
+var registered = map[string]string{"live": "ready", "leaving": "draining"}
 
 func (s *Server) setVM(_ http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.vms[r.PathValue("name")] = platform.VMState(r.PathValue("state"))
+	s.vms[r.PathValue("name")] = registered[r.PathValue("state")]
 }
 
 func (s *Server) readWeights(w http.ResponseWriter, r *http.Request) {
--- a/standins/scenarios/scenarios_test.go
+++ b/standins/scenarios/scenarios_test.go
@@ -279,7 +279,7 @@
 
 // cmdVM sets what the platform's list says: vm NAME live|leaving
 func cmdVM(ts *testscript.TestScript, _ bool, args []string) {
-	ts.Check(of(ts).cluster.Fault("/v1/vms/"+args[0]+"/"+args[1], ""))
+	ts.Check(of(ts).cluster.Fault("/fault/server/"+args[0]+"/"+args[1], ""))
 }
 
 // cmdOperator runs the operators' command line: operator [as-reader|@entry] ARGS...
