--- a/cmd/crowbridged/hosted.go
+++ b/cmd/crowbridged/hosted.go
@@ -41,10 +41,10 @@
 
 func hostedEntryCommand() *cli.Command {
 	return hostedCommand("hosted-entry", "serve callers on the users' platform",
-		func(s *platform.Settings, log *logrus.Entry) runner { return hosted.NewEntry(s, log) })
+		func(s *platform.Settings, log *logrus.Entry) runner { return hosted.NewEntryDaemon(s, log) })
 }
 
 func hostedAgentCommand() *cli.Command {
 	return hostedCommand("hosted-agent", "stand beside a model engine on the users' platform",
-		func(s *platform.Settings, log *logrus.Entry) runner { return hosted.NewAgent(s, log) })
+		func(s *platform.Settings, log *logrus.Entry) runner { return hosted.NewAgentDaemon(s, log) })
 }
--- a/internal/dispatch/board.go
+++ b/internal/dispatch/board.go
@@ -59,18 +59,6 @@
 	return n
 }
 
-// groupState is what is known of a group of ranks.
-type groupState struct {
-	// brokenAt is when a rank last said that the group can't run, with the epoch
-	// that was known then; zero when nothing says so.
-	brokenAt    time.Time
-	brokenEpoch int64
-	// heardOpen is when an agent last said that the group is open.
-	heardOpen time.Time
-	heardAny  time.Time
-	epoch     int64
-}
-
 // NewBoard returns an empty board. random returns a number below n.
 func NewBoard(policy BudgetPolicy, zone string, random func(n int) int) *Board {
 	return &Board{
@@ -98,15 +86,6 @@
 	return r
 }
 
-func (b *Board) group(name string) *groupState {
-	g := b.groups[name]
-	if g == nil {
-		g = &groupState{}
-		b.groups[name] = g
-	}
-	return g
-}
-
 // Keep forgets servers that are no longer registered and that no request is at.
 func (b *Board) Keep(servers *fleet.Servers) {
 	b.mu.Lock()
@@ -129,67 +108,6 @@
 	r.reported, r.reportedAt = load, at
 }
 
-// ReportGroup takes in what the agent of a rank says of its group.
-func (b *Board) ReportGroup(rank fleet.GroupRank, at time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	g := b.group(rank.Group)
-	if at.Before(g.heardAny) || rank.Epoch < g.epoch {
-		return
-	}
-	g.heardAny, g.epoch = at, rank.Epoch
-	if rank.Open {
-		g.heardOpen = at
-		if rank.Epoch > g.brokenEpoch || at.Sub(g.brokenAt) > reopenDelay {
-			g.brokenAt = time.Time{}
-		}
-		return
-	}
-	if g.brokenAt.IsZero() {
-		g.brokenAt = at
-	}
-	g.brokenEpoch = max(g.brokenEpoch, rank.Epoch)
-}
-
-// reopenDelay is how long a group that refused a request counts as broken when
-// its epoch hasn't changed since: reports lag by some hundred milliseconds.
-const reopenDelay = 400 * time.Millisecond
-
-// markBroken notes that a rank refused a request for its group's sake.
-func (b *Board) markBroken(server *fleet.Server, now time.Time) {
-	if server.Rank == nil {
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	g := b.group(server.Rank.Group)
-	if g.brokenAt.IsZero() {
-		g.brokenAt = now
-	}
-	g.brokenEpoch = max(g.brokenEpoch, server.Rank.Epoch, g.epoch)
-}
-
-// brokenFor tells how long a group has been broken.
-func (b *Board) brokenFor(server *fleet.Server, now time.Time) (time.Duration, bool) {
-	if server.Rank == nil {
-		return 0, false
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	g := b.group(server.Rank.Group)
-	rank := server.Rank
-	if rank.Open && rank.Epoch > g.brokenEpoch {
-		g.brokenAt = time.Time{}
-	}
-	if !rank.Open && rank.Epoch >= g.epoch && g.brokenAt.IsZero() {
-		g.brokenAt, g.brokenEpoch = now, rank.Epoch
-	}
-	if g.brokenAt.IsZero() {
-		return 0, false
-	}
-	return now.Sub(g.brokenAt), true
-}
-
 // countRequest enters a request into its service's retry budget. It tells
 // whether the caller has tried before: its patience is less than the most that
 // the route's callers have shown.
@@ -247,43 +165,6 @@
 	r.inFlight = max(r.inFlight-1, 0)
 }
 
-// pauseEstimate follows the pauses between events.
-type pauseEstimate struct {
-	smoothed time.Duration
-	at       time.Time
-}
-
-const (
-	// pauseWeight is the weight of one pause: some twenty, of all own streams
-	// together, make the estimate.
-	pauseWeight = 0.05
-	// pauseFresh is how long an estimate is used without news.
-	pauseFresh = 500 * time.Millisecond
-)
-
-// sawPause notes the pause between two events of a stream.
-func (b *Board) sawPause(service string, pause time.Duration, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	e := b.pauses[service]
-	if e == nil || now.Sub(e.at) > pauseFresh {
-		b.pauses[service] = &pauseEstimate{smoothed: pause, at: now}
-		return
-	}
-	e.smoothed += time.Duration(pauseWeight * float64(pause-e.smoothed))
-	e.at = now
-}
-
-// pause returns the smoothed pause between events, or 0 when none is known.
-func (b *Board) pause(service string, now time.Time) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if e := b.pauses[service]; e != nil && now.Sub(e.at) <= pauseFresh {
-		return e.smoothed
-	}
-	return 0
-}
-
 const (
 	// avoidFirst and avoidMost bound how long a server that failed is passed over.
 	avoidFirst = 300 * time.Millisecond
--- /dev/null
+++ b/internal/dispatch/groupstate.go
@@ -0,0 +1,89 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/fleet"
+)
+
+// groupState is what is known of a group of ranks.
+type groupState struct {
+	// brokenAt is when a rank last said that the group can't run, with the epoch
+	// that was known then; zero when nothing says so.
+	brokenAt    time.Time
+	brokenEpoch int64
+	// heardOpen is when an agent last said that the group is open.
+	heardOpen time.Time
+	heardAny  time.Time
+	epoch     int64
+}
+
+func (b *Board) group(name string) *groupState {
+	g := b.groups[name]
+	if g == nil {
+		g = &groupState{}
+		b.groups[name] = g
+	}
+	return g
+}
+
+// ReportGroup takes in what the agent of a rank says of its group.
+func (b *Board) ReportGroup(rank fleet.GroupRank, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g := b.group(rank.Group)
+	if at.Before(g.heardAny) || rank.Epoch < g.epoch {
+		return
+	}
+	g.heardAny, g.epoch = at, rank.Epoch
+	if rank.Open {
+		g.heardOpen = at
+		if rank.Epoch > g.brokenEpoch || at.Sub(g.brokenAt) > reopenDelay {
+			g.brokenAt = time.Time{}
+		}
+		return
+	}
+	if g.brokenAt.IsZero() {
+		g.brokenAt = at
+	}
+	g.brokenEpoch = max(g.brokenEpoch, rank.Epoch)
+}
+
+// reopenDelay is how long a group that refused a request counts as broken when
+// its epoch hasn't changed since: reports lag by some hundred milliseconds.
+const reopenDelay = 400 * time.Millisecond
+
+// markBroken notes that a rank refused a request for its group's sake.
+func (b *Board) markBroken(server *fleet.Server, now time.Time) {
+	if server.Rank == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g := b.group(server.Rank.Group)
+	if g.brokenAt.IsZero() {
+		g.brokenAt = now
+	}
+	g.brokenEpoch = max(g.brokenEpoch, server.Rank.Epoch, g.epoch)
+}
+
+// brokenFor tells how long a group has been broken.
+func (b *Board) brokenFor(server *fleet.Server, now time.Time) (time.Duration, bool) {
+	if server.Rank == nil {
+		return 0, false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g := b.group(server.Rank.Group)
+	rank := server.Rank
+	if rank.Open && rank.Epoch > g.brokenEpoch {
+		g.brokenAt = time.Time{}
+	}
+	if !rank.Open && rank.Epoch >= g.epoch && g.brokenAt.IsZero() {
+		g.brokenAt, g.brokenEpoch = now, rank.Epoch
+	}
+	if g.brokenAt.IsZero() {
+		return 0, false
+	}
+	return now.Sub(g.brokenAt), true
+}
--- /dev/null
+++ b/internal/experts/policy.go
@@ -0,0 +1,58 @@
+package experts
+
+import (
+	"time"
+)
+
+// Policy are the weights and paces of a holder.
+type Policy struct {
+	// ObservePace is the time between two looks at all ranks.
+	ObservePace time.Duration
+	// HalfLife is the time in which the estimate of demand forgets half.
+	HalfLife time.Duration
+	// PassPart is the part of the longest pause between events that a pass's own work
+	// may take: prompts that are read make it longer. It gives the skew, the slowest
+	// rank's time over the mean, from which on a new map is planned.
+	PassPart float64
+	// TargetPart says how far a plan goes: 0 to a skew of 1, 1 not beyond the trigger.
+	TargetPart float64
+	// LeastTrigger and MostTrigger bound the trigger.
+	LeastTrigger, MostTrigger float64
+	// MovePrice is what loading one expert has to gain, in per cent of a set's time.
+	MovePrice float64
+}
+
+// DefaultPolicy was chosen by runs on the users' days; see docs/decisions.
+var DefaultPolicy = Policy{
+	ObservePace:  150 * time.Millisecond,
+	HalfLife:     500 * time.Millisecond,
+	PassPart:     0.52,
+	TargetPart:   0.5,
+	LeastTrigger: 1.2,
+	MostTrigger:  1.8,
+	MovePrice:    0.5,
+}
+
+// trigger is the skew from which on a new map pays: the busier the ranks, the
+// longer a pass is without any skew, and the less of it fits.
+func (h *Holder) trigger() float64 {
+	busiest := 0
+	for _, r := range h.state.reports {
+		busiest = max(busiest, r.Running)
+	}
+	e := h.engine
+	step := e.Step + time.Duration(busiest)*e.StepPerRequest
+	even := float64(e.Stride) * step.Seconds()
+	room := h.policy.PassPart * h.pause.Seconds() / even
+	skew := (room - (1 - e.ExpertShare)) / max(e.ExpertShare, leastShare)
+	return min(max(skew, h.policy.LeastTrigger), h.policy.MostTrigger)
+}
+
+// speeds are the ranks' speeds relative to a healthy one's.
+func (h *Holder) speeds() []float64 {
+	speeds := make([]float64, h.shape.Ranks)
+	for rank := range speeds {
+		speeds[rank] = 1 / max(h.state.reports[rank].Pace, 1)
+	}
+	return speeds
+}
--- /dev/null
+++ b/internal/experts/present.go
@@ -0,0 +1,50 @@
+package experts
+
+import (
+	"github.com/crowbridge/crowbridge/internal/rebalance"
+)
+
+// adoptLists takes the map that the ranks tell as the present one.
+func (h *Holder) adoptLists() {
+	lists, whole := h.listsBySet()
+	h.state.SetPresent(lists)
+	if !whole || !h.state.Ready() {
+		return
+	}
+	placement, err := rebalance.FromLists(h.shape, lists)
+	if err != nil {
+		h.log.WithError(err).Warn("the ranks' experts make no map")
+		return
+	}
+	h.placement, h.placementEpoch, h.placementVersion = placement, h.state.Epoch(), h.mapInUse()
+}
+
+// listsBySet orders what the ranks told by set. Ranks that told nothing get the
+// experts that no other rank has; whole says that there are none.
+func (h *Holder) listsBySet() (lists [][][]int, whole bool) {
+	whole = true
+	lists = make([][][]int, h.shape.Layers)
+	for set := range lists {
+		lists[set] = make([][]int, h.shape.Ranks)
+		held := make([]bool, h.shape.Experts)
+		silent := -1
+		for rank, sets := range h.lists {
+			if len(sets) != h.shape.Layers {
+				silent, whole = rank, false
+				continue
+			}
+			lists[set][rank] = sets[set]
+			for _, expert := range sets[set] {
+				held[expert%h.shape.Experts] = true
+			}
+		}
+		for expert, known := range held {
+			if !known && silent >= 0 {
+				lists[set][silent] = append(lists[set][silent], expert)
+			}
+		}
+	}
+	return lists, whole
+}
+
+func (h *Holder) mapInUse() int64 { return h.state.reports[0].Map }
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -37,8 +37,8 @@
 	claimPause = 500 * time.Millisecond
 )
 
-// Agent is the daemon beside a model engine.
-type Agent struct {
+// AgentDaemon is the daemon beside a model engine.
+type AgentDaemon struct {
 	settings *platform.Settings
 	log      *logrus.Entry
 	members  *membership.Membership
@@ -49,12 +49,12 @@
 	agent    *experts.Agent
 }
 
-// NewAgent wires an agent.
-func NewAgent(s *platform.Settings, log *logrus.Entry) *Agent {
+// NewAgentDaemon wires an agent.
+func NewAgentDaemon(s *platform.Settings, log *logrus.Entry) *AgentDaemon {
 	members := membership.New(platform.Records{}, time.Now, log)
 	client := &http.Client{Transport: upstream.NewTransport(), Timeout: controlTimeout}
 	engines := platform.NewEngines(upstream.NewTransport())
-	return &Agent{
+	return &AgentDaemon{
 		settings: s, log: log, members: members, client: client, engines: engines,
 		exchange: membership.NewExchange(members, "", s.Seeds, client, log),
 		store:    platform.NewStore(s.Store, upstream.NewTransport()),
@@ -63,7 +63,7 @@
 }
 
 // Run serves holders, and is one when it has the lease, until the context ends.
-func (a *Agent) Run(ctx context.Context) error {
+func (a *AgentDaemon) Run(ctx context.Context) error {
 	limitMemory(a.settings.MemoryMB)
 	group, tasks := errgroup.WithContext(ctx)
 	mux := http.NewServeMux()
@@ -109,7 +109,7 @@
 }
 
 // followMembers keeps the fleet's state up to date from the entries.
-func (a *Agent) followMembers(ctx context.Context) {
+func (a *AgentDaemon) followMembers(ctx context.Context) {
 	for ctx.Err() == nil {
 		peers := a.exchange.Peers()
 		if len(peers) > 0 {
@@ -123,7 +123,7 @@
 }
 
 // feedLoad tells the entries the engine's load.
-func (a *Agent) feedLoad(ctx context.Context, sender *loadfeed.Sender) {
+func (a *AgentDaemon) feedLoad(ctx context.Context, sender *loadfeed.Sender) {
 	for ctx.Err() == nil {
 		if report := a.report(ctx); report.Size > 0 {
 			if err := sender.Send(time.Now(), report, a.entries()); err != nil {
@@ -135,7 +135,7 @@
 }
 
 // entries returns the addresses of the entries heard of.
-func (a *Agent) entries() []netip.Addr {
+func (a *AgentDaemon) entries() []netip.Addr {
 	var found []netip.Addr
 	for _, peer := range a.exchange.Peers() {
 		if address, err := netip.ParseAddrPort(peer); err == nil {
@@ -146,7 +146,7 @@
 }
 
 // hold claims the group's lease when no holder calls.
-func (a *Agent) hold(ctx context.Context) {
+func (a *AgentDaemon) hold(ctx context.Context) {
 	a.learnFence(ctx)
 	for ctx.Err() == nil {
 		pause(ctx, holderPace)
@@ -161,7 +161,7 @@
 	}
 }
 
-func (a *Agent) report(ctx context.Context) experts.RankReport {
+func (a *AgentDaemon) report(ctx context.Context) experts.RankReport {
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
 	report, err := a.agent.Report(ctx)
@@ -173,7 +173,7 @@
 
 // learnFence reads the lease's history, so that an agent that started again can
 // claim without waiting twice.
-func (a *Agent) learnFence(ctx context.Context) {
+func (a *AgentDaemon) learnFence(ctx context.Context) {
 	for ctx.Err() == nil && a.agent.Last().Size == 0 {
 		pause(ctx, holderPace)
 	}
@@ -189,7 +189,7 @@
 
 // engineModel returns the published figures of the engine beside this agent,
 // and the longest pause between events that its callers take as prompt.
-func (a *Agent) engineModel() (*fleet.EngineModel, time.Duration) {
+func (a *AgentDaemon) engineModel() (*fleet.EngineModel, time.Duration) {
 	config, servers := a.members.Config(), a.members.Servers()
 	if config == nil || servers == nil {
 		return nil, 0
@@ -206,7 +206,7 @@
 }
 
 // claim tries to get the lease and steers the group while it has it.
-func (a *Agent) claim(ctx context.Context, report experts.RankReport, engine *fleet.EngineModel, pauseBound time.Duration, knownFence int64) {
+func (a *AgentDaemon) claim(ctx context.Context, report experts.RankReport, engine *fleet.EngineModel, pauseBound time.Duration, knownFence int64) {
 	claiming, cancel := context.WithTimeout(ctx, claimTimeout)
 	claimed, err := experts.Claim(claiming, a.store,
 		experts.LeaseRecord{Group: report.Group, Holder: a.settings.Daemon, Rank: report.Rank}, knownFence)
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -32,8 +32,8 @@
 	controlTimeout = 600 * time.Millisecond
 )
 
-// Entry is the daemon that callers reach.
-type Entry struct {
+// EntryDaemon is the daemon that callers reach.
+type EntryDaemon struct {
 	settings *platform.Settings
 	log      *logrus.Entry
 	members  *membership.Membership
@@ -44,11 +44,11 @@
 	leaving  atomic.Bool
 }
 
-// NewEntry wires an entry.
-func NewEntry(s *platform.Settings, log *logrus.Entry) *Entry {
+// NewEntryDaemon wires an entry.
+func NewEntryDaemon(s *platform.Settings, log *logrus.Entry) *EntryDaemon {
 	members := membership.New(platform.Records{}, time.Now, log)
 	control := &http.Client{Transport: upstream.NewTransport(), Timeout: controlTimeout}
-	e := &Entry{
+	e := &EntryDaemon{
 		settings: s, log: log, members: members,
 		follower: membership.NewFollower(members, platform.NewStore(s.Store, upstream.NewTransport()), log),
 		exchange: membership.NewExchange(members, s.Control, s.Seeds, control, log),
@@ -64,7 +64,7 @@
 
 // watchSettings takes over what a changed settings file may change while the
 // process runs.
-func (e *Entry) watchSettings(ctx context.Context) {
+func (e *EntryDaemon) watchSettings(ctx context.Context) {
 	WatchSettings(ctx, e.settings, e.log, func(s *platform.Settings) {
 		e.exchange.SetSeeds(s.Seeds)
 		e.board.SetBudget(budgetPolicy(s))
@@ -76,7 +76,7 @@
 }
 
 // limits returns the configured limits on callers.
-func (e *Entry) limits() fleet.Limits {
+func (e *EntryDaemon) limits() fleet.Limits {
 	if config := e.members.Config(); config != nil {
 		return config.Limits
 	}
@@ -84,12 +84,12 @@
 }
 
 // ready tells whether the platform may send new connections.
-func (e *Entry) ready() bool {
+func (e *EntryDaemon) ready() bool {
 	return !e.leaving.Load() && e.members.Config() != nil && e.members.Servers() != nil
 }
 
 // Run serves until the context ends, then finishes what is in flight.
-func (e *Entry) Run(ctx context.Context) error {
+func (e *EntryDaemon) Run(ctx context.Context) error {
 	limitMemory(e.settings.MemoryMB)
 	tasks, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
@@ -126,7 +126,7 @@
 }
 
 // leave ends the entry within the grace of a planned stop.
-func (e *Entry) leave() {
+func (e *EntryDaemon) leave() {
 	e.log.Info("planned stop: no longer ready")
 	e.leaving.Store(true)
 	e.frontend.Leave()
@@ -140,7 +140,7 @@
 }
 
 // serveSide serves readiness, other daemons and metrics.
-func (e *Entry) serveSide(ctx context.Context, group *errgroup.Group) error {
+func (e *EntryDaemon) serveSide(ctx context.Context, group *errgroup.Group) error {
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
 		if !e.ready() {
@@ -180,7 +180,7 @@
 )
 
 // askPeers asks other daemons for what is newer while the store can't be reached.
-func (e *Entry) askPeers(ctx context.Context) {
+func (e *EntryDaemon) askPeers(ctx context.Context) {
 	for ctx.Err() == nil {
 		peers := e.exchange.Peers()
 		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
--- /dev/null
+++ b/internal/hosted/hosted_test.go
@@ -0,0 +1,296 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/crowbridge/crowbridge/platform"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+	logrustest "github.com/sirupsen/logrus/hooks/test"
+)
+
+func TestHosted(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "hosted")
+}
+
+const patience = 20 * time.Second
+
+const (
+	// firstTestPort is below the ports that the system gives to outgoing connections.
+	firstTestPort = 21000
+	portsEach     = 10
+)
+
+// nextPorts is where freePorts looks next.
+var nextPorts = firstTestPort
+
+// freePorts returns the first of some ports that are free on a loopback address.
+func freePorts(ip string) int {
+	for {
+		base := nextPorts
+		nextPorts += portsEach
+		free := true
+		for port := base; port < base+portsEach; port++ {
+			listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+			if err != nil {
+				free = false
+				break
+			}
+			Expect(listener.Close()).To(Succeed())
+		}
+		if free {
+			return base
+		}
+	}
+}
+
+func quietLog() *logrus.Entry {
+	logger, _ := logrustest.NewNullLogger()
+	return logrus.NewEntry(logger)
+}
+
+func entrySettings(ip, store string) *platform.Settings {
+	base := freePorts(ip)
+	at := func(n int) string { return fmt.Sprintf("%s:%d", ip, base+n) }
+	return &platform.Settings{
+		Daemon: "entry-" + ip, IP: ip, Zone: "z", Store: store, Path: "none",
+		Callers: at(5), Readiness: at(6), Control: at(7), FirstPort: base, LastPort: base + 9,
+		Grace: 4 * time.Second, RetryRatio: 0.2, RetryExtra: 60, RetryWindow: 10 * time.Second,
+	}
+}
+
+// run starts a daemon and returns what stops it and waits for its end.
+func run(daemon interface {
+	Run(ctx context.Context) error
+},
+) func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- daemon.Run(ctx) }()
+	stop := func() {
+		cancel()
+		Eventually(ended, patience).Should(Receive(BeNil()))
+	}
+	stopped := false
+	DeferCleanup(func() {
+		if !stopped {
+			stop()
+		}
+	})
+	return func() {
+		stopped = true
+		stop()
+	}
+}
+
+func ready(s *platform.Settings) func() int {
+	return func() int {
+		response, err := http.Get("http://" + s.Readiness + "/ready")
+		if err != nil {
+			return 0
+		}
+		_ = response.Body.Close()
+		return response.StatusCode
+	}
+}
+
+func ask(s *platform.Settings, path, key string) (int, string) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+s.Callers+path, nil)
+	Expect(err).NotTo(HaveOccurred())
+	request.Host = "h.example"
+	request.Header.Set("X-Attempt-Id", "a1")
+	request.Header.Set("X-Api-Key", key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return response.StatusCode, string(body)
+}
+
+func configVersion(version int, keys string) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"h.example","path_prefix":"/a/","type":"idempotent","timeout_ms":5000,"service":"s","max_attempts":2}],
+	 "services":[{"name":"s","max_conns":50},{"name":"m","max_conns":50,"engine":{"capacity":12,"stride":5,"step_ms":5.85,"per_seq_ms":0.355,"sets":1,"experts":%d,"placements":4,"spare":2,"expert_share":0.85}}],
+	 "limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"t","api_keys":[%s]}]}`,
+		version, groupExperts, keys)
+}
+
+// signingServer answers as the platform's servers do.
+func signingServer(served *atomic.Int64) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		served.Add(1)
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.Header().Set("X-Server-Stamp", "s")
+		fmt.Fprintf(w, "for %s by %s", r.Header.Get("X-Tenant"), r.Header.Get("X-Expect-Instance"))
+	})
+}
+
+var _ = Describe("an entry on the platform", func() {
+	var store *storeStandin
+	var settings *platform.Settings
+	var served atomic.Int64
+
+	BeforeEach(func() {
+		served.Store(0)
+		store = newStoreStandin()
+		settings = entrySettings("127.0.0.1", listen("127.0.0.1:0", store))
+	})
+
+	serveOne := func() {
+		store.put("keyed.op", "config", configVersion(1, `"k1"`))
+		address := listen("127.0.0.1:0", signingServer(&served))
+		store.put("keyed.servers", "i-1", fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","capacity":6,"state":"ready"}`, address))
+	}
+
+	It("answers 503 until it is configured, then serves", func() {
+		run(NewEntryDaemon(settings, quietLog()))
+		Eventually(ready(settings), patience).Should(Equal(http.StatusServiceUnavailable))
+		status, _ := ask(settings, "/a/x", "k1")
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		serveOne()
+		Eventually(ready(settings), patience).Should(Equal(http.StatusOK))
+		Eventually(func() string {
+			_, body := ask(settings, "/a/x", "k1")
+			return body
+		}, patience).Should(Equal("for t by i-1"))
+	})
+
+	It("takes keys away with a new configuration", func() {
+		serveOne()
+		run(NewEntryDaemon(settings, quietLog()))
+		statusWith := func(key string) func() int {
+			return func() int {
+				status, _ := ask(settings, "/a/x", key)
+				return status
+			}
+		}
+		Eventually(statusWith("k1"), patience).Should(Equal(http.StatusOK))
+		store.put("keyed.op", "config", configVersion(2, `"k2"`))
+		Eventually(statusWith("k1"), patience).Should(Equal(http.StatusUnauthorized))
+		Expect(statusWith("k2")()).To(Equal(http.StatusOK))
+	})
+
+	It("learns all it needs from another entry while the store is down", func() {
+		serveOne()
+		run(NewEntryDaemon(settings, quietLog()))
+		Eventually(ready(settings), patience).Should(Equal(http.StatusOK))
+		store.setDown(true)
+		second := entrySettings("127.0.0.2", settings.Store)
+		second.Seeds = []string{settings.Control}
+		run(NewEntryDaemon(second, quietLog()))
+		Eventually(ready(second), patience).Should(Equal(http.StatusOK))
+		status, _ := ask(second, "/a/x", "k1")
+		Expect(status).To(Equal(http.StatusOK))
+	})
+
+	It("finishes what is in flight when it's stopped, and is not ready meanwhile", func() {
+		store.put("keyed.op", "config", configVersion(1, `"k1"`))
+		begun, release := make(chan struct{}), make(chan struct{})
+		address := listen("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			close(begun)
+			<-release
+			signingServer(&served).ServeHTTP(w, r)
+		}))
+		store.put("keyed.servers", "i-1", fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","capacity":6,"state":"ready"}`, address))
+		stop := run(NewEntryDaemon(settings, quietLog()))
+		Eventually(ready(settings), patience).Should(Equal(http.StatusOK))
+		answered := make(chan int, 1)
+		go func() {
+			defer GinkgoRecover()
+			status, _ := ask(settings, "/a/x", "k1")
+			answered <- status
+		}()
+		Eventually(begun, patience).Should(BeClosed())
+		go func() {
+			defer GinkgoRecover()
+			Eventually(ready(settings), patience).Should(Equal(http.StatusServiceUnavailable))
+			close(release)
+		}()
+		stop()
+		Expect(answered).To(Receive(Equal(http.StatusOK)))
+	})
+})
+
+var _ = Describe("agents on the platform", func() {
+	It("agree on a holder that moves the hot expert's work, and no pass sees two maps", func() {
+		store := newStoreStandin()
+		settings := entrySettings("127.0.0.1", listen("127.0.0.1:0", store))
+		store.put("keyed.op", "config", configVersion(1, `"k1"`))
+		group := newGroupStandin()
+		base := freePorts("127.0.0.20")
+		stops := make([]func(), groupRanks)
+		for rank := range groupRanks {
+			ip := fmt.Sprintf("127.0.0.%d", 20+rank)
+			engine := listen(ip+":0", group.engine(rank))
+			store.put("keyed.servers", fmt.Sprint("r", rank), fmt.Sprintf(
+				`{"service":"m","address":%q,"zone":"z","capacity":12,"state":"ready","group":{"name":"g","epoch":1,"rank":%d,"state":"open"},"size":%d}`,
+				engine, rank, groupRanks))
+			stops[rank] = run(NewAgentDaemon(&platform.Settings{
+				Daemon: fmt.Sprint("agent-", rank), IP: ip, Zone: "z", Store: settings.Store, Path: "none",
+				FirstPort: base, LastPort: base + 9, Seeds: []string{settings.Control}, LocalServer: engine,
+			}, quietLog()))
+		}
+		run(NewEntryDaemon(settings, quietLog()))
+		ticker := time.NewTicker(5 * time.Millisecond)
+		done := make(chan struct{})
+		go func() {
+			for {
+				select {
+				case <-ticker.C:
+					group.step()
+				case <-done:
+					return
+				}
+			}
+		}()
+		DeferCleanup(func() {
+			ticker.Stop()
+			close(done)
+		})
+		version := func() int64 {
+			v, _ := group.state()
+			return v
+		}
+		Eventually(version, patience).Should(BeNumerically(">", 0))
+		holder := holderOf(store)
+		stops[holder]()
+		// Another agent takes over, and follows the next shift of demand.
+		group.mu.Lock()
+		group.hot = 5
+		group.mu.Unlock()
+		Eventually(func() int { return len(leases(store)) }, patience).Should(BeNumerically(">", 1))
+		Expect(holderOf(store)).NotTo(Equal(holder))
+		_, mixed := group.state()
+		Expect(mixed).To(BeZero())
+	})
+})
+
+func leases(store *storeStandin) [][]byte {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	return store.topics["leases"]
+}
+
+// holderOf returns the rank of the newest lease's holder.
+func holderOf(store *storeStandin) int {
+	all := leases(store)
+	for rank := range groupRanks {
+		if strings.Contains(string(all[len(all)-1]), fmt.Sprint("agent-", rank)) {
+			return rank
+		}
+	}
+	Fail("no holder")
+	return -1
+}
