--- a/internal/experts/policy.go
+++ b/internal/experts/policy.go
@@ -26,11 +26,11 @@
 var DefaultPolicy = Policy{
 	ObservePace:  150 * time.Millisecond,
 	HalfLife:     500 * time.Millisecond,
-	PassPart:     0.52,
-	TargetPart:   0.5,
+	PassPart:     0.58,
+	TargetPart:   0.6,
 	LeastTrigger: 1.2,
-	MostTrigger:  1.8,
-	MovePrice:    0.5,
+	MostTrigger:  1.9,
+	MovePrice:    1.0,
 }
 
 // trigger is the skew from which on a new map pays: the busier the ranks, the
