--- a/internal/dispatch/board.go
+++ b/internal/dispatch/board.go
@@ -67,10 +67,24 @@
 	}
 }
 
-// SetBudget changes the retry budget.
+// SetBudget changes the retry budget, but not among how many it's divided.
 func (b *Board) SetBudget(policy BudgetPolicy) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	policy.Entries = b.policy.Entries
+	b.setPolicy(policy)
+}
+
+// SetEntries tells among how many entries the retry budget is divided.
+func (b *Board) SetEntries(known int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	policy := b.policy
+	policy.Entries = known
+	b.setPolicy(policy)
+}
+
+func (b *Board) setPolicy(policy BudgetPolicy) {
 	b.policy = policy
 	for _, budget := range b.budgets {
 		budget.policy = policy
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -10,6 +10,8 @@
 	Extra float64
 	// Window is the span over which both are counted.
 	Window time.Duration
+	// Entries is how many entries are known; 0 when that isn't.
+	Entries int
 }
 
 const (
@@ -18,11 +20,18 @@
 	// ratioSafety is the part of Ratio that an entry spends: repeats of one window
 	// may belong to requests of the one before.
 	ratioSafety = 0.6
-	// extraShares is among how many entries Extra is divided without asking: the
-	// most entries of a small deployment (8) and its spare ones (3), rounded up.
+	// extraShares is among how many entries Extra is divided at least: the most
+	// entries of a small deployment (8) and its spare ones (3), rounded up.
 	extraShares = 12
+	// spareShare is the part by which there may be more entries than are known.
+	spareShare = 0.25
 )
 
+// extra is this entry's share of Extra.
+func (p BudgetPolicy) extra() float64 {
+	return p.Extra / max(extraShares, float64(p.Entries)*(1+spareShare))
+}
+
 // retryBudget counts one service's requests and repeats at this entry. It needs
 // nobody else's counts: each entry's part of the deployment's budget follows
 // from its own requests and a fixed share of the rest. Not safe for concurrent use.
@@ -56,7 +65,7 @@
 		requests += b.requests[i]
 		repeats += b.repeats[i]
 	}
-	allowed := b.policy.Ratio*ratioSafety*float64(requests) + b.policy.Extra/extraShares
+	allowed := b.policy.Ratio*ratioSafety*float64(requests) + b.policy.extra()
 	if float64(repeats+1) > allowed {
 		return false
 	}
--- a/internal/dispatch/budget_property_test.go
+++ b/internal/dispatch/budget_property_test.go
@@ -16,13 +16,14 @@
 }
 
 // TestEntriesTogetherKeepTheRetryBudget: whatever the entries see, and however
-// many there are up to extraShares, their repeats in any window stay within the
+// many there are, their repeats in any window stay within the
 // deployment's budget for the requests of that window and the one before.
 func TestEntriesTogetherKeepTheRetryBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		entries := make([]retryBudget, rapid.IntRange(1, extraShares).Draw(t, "entries"))
+		entries := make([]retryBudget, rapid.IntRange(1, 40).Draw(t, "entries"))
 		for i := range entries {
 			entries[i].policy = testPolicy
+			entries[i].policy.Entries = len(entries)
 		}
 		now := time.Unix(5000, 0)
 		var requests, repeats []time.Time
--- a/internal/experts/agent.go
+++ b/internal/experts/agent.go
@@ -31,6 +31,10 @@
 	fence   int64
 	heardAt time.Time
 	last    RankReport
+	// counted is what the engine had counted when the holder with the fence
+	// countedFor asked last.
+	counted    Counts
+	countedFor int64
 	// openedAt is when the group was seen to open last.
 	openedAt time.Time
 	// orders keeps orders one after the other, so that none with an old fence is on
@@ -76,8 +80,16 @@
 	return a.fence, a.now().Sub(since)
 }
 
+// Question is what a holder wants to know besides a rank's state.
+type Question struct {
+	// Counts asks for what was chosen since the holder asked last.
+	Counts bool
+	// Lists asks for the rank's experts.
+	Lists bool
+}
+
 // Observe answers a holder.
-func (a *Agent) Observe(ctx context.Context, fence int64, lists bool) (Observation, error) {
+func (a *Agent) Observe(ctx context.Context, fence int64, ask Question) (Observation, error) {
 	highest, current := a.hear(fence)
 	if !current {
 		return Observation{Fence: highest}, nil
@@ -90,14 +102,38 @@
 	if err != nil {
 		return Observation{Fence: highest}, err
 	}
-	seen := Observation{Report: report, Counts: counts, Fence: highest}
+	seen := Observation{Report: report, Fence: highest}
 	seen.Report.Pass = max(report.Pass, counts.Pass)
-	if lists {
+	if ask.Counts {
+		seen.Counts = a.sinceLast(fence, counts)
+	}
+	if ask.Lists {
 		seen.Experts, err = a.engine.Experts(ctx, a.address)
 	}
 	return seen, err
 }
 
+// sinceLast returns what was chosen since a holder asked last; nothing the first
+// time, and when the rank counts from 0 again.
+func (a *Agent) sinceLast(fence int64, counts Counts) Counts {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	last, asked := a.counted, a.countedFor
+	a.counted, a.countedFor = counts, fence
+	more := Counts{Pass: counts.Pass, Epoch: counts.Epoch}
+	if asked != fence || last.Epoch != counts.Epoch || len(last.Chosen) != len(counts.Chosen) {
+		return more
+	}
+	chosen := make([]float64, len(counts.Chosen))
+	for i, n := range counts.Chosen {
+		if chosen[i] = n - last.Chosen[i]; chosen[i] < 0 {
+			return more
+		}
+	}
+	more.Chosen = chosen
+	return more
+}
+
 // Report reads the engine's state.
 func (a *Agent) Report(ctx context.Context) (RankReport, error) {
 	report, err := a.engine.Report(ctx, a.address)
--- a/internal/experts/agent_test.go
+++ b/internal/experts/agent_test.go
@@ -22,6 +22,7 @@
 // fakeEngine takes orders and reports what it's told to.
 type fakeEngine struct {
 	report RankReport
+	counts Counts
 	orders []Order
 	// unanswered orders come before the first that is answered.
 	unanswered int
@@ -29,7 +30,7 @@
 
 func (e *fakeEngine) Report(context.Context, string) (RankReport, error) { return e.report, nil }
 
-func (e *fakeEngine) Picked(context.Context, string) (Counts, error) { return Counts{}, nil }
+func (e *fakeEngine) Picked(context.Context, string) (Counts, error) { return e.counts, nil }
 
 func (e *fakeEngine) Experts(context.Context, string) ([][]int, error) { return nil, nil }
 
@@ -77,7 +78,7 @@
 	ctx := context.Background()
 
 	It("gives no order of a holder that another has replaced", func() {
-		_, err := agent.Observe(ctx, 7, false)
+		_, err := agent.Observe(ctx, 7, Question{})
 		Expect(err).NotTo(HaveOccurred())
 		verdict, _ := agent.Command(ctx, Order{Operation: Arm, Fence: 6})
 		Expect(verdict).To(Equal(Fenced))
@@ -86,11 +87,26 @@
 
 	It("tells a replaced holder the higher fence and nothing else", func() {
 		agent.Learn(7)
-		seen, err := agent.Observe(ctx, 6, true)
+		seen, err := agent.Observe(ctx, 6, Question{Lists: true, Counts: true})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(seen).To(Equal(Observation{Fence: 7}))
 	})
 
+	It("tells what was chosen since the same holder asked last", func() {
+		chosen := func(fence, epoch int64, total float64) []float64 {
+			engine.counts = Counts{Epoch: epoch, Chosen: []float64{total}}
+			seen, err := agent.Observe(ctx, fence, Question{Counts: true})
+			Expect(err).NotTo(HaveOccurred())
+			return seen.Counts.Chosen
+		}
+		Expect(chosen(1, 1, 500)).To(BeNil(), "nothing to compare with")
+		Expect(chosen(1, 1, 520)).To(Equal([]float64{20}))
+		Expect(chosen(1, 1, 3)).To(BeNil(), "the rank counts from 0 again")
+		Expect(chosen(1, 2, 9)).To(BeNil(), "the group formed anew")
+		Expect(chosen(2, 2, 11)).To(BeNil(), "another holder")
+		Expect(chosen(2, 2, 12)).To(Equal([]float64{1}))
+	})
+
 	It("repeats an order until it's answered", func() {
 		engine.unanswered = 2
 		verdict, err := agent.Command(ctx, Order{Operation: Arm, Fence: 1})
@@ -159,24 +175,15 @@
 		now := time.Unix(1000, 0)
 		see := func(a, b float64) {
 			now = now.Add(100 * time.Millisecond)
-			d.Observe(now, 0, Counts{Epoch: 1, Chosen: []float64{a, b}})
+			d.Observe(now, []float64{a, b})
 		}
-		see(0, 0)
 		see(100, 0)
 		Expect(d.Popularity()[0][0]).To(BeNumerically(">", 99))
-		see(100, 400)
+		see(0, 400)
 		Expect(d.Popularity()[0][1]).To(BeNumerically(">", 3*d.Popularity()[0][0]))
 		before := d.Weight()
 		now = now.Add(time.Minute)
-		see(100, 400)
+		see(0, 0)
 		Expect(d.Weight()).To(Equal(before))
 	})
-
-	It("takes a rank that counts from 0 again as started anew", func() {
-		d := NewDemand(rebalance.Shape{Ranks: 1, Experts: 1, Layers: 1, Slots: 1}, time.Second)
-		d.Observe(time.Unix(1000, 0), 0, Counts{Epoch: 1, Chosen: []float64{500}})
-		d.Observe(time.Unix(1001, 0), 0, Counts{Epoch: 1, Chosen: []float64{3}})
-		d.Observe(time.Unix(1002, 0), 0, Counts{Epoch: 2, Chosen: []float64{90}})
-		Expect(d.Weight()).To(BeZero())
-	})
 })
--- a/internal/experts/demand.go
+++ b/internal/experts/demand.go
@@ -12,57 +12,38 @@
 type Demand struct {
 	shape    rebalance.Shape
 	halfLife time.Duration
-	ranks    []rankCounts
 	smoothed rebalance.Popularity
 	at       time.Time
 	seen     float64
 }
 
-type rankCounts struct {
-	epoch  int64
-	chosen []float64
-}
-
 // NewDemand returns an estimate that forgets half of what it knows in a time.
 func NewDemand(shape rebalance.Shape, halfLife time.Duration) *Demand {
-	return &Demand{
-		shape: shape, halfLife: halfLife,
-		ranks: make([]rankCounts, shape.Ranks), smoothed: rebalance.NewPopularity(shape),
-	}
+	return &Demand{shape: shape, halfLife: halfLife, smoothed: rebalance.NewPopularity(shape)}
 }
 
-// Observe takes in the counts that a rank has made since its start.
-func (d *Demand) Observe(now time.Time, rank int, counts Counts) {
-	if rank < 0 || rank >= len(d.ranks) || len(counts.Chosen) != d.shape.Layers*d.shape.Experts {
+// Observe takes in what a rank's requests chose since the last question.
+func (d *Demand) Observe(now time.Time, chosen []float64) {
+	if len(chosen) != d.shape.Layers*d.shape.Experts {
 		return
 	}
-	last := d.ranks[rank]
-	d.ranks[rank] = rankCounts{epoch: counts.Epoch, chosen: counts.Chosen}
-	if last.chosen == nil || last.epoch != counts.Epoch {
-		return
-	}
-	more := make([]float64, len(counts.Chosen))
 	total := 0.0
-	for i, n := range counts.Chosen {
-		more[i] = n - last.chosen[i]
-		if more[i] < 0 {
-			return // the rank started again and counts from 0
-		}
-		total += more[i]
+	for _, n := range chosen {
+		total += n
 	}
 	if total == 0 {
 		return
 	}
 	d.decay(now)
 	d.seen += total
-	for i, n := range more {
+	for i, n := range chosen {
 		d.smoothed[i/d.shape.Experts][i%d.shape.Experts] += n
 	}
 }
 
 // longestDecay bounds what one pause forgets: a group that was stopped goes on
 // with what it knew of the demand.
-const longestDecay = 300 * time.Millisecond
+const longestDecay = time.Second
 
 func (d *Demand) decay(now time.Time) {
 	since := min(now.Sub(d.at), longestDecay)
--- a/internal/experts/holder.go
+++ b/internal/experts/holder.go
@@ -22,20 +22,30 @@
 
 // Ranks reaches the agents of a group's ranks.
 type Ranks interface {
-	// Observe reads a rank's state; lists asks for its experts too.
-	Observe(ctx context.Context, rank int, fence int64, lists bool) (Observation, error)
+	// Observe reads a rank's state and what else is asked for.
+	Observe(ctx context.Context, rank int, fence int64, ask Question) (Observation, error)
 	// Command gives a rank's engine an order.
 	// direct orders go past the rank's agent.
 	Command(ctx context.Context, rank int, order Order, direct bool) (Verdict, error)
+	// Room is how many bytes of counts a holder may ask for in a second.
+	Room() float64
 }
 
 const (
 	// stagePace is the time between two looks while a switch waits for reports.
 	stagePace = 60 * time.Millisecond
+	// rankPace is the least time between two looks for each rank: a call takes about a
+	// quarter of a millisecond of a core, of which an agent has a quarter.
+	rankPace = 4 * time.Millisecond
+	// countBytes is the size of one count in an answer, as measured with small numbers.
+	countBytes = 1.5
 	// callTimeout bounds a call to a rank's agent, commandTimeout one that carries an
-	// order: an order without an answer is repeated.
+	// order: an order without an answer is repeated. Both grow by rankTime for each
+	// rank that is called at once, prepare orders by mapTime.
 	callTimeout    = 250 * time.Millisecond
 	commandTimeout = 120 * time.Millisecond
+	rankTime       = 4 * time.Millisecond
+	mapTime        = 12 * time.Millisecond
 	// leastShare keeps the trigger finite for engines without experts.
 	leastShare = 0.01
 	// leastChoices is how many choices of experts a plan must rest on.
@@ -67,6 +77,8 @@
 	begun                            time.Time
 	highest                          int64
 	stage                            Stage
+	// countedAt is when the counts were asked for last.
+	countedAt time.Time
 	// lost are the ranks that couldn't be observed last time.
 	lost  []bool
 	fence int64
@@ -91,15 +103,37 @@
 		h.plan()
 		h.drive(ctx)
 		h.noteStage()
-		pace := h.policy.ObservePace
-		if h.state.Stage() != StageIdle {
-			pace = stagePace
-		}
-		sleep(ctx, pace-h.now().Sub(began))
+		sleep(ctx, h.pace()-h.now().Sub(began))
 	}
 	h.log.Info("no longer holder")
 }
 
+// pace is the time between two looks at all ranks.
+func (h *Holder) pace() time.Duration {
+	pace := h.policy.ObservePace
+	if h.state.Stage() != StageIdle {
+		pace = stagePace
+	}
+	return max(pace, time.Duration(h.shape.Ranks)*rankPace)
+}
+
+// countsDue tells whether the counts may be asked for again: those of large
+// groups would fill the holder's link.
+func (h *Holder) countsDue() bool {
+	bytes := countBytes * float64(h.shape.Ranks*h.shape.Layers*h.shape.Experts)
+	apart := time.Duration(bytes / max(h.ranks.Room(), 1) * float64(time.Second))
+	if h.now().Sub(h.countedAt) < apart {
+		return false
+	}
+	h.countedAt = h.now()
+	return true
+}
+
+// patience is a timeout that grows with the ranks that are called at once.
+func (h *Holder) patience(base, each time.Duration) time.Duration {
+	return base + time.Duration(h.shape.Ranks)*each
+}
+
 func (h *Holder) superseded() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -113,10 +147,11 @@
 	if lists {
 		h.lists = make([][][]int, h.shape.Ranks)
 	}
+	ask := Question{Lists: lists, Counts: h.countsDue()}
 	h.each(func(rank int) {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		ctx, cancel := context.WithTimeout(ctx, h.patience(callTimeout, rankTime))
 		defer cancel()
-		seen, err := h.ranks.Observe(ctx, rank, h.fence, lists)
+		seen, err := h.ranks.Observe(ctx, rank, h.fence, ask)
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.noteRank(rank, err)
@@ -126,7 +161,7 @@
 		}
 		h.highest = max(h.highest, seen.Fence)
 		h.state.Report(h.now(), rank, seen.Report)
-		h.demand.Observe(h.now(), rank, seen.Counts)
+		h.demand.Observe(h.now(), seen.Counts.Chosen)
 		if lists {
 			h.lists[rank] = seen.Experts
 		}
@@ -238,7 +273,11 @@
 }
 
 func (h *Holder) command(ctx context.Context, o RankOrder) {
-	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	each := rankTime
+	if o.Order.Operation == Prepare {
+		each = mapTime
+	}
+	ctx, cancel := context.WithTimeout(ctx, h.patience(commandTimeout, each))
 	defer cancel()
 	verdict, err := h.ranks.Command(ctx, o.Rank, o.Order, o.Direct)
 	h.mu.Lock()
--- a/internal/experts/types.go
+++ b/internal/experts/types.go
@@ -27,11 +27,12 @@
 	Pace float64
 }
 
-// Counts says how often a rank's requests chose each expert since its start.
+// Counts says how often a rank's requests chose each expert.
 type Counts struct {
 	Pass  int64
 	Epoch int64
-	// Chosen is ordered by set, then by expert.
+	// Chosen is ordered by set, then by expert: since the rank's start as the engine
+	// tells it, since the holder's last question as the agent does.
 	Chosen []float64
 }
 
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -171,6 +171,22 @@
 	return report
 }
 
+// linkPart is the part of the VM's link that a holder's counts may fill;
+// otherLink is taken for a link whose rate isn't told, in bits a second.
+const (
+	linkPart    = 0.25
+	otherLink   = 20e6
+	bitsPerByte = 8
+)
+
+func (a *AgentDaemon) countRoom() float64 {
+	link := a.settings.LinkMbps * 1e6
+	if link <= 0 {
+		link = otherLink
+	}
+	return linkPart * link / bitsPerByte
+}
+
 // learnFence reads the lease's history, so that an agent that started again can
 // claim without waiting twice.
 func (a *AgentDaemon) learnFence(ctx context.Context) {
@@ -227,7 +243,7 @@
 	log.Info("lease claimed")
 	ranks := &rankClient{
 		self: a.settings.Daemon, group: report.Group, port: portOf(a.settings, rankPort), members: a.members,
-		client: a.client, local: a.agent, ownRank: report.Rank, engine: a.engines, silent: map[int]time.Time{},
+		client: a.client, local: a.agent, ownRank: report.Rank, engine: a.engines, room: a.countRoom(), silent: map[int]time.Time{},
 	}
 	experts.NewHolder(ranks, engine, pauseBound, report.Size, report.Rank, claimed, experts.DefaultPolicy, time.Now, a.log).Run(ctx)
 }
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -183,6 +183,7 @@
 func (e *EntryDaemon) askPeers(ctx context.Context) {
 	for ctx.Err() == nil {
 		peers := e.exchange.Peers()
+		e.board.SetEntries(len(peers) + 1)
 		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 		for _, peer := range peers[:min(len(peers), peersAtOnce)] {
 			if err := e.exchange.Ask(ctx, peer); err != nil {
--- a/internal/hosted/ranks.go
+++ b/internal/hosted/ranks.go
@@ -21,14 +21,14 @@
 
 // Observe implements peerrpc.Ranks.
 func (s *rankService) Observe(ctx context.Context, r *peerrpc.ObserveRequest) (*peerrpc.ObserveReply, error) {
-	seen, err := s.agent.Observe(ctx, r.GetFence(), r.GetLists())
-	reply := &peerrpc.ObserveReply{Fence: seen.Fence, CountsEpoch: seen.Counts.Epoch, State: encodeState(seen.Report)}
+	seen, err := s.agent.Observe(ctx, r.GetFence(), experts.Question{Counts: r.GetCounts(), Lists: r.GetLists()})
+	reply := &peerrpc.ObserveReply{Fence: seen.Fence, State: encodeState(seen.Report)}
 	if err != nil {
 		reply.Failure = err.Error()
 		return reply, nil
 	}
 	for _, n := range seen.Counts.Chosen {
-		reply.Chosen = append(reply.Chosen, uint64(n))
+		reply.Chosen = append(reply.Chosen, uint32(n))
 	}
 	for _, set := range seen.Experts {
 		reply.Experts = append(reply.Experts, encodeExperts(set))
@@ -81,14 +81,48 @@
 func encodeOrder(self string, o experts.Order) *peerrpc.CommandRequest {
 	r := &peerrpc.CommandRequest{
 		Holder: self, Fence: o.Fence, Operation: int32(o.Operation), Epoch: o.Epoch, Version: o.Version, Pass: o.Pass,
-		Sets: int32(len(o.Map)),
 	}
-	for _, set := range o.Map {
+	if len(o.Map) > 0 {
+		r.Map = encodeMap(o.Map)
+	}
+	return r
+}
+
+func encodeMap(lists [][][]int) *peerrpc.ExpertMap {
+	encoded := &peerrpc.ExpertMap{Sets: int32(len(lists)), Ranks: int32(len(lists[0]))}
+	for _, set := range lists {
 		for _, rank := range set {
-			r.Map = append(r.Map, encodeExperts(rank))
+			encoded.Sizes = append(encoded.Sizes, int32(len(rank)))
+			for _, expert := range rank {
+				encoded.Experts = append(encoded.Experts, int32(expert))
+			}
 		}
 	}
-	return r
+	return encoded
+}
+
+// decodeMap reads what encodeMap wrote; what doesn't fit together is left out,
+// and the engine refuses the rest.
+func decodeMap(encoded *peerrpc.ExpertMap) [][][]int {
+	sizes, experts := encoded.GetSizes(), encoded.GetExperts()
+	ranks := int(encoded.GetRanks())
+	var lists [][][]int
+	for range encoded.GetSets() {
+		set := make([][]int, 0, ranks)
+		for range ranks {
+			if len(sizes) == 0 || sizes[0] < 0 || int(sizes[0]) > len(experts) {
+				return lists
+			}
+			rank := make([]int, sizes[0])
+			for i := range rank {
+				rank[i] = int(experts[i])
+			}
+			set = append(set, rank)
+			experts, sizes = experts[sizes[0]:], sizes[1:]
+		}
+		lists = append(lists, set)
+	}
+	return lists
 }
 
 func decodeOrder(r *peerrpc.CommandRequest) experts.Order {
@@ -96,17 +130,8 @@
 		Operation: experts.Operation(r.GetOperation()), Epoch: r.GetEpoch(), Version: r.GetVersion(),
 		Pass: r.GetPass(), Fence: r.GetFence(),
 	}
-	sets := int(r.GetSets())
-	if sets == 0 {
-		return o
-	}
-	ranks := len(r.GetMap()) / sets
-	for set := range sets {
-		lists := make([][]int, ranks)
-		for rank := range ranks {
-			lists[rank] = decodeExperts(r.GetMap()[set*ranks+rank])
-		}
-		o.Map = append(o.Map, lists)
+	if r.GetMap() != nil {
+		o.Map = decodeMap(r.GetMap())
 	}
 	return o
 }
@@ -122,6 +147,8 @@
 	local   *experts.Agent
 	ownRank int
 	engine  experts.Engine
+	// room is how many bytes of counts a second may come over the VM's link.
+	room float64
 
 	mu sync.Mutex // a leaf
 	// silent are the ranks whose agents didn't answer, and when they are asked again.
@@ -136,8 +163,21 @@
 // trips between zones.
 const remoteTry = 20 * time.Millisecond
 
-// agentCall bounds a call to an agent, so that time is left to ask its engine.
-const agentCall = 80 * time.Millisecond
+// agentPart is the part of a call's time that an agent may take, so that time is
+// left to ask its engine.
+const agentPart = 0.6
+
+// patience is how long a call to an agent may take.
+func (c *rankClient) patience(ctx context.Context) time.Duration {
+	deadline, bounded := ctx.Deadline()
+	if !bounded {
+		return controlTimeout
+	}
+	return time.Duration(agentPart * float64(time.Until(deadline)))
+}
+
+// Room implements experts.Ranks.
+func (c *rankClient) Room() float64 { return c.room }
 
 func (c *rankClient) isSilent(rank int) bool {
 	c.mu.Lock()
@@ -187,16 +227,16 @@
 
 // Observe implements experts.Ranks. When the rank's agent can't be reached, its
 // engine is asked for its state alone.
-func (c *rankClient) Observe(ctx context.Context, rank int, fence int64, lists bool) (experts.Observation, error) {
+func (c *rankClient) Observe(ctx context.Context, rank int, fence int64, ask experts.Question) (experts.Observation, error) {
 	if rank == c.ownRank {
-		return c.local.Observe(ctx, fence, lists)
+		return c.local.Observe(ctx, fence, ask)
 	}
 	agent, server, err := c.agent(rank)
 	if err != nil {
 		return experts.Observation{}, err
 	}
 	if !c.isSilent(rank) {
-		seen, err := c.observeAgent(ctx, agent, server, fence, lists)
+		seen, err := c.observeAgent(ctx, agent, server, fence, ask)
 		if err == nil {
 			return seen, nil
 		}
@@ -204,16 +244,16 @@
 	}
 	report, err := c.engine.Report(ctx, server.Address)
 	seen := experts.Observation{Report: report, Fence: fence}
-	if err == nil && lists {
+	if err == nil && ask.Lists {
 		seen.Experts, err = c.engine.Experts(ctx, server.Address)
 	}
 	return seen, err
 }
 
-func (c *rankClient) observeAgent(ctx context.Context, agent peerrpc.Ranks, server *fleet.Server, fence int64, lists bool) (experts.Observation, error) {
-	ctx, cancel := context.WithTimeout(ctx, agentCall)
+func (c *rankClient) observeAgent(ctx context.Context, agent peerrpc.Ranks, server *fleet.Server, fence int64, ask experts.Question) (experts.Observation, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.patience(ctx))
 	defer cancel()
-	reply, err := agent.Observe(ctx, &peerrpc.ObserveRequest{Holder: c.self, Fence: fence, Lists: lists})
+	reply, err := agent.Observe(ctx, &peerrpc.ObserveRequest{Holder: c.self, Fence: fence, Lists: ask.Lists, Counts: ask.Counts})
 	if err != nil {
 		return experts.Observation{}, errors.Wrapf(err, "agent of server %s", server.ID)
 	}
@@ -222,7 +262,6 @@
 	}
 	seen := experts.Observation{
 		Report: decodeState(reply.GetState()), Fence: reply.GetFence(),
-		Counts: experts.Counts{Epoch: reply.GetCountsEpoch()},
 	}
 	for _, n := range reply.GetChosen() {
 		seen.Counts.Chosen = append(seen.Counts.Chosen, float64(n))
@@ -248,7 +287,7 @@
 			return c.engine.Order(ctx, server.Address, order)
 		})
 	}
-	calling, cancel := context.WithTimeout(ctx, agentCall)
+	calling, cancel := context.WithTimeout(ctx, c.patience(ctx))
 	defer cancel()
 	reply, err := agent.Command(calling, encodeOrder(c.self, order))
 	if err != nil {
