Streams move away from a rank that holds its group back

What: slow ranks get nothing while most others are well; resumable streams go on at another rank after their last event, within the retry budget.

--- a/internal/dispatch/board.go
+++ b/internal/dispatch/board.go
@@ -37,7 +37,7 @@
 	next       int
 	failures   int
 	avoidUntil time.Time
-	slow       float64 // smoothed time of own plain answers, in seconds
+	took       float64 // smoothed time of own plain answers, in seconds
 }
 
 const (
@@ -183,8 +183,8 @@
 	// avoidFirst and avoidMost bound how long a server that failed is passed over.
 	avoidFirst = 300 * time.Millisecond
 	avoidMost  = 3 * time.Second
-	// slowWeight is the weight of the newest answer in a server's smoothed time.
-	slowWeight = 0.2
+	// tookWeight is the weight of the newest answer in a server's smoothed time.
+	tookWeight = 0.2
 )
 
 // failed notes that a server didn't answer as it should.
@@ -203,8 +203,8 @@
 	r := b.row(id)
 	r.failures = 0
 	r.avoidUntil = time.Time{}
-	if r.slow == 0 {
-		r.slow = took.Seconds()
+	if r.took == 0 {
+		r.took = took.Seconds()
 	}
-	r.slow += slowWeight * (took.Seconds() - r.slow)
+	r.took += tookWeight * (took.Seconds() - r.took)
 }
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -85,19 +85,22 @@
 func (b *Board) score(now time.Time, server *fleet.Server, r *row, load float64) float64 {
 	score := (load + 1 + float64(r.unread)/tokensPerRequest) * max(r.reported.Pace, 1)
 	if server.Rank == nil {
-		score = (load + 1) * (1 + r.slow/slowReference)
+		score = (load + 1) * (1 + r.took/tookReference)
 	}
 	if server.Zone != b.zone {
 		score += otherZone
 	}
+	if server.Rank != nil && r.slow(now) {
+		score += slowPenalty
+	}
 	if now.Before(r.avoidUntil) {
 		score += avoidPenalty
 	}
 	return score
 }
 
-// slowReference is the answer time, in seconds, that doubles a plain server's score.
-const slowReference = 0.05
+// tookReference is the answer time, in seconds, that doubles a plain server's score.
+const tookReference = 0.05
 
 // estimate is the number of requests at the server, as far as it can be known.
 func (r *row) estimate(now time.Time) float64 {
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -55,6 +55,8 @@
 	// mayHaveRun is set once a server that got the request hasn't said that it didn't run it.
 	mayHaveRun bool
 	begun      bool
+	// paid is set when the next attempt has been taken from the retry budget.
+	paid bool
 	// repeated is set when the caller has tried before.
 	repeated bool
 	// lastEvent is the last event that the caller got, or -1.
@@ -191,6 +193,10 @@
 	if x.begun && x.lastEvent < 0 {
 		return false
 	}
+	if x.paid {
+		x.paid = false
+		return true
+	}
 	return x.sent == 0 || p.board.mayRepeat(x.service.Name, p.now())
 }
 
--- a/internal/dispatch/pipeline_test.go
+++ b/internal/dispatch/pipeline_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
+	"testing/iotest"
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/failure"
@@ -195,6 +198,26 @@
 		Expect(b.caller.body.String()).To(Equal(one))
 	})
 
+	It("moves away from a rank that holds its group back, and no event is lost or doubled", func() {
+		b := newBench(signed(http.StatusOK, one+two+three), signed(http.StatusOK, two+three))
+		var ranks []*fleet.Server
+		for i := range 8 {
+			ranks = append(ranks, &fleet.Server{ID: fmt.Sprint("r", i), Service: "model", Capacity: 12, Rank: &fleet.GroupRank{Group: "g", Epoch: 1, Open: true}})
+		}
+		b.world.setServers(ranks...)
+		b.script.replies[0] = func(r *Request, a Attempt) (*Answer, *SendError) {
+			b.board.ReportLoad(a.Server.ID, Load{Pace: 8}, b.now)
+			return &Answer{
+				Status: http.StatusOK, Header: http.Header{}, Info: AnswerInfo{Signed: true, RequestID: r.ID}, Length: -1,
+				Body: io.NopCloser(iotest.OneByteReader(strings.NewReader(one + two + three))),
+			}, nil
+		}
+		Expect(b.serve("stream").Failure).To(BeNil())
+		Expect(b.caller.body.String()).To(Equal(one + two + three))
+		Expect(b.script.attempts[1].ResumeAfter).To(Equal(int64(1)))
+		Expect(b.script.attempts[1].Server.ID).NotTo(Equal(b.script.attempts[0].Server.ID))
+	})
+
 	It("that can't be resumed ends visibly broken", func() {
 		b := newBench(breaksOff(one))
 		result := b.serve("fixed")
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -85,9 +85,12 @@
 				return p.brokenOff(ctx, server, errCaller)
 			}
 			pending = pending[:0]
-		}
-		if ended {
-			return nil
+			if ended {
+				return nil
+			}
+			if f := p.moveAway(x, server); f != nil {
+				return f
+			}
 		}
 		if err != nil {
 			return p.brokenStream(ctx, x, server, pending, caller, err)
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -53,6 +53,7 @@
 	CodeOverloaded     Code = "overloaded"
 	CodeDeadline       Code = "deadline-exceeded"
 	CodeLeaving        Code = "leaving"
+	CodeSlow           Code = "slow-server"
 	CodeServerLost     Code = "server-lost"
 	CodeKeyUnresolved  Code = "key-unresolved"
 	CodeKeyConflict    Code = "key-conflict"
