--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -32,12 +32,8 @@
 	// Resumes is set when a stream is to go on after the event LastEventID.
 	Resumes     bool
 	LastEventID int64
-	// PromptTokens and MaxOutputTokens are the request's size; 0 when not told.
-	PromptTokens, MaxOutputTokens int
-	// LengthHint is the caller's guess of the output tokens; 0 when not told.
-	LengthHint int
-	// Subject identifies the session that the request belongs to.
-	Subject string
+	// PromptTokens is the size of the request's prompt; 0 when not told.
+	PromptTokens int
 	// Customer is set once the API key is known.
 	Customer string
 }
@@ -55,7 +51,7 @@
 
 // Load is what a server says of itself.
 type Load struct {
-	Running, Waiting, Slots int
+	Running, Waiting int
 	// Pace over 1 means that the server is slower than usual; 0 when it doesn't tell.
 	Pace float64
 }
@@ -69,13 +65,9 @@
 	// Encoded is set when the body isn't as the server made it.
 	Encoded bool
 	// NotRun is the server's word that it didn't run the request and won't.
-	NotRun bool
-	// Leaving is set when the server closes the connection after the answer.
-	Leaving bool
-	// Instance is the server's ID, when it tells.
-	Instance string
-	Load     Load
-	HasLoad  bool
+	NotRun  bool
+	Load    Load
+	HasLoad bool
 	// FaultyServer is the server on whose account a group refused the request.
 	FaultyServer string
 	RetryAfter   time.Duration
--- a/internal/experts/types.go
+++ b/internal/experts/types.go
@@ -19,8 +19,6 @@
 	// Armed the version that a coming pass will switch to, or 0; Held the pass that
 	// may not begin yet, or 0.
 	Map, Prepared, Armed, Held int64
-	// ArmedPass is the pass at which Armed comes into use.
-	ArmedPass int64
 	// Queued and Running count the rank's requests.
 	Queued, Running int
 	// Pace over 1 means that the rank is slower than usual.
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -67,31 +67,18 @@
 	Step time.Duration
 	// StepPerRequest is added to a step for each request that generates.
 	StepPerRequest time.Duration
-	// StepPerKiloContext is added for each 1,000 tokens of context of a generating request.
-	StepPerKiloContext time.Duration
-	// PrefillPerSecond is the number of prompt tokens read in a second.
-	PrefillPerSecond float64
-	// Batch is the number of requests that run at once.
-	Batch int
 	// Sets, Experts and Placements are the shape of an expert map: sets of layers,
 	// experts in each set, and the most experts of a set that a rank can hold.
 	Sets, Experts, Placements int
 	// NewPerOrder is the most experts of a set that one prepare order may add to a rank.
 	NewPerOrder int
-	// ExpertMB is the size of one expert in megabytes; LinkMbps the rate of its copy.
-	ExpertMB, LinkMbps float64
 	// ExpertShare is the part of a step's work that is done by experts.
 	ExpertShare float64
-	// Form is the time in which a group opens again after a lost rank is back.
-	Form time.Duration
 }
 
 // Service is a set of interchangeable backend servers.
 type Service struct {
-	Name       string
-	HealthPath string
-	// MaxConns is the most connections that one server accepts from all callers together.
-	MaxConns int
+	Name string
 	// Engine is nil for plain services.
 	Engine *EngineModel
 }
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -64,7 +64,7 @@
 	at := func(n int) string { return fmt.Sprintf("%s:%d", ip, base+n) }
 	return &platform.Settings{
 		Daemon: "entry-" + ip, IP: ip, Zone: "z", Store: store, Path: "none",
-		Callers: at(5), Readiness: at(6), Control: at(7), FirstPort: base, LastPort: base + 9,
+		Callers: at(5), Readiness: at(6), Control: at(7), FirstPort: base,
 		Grace: 4 * time.Second, RetryRatio: 0.2, RetryExtra: 60, RetryWindow: 10 * time.Second,
 	}
 }
@@ -239,7 +239,7 @@
 				engine, rank, groupRanks))
 			stops[rank] = run(NewAgentDaemon(&platform.Settings{
 				Daemon: fmt.Sprint("agent-", rank), IP: ip, Zone: "z", Store: settings.Store, Path: "none",
-				FirstPort: base, LastPort: base + 9, Seeds: []string{settings.Control}, LocalServer: engine,
+				FirstPort: base, Seeds: []string{settings.Control}, LocalServer: engine,
 			}, quietLog()))
 		}
 		run(NewEntryDaemon(settings, quietLog()))
--- a/internal/loadfeed/loadfeed.go
+++ b/internal/loadfeed/loadfeed.go
@@ -110,7 +110,7 @@
 		return
 	}
 	board.ReportLoad(server.ID, dispatch.Load{
-		Running: int(report.GetRunning()), Waiting: int(report.GetQueued()), Slots: server.Capacity, Pace: report.GetPace(),
+		Running: int(report.GetRunning()), Waiting: int(report.GetQueued()), Pace: report.GetPace(),
 	}, now)
 	if report.GetGroup() != "" {
 		board.ReportGroup(fleet.GroupRank{
