Removed servers stay only if they lapsed while the store was away for all

What: only registrations that are missing in the first read after an outage are kept, for 2.3 s, and none when another daemon had newer ones meanwhile. Found by the new spec: a daemon that had read only the newest of each key couldn't pass deletions on; it now says that its records are whole.

--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -93,6 +93,9 @@
 	if t.next <= from {
 		return encoded
 	}
+	if encoded.Whole = from < t.base; encoded.Whole {
+		from = 0
+	}
 	for _, r := range t.since(from) {
 		encoded.Records = append(encoded.Records, &peerrpc.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
 	}
@@ -101,14 +104,20 @@
 
 func (e *Exchange) takeIn(operators, servers *peerrpc.Topic, source string) {
 	knownOperators, knownServers := e.members.offsets()
-	if operators.GetNext() > knownOperators && len(operators.GetRecords()) > 0 {
-		e.members.takeOperators(decode(operators), operators.GetNext(), false, source)
+	if news(operators, knownOperators) {
+		e.members.takeOperators(decode(operators), operators.GetNext(), operators.GetWhole(), source)
 	}
-	if servers.GetNext() > knownServers && len(servers.GetRecords()) > 0 {
-		e.members.takeServers(decode(servers), servers.GetNext(), false, source)
+	if news(servers, knownServers) {
+		e.members.heardFromPeer()
+		e.members.takeServers(decode(servers), servers.GetNext(), servers.GetWhole(), source)
 	}
 }
 
+// news tells whether a peer's topic holds more than is known.
+func news(t *peerrpc.Topic, known int64) bool {
+	return t.GetNext() > known && (t.GetWhole() || len(t.GetRecords()) > 0)
+}
+
 func decode(t *peerrpc.Topic) []Record {
 	records := make([]Record, 0, len(t.GetRecords()))
 	for _, r := range t.GetRecords() {
--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -170,6 +170,9 @@
 // note logs when the store is lost or regained.
 func (f *Follower) note(err error) {
 	was := f.healthy.Swap(err == nil)
+	if err == nil {
+		f.members.storeReached()
+	}
 	switch {
 	case err != nil:
 		f.members.storeFailed()
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -17,9 +17,9 @@
 	ConfigKey() string
 }
 
-// outageGrace is how long after an outage of the store a server whose
-// registration lapsed is kept: living ones register again within two seconds.
-const outageGrace = 2500 * time.Millisecond
+// outageGrace is how long after the store's return a server whose registration
+// lapsed meanwhile is kept: living ones register again within two seconds.
+const outageGrace = 2300 * time.Millisecond
 
 // Membership is the daemon's copy. Invariant: the configuration's version never
 // falls. Its lock is a leaf. Safe for concurrent use.
@@ -35,9 +35,11 @@
 	// lapsed are servers whose registration went away around an outage of the
 	// store, and when they are to be taken as gone.
 	lapsed map[string]time.Time
-	// storeFailedAt is when a call to the store failed last.
-	storeFailedAt time.Time
-	onServers     []func(*fleet.Servers)
+	// away is set from a failed call to the store until the first read that succeeds
+	// has been taken in. peerNews is set when another daemon knew newer registrations
+	// meanwhile: then the store was away for this daemon only, and nothing lapsed.
+	away, peerNews bool
+	onServers      []func(*fleet.Servers)
 
 	config  atomic.Pointer[fleet.Config]
 	present atomic.Pointer[fleet.Servers]
@@ -167,9 +169,9 @@
 	if old == nil {
 		return false
 	}
-	if now := m.now(); !old.Leaving && !m.storeFailedAt.IsZero() && now.Sub(m.storeFailedAt) < outageGrace {
-		m.lapsed[id] = now.Add(outageGrace)
-		log.Info("registration lapsed around an outage of the store: kept for now")
+	if m.away && !m.peerNews && !old.Leaving {
+		m.lapsed[id] = m.now().Add(outageGrace)
+		log.Info("registration lapsed while the store was away: kept for now")
 		return false
 	}
 	delete(m.decoded, id)
@@ -207,5 +209,21 @@
 func (m *Membership) storeFailed() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.storeFailedAt = m.now()
+	if !m.away {
+		m.away, m.peerNews = true, false
+	}
+}
+
+// storeReached notes that a read has been taken in.
+func (m *Membership) storeReached() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.away = false
+}
+
+// heardFromPeer notes that another daemon knew newer registrations.
+func (m *Membership) heardFromPeer() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.peerNews = true
 }
--- a/internal/membership/membership_suite_test.go
+++ b/internal/membership/membership_suite_test.go
@@ -198,6 +198,36 @@
 			Expect(b.ids()).To(ConsistOf("a"))
 		})
 
+		It("takes a server that goes after the first read as gone at once", func() {
+			b := newBench()
+			b.store.append(TopicServers, "a", "1.1.1.1:1")
+			Expect(b.read()).To(Succeed())
+			b.store.err = errors.New("down")
+			Expect(b.read()).NotTo(Succeed())
+			b.store.err = nil
+			Expect(b.read()).To(Succeed())
+			b.store.append(TopicServers, "a", "")
+			Expect(b.read()).To(Succeed())
+			Expect(b.ids()).To(BeEmpty())
+		})
+
+		It("takes a server as gone at once when the store was away for this daemon only", func() {
+			b, other := newBench(), newBench()
+			b.store.append(TopicServers, "a", "1.1.1.1:1")
+			Expect(b.read()).To(Succeed())
+			other.store.append(TopicServers, "a", "1.1.1.1:1")
+			other.store.append(TopicServers, "a", "")
+			Expect(other.read()).To(Succeed())
+			b.store.err = errors.New("refused")
+			Expect(b.read()).NotTo(Succeed())
+			exchange := NewExchange(other.members, "", nil, http.DefaultClient, other.follower.log)
+			server := httptest.NewServer(peerrpc.NewMembershipServer(exchange))
+			DeferCleanup(server.Close)
+			own := NewExchange(b.members, "", nil, http.DefaultClient, b.follower.log)
+			Expect(own.Ask(context.Background(), strings.TrimPrefix(server.URL, "http://"))).To(Succeed())
+			Expect(b.ids()).To(BeEmpty())
+		})
+
 		It("takes a server that was leaving as gone at once", func() {
 			b := newBench()
 			b.store.append(TopicServers, "a", "1.1.1.1:1 leaving")
--- a/internal/membership/topic.go
+++ b/internal/membership/topic.go
@@ -20,9 +20,12 @@
 type topic struct {
 	next    int64
 	records map[string]Record
+	// base is the offset up to which only the newest of each key was read: deletions
+	// before it aren't among the records.
+	base int64
 }
 
-func newTopic() *topic { return &topic{next: unknown, records: map[string]Record{}} }
+func newTopic() *topic { return &topic{next: unknown, records: map[string]Record{}, base: unknown} }
 
 // take takes in records up to the offset next. It returns the keys that changed.
 func (t *topic) take(records []Record, next int64) []string {
@@ -50,6 +53,7 @@
 			records = append(records, Record{Key: key, Offset: next - 1})
 		}
 	}
+	t.base = max(t.base, next)
 	return t.take(records, next)
 }
 
