--- a/internal/experts/holder.go
+++ b/internal/experts/holder.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -56,12 +55,21 @@
 	prepareTimeout = 4 * time.Second
 )
 
+// Lease is what a holder starts with.
+type Lease struct {
+	Claimed
+	// Size is the number of the group's ranks, OwnRank that of the engine beside the holder.
+	Size, OwnRank int
+	// Engine is the published cost model of the group's engines.
+	Engine *fleet.EngineModel
+	// Pause is the longest pause between events that callers take as prompt.
+	Pause time.Duration
+}
+
 // Holder steers one group while this process has its lease.
 type Holder struct {
 	ranks  Ranks
-	engine *fleet.EngineModel
-	// pause is the longest pause between events that callers take as prompt.
-	pause  time.Duration
+	lease  Lease
 	policy Policy
 	log    *logrus.Entry
 	now    func() time.Time
@@ -88,20 +96,20 @@
 	// countedAt is when the counts were asked for last.
 	countedAt time.Time
 	// lost are the ranks that couldn't be observed last time.
-	lost  []bool
-	fence int64
+	lost []bool
 }
 
 // NewHolder returns a holder with a fresh lease.
-func NewHolder(ranks Ranks, engine *fleet.EngineModel, pause time.Duration, size, ownRank int, lease Claimed, policy Policy, now func() time.Time, log *logrus.Entry) *Holder {
-	shape := rebalance.Shape{Ranks: size, Experts: engine.Experts, Layers: engine.Sets, Slots: engine.Placements}
-	state := NewSwitch(now(), lease.Fence, ownRank, lease.FormerRank, size)
-	state.SetLead(int64(size / ranksPerLead))
+func NewHolder(ranks Ranks, lease Lease, policy Policy, now func() time.Time, log *logrus.Entry) *Holder {
+	shape := rebalance.Shape{
+		Ranks: lease.Size, Experts: lease.Engine.Experts, Layers: lease.Engine.Sets, Slots: lease.Engine.Placements,
+	}
+	state := NewSwitch(now(), lease.Fence, lease.OwnRank, lease.FormerRank, lease.Size)
+	state.SetLead(int64(lease.Size / ranksPerLead))
 	return &Holder{
-		ranks: ranks, engine: engine, pause: pause, policy: policy, now: now, fence: lease.Fence,
-		log:   log.WithField("fence", lease.Fence),
+		ranks: ranks, lease: lease, policy: policy, now: now, log: log.WithField("fence", lease.Fence),
 		state: state, demand: NewDemand(shape, policy.HalfLife),
-		planner: rebalance.NewPlanner(shape), shape: shape, lost: make([]bool, size),
+		planner: rebalance.NewPlanner(shape), shape: shape, lost: make([]bool, lease.Size),
 	}
 }
 
@@ -119,36 +127,10 @@
 	h.log.Info("no longer holder")
 }
 
-// pace is the time between two looks at all ranks.
-func (h *Holder) pace() time.Duration {
-	pace := h.policy.ObservePace
-	if h.state.Stage() != StageIdle {
-		pace = stagePace
-	}
-	return max(pace, time.Duration(h.shape.Ranks)*rankPace)
-}
-
-// countsDue tells whether the counts may be asked for again: those of large
-// groups would fill the holder's link.
-func (h *Holder) countsDue() bool {
-	bytes := countBytes * float64(h.shape.Ranks*h.shape.Layers*h.shape.Experts)
-	apart := time.Duration(bytes / max(h.ranks.Room(), 1) * float64(time.Second))
-	if h.now().Sub(h.countedAt) < apart {
-		return false
-	}
-	h.countedAt = h.now()
-	return true
-}
-
-// patience is a timeout that grows with the ranks that are called at once.
-func (h *Holder) patience(base, each time.Duration) time.Duration {
-	return base + time.Duration(h.shape.Ranks)*each
-}
-
 func (h *Holder) superseded() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.state.Fenced() || h.highest > h.fence
+	return h.state.Fenced() || h.highest > h.lease.Fence
 }
 
 // observe looks at all ranks at once.
@@ -162,7 +144,7 @@
 	h.each(func(rank int) {
 		ctx, cancel := context.WithTimeout(ctx, h.patience(callTimeout, rankTime))
 		defer cancel()
-		seen, err := h.ranks.Observe(ctx, rank, h.fence, ask)
+		seen, err := h.ranks.Observe(ctx, rank, h.lease.Fence, ask)
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.noteRank(rank, err)
@@ -214,104 +196,6 @@
 	all.Wait()
 }
 
-// plan begins a switch if one pays.
-func (h *Holder) plan() {
-	if h.state.Stage() == StagePrepare && h.now().Sub(h.begun) > prepareTimeout {
-		h.log.WithField("version", h.state.Version()).Warn("switch given up: not prepared in time")
-		h.state.Abandon()
-	}
-	if h.planned != nil && h.state.Stage() == StageIdle {
-		h.finishSwitch()
-	}
-	if !h.state.Ready() || h.placement == nil || h.placementEpoch != h.state.Epoch() || h.placementVersion != h.mapInUse() || h.demand.Weight() < leastChoices {
-		return
-	}
-	speeds := h.speeds()
-	popularity := h.demand.Popularity()
-	before, trigger := h.placement.Skew(popularity, speeds), h.trigger()
-	if before < trigger {
-		return
-	}
-	moves := h.planner.Plan(h.placement, popularity, speeds, rebalance.Options{
-		SkewWeight: 1, CostWeight: h.policy.MovePrice,
-		MaxMoves: h.shape.Ranks * h.shape.Slots * h.shape.Layers, MaxNewPerRank: h.engine.NewPerOrder, GoodEnough: 1 + (trigger-1)*h.policy.TargetPart,
-	})
-	if len(moves) == 0 {
-		return
-	}
-	next := h.placement.Clone()
-	next.Apply(moves)
-	after := next.Skew(popularity, speeds)
-	h.planned, h.begun = next, h.now()
-	h.state.Begin(next.Lists())
-	h.log.WithFields(logrus.Fields{
-		"version": h.state.Version(), "epoch": h.state.Epoch(), "moves": len(moves), "skew": before, "trigger": trigger, "planned_skew": after,
-	}).Info("expert map: switch begun")
-}
-
-const (
-	// passWeight is the weight of the newest measured pass time.
-	passWeight = 0.2
-	// worthLead is the part of a pass from which on arming is worth a lead: below it,
-	// the pass is hardly ever held. leadSpare is added to what the last arming took.
-	worthLead = 0.5
-	leadSpare = 1
-	// ranksPerLead is how many ranks make one pass of lead until an arming has been
-	// measured.
-	ranksPerLead = 24
-)
-
-// timePasses follows how long a pass takes.
-func (h *Holder) timePasses() {
-	newest, now := h.state.newestPass(), h.now()
-	if passes := newest - h.passSeen; passes > 0 && h.passSeen > 0 {
-		took := now.Sub(h.passSeenAt) / time.Duration(passes)
-		if h.passTime == 0 {
-			h.passTime = took
-		}
-		h.passTime += time.Duration(passWeight * float64(took-h.passTime))
-	}
-	if newest != h.passSeen {
-		h.passSeen, h.passSeenAt = newest, now
-	}
-}
-
-// timeArming measures how long it takes to arm all ranks: a pass that is held
-// for longer than it would have taken to come makes every stream late.
-func (h *Holder) timeArming(before Stage) {
-	now := h.now()
-	switch {
-	case before == StageHold && h.state.Stage() == StageArm:
-		h.armedFrom = now
-	case before == StageArm && h.state.Stage() != StageArm && h.passTime > 0 && !h.armedFrom.IsZero():
-		h.state.SetLead(lead(now.Sub(h.armedFrom), h.passTime))
-		h.armedFrom = time.Time{}
-	}
-}
-
-// lead is how many passes ahead a pass must be held when arming takes a time.
-func lead(arming, pass time.Duration) int64 {
-	passes := float64(arming) / float64(pass)
-	if passes < worthLead {
-		return 0
-	}
-	return int64(math.Ceil(passes)) + leadSpare
-}
-
-// finishSwitch notes the end of a switch.
-func (h *Holder) finishSwitch() {
-	log := h.log.WithFields(logrus.Fields{
-		"version": h.state.Version(), "epoch": h.state.Epoch(), "took_ms": h.now().Sub(h.begun).Milliseconds(),
-	})
-	if h.state.Version() != 0 && h.mapInUse() == h.state.Version() {
-		h.placement, h.placementEpoch, h.placementVersion = h.planned, h.state.Epoch(), h.state.Version()
-		log.Info("expert map: in use at all ranks")
-	} else {
-		log.Warn("expert map: switch ended without the map in use")
-	}
-	h.planned = nil
-}
-
 // drive gives the orders that are due until the state waits for reports.
 func (h *Holder) drive(ctx context.Context) {
 	for ctx.Err() == nil {
--- /dev/null
+++ b/internal/experts/planning.go
@@ -0,0 +1,55 @@
+package experts
+
+import (
+	"github.com/crowbridge/crowbridge/internal/rebalance"
+	"github.com/sirupsen/logrus"
+)
+
+// plan begins a switch if one pays.
+func (h *Holder) plan() {
+	if h.state.Stage() == StagePrepare && h.now().Sub(h.begun) > prepareTimeout {
+		h.log.WithField("version", h.state.Version()).Warn("switch given up: not prepared in time")
+		h.state.Abandon()
+	}
+	if h.planned != nil && h.state.Stage() == StageIdle {
+		h.finishSwitch()
+	}
+	if !h.state.Ready() || h.placement == nil || h.placementEpoch != h.state.Epoch() || h.placementVersion != h.mapInUse() || h.demand.Weight() < leastChoices {
+		return
+	}
+	speeds := h.speeds()
+	popularity := h.demand.Popularity()
+	before, trigger := h.placement.Skew(popularity, speeds), h.trigger()
+	if before < trigger {
+		return
+	}
+	moves := h.planner.Plan(h.placement, popularity, speeds, rebalance.Options{
+		SkewWeight: 1, CostWeight: h.policy.MovePrice,
+		MaxMoves: h.shape.Ranks * h.shape.Slots * h.shape.Layers, MaxNewPerRank: h.lease.Engine.NewPerOrder, GoodEnough: 1 + (trigger-1)*h.policy.TargetPart,
+	})
+	if len(moves) == 0 {
+		return
+	}
+	next := h.placement.Clone()
+	next.Apply(moves)
+	after := next.Skew(popularity, speeds)
+	h.planned, h.begun = next, h.now()
+	h.state.Begin(next.Lists())
+	h.log.WithFields(logrus.Fields{
+		"version": h.state.Version(), "epoch": h.state.Epoch(), "moves": len(moves), "skew": before, "trigger": trigger, "planned_skew": after,
+	}).Info("expert map: switch begun")
+}
+
+// finishSwitch notes the end of a switch.
+func (h *Holder) finishSwitch() {
+	log := h.log.WithFields(logrus.Fields{
+		"version": h.state.Version(), "epoch": h.state.Epoch(), "took_ms": h.now().Sub(h.begun).Milliseconds(),
+	})
+	if h.state.Version() != 0 && h.mapInUse() == h.state.Version() {
+		h.placement, h.placementEpoch, h.placementVersion = h.planned, h.state.Epoch(), h.state.Version()
+		log.Info("expert map: in use at all ranks")
+	} else {
+		log.Warn("expert map: switch ended without the map in use")
+	}
+	h.planned = nil
+}
--- a/internal/experts/policy.go
+++ b/internal/experts/policy.go
@@ -40,10 +40,10 @@
 	for _, r := range h.state.reports {
 		busiest = max(busiest, r.Running)
 	}
-	e := h.engine
+	e := h.lease.Engine
 	step := e.Step + time.Duration(busiest)*e.StepPerRequest
 	even := float64(e.Stride) * step.Seconds()
-	room := h.policy.PassPart * h.pause.Seconds() / even
+	room := h.policy.PassPart * h.lease.Pause.Seconds() / even
 	skew := (room - (1 - e.ExpertShare)) / max(e.ExpertShare, leastShare)
 	return min(max(skew, h.policy.LeastTrigger), h.policy.MostTrigger)
 }
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -246,5 +246,6 @@
 		self: a.settings.Daemon, group: report.Group, port: portOf(a.settings, rankPort), members: a.members,
 		client: a.client, local: a.agent, ownRank: report.Rank, engine: a.engines, room: a.countRoom(), silent: map[int]time.Time{},
 	}
-	experts.NewHolder(ranks, engine, pauseBound, report.Size, report.Rank, claimed, experts.DefaultPolicy, time.Now, a.log).Run(ctx)
+	lease := experts.Lease{Claimed: claimed, Size: report.Size, OwnRank: report.Rank, Engine: engine, Pause: pauseBound}
+	experts.NewHolder(ranks, lease, experts.DefaultPolicy, time.Now, a.log).Run(ctx)
 }
