A restarted engine refuses a plan that was made for the process before it

Between an engine's restart and the agent's next look, an order of the holder made the agent tell the new process the old one's plan, so it began early steps by itself on the map in use. What: a plan names the instance that it was made for. Ruled out: the store's client (the violation is at the engines' barrier; the leases changed hands once).

--- a/internal/agent/engine.go
+++ b/internal/agent/engine.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/group"
@@ -33,8 +34,9 @@
 	Stage(ctx context.Context, fence int64, version group.Version, expertMap []byte) error
 	// Map returns the expert map of a version that was staged.
 	Map(ctx context.Context, version group.Version) ([]byte, error)
-	// Tell sets the switch to come and the last step that may begin.
-	Tell(ctx context.Context, fence int64, plan group.EnginePlan) error
+	// Tell sets the switch to come and the last step that may begin. An engine that
+	// isn't the instance refuses: the plan was made for the process before it.
+	Tell(ctx context.Context, fence int64, instance string, plan group.EnginePlan) error
 }
 
 // HTTPEngine speaks the engines' order protocol over HTTP.
@@ -68,10 +70,10 @@
 }
 
 // Tell implements EngineControl.
-func (e *HTTPEngine) Tell(ctx context.Context, fence int64, plan group.EnginePlan) error {
+func (e *HTTPEngine) Tell(ctx context.Context, fence int64, instance string, plan group.EnginePlan) error {
 	body, err := json.Marshal(plan)
 	if err != nil {
 		return errors.Wrap(err, "plan")
 	}
-	return e.client.Call(ctx, http.MethodPut, fmt.Sprintf("/admin/plan?fence=%d", fence), body, nil)
+	return e.client.Call(ctx, http.MethodPut, fmt.Sprintf("/admin/plan?fence=%d&instance=%s", fence, url.QueryEscape(instance)), body, nil)
 }
--- a/internal/agent/rank.go
+++ b/internal/agent/rank.go
@@ -91,7 +91,7 @@
 	if same {
 		return nil
 	}
-	if err := c.engine.Tell(ctx, c.rank.Report().Fence, plan); err != nil {
+	if err := c.engine.Tell(ctx, c.rank.Report().Fence, c.instance, plan); err != nil {
 		return err
 	}
 	c.told = plan
--- a/standins/engine/rank.go
+++ b/standins/engine/rank.go
@@ -74,6 +74,10 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if request.URL.Query().Get("instance") != r.instance {
+		http.Error(w, "the plan was made for another instance", http.StatusConflict)
+		return
+	}
 	if plan.InUse.Jump && plan.InUse.Step > r.plan.Step+1 {
 		plan.Step = plan.InUse.Step - 1
 		close(r.jumped)
