--- a/standins/platform/server.go
+++ b/standins/platform/server.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/crowbridge/crowbridge/platform"
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 )
@@ -75,9 +76,9 @@
 
 func (s *Server) mux() *http.ServeMux {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /log-append", s.appendRecord)
-	mux.HandleFunc("GET /log-read", s.readRecords)
-	mux.HandleFunc("GET /log-newest", s.newest)
+	mux.HandleFunc("POST "+platform.PathAppend, s.appendRecord)
+	mux.HandleFunc("GET "+platform.PathRead, s.readRecords)
+	mux.HandleFunc("GET "+platform.PathNewest, s.newest)
 	mux.HandleFunc("GET /v1/weights/{bytes}", s.readWeights)
 	return mux
 }
--- a/standins/platform/store.go
+++ b/standins/platform/store.go
@@ -11,6 +11,7 @@
 
 	"github.com/crowbridge/crowbridge/internal/config"
 	"github.com/crowbridge/crowbridge/internal/replica"
+	"github.com/crowbridge/crowbridge/platform"
 	"github.com/pkg/errors"
 )
 
@@ -18,23 +19,16 @@
 // one partition a topic, raw records with their lengths. It has the topic of
 // the product's configuration and the registrations of servers.
 
-const (
-	topicConfiguration = "configuration"
-	topicServers       = "keyed.servers"
-	lengthBytes        = 4
-	timeBytes          = 8
-)
-
 // appendRecord takes one record of the configuration.
 func (s *Server) appendRecord(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(s.log.delay())
 	body, err := io.ReadAll(r.Body)
-	if err != nil || r.URL.Query().Get("topic") != topicConfiguration || len(body) < lengthBytes+timeBytes ||
-		int(binary.BigEndian.Uint32(body)) != len(body)-lengthBytes {
-		http.Error(w, "one record of "+topicConfiguration+" with its length", http.StatusBadRequest)
+	if err != nil || r.URL.Query().Get("topic") != platform.TopicConfiguration || len(body) < platform.LengthBytes+platform.TimeBytes ||
+		int(binary.BigEndian.Uint32(body)) != len(body)-platform.LengthBytes {
+		http.Error(w, "one record of "+platform.TopicConfiguration+" with its length", http.StatusBadRequest)
 		return
 	}
-	offset, err := s.log.Append(r.Context(), body[lengthBytes+timeBytes:])
+	offset, err := s.log.Append(r.Context(), body[platform.LengthBytes+platform.TimeBytes:])
 	if errors.Is(err, ErrLostAnswer) {
 		panic(http.ErrAbortHandler)
 	}
@@ -77,7 +71,7 @@
 	data := binary.BigEndian.AppendUint64(nil, uint64(end))
 	data = binary.BigEndian.AppendUint64(data, uint64(first))
 	for _, e := range entries {
-		data = binary.BigEndian.AppendUint32(data, uint32(timeBytes+len(e.Data)))
+		data = binary.BigEndian.AppendUint32(data, uint32(platform.TimeBytes+len(e.Data)))
 		data = binary.BigEndian.AppendUint64(data, uint64(e.TimeMs))
 		data = append(data, e.Data...)
 	}
@@ -86,8 +80,8 @@
 
 // newest answers with the registrations of servers.
 func (s *Server) newest(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Query().Get("topic") != topicServers {
-		http.Error(w, "topic: only "+topicServers+" is kept by key here", http.StatusBadRequest)
+	if r.URL.Query().Get("topic") != platform.TopicRegistrations {
+		http.Error(w, "topic: only "+platform.TopicRegistrations+" is kept by key here", http.StatusBadRequest)
 		return
 	}
 	type item struct {
