dispatch: draw no failed or slow server while another is well

Cause: the weighted draw still gave a penalized server a small share, and the doc comment said it did not. Change: unpenalized filters first; with none left, all stay candidates. Spec: "draws no server that failed while another is well" (not run on the old code).

--- a/internal/dispatch/groupstate.go
+++ b/internal/dispatch/groupstate.go
@@ -12,10 +12,9 @@
 	// that was known then; zero when nothing says so.
 	brokenAt    time.Time
 	brokenEpoch int64
-	// heardOpen is when an agent last said that the group is open.
-	heardOpen time.Time
-	heardAny  time.Time
-	epoch     int64
+	// heardAt is when an agent last told of the group, epoch the newest told.
+	heardAt time.Time
+	epoch   int64
 }
 
 func (b *Board) group(name string) *groupState {
@@ -32,12 +31,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	g := b.group(rank.Group)
-	if at.Before(g.heardAny) || rank.Epoch < g.epoch {
+	if at.Before(g.heardAt) || rank.Epoch < g.epoch {
 		return
 	}
-	g.heardAny, g.epoch = at, rank.Epoch
+	g.heardAt, g.epoch = at, rank.Epoch
 	if rank.Open {
-		g.heardOpen = at
 		if rank.Epoch > g.brokenEpoch || at.Sub(g.brokenAt) > reopenDelay {
 			g.brokenAt = time.Time{}
 		}
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -25,8 +25,8 @@
 const freshLoad = time.Second
 
 // pick chooses the server with the least estimated load among those of a
-// service that may get a request. Servers in tried come only if there is no
-// other; those that failed lately come last.
+// service that may get a request, but for those in tried. Those that failed
+// lately or hold their group back come only if there is no other.
 func (b *Board) pick(now time.Time, servers []*fleet.Server, tried []string) choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -44,7 +44,7 @@
 			server: server, load: load, loadAge: now.Sub(r.reportedAt), score: b.score(now, server, r, load),
 		})
 	}
-	best := b.bestOfSome(candidates)
+	best := b.bestOfSome(unpenalized(candidates))
 	if places > 0 {
 		best.occupied = total / float64(places)
 	}
@@ -57,6 +57,21 @@
 // at 16 ranks and better than 7 and 18 at 72, by runs on the users' days.
 const drawn = 3
 
+// unpenalized leaves out the candidates that failed lately or are slow, unless
+// all did or are.
+func unpenalized(candidates []choice) []choice {
+	var well []choice
+	for _, c := range candidates {
+		if c.score < slowPenalty {
+			well = append(well, c)
+		}
+	}
+	if len(well) == 0 {
+		return candidates
+	}
+	return well
+}
+
 // bestOfSome draws candidates and returns the one with the lowest score, or
 // none. It reorders the candidates.
 func (b *Board) bestOfSome(candidates []choice) choice {
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -23,12 +23,11 @@
 	backend Backend
 	now     func() time.Time
 	log     *logrus.Entry
-	metrics *meters
 }
 
 // NewPipeline returns a pipeline over a view of the fleet.
 func NewPipeline(f Fleet, board *Board, backend Backend, now func() time.Time, log *logrus.Entry) *Pipeline {
-	return &Pipeline{fleet: f, board: board, backend: backend, now: now, log: log, metrics: newMeters()}
+	return &Pipeline{fleet: f, board: board, backend: backend, now: now, log: log}
 }
 
 // Result is how a request ended.
--- a/internal/dispatch/pipeline_test.go
+++ b/internal/dispatch/pipeline_test.go
@@ -315,6 +315,18 @@
 		Expect(len(chosen)).To(BeNumerically(">", 13))
 	})
 
+	It("draws no server that failed while another is well", func() {
+		b := newBench()
+		var servers []*fleet.Server
+		for i := range 12 {
+			servers = append(servers, &fleet.Server{ID: fmt.Sprint("s", i), Zone: "z1"})
+			if i < 11 {
+				b.board.failed(fmt.Sprint("s", i), b.now)
+			}
+		}
+		Expect(b.board.pick(b.now, servers, nil).server.ID).To(Equal("s11"))
+	})
+
 	It("passes over a server that failed until its time is over", func() {
 		b := newBench()
 		servers := []*fleet.Server{{ID: "a", Zone: "z1"}, {ID: "b", Zone: "z2"}}
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -10,17 +10,14 @@
 	"github.com/sirupsen/logrus"
 )
 
-// meters are the pipeline's counters and histograms.
-type meters struct{}
-
-func newMeters() *meters { return &meters{} }
-
-func (*meters) firstByte(x *exchange, now time.Time) {
+// countFirstByte enters the time to a stream's first event.
+func countFirstByte(x *exchange, now time.Time) {
 	metrics.GetOrCreateHistogram(`crowbridge_first_byte_seconds{route_kind="` + kindName(x.route) + `"}`).
 		Update(now.Sub(x.request.Arrived).Seconds())
 }
 
-func (*meters) end(x *exchange, outcome failure.Outcome, code failure.Code, now time.Time) {
+// countEnd enters a request's end.
+func countEnd(x *exchange, outcome failure.Outcome, code failure.Code, now time.Time) {
 	metrics.GetOrCreateCounter(`crowbridge_requests_total{outcome="` + string(outcome) + `",code="` + string(code) + `"}`).Inc()
 	if x.route != nil {
 		metrics.GetOrCreateHistogram(`crowbridge_request_seconds{route_kind="` + kindName(x.route) + `"}`).
@@ -59,12 +56,12 @@
 		fields["route"] = x.route.Name
 	}
 	if f == nil {
-		p.metrics.end(x, failure.OutcomeAnswered, "", now)
+		countEnd(x, failure.OutcomeAnswered, "", now)
 		fields["status"] = x.status
 		p.log.WithFields(fields).Info("request answered")
 		return
 	}
-	p.metrics.end(x, f.Outcome, f.Code, now)
+	countEnd(x, f.Outcome, f.Code, now)
 	fields["outcome"], fields["code"], fields["step"], fields["peer"] = f.Outcome, f.Code, f.Step, f.Peer
 	fields["cause"], fields["begun"], fields["last_event"] = f.Detail, x.begun, x.lastEvent
 	fields["retry_after_ms"] = f.RetryAfter.Milliseconds()
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -113,7 +113,7 @@
 		return
 	}
 	x.begun, x.status = true, a.Status
-	p.metrics.firstByte(x, p.now())
+	countFirstByte(x, p.now())
 	caller.Begin(a.Status, a.Header, -1)
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -21,11 +21,11 @@
 )
 
 const (
-	// dialTimeout covers a lost opening packet's absence, not its repetition: another
-	// server is the better choice then.
+	// dialTimeout ends before a lost opening packet is sent again, about a second
+	// later: another server is the better choice then.
 	dialTimeout = 400 * time.Millisecond
-	// idleTimeout is below the shortest keep-alive time that servers announce, so
-	// that a request doesn't cross the server's close.
+	// idleTimeout is below one second, the shortest keep-alive time that a header can
+	// announce, so that a request rarely crosses the server's close.
 	idleTimeout = 900 * time.Millisecond
 	// unackedTimeout ends connections to a peer that doesn't acknowledge bytes.
 	unackedTimeout = 2500 * time.Millisecond
