--- a/internal/experts/agent.go
+++ b/internal/experts/agent.go
@@ -183,6 +183,9 @@
 	for {
 		attempt, cancel := context.WithTimeout(ctx, try)
 		verdict, err := give(attempt)
+		if verdict == Unanswered {
+			<-attempt.Done() // an engine that can't be reached fails at once
+		}
 		cancel()
 		if verdict != Unanswered || ctx.Err() != nil {
 			return verdict, err
--- a/internal/experts/holder.go
+++ b/internal/experts/holder.go
@@ -35,10 +35,10 @@
 const (
 	// stagePace is the time between two looks while a switch waits for reports.
 	stagePace = 60 * time.Millisecond
-	// rankPace is the least time between two looks for each rank: a call takes about a
-	// quarter of a millisecond of a core, of which an agent has a quarter.
+	// rankPace is the least time between two looks for each rank: calling 72 ranks
+	// three times in turn took 220 ms on the users' days, 1 ms a call and more.
 	rankPace = 4 * time.Millisecond
-	// countBytes is the size of one count in an answer, as measured with small numbers.
+	// countBytes is the size of one count in an answer: one or two bytes as a rule.
 	countBytes = 1.5
 	// callTimeout bounds a call to a rank's agent, commandTimeout one that carries an
 	// order: an order without an answer is repeated. Both grow by rankTime for each
