One group protocol: the product's own groups switch maps by experts, too

Cause: two protocols, two models and two stand-in engines stood side by side.

Now: package ranks connects agents and claims the lease, for hosted agents and for the product's own; group reads the operators' Group objects and keeps the audit trail of leases and maps. Leases left the configuration's log: the store's conditional append decides. Engines that ignore fencing numbers get no order past their agent. Groups are pinned, and weights change, while a holder runs.

Removed with their tests: internal/group (holder, rank, model check), the entry's group driver, the agent's rank control, the rpc Ranks, the lease in the fold. What they proved is proved by: one map in every pass, and the group goes on, by experts' model check and its eleven mutants; racing claims by TestLeaseFenceGrows (experts); with processes by the group_* scenarios, which now run against the platform's orders, with orders carried out late as a new one. The stand-in group counts passes with two maps and is shown to notice them (TestGroupCountsMixedPasses). One stand-in of the store and one of the engines replace two each; the specs of the hosted daemons moved to standins/hosted.

--- a/cmd/crowbridged/agent.go
+++ b/cmd/crowbridged/agent.go
@@ -9,6 +9,9 @@
 	"github.com/crowbridge/crowbridge/internal/agent"
 	"github.com/crowbridge/crowbridge/internal/config"
 	"github.com/crowbridge/crowbridge/internal/daemon"
+	"github.com/crowbridge/crowbridge/internal/experts"
+	"github.com/crowbridge/crowbridge/internal/peerrpc"
+	"github.com/crowbridge/crowbridge/internal/ranks"
 	"github.com/crowbridge/crowbridge/internal/replica"
 	"github.com/crowbridge/crowbridge/internal/rpc"
 	"github.com/crowbridge/crowbridge/internal/settings"
@@ -28,8 +31,7 @@
 			stringFlag("protocol", string(config.ProtocolEngine), "engine or plain"),
 			intFlag("max-body", defaultMaxBody, "largest request body in bytes"),
 			intFlag("max-answer", defaultMaxAnswer, "largest unstreamed answer in bytes"),
-			stringFlag("group", "", "group of which the engine is a rank; empty for none"),
-			intFlag("rank", 0, "the engine's rank in its group"),
+			stringFlag("store", "", "IP:port of the platform's store, for an engine that is a rank of a group; empty for others"),
 			intFlag("max-queued", 2000, "most waiting requests"),
 			intFlag("max-concurrency", 8, "most running requests"),
 			durationFlag("config-timeout", 3*time.Second, "how long the start waits for the configuration before it goes on with defaults"),
@@ -50,6 +52,9 @@
 	for _, name := range []string{"max-body", "max-answer", "max-queued", "max-concurrency"} {
 		c.Positive(name, int64(cmd.Int(name)))
 	}
+	if store := cmd.String("store"); store != "" {
+		c.IPPort("store", store)
+	}
 	protocol := config.Protocol(cmd.String("protocol"))
 	if protocol != config.ProtocolEngine && protocol != config.ProtocolPlain {
 		c.Fail("protocol", string(protocol), errors.New("use engine or plain"))
@@ -146,10 +151,9 @@
 }
 
 func serveAgent(p *process, a *agent.Agent, rep *replica.Replica) error {
-	var rank *agent.RankControl
-	if name := p.cmd.String("group"); name != "" {
-		rank = agent.NewRankControl(name, p.cmd.Int("rank"), agent.NewHTTPEngine(p.cmd.String("backend")), p.log)
-		p.run(rank.Run)
+	rank, err := newRank(p, rep)
+	if err != nil {
+		return err
 	}
 	if err := p.serve("control", agentControl(p.cmd.String("daemon-key"), a, rep, rank)); err != nil {
 		return err
@@ -178,15 +182,15 @@
 	}
 }
 
-func agentControl(key string, a *agent.Agent, rep *replica.Replica, rank *agent.RankControl) http.Handler {
+func agentControl(key string, a *agent.Agent, rep *replica.Replica, rank *experts.Agent) http.Handler {
 	agents := rpc.NewAgentsServer(&agent.Control{Agent: a})
 	peers := rpc.NewPeersServer(&replica.PeerServer{Replica: rep})
 	mux := http.NewServeMux()
 	mux.Handle(agents.PathPrefix(), daemon.RequireKey(key, agents))
 	mux.Handle(peers.PathPrefix(), daemon.RequireKey(key, peers))
 	if rank != nil {
-		ranks := rpc.NewRanksServer(rank)
-		mux.Handle(ranks.PathPrefix(), daemon.RequireKey(key, ranks))
+		service := peerrpc.NewRanksServer(&ranks.Service{Agent: rank})
+		mux.Handle(service.PathPrefix(), daemon.RequireKey(key, service))
 	}
 	return mux
 }
--- a/cmd/crowbridged/entry.go
+++ b/cmd/crowbridged/entry.go
@@ -110,7 +110,7 @@
 	key := p.cmd.String("daemon-key")
 	store := platform.NewStore(p.cmd.String("store"), upstream.NewTransport())
 	log := platform.ConfigLog{Store: store, Now: time.Now}
-	admin := entry.NewAdmin(e, log, s.operators, p.log)
+	admin := entry.NewAdmin(e, log, store, s.operators, p.log)
 	if err := p.serve("control", controlHandler(key, admin, rep, log)); err != nil {
 		return err
 	}
@@ -122,7 +122,6 @@
 	p.run(e.WatchServers)
 	p.loop(func(ctx context.Context) { e.WatchVMs(ctx, store) })
 	p.loop(func(ctx context.Context) { e.WriteSnapshots(ctx, log) })
-	p.run(entry.NewGroups(p.cmd.String("name"), key, rep, log, time.Now, p.log).Run)
 	awaitFirstNews(p.asked, p.cmd.Duration("config-timeout"), rep)
 	callers, err := p.listen("listen")
 	if err != nil {
--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -18,16 +18,6 @@
 	Reason   string `json:"reason,omitempty"`
 }
 
-// Lease is who may order a group, and since when.
-type Lease struct {
-	Group  string `json:"group"`
-	Holder string `json:"holder"`
-	// Fence is the offset of the claim: the fencing number.
-	Fence int64 `json:"fence"`
-	// Last is the offset of the claim or of its latest renewal.
-	Last int64 `json:"last"`
-}
-
 // maxCommands is how many command IDs are remembered for idempotent repeats.
 // At 8,600 changes a day that is more than two days.
 const maxCommands = 20000
@@ -41,7 +31,6 @@
 	Configured int64 `json:"configured"`
 
 	Objects map[string]*Object      `json:"objects"`
-	Leases  map[string]Lease        `json:"leases"`
 	Agents  map[string]AgentRun     `json:"agents"`
 	Homes   map[string]HomesChange  `json:"homes"` // by service
 	Results map[string]Result       `json:"results"`
@@ -73,7 +62,6 @@
 		Offset:       NoOffset,
 		Configured:   NoOffset,
 		Objects:      map[string]*Object{},
-		Leases:       map[string]Lease{},
 		Agents:       map[string]AgentRun{},
 		Homes:        map[string]HomesChange{},
 		Results:      map[string]Result{},
@@ -113,8 +101,6 @@
 	switch {
 	case record.Kind == RecordChange && record.Bundle != nil:
 		s.foldBundle(record.Bundle, entry)
-	case record.Kind == RecordLease && record.Lease != nil:
-		s.foldLease(record.Lease, entry)
 	case record.Kind == RecordSnapshot && record.Snapshot != nil:
 		s.foldSnapshotChunk(record.Snapshot)
 	case record.Kind == RecordAgent && record.Agent != nil:
@@ -247,28 +233,6 @@
 	}
 }
 
-func (s *State) foldLease(claim *LeaseClaim, entry LogEntry) {
-	current, held := s.Leases[claim.Group]
-	last := NoOffset
-	if held {
-		last = current.Last
-	}
-	if claim.Previous != last {
-		return // lost the race: someone's claim or renewal has a lower offset
-	}
-	next := Lease{Group: claim.Group, Holder: claim.Holder, Fence: entry.Offset, Last: entry.Offset}
-	if held && current.Holder == claim.Holder {
-		next.Fence = current.Fence
-	}
-	s.Leases[claim.Group] = next
-	if !held || current.Holder != claim.Holder {
-		s.appendAudit(AuditEntry{
-			Offset: entry.Offset, TimeMs: entry.TimeMs, Actor: claim.Holder,
-			Action: AuditLease, Objects: []string{string(KindGroup) + "/" + claim.Group}, Accepted: true,
-		})
-	}
-}
-
 // Hash returns the SHA-256 of the state in hex.
 func (s *State) Hash() string {
 	data, err := json.Marshal(s)
--- a/internal/config/objects.go
+++ b/internal/config/objects.go
@@ -99,6 +99,8 @@
 	// Group and Rank are set for a server that is a rank of a group.
 	Group string `json:"group,omitempty"`
 	Rank  int    `json:"rank,omitempty"`
+	// Engine is where the engine of a rank takes orders, as IP:port.
+	Engine string `json:"engine,omitempty"`
 	// IgnoresFence tells that the engine accepts orders with old fencing numbers.
 	IgnoresFence bool `json:"ignoresFence,omitempty"`
 }
@@ -117,11 +119,8 @@
 	CostWeight float64 `json:"costWeight,omitempty"`
 	// PinnedMap stops rebalancing.
 	PinnedMap bool `json:"pinnedMap,omitempty"`
-	// PlanSeconds is the time between plans; default 300. A sudden skew is planned for
-	// at once.
-	PlanSeconds int `json:"planSeconds,omitempty"`
-	// MaxMoves bounds the expert loads of one plan; default 4096.
-	MaxMoves int `json:"maxMoves,omitempty"`
+	// MaxLoads is how many experts of a layer a rank may load for one map; default 2.
+	MaxLoads int `json:"maxLoads,omitempty"`
 }
 
 // Route says which traffic may go to which backend servers.
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -15,7 +15,6 @@
 // The kinds of log records.
 const (
 	RecordChange   RecordKind = "change"
-	RecordLease    RecordKind = "lease"
 	RecordSnapshot RecordKind = "snapshot"
 	RecordAgent    RecordKind = "agent"
 	RecordEvent    RecordKind = "event"
@@ -26,7 +25,6 @@
 	Format   int            `json:"format"`
 	Kind     RecordKind     `json:"kind"`
 	Bundle   *Bundle        `json:"bundle,omitempty"`
-	Lease    *LeaseClaim    `json:"lease,omitempty"`
 	Snapshot *SnapshotChunk `json:"snapshot,omitempty"`
 	Agent    *AgentEvent    `json:"agent,omitempty"`
 	Event    *Event         `json:"event,omitempty"`
@@ -66,15 +64,6 @@
 	ExpectedRevision int64 `json:"expectedRevision"`
 }
 
-// LeaseClaim claims or renews the lease on a group.
-type LeaseClaim struct {
-	Group  string `json:"group"`
-	Holder string `json:"holder"`
-	// Previous is the lease's last offset that the claimer saw, claim or renewal; the
-	// claim is rejected when the lease moved since.
-	Previous int64 `json:"previous"`
-}
-
 // LogEntry is a record's bytes with the offset and time the log gave it.
 type LogEntry struct {
 	Offset int64
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -221,6 +221,9 @@
 	if s.Rank < 0 {
 		return o.wrong("backendServer.rank", s.Rank, "use 0 or more")
 	}
+	if _, err := netip.ParseAddrPort(s.Engine); err != nil && (s.Group != "" || s.Engine != "") {
+		return o.wrong("backendServer.engine", s.Engine, "use the IP:port at which the rank's engine takes orders")
+	}
 	return nil
 }
 
@@ -235,8 +238,8 @@
 	if g.SlotsPerRank > g.Experts {
 		return o.wrong("group.slotsPerRank", g.SlotsPerRank, "a rank can't hold more replicas than there are experts")
 	}
-	if g.PlanSeconds < 0 || g.MaxMoves < 0 {
-		return o.wrong("group.planSeconds", g.PlanSeconds, "use 0 (the default) or more for planSeconds and maxMoves")
+	if g.MaxLoads < 0 {
+		return o.wrong("group.maxLoads", g.MaxLoads, "use 0 (the default) or more")
 	}
 	if g.SkewWeight < 0 || g.CostWeight < 0 {
 		return o.wrong("group.skewWeight", g.SkewWeight, "use 0 or more for both weights")
--- a/internal/config/view.go
+++ b/internal/config/view.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"maps"
 	"slices"
 	"strings"
 )
@@ -16,7 +15,6 @@
 	Configured int64
 
 	objects map[string]*Object
-	leases  map[string]Lease
 	agents  map[string]AgentRun
 	homes   map[string]HomesChange
 }
@@ -28,7 +26,6 @@
 	return &View{
 		Offset: s.Offset, Configured: s.Configured,
 		objects: s.Objects,
-		leases:  maps.Clone(s.Leases),
 		agents:  s.Agents,
 		homes:   s.Homes,
 	}
@@ -52,12 +49,6 @@
 	return found
 }
 
-// Lease returns the lease on a group.
-func (v *View) Lease(group string) (Lease, bool) {
-	lease, ok := v.leases[group]
-	return lease, ok
-}
-
 // Agent returns the last recorded run of a server's agent.
 func (v *View) Agent(server string) (AgentRun, bool) {
 	run, ok := v.agents[server]
@@ -67,13 +58,6 @@
 // Homes returns the last change of where a service's keys live.
 func (v *View) Homes(service string) HomesChange { return v.homes[service] }
 
-// Leases returns all leases by group.
-func (v *View) Leases() []Lease {
-	found := slices.Collect(maps.Values(v.leases))
-	slices.SortFunc(found, func(a, b Lease) int { return strings.Compare(a.Group, b.Group) })
-	return found
-}
-
 // Policy returns the deployment-wide settings with defaults filled in.
 func (v *View) Policy() Policy {
 	object := v.Get(KindPolicy, PolicyName)
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -9,10 +9,10 @@
 	"sync"
 	"time"
 
-	"github.com/crowbridge/crowbridge/internal/replica"
-
 	"github.com/crowbridge/crowbridge/internal/config"
 	"github.com/crowbridge/crowbridge/internal/daemon"
+	"github.com/crowbridge/crowbridge/internal/experts"
+	"github.com/crowbridge/crowbridge/internal/replica"
 	"github.com/crowbridge/crowbridge/internal/rpc"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -23,6 +23,7 @@
 type Admin struct {
 	entry     *Entry
 	log       replica.Log
+	leases    experts.LeaseStore
 	operators []daemon.Operator
 	logger    *logrus.Entry
 
@@ -31,8 +32,8 @@
 }
 
 // NewAdmin returns the administration API of an entry.
-func NewAdmin(entry *Entry, log replica.Log, operators []daemon.Operator, logger *logrus.Entry) *Admin {
-	return &Admin{entry: entry, log: log, operators: operators, logger: logger, peers: map[string]int64{}}
+func NewAdmin(entry *Entry, log replica.Log, leases experts.LeaseStore, operators []daemon.Operator, logger *logrus.Entry) *Admin {
+	return &Admin{entry: entry, log: log, leases: leases, operators: operators, logger: logger, peers: map[string]int64{}}
 }
 
 type operatorKey struct{}
@@ -217,7 +218,7 @@
 }
 
 // Status implements rpc.Operators.
-func (a *Admin) Status(context.Context, *rpc.StatusRequest) (*rpc.StatusReply, error) {
+func (a *Admin) Status(ctx context.Context, _ *rpc.StatusRequest) (*rpc.StatusReply, error) {
 	e := a.entry
 	offset, hash := e.replica.Hash()
 	reply := &rpc.StatusReply{
@@ -226,7 +227,7 @@
 		Servers:  e.serverStatus(),
 		Ledgers:  []*rpc.Ledger{rpc.LedgerFrom(e.options.Name, e.Ledger())},
 	}
-	for _, lease := range e.replica.View().Leases() {
+	for _, lease := range a.holders(ctx) {
 		reply.Leases = append(reply.Leases, &rpc.LeaseStatus{Group: lease.Group, Holder: lease.Holder, Fence: lease.Fence})
 	}
 	a.mu.Lock()
@@ -238,6 +239,21 @@
 	return reply, nil
 }
 
+// leaseTimeout bounds the look at the leases: the rest of a status is known here.
+const leaseTimeout = 300 * time.Millisecond
+
+// holders returns who holds the groups' leases, or nobody while the store can't
+// be read.
+func (a *Admin) holders(ctx context.Context) []experts.Held {
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	held, err := experts.Holders(ctx, a.leases)
+	if err != nil {
+		a.logger.WithError(err).Info("leases not read: the status goes without them")
+	}
+	return held
+}
+
 func (e *Entry) serverStatus() []*rpc.ServerStatus {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/experts/holder.go
+++ b/internal/experts/holder.go
@@ -64,13 +64,24 @@
 	Engine *fleet.EngineModel
 	// Pause is the longest pause between events that callers take as prompt.
 	Pause time.Duration
+	// Changed is told of each new map in use; nil when nobody wants to know. It must not block.
+	Changed func(MapChange)
+}
+
+// MapChange is a switch that all ranks have made.
+type MapChange struct {
+	Fence, Epoch, Version int64
+	// Pass is the first that ran with the map.
+	Pass int64
+	// Moves is how many copies of experts were loaded or dropped.
+	Moves int
 }
 
 // Holder steers one group while this process has its lease.
 type Holder struct {
 	ranks  Ranks
 	lease  Lease
-	policy Policy
+	policy func() Policy
 	log    *logrus.Entry
 	now    func() time.Time
 
@@ -80,7 +91,9 @@
 	planner   *rebalance.Planner
 	shape     rebalance.Shape
 	placement *rebalance.Placement
-	planned   *rebalance.Placement
+	// planned is where the present switch leads, by so many moves.
+	planned *rebalance.Placement
+	moves   int
 	// placementEpoch and placementVersion are those of placement.
 	placementEpoch, placementVersion int64
 	lists                            [][][]int
@@ -99,8 +112,9 @@
 	lost []bool
 }
 
-// NewHolder returns a holder with a fresh lease.
-func NewHolder(ranks Ranks, lease Lease, policy Policy, now func() time.Time, log *logrus.Entry) *Holder {
+// NewHolder returns a holder with a fresh lease. policy is asked before each
+// decision, since operators may change it.
+func NewHolder(ranks Ranks, lease Lease, policy func() Policy, now func() time.Time, log *logrus.Entry) *Holder {
 	shape := rebalance.Shape{
 		Ranks: lease.Size, Experts: lease.Engine.Experts, Layers: lease.Engine.Sets, Slots: lease.Engine.Placements,
 	}
@@ -108,7 +122,7 @@
 	state.SetLead(int64(lease.Size / ranksPerLead))
 	return &Holder{
 		ranks: ranks, lease: lease, policy: policy, now: now, log: log.WithField("fence", lease.Fence),
-		state: state, demand: NewDemand(shape, policy.HalfLife),
+		state: state, demand: NewDemand(shape, policy().HalfLife),
 		planner: rebalance.NewPlanner(shape), shape: shape, lost: make([]bool, lease.Size),
 	}
 }
--- a/internal/experts/lease.go
+++ b/internal/experts/lease.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,6 +46,31 @@
 	return newest, err
 }
 
+// Held is a lease as its newest record tells it.
+type Held struct {
+	LeaseRecord
+	Fence int64
+}
+
+// Holders returns the newest lease of each group in the history, by group.
+func Holders(ctx context.Context, store LeaseStore) ([]Held, error) {
+	_, records, err := store.ReadLeases(ctx, 0)
+	if err != nil {
+		return nil, err
+	}
+	newest := map[string]Held{}
+	for _, r := range records {
+		var lease LeaseRecord
+		if err := json.Unmarshal(r.Data, &lease); err != nil {
+			return nil, errors.Wrapf(err, "lease at offset %d", r.Offset)
+		}
+		newest[lease.Group] = Held{LeaseRecord: lease, Fence: fenceOf(r.Offset)}
+	}
+	held := slices.Collect(maps.Values(newest))
+	slices.SortFunc(held, func(a, b Held) int { return strings.Compare(a.Group, b.Group) })
+	return held, nil
+}
+
 // newestOf returns the highest fencing number of a group among records and its
 // holder's rank, or 0 and -1.
 func newestOf(records []StoredRecord, group string) (fence int64, rank int, err error) {
--- /dev/null
+++ b/internal/experts/lease_property_test.go
@@ -0,0 +1,91 @@
+package experts
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// The seed is fixed, so that CI gives the same verdict every time; -rapid.seed=0
+// draws another one.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+// historyStore keeps leases in memory. It may lose the answer to an append.
+type historyStore struct {
+	records []StoredRecord
+	lose    bool
+}
+
+func (s *historyStore) ReadLeases(_ context.Context, from int64) (int64, []StoredRecord, error) {
+	end := int64(len(s.records))
+	return end, s.records[min(from, end):], nil
+}
+
+func (s *historyStore) AppendLease(_ context.Context, end int64, data []byte) (bool, error) {
+	if end != int64(len(s.records)) {
+		return false, nil
+	}
+	s.records = append(s.records, StoredRecord{Offset: end, Data: data})
+	if s.lose {
+		return false, errors.New("answer lost")
+	}
+	return true, nil
+}
+
+// TestLeaseFenceGrows: a claim takes the lease only when its claimer knows the
+// newest one, fencing numbers only grow, no two claimers get the same, and the
+// history names the holder that got it.
+func TestLeaseFenceGrows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store, known := &historyStore{}, map[string]int64{}
+		newest := int64(0)
+		for range 40 {
+			holder := rapid.SampledFrom([]string{"h1", "h2", "h3"}).Draw(t, "holder")
+			group := rapid.SampledFrom([]string{"g", "other"}).Draw(t, "group")
+			store.lose = rapid.Bool().Draw(t, "answer lost")
+			claimed, err := Claim(context.Background(), store, LeaseRecord{Group: group, Holder: holder}, known[holder+group])
+			if group != "g" {
+				continue
+			}
+			held := newestHeld(t, store, "g")
+			if err != nil {
+				newest = held.Fence // nobody knows that it was taken
+				continue
+			}
+			if claimed.Fence == 0 {
+				if claimed.Newest <= known[holder+group] {
+					t.Fatalf("refused with %d although nothing newer than %d is in the history", claimed.Newest, known[holder+group])
+				}
+				known[holder+group] = claimed.Newest
+				continue
+			}
+			if known[holder+group] != newest || claimed.Fence <= newest {
+				t.Fatalf("%s knew %d and got %d when the newest was %d", holder, known[holder+group], claimed.Fence, newest)
+			}
+			if held.Holder != holder || held.Fence != claimed.Fence {
+				t.Fatalf("%s got %d, the history says %+v", holder, claimed.Fence, held)
+			}
+			newest, known[holder+group] = claimed.Fence, claimed.Fence
+		}
+	})
+}
+
+func newestHeld(t *rapid.T, store LeaseStore, group string) Held {
+	all, err := Holders(context.Background(), store)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, held := range all {
+		if held.Group == group {
+			return held
+		}
+	}
+	return Held{}
+}
--- a/internal/experts/planning.go
+++ b/internal/experts/planning.go
@@ -17,6 +17,10 @@
 	if !h.state.Ready() || h.placement == nil || h.placementEpoch != h.state.Epoch() || h.placementVersion != h.mapInUse() || h.demand.Weight() < leastChoices {
 		return
 	}
+	policy := h.policy()
+	if policy.Pinned {
+		return
+	}
 	speeds := h.speeds()
 	popularity := h.demand.Popularity()
 	before, trigger := h.placement.Skew(popularity, speeds), h.trigger()
@@ -24,8 +28,8 @@
 		return
 	}
 	moves := h.planner.Plan(h.placement, popularity, speeds, rebalance.Options{
-		SkewWeight: 1, CostWeight: h.policy.MovePrice,
-		MaxMoves: h.shape.Ranks * h.shape.Slots * h.shape.Layers, MaxNewPerRank: h.lease.Engine.NewPerOrder, GoodEnough: 1 + (trigger-1)*h.policy.TargetPart,
+		SkewWeight: 1, CostWeight: policy.MovePrice,
+		MaxMoves: h.shape.Ranks * h.shape.Slots * h.shape.Layers, MaxNewPerRank: h.lease.Engine.NewPerOrder, GoodEnough: 1 + (trigger-1)*policy.TargetPart,
 	})
 	if len(moves) == 0 {
 		return
@@ -33,7 +37,7 @@
 	next := h.placement.Clone()
 	next.Apply(moves)
 	after := next.Skew(popularity, speeds)
-	h.planned, h.begun = next, h.now()
+	h.planned, h.moves, h.begun = next, len(moves), h.now()
 	h.state.Begin(next.Lists())
 	h.log.WithFields(logrus.Fields{
 		"version": h.state.Version(), "epoch": h.state.Epoch(), "moves": len(moves), "skew": before, "trigger": trigger, "planned_skew": after,
@@ -48,8 +52,19 @@
 	if h.state.Version() != 0 && h.mapInUse() == h.state.Version() {
 		h.placement, h.placementEpoch, h.placementVersion = h.planned, h.state.Epoch(), h.state.Version()
 		log.Info("expert map: in use at all ranks")
+		h.tellChange()
 	} else {
 		log.Warn("expert map: switch ended without the map in use")
 	}
 	h.planned = nil
 }
+
+// tellChange tells who asked for it that a new map is in use.
+func (h *Holder) tellChange() {
+	if h.lease.Changed == nil {
+		return
+	}
+	h.lease.Changed(MapChange{
+		Fence: h.lease.Fence, Epoch: h.state.Epoch(), Version: h.state.Version(), Pass: h.state.pass, Moves: h.moves,
+	})
+}
--- a/internal/experts/policy.go
+++ b/internal/experts/policy.go
@@ -20,6 +20,8 @@
 	LeastTrigger, MostTrigger float64
 	// MovePrice is what loading one expert has to gain, in per cent of a set's time.
 	MovePrice float64
+	// Pinned keeps the map in use, whatever the demand.
+	Pinned bool
 }
 
 // DefaultPolicy was chosen by runs on the users' days; see docs/decisions.
@@ -36,16 +38,19 @@
 // trigger is the skew from which on a new map pays: the busier the ranks, the
 // longer a pass is without any skew, and the less of it fits.
 func (h *Holder) trigger() float64 {
+	policy, e := h.policy(), h.lease.Engine
+	if e.Step <= 0 || h.lease.Pause <= 0 {
+		return policy.LeastTrigger // nothing tells how long a pass may last
+	}
 	busiest := 0
 	for _, r := range h.state.reports {
 		busiest = max(busiest, r.Running)
 	}
-	e := h.lease.Engine
 	step := e.Step + time.Duration(busiest)*e.StepPerRequest
 	even := float64(e.Stride) * step.Seconds()
-	room := h.policy.PassPart * h.lease.Pause.Seconds() / even
+	room := policy.PassPart * h.lease.Pause.Seconds() / even
 	skew := (room - (1 - e.ExpertShare)) / max(e.ExpertShare, leastShare)
-	return min(max(skew, h.policy.LeastTrigger), h.policy.MostTrigger)
+	return min(max(skew, policy.LeastTrigger), policy.MostTrigger)
 }
 
 // speeds are the ranks' speeds relative to a healthy one's.
--- a/internal/experts/timing.go
+++ b/internal/experts/timing.go
@@ -56,7 +56,7 @@
 
 // pace is the time between two looks at all ranks.
 func (h *Holder) pace() time.Duration {
-	pace := h.policy.ObservePace
+	pace := h.policy().ObservePace
 	if h.state.Stage() != StageIdle {
 		pace = stagePace
 	}
--- /dev/null
+++ b/internal/group/directory.go
@@ -0,0 +1,54 @@
+// Package group tells the agents of ranks what the operators' configuration says
+// of their groups, and the audit trail what became of the groups' expert maps.
+package group
+
+import (
+	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/experts"
+	"github.com/crowbridge/crowbridge/internal/fleet"
+	"github.com/crowbridge/crowbridge/internal/ranks"
+	"github.com/crowbridge/crowbridge/internal/replica"
+	"github.com/pkg/errors"
+)
+
+// Directory finds groups and their ranks in the configuration. It implements
+// ranks.Directory.
+type Directory struct {
+	Replica *replica.Replica
+}
+
+// Place implements ranks.Directory.
+func (d Directory) Place(group string, rank int) (ranks.Place, error) {
+	for _, object := range d.Replica.View().List(config.KindBackendServer) {
+		server := object.BackendServer
+		if server.Group == group && server.Rank == rank {
+			return ranks.Place{Server: object.Name, Agent: server.Control, Engine: server.Engine, Fences: !server.IgnoresFence}, nil
+		}
+	}
+	return ranks.Place{}, errors.Errorf("no backend server is configured as rank %d of group %s", rank, group)
+}
+
+// defaultMaxLoads is how many experts of a layer a rank may load for one map
+// when the operators don't say: what the users' engines take.
+const defaultMaxLoads = 2
+
+// Terms implements ranks.Directory.
+func (d Directory) Terms(name string) (ranks.Terms, bool) {
+	object := d.Replica.View().Get(config.KindGroup, name)
+	if object == nil {
+		return ranks.Terms{}, false
+	}
+	spec := object.Group
+	engine := &fleet.EngineModel{
+		Sets: spec.Layers, Experts: spec.Experts, Placements: spec.SlotsPerRank, NewPerOrder: spec.MaxLoads,
+	}
+	if engine.NewPerOrder == 0 {
+		engine.NewPerOrder = defaultMaxLoads
+	}
+	policy := experts.DefaultPolicy
+	policy.Pinned = spec.PinnedMap
+	if spec.SkewWeight > 0 && spec.CostWeight > 0 {
+		policy.MovePrice = spec.CostWeight / spec.SkewWeight
+	}
+	return ranks.Terms{Engine: engine, Policy: policy}, true
+}
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -9,10 +9,10 @@
 
 	"github.com/crowbridge/crowbridge/internal/daemon"
 	"github.com/crowbridge/crowbridge/internal/experts"
-	"github.com/crowbridge/crowbridge/internal/fleet"
 	"github.com/crowbridge/crowbridge/internal/loadfeed"
 	"github.com/crowbridge/crowbridge/internal/membership"
 	"github.com/crowbridge/crowbridge/internal/peerrpc"
+	"github.com/crowbridge/crowbridge/internal/ranks"
 	"github.com/crowbridge/crowbridge/internal/upstream"
 	"github.com/crowbridge/crowbridge/internal/wait"
 	"github.com/crowbridge/crowbridge/platform"
@@ -25,17 +25,11 @@
 	// loadPace is the time between an agent's own looks at its engine, after which it
 	// tells the entries what has changed.
 	loadPace = 120 * time.Millisecond
-	// holderPace is how often an agent looks whether a holder still calls.
-	holderPace = 50 * time.Millisecond
 	// membersPace is the time between questions to an entry for what is newer. It
 	// costs no call to the store.
 	membersPace = time.Second
 	// engineTimeout bounds a look at the engine on the same VM.
 	engineTimeout = 200 * time.Millisecond
-	// claimTimeout bounds a claim of the lease.
-	claimTimeout = 1500 * time.Millisecond
-	// claimPause is kept after a claim that failed.
-	claimPause = 500 * time.Millisecond
 )
 
 // AgentDaemon is the daemon beside a model engine.
@@ -44,10 +38,8 @@
 	log      *logrus.Entry
 	members  *membership.Membership
 	exchange *membership.Exchange
-	client   *http.Client
-	store    *platform.Store
-	engines  *platform.Engines
 	agent    *experts.Agent
+	leader   *ranks.Leader
 }
 
 // NewAgentDaemon wires an agent.
@@ -55,11 +47,13 @@
 	members := membership.New(platform.Records{}, time.Now, log)
 	client := &http.Client{Transport: upstream.NewTransport(), Timeout: controlTimeout}
 	engines := platform.NewEngines(upstream.NewTransport())
+	agent := experts.NewAgent(engines, s.LocalServer, time.Now, log)
+	options := ranks.Options{Daemon: s.Daemon, Room: countRoom(s.LinkMbps)}
+	store := platform.NewStore(s.Store, upstream.NewTransport())
 	return &AgentDaemon{
-		settings: s, log: log, members: members, client: client, engines: engines,
+		settings: s, log: log, members: members, agent: agent,
 		exchange: membership.NewExchange(members, "", s.Seeds, client, log),
-		store:    platform.NewStore(s.Store, upstream.NewTransport()),
-		agent:    experts.NewAgent(engines, s.LocalServer, time.Now, log),
+		leader:   ranks.NewLeader(options, agent, engines, directory{settings: s, members: members}, store, client, log),
 	}
 }
 
@@ -68,8 +62,8 @@
 	limitMemory(a.settings.MemoryMB)
 	group, tasks := errgroup.WithContext(ctx)
 	mux := http.NewServeMux()
-	ranks := peerrpc.NewRanksServer(&rankService{agent: a.agent})
-	mux.Handle(ranks.PathPrefix(), ranks)
+	service := peerrpc.NewRanksServer(&ranks.Service{Agent: a.agent})
+	mux.Handle(service.PathPrefix(), service)
 	for _, s := range []struct {
 		offset  int
 		handler http.Handler
@@ -88,7 +82,7 @@
 		return nil
 	})
 	group.Go(func() error {
-		a.hold(tasks)
+		a.leader.Run(tasks)
 		return nil
 	})
 	sender, err := loadfeed.NewSender(a.settings.IP, a.settings.LocalServer, uint16(a.settings.FirstPort+loadPort))
@@ -146,22 +140,6 @@
 	return found
 }
 
-// hold claims the group's lease when no holder calls.
-func (a *AgentDaemon) hold(ctx context.Context) {
-	a.learnFence(ctx)
-	for ctx.Err() == nil {
-		wait.For(ctx, holderPace)
-		report := a.agent.Last()
-		fence, silent := a.agent.Silent()
-		if report.Size == 0 || silent < experts.Silence(report.Rank) {
-			continue
-		}
-		if engine, pause := a.engineModel(); engine != nil {
-			a.claim(ctx, report, engine, pause, fence)
-		}
-	}
-}
-
 func (a *AgentDaemon) report(ctx context.Context) experts.RankReport {
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
@@ -180,72 +158,11 @@
 	bitsPerByte = 8
 )
 
-func (a *AgentDaemon) countRoom() float64 {
-	link := a.settings.LinkMbps * 1e6
+// countRoom is how many bytes of counts a second may come over a link.
+func countRoom(linkMbps float64) float64 {
+	link := linkMbps * 1e6
 	if link <= 0 {
 		link = otherLink
 	}
 	return linkPart * link / bitsPerByte
 }
-
-// learnFence reads the lease's history, so that an agent that started again can
-// claim without waiting twice.
-func (a *AgentDaemon) learnFence(ctx context.Context) {
-	for ctx.Err() == nil && a.agent.Last().Size == 0 {
-		wait.For(ctx, holderPace)
-	}
-	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
-	newest, err := experts.Newest(ctx, a.store, a.agent.Last().Group)
-	if err != nil {
-		a.log.WithError(err).Info("the lease's history wasn't read: it will be when the lease is claimed")
-		return
-	}
-	a.agent.Learn(newest)
-}
-
-// engineModel returns the published figures of the engine beside this agent,
-// and the longest pause between events that its callers take as prompt.
-func (a *AgentDaemon) engineModel() (*fleet.EngineModel, time.Duration) {
-	config, servers := a.members.Config(), a.members.Servers()
-	if config == nil || servers == nil {
-		return nil, 0
-	}
-	server := servers.At(a.settings.LocalServer)
-	if server == nil {
-		return nil, 0
-	}
-	service := config.Service(server.Service)
-	if service == nil || service.Engine == nil || service.Engine.Sets == 0 {
-		return nil, 0
-	}
-	return service.Engine, config.EventPause(service.Name)
-}
-
-// claim tries to get the lease and steers the group while it has it.
-func (a *AgentDaemon) claim(ctx context.Context, report experts.RankReport, engine *fleet.EngineModel, pauseBound time.Duration, knownFence int64) {
-	claiming, cancel := context.WithTimeout(ctx, claimTimeout)
-	claimed, err := experts.Claim(claiming, a.store,
-		experts.LeaseRecord{Group: report.Group, Holder: a.settings.Daemon, Rank: report.Rank}, knownFence)
-	cancel()
-	log := a.log.WithFields(logrus.Fields{
-		"group": report.Group, "rank": report.Rank, "known_fence": knownFence, "fence": claimed.Fence, "newest": claimed.Newest,
-	})
-	if err != nil {
-		log.WithError(err).Info("lease not claimed: the store gave no answer")
-		wait.For(ctx, claimPause)
-		return
-	}
-	a.agent.Learn(claimed.Newest)
-	if claimed.Fence == 0 {
-		log.Info("lease not claimed: another daemon has it")
-		return
-	}
-	log.Info("lease claimed")
-	ranks := &rankClient{
-		self: a.settings.Daemon, group: report.Group, port: portOf(a.settings, rankPort), members: a.members,
-		client: a.client, local: a.agent, ownRank: report.Rank, engine: a.engines, room: a.countRoom(), silent: map[int]time.Time{},
-	}
-	lease := experts.Lease{Claimed: claimed, Size: report.Size, OwnRank: report.Rank, Engine: engine, Pause: pauseBound}
-	experts.NewHolder(ranks, lease, experts.DefaultPolicy, time.Now, a.log).Run(ctx)
-}
--- /dev/null
+++ b/internal/hosted/directory.go
@@ -0,0 +1,64 @@
+package hosted
+
+import (
+	"net/netip"
+
+	"github.com/crowbridge/crowbridge/internal/experts"
+	"github.com/crowbridge/crowbridge/internal/fleet"
+	"github.com/crowbridge/crowbridge/internal/membership"
+	"github.com/crowbridge/crowbridge/internal/ranks"
+	"github.com/crowbridge/crowbridge/platform"
+	"github.com/pkg/errors"
+)
+
+// directory finds the ranks of groups among the registered servers. It
+// implements ranks.Directory.
+type directory struct {
+	settings *platform.Settings
+	members  *membership.Membership
+}
+
+// Place implements ranks.Directory. Of several servers that registered as one
+// rank, that of the newest epoch counts.
+func (d directory) Place(group string, rank int) (ranks.Place, error) {
+	servers := d.members.Servers()
+	if servers == nil {
+		return ranks.Place{}, errors.New("no servers known yet")
+	}
+	var found *fleet.Server
+	for _, server := range servers.All() {
+		r := server.Rank
+		if r == nil || r.Group != group || r.Rank != rank {
+			continue
+		}
+		if found == nil || r.Epoch > found.Rank.Epoch {
+			found = server
+		}
+	}
+	if found == nil {
+		return ranks.Place{}, errors.Errorf("no server of group %s has rank %d", group, rank)
+	}
+	address, err := netip.ParseAddrPort(found.Address)
+	if err != nil {
+		return ranks.Place{}, errors.Wrapf(err, "server %s", found.ID)
+	}
+	agent := joinPort(address.Addr().String(), portOf(d.settings, rankPort))
+	return ranks.Place{Server: found.ID, Agent: agent, Engine: found.Address, Fences: d.settings.EnginesFence}, nil
+}
+
+// Terms implements ranks.Directory. The group is that of the engine on this VM.
+func (d directory) Terms(string) (ranks.Terms, bool) {
+	config, servers := d.members.Config(), d.members.Servers()
+	if config == nil || servers == nil {
+		return ranks.Terms{}, false
+	}
+	server := servers.At(d.settings.LocalServer)
+	if server == nil {
+		return ranks.Terms{}, false
+	}
+	service := config.Service(server.Service)
+	if service == nil || service.Engine == nil || service.Engine.Sets == 0 {
+		return ranks.Terms{}, false
+	}
+	return ranks.Terms{Engine: service.Engine, Pause: config.EventPause(service.Name), Policy: experts.DefaultPolicy}, true
+}
--- a/internal/hosted/reload_test.go
+++ b/internal/hosted/reload_test.go
@@ -7,12 +7,28 @@
 	"path/filepath"
 	"strings"
 	"syscall"
+	"testing"
+	"time"
 
 	"github.com/crowbridge/crowbridge/platform"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+	logrustest "github.com/sirupsen/logrus/hooks/test"
 )
 
+func TestHosted(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "hosted")
+}
+
+const patience = 20 * time.Second
+
+func quietLog() *logrus.Entry {
+	logger, _ := logrustest.NewNullLogger()
+	return logrus.NewEntry(logger)
+}
+
 const settingsText = `
 node_name: "agent-1"
 ip: "127.0.0.1"
--- /dev/null
+++ b/internal/ranks/client.go
@@ -0,0 +1,150 @@
+package ranks
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/experts"
+	"github.com/crowbridge/crowbridge/internal/peerrpc"
+	"github.com/pkg/errors"
+)
+
+// client reaches the agents of a group's ranks for a holder. It implements
+// experts.Ranks.
+type client struct {
+	holder    string
+	group     string
+	directory Directory
+	http      *http.Client
+	// local is this process's own agent, at rank ownRank.
+	local   *experts.Agent
+	ownRank int
+	engine  experts.Engine
+	// room is how many bytes of counts a second may come over the VM's link.
+	room float64
+
+	mu sync.Mutex // a leaf
+	// silent are the ranks whose agents didn't answer, and when they are asked again.
+	silent map[int]time.Time
+}
+
+// agentRetry is how long a silent agent is left alone: its engine is asked
+// directly meanwhile, which costs more.
+const agentRetry = time.Second
+
+// remoteTry bounds one try of an order to an engine on another VM: some round
+// trips between zones.
+const remoteTry = 20 * time.Millisecond
+
+// agentTimeout bounds a call to an agent when the caller sets no bound.
+const agentTimeout = 600 * time.Millisecond
+
+// agentPart is the part of a call's time that an agent may take, so that time is
+// left to ask its engine.
+const agentPart = 0.6
+
+// patience is how long a call to an agent may take.
+func (c *client) patience(ctx context.Context) time.Duration {
+	deadline, bounded := ctx.Deadline()
+	if !bounded {
+		return agentTimeout
+	}
+	return time.Duration(agentPart * float64(time.Until(deadline)))
+}
+
+// Room implements experts.Ranks.
+func (c *client) Room() float64 { return c.room }
+
+func (c *client) isSilent(rank int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.silent[rank])
+}
+
+func (c *client) markSilent(rank int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent[rank] = time.Now().Add(agentRetry)
+}
+
+// agent returns a client of the agent at a place.
+func (c *client) agent(at Place) peerrpc.Ranks {
+	return peerrpc.NewRanksProtobufClient("http://"+at.Agent, c.http)
+}
+
+// Observe implements experts.Ranks. When the rank's agent can't be reached, its
+// engine is asked for its state alone.
+func (c *client) Observe(ctx context.Context, rank int, fence int64, ask experts.Question) (experts.Observation, error) {
+	if rank == c.ownRank {
+		return c.local.Observe(ctx, fence, ask)
+	}
+	at, err := c.directory.Place(c.group, rank)
+	if err != nil {
+		return experts.Observation{}, err
+	}
+	if !c.isSilent(rank) {
+		seen, err := c.observeAgent(ctx, at, fence, ask)
+		if err == nil {
+			return seen, nil
+		}
+		c.markSilent(rank)
+	}
+	report, err := c.engine.Report(ctx, at.Engine)
+	seen := experts.Observation{Report: report, Fence: fence}
+	if err == nil && ask.Lists {
+		seen.Experts, err = c.engine.Experts(ctx, at.Engine)
+	}
+	return seen, err
+}
+
+func (c *client) observeAgent(ctx context.Context, at Place, fence int64, ask experts.Question) (experts.Observation, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.patience(ctx))
+	defer cancel()
+	reply, err := c.agent(at).Observe(ctx, &peerrpc.ObserveRequest{Holder: c.holder, Fence: fence, Lists: ask.Lists, Counts: ask.Counts})
+	if err != nil {
+		return experts.Observation{}, errors.Wrapf(err, "agent of server %s", at.Server)
+	}
+	if reply.GetFailure() != "" {
+		return experts.Observation{}, errors.Errorf("agent of server %s: %s", at.Server, reply.GetFailure())
+	}
+	seen := experts.Observation{
+		Report: decodeState(reply.GetState()), Fence: reply.GetFence(),
+	}
+	for _, n := range reply.GetChosen() {
+		seen.Counts.Chosen = append(seen.Counts.Chosen, float64(n))
+	}
+	for _, set := range reply.GetExperts() {
+		seen.Experts = append(seen.Experts, decodeExperts(set))
+	}
+	return seen, nil
+}
+
+// Command implements experts.Ranks. When the rank's agent can't be reached, the
+// order goes straight to the engine, if that refuses old fences itself. Without
+// that, only the agent keeps a former holder's orders away.
+func (c *client) Command(ctx context.Context, rank int, order experts.Order, direct bool) (experts.Verdict, error) {
+	if rank == c.ownRank {
+		return c.local.Command(ctx, order)
+	}
+	at, err := c.directory.Place(c.group, rank)
+	if err != nil {
+		return experts.Unanswered, err
+	}
+	if at.Fences && (direct || c.isSilent(rank)) {
+		return experts.Repeat(ctx, remoteTry, func(ctx context.Context) (experts.Verdict, error) {
+			return c.engine.Order(ctx, at.Engine, order)
+		})
+	}
+	calling, cancel := context.WithTimeout(ctx, c.patience(ctx))
+	defer cancel()
+	reply, err := c.agent(at).Command(calling, encodeOrder(c.holder, order))
+	if err != nil {
+		return experts.Unanswered, errors.Wrapf(err, "agent of server %s", at.Server)
+	}
+	if reply.GetDetail() != "" {
+		return experts.Verdict(reply.GetVerdict()), errors.New(reply.GetDetail())
+	}
+	return experts.Verdict(reply.GetVerdict()), nil
+}
--- /dev/null
+++ b/internal/ranks/lead.go
@@ -0,0 +1,164 @@
+// Package ranks connects the agents of a group's ranks: their calls to each
+// other, and the claim of the group's lease by one of them, which steers the
+// group's expert maps while it has it.
+package ranks
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/experts"
+	"github.com/crowbridge/crowbridge/internal/fleet"
+	"github.com/crowbridge/crowbridge/internal/wait"
+	"github.com/sirupsen/logrus"
+)
+
+// Place is where a rank of a group is reached.
+type Place struct {
+	// Server names the backend server that is the rank.
+	Server string
+	// Agent and Engine are the IP:port of the agent's rank calls and of the engine itself.
+	Agent, Engine string
+	// Fences tells that the engine refuses orders with old fencing numbers.
+	Fences bool
+}
+
+// Terms are what a holder goes by in a group.
+type Terms struct {
+	// Engine is the published cost model of the group's engines.
+	Engine *fleet.EngineModel
+	// Pause is the longest pause between events that callers take as prompt; 0 when
+	// that isn't known.
+	Pause  time.Duration
+	Policy experts.Policy
+}
+
+// Directory knows the groups and where their ranks are. Its answers may change
+// at any time.
+type Directory interface {
+	Place(group string, rank int) (Place, error)
+	// Terms returns false while the group isn't known, or has no expert maps.
+	Terms(group string) (Terms, bool)
+}
+
+// Options are what a leader needs to know of its own daemon.
+type Options struct {
+	// Daemon is the name under which it claims leases.
+	Daemon string
+	// Room is how many bytes of counts a second may come over the VM's link.
+	Room float64
+	// Trail is nil when nobody wants to know.
+	Trail Trail
+}
+
+// Trail is told what a leader does. It must not block.
+type Trail interface {
+	// Claimed tells of a lease.
+	Claimed(group string, fence int64)
+	// Changed tells of a new map in use.
+	Changed(group string, change experts.MapChange)
+}
+
+// Leader claims the lease of the group of one agent's engine when no holder
+// calls, and steers the group while it has the lease.
+type Leader struct {
+	options   Options
+	agent     *experts.Agent
+	engine    experts.Engine
+	directory Directory
+	store     experts.LeaseStore
+	http      *http.Client
+	log       *logrus.Entry
+}
+
+// NewLeader returns the leader beside an agent. The HTTP client reaches the
+// other agents.
+func NewLeader(o Options, agent *experts.Agent, engine experts.Engine, d Directory, store experts.LeaseStore, c *http.Client, log *logrus.Entry) *Leader {
+	return &Leader{options: o, agent: agent, engine: engine, directory: d, store: store, http: c, log: log}
+}
+
+const (
+	// silencePace is how often an agent looks whether a holder still calls.
+	silencePace = 50 * time.Millisecond
+	// claimTimeout bounds a claim of the lease.
+	claimTimeout = 1500 * time.Millisecond
+	// claimPause is kept after a claim that failed.
+	claimPause = 500 * time.Millisecond
+)
+
+// Run claims and steers until the context ends. Somebody else has to keep the
+// agent's report of its engine fresh.
+func (l *Leader) Run(ctx context.Context) {
+	l.learnFence(ctx)
+	for ctx.Err() == nil {
+		wait.For(ctx, silencePace)
+		report := l.agent.Last()
+		fence, silent := l.agent.Silent()
+		if report.Size == 0 || silent < experts.Silence(report.Rank) {
+			continue
+		}
+		if terms, known := l.directory.Terms(report.Group); known {
+			l.claim(ctx, report, terms, fence)
+		}
+	}
+}
+
+// learnFence reads the lease's history, so that an agent that started again can
+// claim without waiting twice.
+func (l *Leader) learnFence(ctx context.Context) {
+	for ctx.Err() == nil && l.agent.Last().Size == 0 {
+		wait.For(ctx, silencePace)
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	newest, err := experts.Newest(ctx, l.store, l.agent.Last().Group)
+	if err != nil {
+		l.log.WithError(err).Info("the lease's history wasn't read: it will be when the lease is claimed")
+		return
+	}
+	l.agent.Learn(newest)
+}
+
+// claim tries to get the lease and steers the group while it has it.
+func (l *Leader) claim(ctx context.Context, report experts.RankReport, terms Terms, knownFence int64) {
+	claiming, cancel := context.WithTimeout(ctx, claimTimeout)
+	claimed, err := experts.Claim(claiming, l.store,
+		experts.LeaseRecord{Group: report.Group, Holder: l.options.Daemon, Rank: report.Rank}, knownFence)
+	cancel()
+	log := l.log.WithFields(logrus.Fields{
+		"group": report.Group, "rank": report.Rank, "known_fence": knownFence, "fence": claimed.Fence, "newest": claimed.Newest,
+	})
+	if err != nil {
+		log.WithError(err).Info("lease not claimed: the store gave no answer")
+		wait.For(ctx, claimPause)
+		return
+	}
+	l.agent.Learn(claimed.Newest)
+	if claimed.Fence == 0 {
+		log.Info("lease not claimed: another daemon has it")
+		return
+	}
+	log.Info("lease claimed")
+	l.steer(ctx, report, terms, claimed)
+}
+
+// steer is the holder until another has a higher fence.
+func (l *Leader) steer(ctx context.Context, report experts.RankReport, terms Terms, claimed experts.Claimed) {
+	ranks := &client{
+		holder: l.options.Daemon, group: report.Group, directory: l.directory, http: l.http,
+		local: l.agent, ownRank: report.Rank, engine: l.engine, room: l.options.Room, silent: map[int]time.Time{},
+	}
+	lease := experts.Lease{Claimed: claimed, Size: report.Size, OwnRank: report.Rank, Engine: terms.Engine, Pause: terms.Pause}
+	if trail := l.options.Trail; trail != nil {
+		trail.Claimed(report.Group, claimed.Fence)
+		lease.Changed = func(change experts.MapChange) { trail.Changed(report.Group, change) }
+	}
+	policy := func() experts.Policy {
+		if now, known := l.directory.Terms(report.Group); known {
+			terms = now
+		}
+		return terms.Policy
+	}
+	experts.NewHolder(ranks, lease, policy, time.Now, l.log).Run(ctx)
+}
