Membership: daemons ask and push nothing; agents ask for the configuration each 15 s

Each agent sent the whole of it, some 300 KB, to each entry that it hadn't told of the newest version yet, one a second, over a link of 8 Mbit/s; the holder's calls waited behind that for over half a second, so others claimed.

Ruled out: the datagrams themselves (no rank was lost before the configuration grew), the processor (0.009 of a core).

Now: an exchange tells only how far the caller knows the topics, and the reply has what it lacks; who lacks something asks itself, as entries without the store do each 0.3 s. Agents ask for registrations each second and for the configuration each 15 s.

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -29,6 +29,8 @@
 	// membersPace is the time between questions to an entry for what is newer. It
 	// costs no call to the store.
 	membersPace = time.Second
+	// configPace is the time between questions for the configuration once one is known.
+	configPace = 15 * time.Second
 	// engineTimeout bounds a look at the engine on the same VM.
 	engineTimeout = 200 * time.Millisecond
 )
@@ -41,6 +43,8 @@
 	exchange *membership.Exchange
 	agent    *experts.Agent
 	leader   *ranks.Leader
+	// configAt is when an entry was asked for the configuration last.
+	configAt time.Time
 }
 
 // NewAgentDaemon wires an agent.
@@ -116,7 +120,11 @@
 		peers := a.exchange.Peers()
 		if len(peers) > 0 {
 			peer := peers[rand.IntN(len(peers))]
-			if err := a.exchange.Ask(ctx, peer); err != nil {
+			ask := a.exchange.AskServers
+			if a.configDue() {
+				ask = a.exchange.Ask
+			}
+			if err := ask(ctx, peer); err != nil {
 				a.log.WithError(err).WithField("peer", peer).Debug("peer not reached")
 			}
 		}
@@ -124,6 +132,16 @@
 	}
 }
 
+// configDue tells whether the configuration is to be asked for too. An agent
+// needs little of it, the engines' figures, and the whole may be large.
+func (a *AgentDaemon) configDue() bool {
+	if a.members.Config() != nil && time.Since(a.configAt) < configPace {
+		return false
+	}
+	a.configAt = time.Now()
+	return true
+}
+
 // feedLoad tells the entries the engine's load.
 func (a *AgentDaemon) feedLoad(ctx context.Context, sender *loadfeed.Sender) {
 	for ctx.Err() == nil {
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -21,8 +21,6 @@
 	mu sync.Mutex
 	// peers are control addresses, and when each was heard of.
 	peers map[string]time.Time
-	// known is up to where a peer said it knows the topics.
-	known map[string]offsets
 }
 
 type offsets struct{ operators, servers int64 }
@@ -32,7 +30,7 @@
 func NewExchange(members *Membership, self string, seeds []string, client *http.Client, log *logrus.Entry) *Exchange {
 	return &Exchange{
 		members: members, self: self, seeds: seeds, client: client, log: log,
-		peers: map[string]time.Time{}, known: map[string]offsets{},
+		peers: map[string]time.Time{},
 	}
 }
 
@@ -43,35 +41,37 @@
 	e.seeds = seeds
 }
 
-// Exchange implements peerrpc.Membership.
+// Exchange implements peerrpc.Membership. The asking side tells nothing but how
+// far it knows the topics: a daemon that lacks something asks itself.
 func (e *Exchange) Exchange(_ context.Context, r *peerrpc.ExchangeRequest) (*peerrpc.ExchangeReply, error) {
 	if r.GetControl() != "" {
 		e.heard(r.GetControl())
 	}
-	e.takeIn(r.GetOperators(), r.GetServers(), "peer "+r.GetControl())
-	operators, servers := e.changes(offsets{r.GetOperators().GetNext(), r.GetServers().GetNext()})
+	operators, servers := e.changes(offsets{r.GetOperatorsNext(), r.GetServersNext()})
+	if r.GetServersOnly() {
+		operators = nil
+	}
 	return &peerrpc.ExchangeReply{Operators: operators, Servers: servers, Peers: e.Peers()}, nil
 }
 
-// Ask exchanges with one peer.
-func (e *Exchange) Ask(ctx context.Context, peer string) error {
-	e.mu.Lock()
-	known, met := e.known[peer]
-	e.mu.Unlock()
-	if !met {
-		// Tell nothing before it's known what the peer lacks.
-		known.operators, known.servers = e.members.offsets()
-	}
-	operators, servers := e.changes(known)
-	reply, err := peerrpc.NewMembershipProtobufClient("http://"+peer, e.client).Exchange(ctx,
-		&peerrpc.ExchangeRequest{Control: e.self, Operators: operators, Servers: servers})
+// Ask takes in what a peer knows and this daemon lacks.
+func (e *Exchange) Ask(ctx context.Context, peer string) error { return e.ask(ctx, peer, false) }
+
+// AskServers takes in the registrations only: a large configuration would fill
+// the link of a small VM.
+func (e *Exchange) AskServers(ctx context.Context, peer string) error { return e.ask(ctx, peer, true) }
+
+func (e *Exchange) ask(ctx context.Context, peer string, serversOnly bool) error {
+	operators, servers := e.members.offsets()
+	reply, err := peerrpc.NewMembershipProtobufClient("http://"+peer, e.client).Exchange(ctx, &peerrpc.ExchangeRequest{
+		Control: e.self, OperatorsNext: operators, ServersNext: servers, ServersOnly: serversOnly,
+	})
 	if err != nil {
 		return err
 	}
 	e.takeIn(reply.GetOperators(), reply.GetServers(), "peer "+peer)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.known[peer] = offsets{reply.GetOperators().GetNext(), reply.GetServers().GetNext()}
 	e.peers[peer] = e.members.now()
 	for _, other := range reply.GetPeers() {
 		if _, listed := e.peers[other]; !listed && other != e.self {
@@ -144,7 +144,6 @@
 	for peer, heard := range e.peers {
 		if now.Sub(heard) > peerForget {
 			delete(e.peers, peer)
-			delete(e.known, peer)
 			continue
 		}
 		found = append(found, peer)
