Ranks: silent agents are probed in the background

Cause: after a cut zone was back, its agents claimed the lease from a holder that was well: one that hadn't answered was left alone for a second, twice the silence after which an agent claims. Now the holder's next look calls it in the background while its engine is asked directly. Spec first (the old code left the agent alone).

--- a/internal/ranks/client.go
+++ b/internal/ranks/client.go
@@ -32,13 +32,14 @@
 	// told is the map of the last prepare order, and difference what was sent of it.
 	told       namedMap
 	difference *peerrpc.MapDifference
-	// silent are the ranks whose agents didn't answer, and when they are asked again.
-	silent map[int]time.Time
+	// silent are the ranks whose agents didn't answer; it's true while one is probed.
+	silent map[int]bool
 }
 
-// agentRetry is how long a silent agent is left alone: its engine is asked
-// directly meanwhile, which costs more.
-const agentRetry = time.Second
+// probeTimeout bounds a call to a silent agent, whose engine is asked directly
+// meanwhile. It's below the time after which an agent that hears of no holder
+// claims the lease.
+const probeTimeout = 200 * time.Millisecond
 
 // remoteTry bounds one try of an order to an engine on another VM: some round
 // trips between zones.
@@ -66,13 +67,50 @@
 func (c *client) isSilent(rank int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return time.Now().Before(c.silent[rank])
+	_, silent := c.silent[rank]
+	return silent
 }
 
 func (c *client) markSilent(rank int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.silent[rank] = time.Now().Add(agentRetry)
+	c.silent[rank] = false
+}
+
+// beginProbe tells whether a silent agent is to be probed now.
+func (c *client) beginProbe(rank int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if probed, silent := c.silent[rank]; !silent || probed {
+		return false
+	}
+	c.silent[rank] = true
+	return true
+}
+
+// endProbe notes whether a silent agent has answered.
+func (c *client) endProbe(rank int, answered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if answered {
+		delete(c.silent, rank)
+		return
+	}
+	c.silent[rank] = false
+}
+
+// probe calls a silent agent in the background, so that it hears of its holder as
+// soon as it can, and is asked first again.
+func (c *client) probe(ctx context.Context, rank int, at Place, fence int64) {
+	if !c.beginProbe(rank) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	go func() {
+		defer cancel()
+		_, err := c.observeAgent(ctx, at, fence, experts.Question{})
+		c.endProbe(rank, err == nil)
+	}()
 }
 
 // agent returns a client of the agent at a place.
@@ -90,7 +128,9 @@
 	if err != nil {
 		return experts.Observation{}, err
 	}
-	if !c.isSilent(rank) {
+	if c.isSilent(rank) {
+		c.probe(ctx, rank, at, fence)
+	} else {
 		seen, err := c.observeAgent(ctx, at, fence, ask)
 		if err == nil {
 			return seen, nil
--- a/internal/ranks/ranks_test.go
+++ b/internal/ranks/ranks_test.go
@@ -123,7 +123,7 @@
 			Expect(<-ended).NotTo(HaveOccurred())
 		})
 		return &client{
-			holder: "h", group: "g", link: l, http: http.DefaultClient, ownRank: 0, engine: engine, silent: map[int]time.Time{},
+			holder: "h", group: "g", link: l, http: http.DefaultClient, ownRank: 0, engine: engine, silent: map[int]bool{},
 			directory: place{Place{Server: "s", Agent: conn.LocalAddr().String()}},
 		}
 	}
@@ -166,6 +166,25 @@
 		Expect(engine.given()).To(BeEmpty())
 	})
 
+	It("reach an agent again as soon as it can be reached, without waiting for it meanwhile", func() {
+		c := connect(key)
+		reachable := c.directory
+		c.directory = place{Place{Server: "s", Agent: "127.0.0.1:1", Engine: "127.0.0.1:2", Fences: true}}
+		looks := func() experts.Observation {
+			seen, err := c.Observe(bounded(300*time.Millisecond), 1, 4, experts.Question{To: 6})
+			Expect(err).NotTo(HaveOccurred())
+			return seen
+		}
+		Expect(looks().Report.Pass).To(Equal(int64(9)), "as the engine tells")
+		Expect(c.isSilent(1)).To(BeTrue())
+		c.directory = reachable
+		Eventually(func() bool {
+			looks()
+			return c.isSilent(1)
+		}, "10s").Should(BeFalse())
+		Expect(looks().Counts.Chosen).NotTo(BeEmpty(), "as only the agent tells")
+	})
+
 	It("go to no engine directly that takes orders with old fencing numbers", func() {
 		c := connect(key)
 		c.directory = place{Place{Server: "s", Agent: "127.0.0.1:1", Engine: "127.0.0.1:2"}}
