Ranks: called where they were last while unregistered; orders name their rank

Cause: after a cut zone was back, its ranks answered at once, but the holder found no address for some of them for another second, until their registrations had come to the agents by way of the store and the entries; the group ran with the default map meanwhile. Addresses may change hands, so orders now name the group and rank that they are for, and reports are checked.

--- a/internal/ranks/client.go
+++ b/internal/ranks/client.go
@@ -29,6 +29,9 @@
 	room float64
 
 	mu sync.Mutex // a leaf
+	// places is where each rank was last: registrations lapse while a zone is cut off,
+	// and come back seconds after the rank itself.
+	places map[int]Place
 	// told is the map of the last prepare order, and difference what was sent of it.
 	told       namedMap
 	difference *peerrpc.MapDifference
@@ -64,6 +67,30 @@
 // Room implements experts.Ranks.
 func (c *client) Room() float64 { return c.room }
 
+// place returns where a rank is, or was last. Who is there tells its own rank, so
+// an address that has changed hands shows.
+func (c *client) place(rank int) (Place, error) {
+	at, err := c.directory.Place(c.group, rank)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		c.places[rank] = at
+		return at, nil
+	}
+	if last, known := c.places[rank]; known {
+		return last, nil
+	}
+	return Place{}, err
+}
+
+// check tells whether a report is that of a rank of this group.
+func (c *client) check(rank int, at Place, report experts.RankReport) error {
+	if report.Group != c.group || report.Rank != rank {
+		return errors.Errorf("server %s is rank %d of group %q, not rank %d of %s", at.Server, report.Rank, report.Group, rank, c.group)
+	}
+	return nil
+}
+
 func (c *client) isSilent(rank int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -124,7 +151,7 @@
 	if rank == c.ownRank {
 		return c.local.Observe(ctx, fence, ask)
 	}
-	at, err := c.directory.Place(c.group, rank)
+	at, err := c.place(rank)
 	if err != nil {
 		return experts.Observation{}, err
 	}
@@ -132,13 +159,19 @@
 		c.probe(ctx, rank, at, fence)
 	} else {
 		seen, err := c.observeAgent(ctx, at, fence, ask)
+		if err == nil && seen.Fence > fence {
+			return seen, nil // another holder's; nothing else is told
+		}
 		if err == nil {
-			return seen, nil
+			return seen, c.check(rank, at, seen.Report)
 		}
 		c.markSilent(rank)
 	}
 	report, err := c.engine.Report(ctx, at.Engine)
 	seen := experts.Observation{Report: report, Fence: fence}
+	if err == nil {
+		err = c.check(rank, at, report)
+	}
 	if err == nil && ask.Lists {
 		seen.Experts, err = c.engine.Experts(ctx, at.Engine)
 	}
@@ -177,7 +210,7 @@
 	if rank == c.ownRank {
 		return c.local.Command(ctx, order)
 	}
-	at, err := c.directory.Place(c.group, rank)
+	at, err := c.place(rank)
 	if err != nil {
 		return experts.Unanswered, err
 	}
@@ -188,7 +221,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.patience(ctx))
 	defer cancel()
-	reply, err := c.commandAgent(ctx, at, order)
+	reply, err := c.commandAgent(ctx, rank, at, order)
 	if err != nil {
 		return experts.Unanswered, errors.Wrapf(err, "agent of server %s", at.Server)
 	}
@@ -200,8 +233,9 @@
 
 // commandAgent gives an agent an order as a datagram, or over HTTP when that is
 // too small for the order's map.
-func (c *client) commandAgent(ctx context.Context, at Place, order experts.Order) (*peerrpc.CommandReply, error) {
+func (c *client) commandAgent(ctx context.Context, rank int, at Place, order experts.Order) (*peerrpc.CommandReply, error) {
 	request := encodeOrder(c.holder, order)
+	request.Group, request.Rank = c.group, int32(rank)
 	if len(order.Map) > 0 {
 		request.Difference = c.differenceOf(order)
 	}
--- a/internal/ranks/ranks_test.go
+++ b/internal/ranks/ranks_test.go
@@ -14,6 +14,7 @@
 	"github.com/crowbridge/crowbridge/internal/peerrpc"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	logrustest "github.com/sirupsen/logrus/hooks/test"
 	"google.golang.org/protobuf/proto"
@@ -37,7 +38,7 @@
 }
 
 func (e *fakeEngine) Report(context.Context, string) (experts.RankReport, error) {
-	return experts.RankReport{Group: "g", Epoch: 1, Size: 2, Open: true, Pass: 9}, nil
+	return experts.RankReport{Group: "g", Epoch: 1, Rank: 1, Size: 2, Open: true, Pass: 9}, nil
 }
 
 func (e *fakeEngine) Picked(context.Context, string) (experts.Counts, error) {
@@ -64,6 +65,14 @@
 	return append([]experts.Order(nil), e.orders...)
 }
 
+// newService returns the service of an agent that has looked at its engine.
+func newService(engine *fakeEngine) *Service {
+	agent := experts.NewAgent(engine, "", time.Now, quietLog())
+	_, err := agent.Report(context.Background())
+	Expect(err).NotTo(HaveOccurred())
+	return NewService(agent)
+}
+
 // lossyConn drops the first datagrams that are written.
 type lossyConn struct {
 	net.PacketConn
@@ -84,7 +93,12 @@
 // place is where the only other rank of the specs is.
 type place struct{ at Place }
 
-func (p place) Place(string, int) (Place, error) { return p.at, nil }
+func (p place) Place(string, int) (Place, error) {
+	if p.at.Server == "" {
+		return Place{}, errors.New("not registered")
+	}
+	return p.at, nil
+}
 
 func (p place) Terms(string) (Terms, bool) { return Terms{}, false }
 
@@ -101,7 +115,7 @@
 		conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		answers = &lossyConn{PacketConn: conn}
-		service := NewService(experts.NewAgent(engine, "", time.Now, quietLog()))
+		service := newService(engine)
 		calls := peerrpc.NewRanksServer(service)
 		overHTTP = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			httpCalls++
@@ -123,7 +137,7 @@
 			Expect(<-ended).NotTo(HaveOccurred())
 		})
 		return &client{
-			holder: "h", group: "g", link: l, http: http.DefaultClient, ownRank: 0, engine: engine, silent: map[int]bool{},
+			holder: "h", group: "g", link: l, http: http.DefaultClient, ownRank: 0, engine: engine, silent: map[int]bool{}, places: map[int]Place{},
 			directory: place{Place{Server: "s", Agent: conn.LocalAddr().String()}},
 		}
 	}
@@ -185,6 +199,28 @@
 		Expect(looks().Counts.Chosen).NotTo(BeEmpty(), "as only the agent tells")
 	})
 
+	It("go where a rank was last while it isn't registered", func() {
+		c := connect(key)
+		_, err := c.Observe(bounded(5*time.Second), 1, 4, experts.Question{})
+		Expect(err).NotTo(HaveOccurred())
+		c.directory = place{}
+		seen, err := c.Observe(bounded(5*time.Second), 1, 4, experts.Question{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(seen.Report.Pass).To(Equal(int64(9)))
+		_, err = c.Observe(bounded(5*time.Second), 2, 4, experts.Question{})
+		Expect(err).To(MatchError("not registered"))
+	})
+
+	It("are taken by the rank that they are for only", func() {
+		c := connect(key)
+		_, err := c.Observe(bounded(5*time.Second), 2, 4, experts.Question{})
+		Expect(err).To(MatchError(ContainSubstring("is rank 1")))
+		verdict, err := c.Command(bounded(5*time.Second), 2, experts.Order{Operation: experts.Arm, Pass: 3, Fence: 4}, false)
+		Expect(err).To(MatchError(ContainSubstring("this is rank 1")))
+		Expect(verdict).To(Equal(experts.Refused))
+		Expect(engine.given()).To(BeEmpty())
+	})
+
 	It("go to no engine directly that takes orders with old fencing numbers", func() {
 		c := connect(key)
 		c.directory = place{Place{Server: "s", Agent: "127.0.0.1:1", Engine: "127.0.0.1:2"}}
@@ -232,7 +268,7 @@
 var _ = Describe("an agent's service", func() {
 	It("gives no order whose map it can't work out", func() {
 		engine := &fakeEngine{}
-		service := NewService(experts.NewAgent(engine, "", time.Now, quietLog()))
+		service := newService(engine)
 		for _, d := range []*peerrpc.MapDifference{
 			{Base: 7, Sets: 1, Ranks: 2, Experts: 4},
 			{Base: 0, Sets: 1, Ranks: 2, Experts: 4, Lists: []int32{9, 1, 1}},
@@ -241,7 +277,7 @@
 			{Base: 0, Sets: 1, Ranks: 0, Experts: 4},
 			{Base: 0, Sets: 1 << 20, Ranks: 1 << 20, Experts: 4},
 		} {
-			reply, err := service.Command(context.Background(), &peerrpc.CommandRequest{Fence: 1, Epoch: 1, Version: 8, Difference: d})
+			reply, err := service.Command(context.Background(), &peerrpc.CommandRequest{Group: "g", Rank: 1, Fence: 1, Epoch: 1, Version: 8, Difference: d})
 			Expect(err).NotTo(HaveOccurred())
 			Expect(reply.GetBaseUnknown()).To(BeTrue(), d.String())
 		}
@@ -249,11 +285,11 @@
 	})
 
 	It("takes no map of another holder for a base", func() {
-		service := NewService(experts.NewAgent(&fakeEngine{}, "", time.Now, quietLog()))
+		service := newService(&fakeEngine{})
 		whole := encodeMap([][][]int{{{0, 1}, {2, 3}}})
-		_, err := service.Command(context.Background(), &peerrpc.CommandRequest{Fence: 1, Epoch: 1, Version: 4, Map: whole})
+		_, err := service.Command(context.Background(), &peerrpc.CommandRequest{Group: "g", Rank: 1, Fence: 1, Epoch: 1, Version: 4, Map: whole})
 		Expect(err).NotTo(HaveOccurred())
-		next := &peerrpc.CommandRequest{Fence: 2, Epoch: 1, Version: 5, Difference: &peerrpc.MapDifference{Base: 4, Sets: 1, Ranks: 2, Experts: 4}}
+		next := &peerrpc.CommandRequest{Group: "g", Rank: 1, Fence: 2, Epoch: 1, Version: 5, Difference: &peerrpc.MapDifference{Base: 4, Sets: 1, Ranks: 2, Experts: 4}}
 		reply, err := service.Command(context.Background(), next)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(reply.GetBaseUnknown()).To(BeTrue())
--- a/internal/ranks/service.go
+++ b/internal/ranks/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 
 	"github.com/crowbridge/crowbridge/internal/experts"
@@ -41,6 +42,12 @@
 
 // Command implements peerrpc.Ranks.
 func (s *Service) Command(ctx context.Context, r *peerrpc.CommandRequest) (*peerrpc.CommandReply, error) {
+	if own := s.agent.Last(); own.Group != r.GetGroup() || own.Rank != int(r.GetRank()) {
+		return &peerrpc.CommandReply{
+			Verdict: int32(experts.Refused),
+			Detail:  fmt.Sprintf("meant for rank %d of group %q; this is rank %d of %q", r.GetRank(), r.GetGroup(), own.Rank, own.Group),
+		}, nil
+	}
 	order, known := s.decodeOrder(r)
 	if !known {
 		return &peerrpc.CommandReply{BaseUnknown: true}, nil
