Rebalance: what only the former holder used goes; large layers are planned in part

Removed: the smoother with yesterday's forecast, the stragglers' estimate, the trigger, Work, the JSON of placements, with their tests. What they proved: the estimate follows demand and isn't fooled by pauses (specs of experts.Demand); slow ranks get less (their engines tell their pace; TestPlans* with speeds); plans come when the skew asks for them (the holder's trigger).

Found while bounding the moves of a switch: a layer whose plan was over the bound by itself was left out, so a large group would never have got on (TestLargeLayersGoInParts failed first).

--- a/internal/rebalance/placement.go
+++ b/internal/rebalance/placement.go
@@ -1,12 +1,8 @@
-// Package rebalance decides which expert replicas a group moves, and which
-// ranks are stragglers. It is pure: state in, decision out.
+// Package rebalance decides which expert replicas a group moves. It is pure: state
+// in, decision out.
 package rebalance
 
-import (
-	"encoding/json"
-
-	"github.com/pkg/errors"
-)
+import "github.com/pkg/errors"
 
 // Shape is a group's size.
 type Shape struct {
@@ -171,23 +167,6 @@
 	return slowest / ideal
 }
 
-// Work returns the work that each rank has, over all layers, in popularity's unit.
-func (p *Placement) Work(popularity Popularity) []float64 {
-	healthy := make([]float64, p.Shape.Ranks)
-	for rank := range healthy {
-		healthy[rank] = 1
-	}
-	work := make([]float64, p.Shape.Ranks)
-	state := newLayer(p.Shape)
-	for n := range p.slots {
-		state.load(p, n, popularity[n], healthy)
-		for rank, time := range state.times {
-			work[rank] += time
-		}
-	}
-	return work
-}
-
 func sum(values []float64) float64 {
 	total := 0.0
 	for _, v := range values {
@@ -244,32 +223,3 @@
 	}
 	return lists
 }
-
-// MarshalJSON encodes the placement for engines: the experts by layer, rank and
-// slot.
-func (p *Placement) MarshalJSON() ([]byte, error) {
-	data, err := json.Marshal(p.slots)
-	return data, errors.Wrap(err, "placement")
-}
-
-// DecodePlacement reads what MarshalJSON encoded.
-func DecodePlacement(shape Shape, data []byte) (*Placement, error) {
-	p := &Placement{Shape: shape}
-	if err := json.Unmarshal(data, &p.slots); err != nil {
-		return nil, errors.Wrap(err, "placement")
-	}
-	if len(p.slots) != shape.Layers {
-		return nil, errors.Errorf("placement: %d layers, want %d", len(p.slots), shape.Layers)
-	}
-	for layer, slots := range p.slots {
-		if len(slots) != shape.Ranks*shape.Slots {
-			return nil, errors.Errorf("placement: layer %d has %d slots, want %d", layer, len(slots), shape.Ranks*shape.Slots)
-		}
-		for _, expert := range slots {
-			if expert < 0 || int(expert) >= shape.Experts {
-				return nil, errors.Errorf("placement: layer %d: no expert %d", layer, expert)
-			}
-		}
-	}
-	return p, p.Valid()
-}
--- a/internal/rebalance/plan.go
+++ b/internal/rebalance/plan.go
@@ -42,7 +42,22 @@
 // layerPlan is what one layer would gain by how many moves.
 type layerPlan struct {
 	moves []Move
-	net   float64 // gain less cost, in per cent of the layer's ideal time
+	// ends are where each step of the search ends: the moves of an exchange belong
+	// together.
+	ends []int
+	net  float64 // gain less cost, in per cent of the layer's ideal time
+}
+
+// first returns the moves of the first steps, up to a number of moves.
+func (p layerPlan) first(limit int) []Move {
+	length := 0
+	for _, end := range p.ends {
+		if end > min(limit, len(p.moves)) {
+			break
+		}
+		length = end
+	}
+	return p.moves[:length]
 }
 
 // Plan returns the moves worth making, the most profitable layers first, or
@@ -71,7 +86,8 @@
 	return take(plans, options.MaxMoves)
 }
 
-// take returns whole layers' plans up to a number of moves.
+// take returns whole layers' plans up to a number of moves. When not even one
+// layer's fits, the first moves of the best are taken.
 func take(plans []layerPlan, limit int) []Move {
 	var moves []Move
 	for _, plan := range plans {
@@ -80,6 +96,9 @@
 		}
 		moves = append(moves, plan.moves...)
 	}
+	if len(moves) == 0 && len(plans) > 0 {
+		return plans[0].first(limit)
+	}
 	return moves
 }
 
@@ -98,6 +117,7 @@
 	before := l.slowestTime()
 	p.pending = p.pending[:0]
 	bestNet, bestLength := 0.0, 0
+	var ends []int
 	for len(p.pending) < maxMovesPerLayer && l.slowestTime() > ideal*options.GoodEnough {
 		best, found := l.bestStep(n)
 		if !found {
@@ -105,6 +125,7 @@
 		}
 		l.take(best)
 		p.pending = append(p.pending, best.moves[:best.loads]...)
+		ends = append(ends, len(p.pending))
 		gain := (before - l.slowestTime()) / ideal * 100
 		net := gain - price*float64(len(p.pending))
 		if net > bestNet {
@@ -114,7 +135,7 @@
 			break
 		}
 	}
-	return layerPlan{moves: slices.Clone(p.pending[:bestLength]), net: bestNet}
+	return layerPlan{moves: slices.Clone(p.pending[:bestLength]), ends: ends, net: bestNet}
 }
 
 // hopeless tells that not even a perfect spread would make more moves pay.
--- a/internal/rebalance/rebalance_test.go
+++ b/internal/rebalance/rebalance_test.go
@@ -151,81 +151,6 @@
 	}
 }
 
-func TestStragglerIsFoundAndWaitersAreNot(t *testing.T) {
-	s := NewStragglers(8)
-	work := []float64{1, 2, 1, 1, 1, 1, 1, 1} // rank 1 is busier by its load only
-	busy := []float64{1, 2, 1, 3, 1, 1, 1, 1} // rank 3 is slow; all others wait for it
-	for step := range slowSteps {
-		if s.Slow(3) {
-			t.Fatalf("found after %d steps already", step)
-		}
-		s.Observe(busy, work)
-	}
-	for rank := range busy {
-		if s.Slow(rank) != (rank == 3) {
-			t.Fatalf("rank %d: straggler %t", rank, s.Slow(rank))
-		}
-	}
-	if speed := s.Speeds()[3]; speed > 0.7 {
-		t.Fatalf("speed %g", speed)
-	}
-	busy[3] = 1
-	s.Observe(busy, work)
-	if s.Slow(3) {
-		t.Fatal("a rank that recovered is still called slow")
-	}
-}
-
-func TestForecastFollowsYesterday(t *testing.T) {
-	shape := Shape{Ranks: 1, Experts: 1, Layers: 1, Slots: 1}
-	s := NewSmoother(shape, 1, 4)
-	day := []float64{10, 14, 10, 8}
-	report := func(slot int, scale float64) { s.Observe(slot, Popularity{{day[slot] * scale}}) }
-	for slot := range day {
-		report(slot, 1)
-	}
-	report(0, 2)
-	if got := s.Estimate(1)[0][0]; math.Abs(got-28) > 1e-9 {
-		t.Fatalf("estimate %g, want 28", got)
-	}
-}
-
-func TestWorkAddsUpToThePopularity(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		shape := drawShape(t)
-		p, err := NewPlacement(shape)
-		if err != nil {
-			t.Fatal(err)
-		}
-		popularity := drawPopularity(t, shape)
-		total := 0.0
-		for _, layer := range popularity {
-			total += sum(layer)
-		}
-		if got := sum(p.Work(popularity)); math.Abs(got-total) > 1e-6 {
-			t.Fatalf("work %g, popularity %g", got, total)
-		}
-	})
-}
-
-func TestTriggerFiresOncePerPlan(t *testing.T) {
-	var trigger Trigger
-	if trigger.Due(5) {
-		t.Fatal("fires before any plan")
-	}
-	trigger.Planned(1.1)
-	if trigger.Due(1.15) {
-		t.Fatal("fires on noise")
-	}
-	if !trigger.Due(1.5) || trigger.Due(1.5) {
-		t.Fatal("must fire once")
-	}
-	trigger.Planned(1.5)
-	if trigger.Due(1.5) {
-		t.Fatal("fires on a skew that the plan expected")
-	}
-}
-
 // TestPlansKeepTheBoundOnNewExperts: a plan loads no more experts of a layer at
 // a rank than the engine takes in one order, also into empty slots.
 func TestPlansKeepTheBoundOnNewExperts(t *testing.T) {
@@ -275,3 +200,35 @@
 		}
 	})
 }
+
+// TestLargeLayersGoInParts: a layer whose plan is over the bound by itself is
+// planned in part, so that a large group gets on at all.
+func TestLargeLayersGoInParts(t *testing.T) {
+	shape := Shape{Ranks: 8, Experts: 32, Layers: 2, Slots: 6}
+	p, err := NewPlacement(shape)
+	if err != nil {
+		t.Fatal(err)
+	}
+	popularity := NewPopularity(shape)
+	for layer := range popularity {
+		for expert := range popularity[layer] {
+			popularity[layer][expert] = 1 / float64(expert+1)
+		}
+	}
+	planner, speeds := NewPlanner(shape), []float64{1, 1, 1, 1, 1, 1, 1, 1}
+	whole := planner.Plan(p, popularity, speeds, Options{SkewWeight: 1, MaxMoves: 1000})
+	bound := len(whole)/2 - 1
+	part := planner.Plan(p, popularity, speeds, Options{SkewWeight: 1, MaxMoves: bound})
+	if len(part) == 0 || len(part) > bound {
+		t.Fatalf("%d moves of a plan of %d, want 1 to %d", len(part), len(whole), bound)
+	}
+	for range 100 {
+		p.Apply(planner.Plan(p, popularity, speeds, Options{SkewWeight: 1, MaxMoves: bound}))
+		if err := p.Valid(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if left := planner.Plan(p, popularity, speeds, Options{SkewWeight: 1, MaxMoves: 1000}); len(left) != 0 {
+		t.Fatalf("%d moves are left over", len(left))
+	}
+}
--- a/standins/bench/rebalance.go
+++ b/standins/bench/rebalance.go
@@ -18,8 +18,8 @@
 	{"viragut", 1, 0.5},
 }
 
-// smootherWeight is a new report's weight.
-const smootherWeight = 0.5
+// reportWeight is the weight of the newest report in the estimate.
+const reportWeight = 0.5
 
 // rebalanceRun is what one policy did over a trace.
 type rebalanceRun struct {
@@ -54,38 +54,30 @@
 // partsPerInterval is how many times skew is measured in a planning interval.
 const partsPerInterval = 10
 
-// features turn parts of the planner's surroundings on.
-type features struct {
-	forecast, trigger bool
-}
+const (
+	// planFrom is the skew from which on a plan is made, and goodEnough where it ends:
+	// the holder's on busy days.
+	planFrom   = 1.2
+	goodEnough = 1.12
+	// straggler is the rank that is slow for a while.
+	straggler = 3
+)
 
 // simulation is one policy at work on one trace.
 type simulation struct {
-	options    trace.Options
-	policy     planPolicy
-	features   features
-	placement  *rebalance.Placement
-	smoother   *rebalance.Smoother
-	stragglers *rebalance.Stragglers
-	trigger    rebalance.Trigger
-	run        rebalanceRun
+	options   trace.Options
+	policy    planPolicy
+	placement *rebalance.Placement
+	estimate  rebalance.Popularity
+	run       rebalanceRun
 }
 
-func runPolicy(o trace.Options, policy planPolicy, f features) rebalanceRun {
-	const straggler = 3
-	slots := 0
-	if f.forecast {
-		slots = o.IntervalsPerDay
-	}
+func runPolicy(o trace.Options, policy planPolicy) rebalanceRun {
 	placement, err := rebalance.NewPlacement(o.Shape)
 	if err != nil {
 		panic(err) // the shapes are ours
 	}
-	s := &simulation{
-		options: o, policy: policy, features: f, placement: placement,
-		smoother:   rebalance.NewSmoother(o.Shape, smootherWeight, slots),
-		stragglers: rebalance.NewStragglers(o.Shape.Ranks),
-	}
+	s := &simulation{options: o, policy: policy, placement: placement}
 	t := trace.New(o)
 	for interval := range o.Intervals {
 		truth, measured := t.Next()
@@ -94,31 +86,34 @@
 	return s.run
 }
 
-// interval measures the skew in parts, replans out of turn when that is on, and
-// plans at the end.
+// interval measures the skew in parts, and plans in each part whose skew asks for it.
 func (s *simulation) interval(n int, truth, measured rebalance.Popularity, speeds []float64) {
 	for range partsPerInterval {
 		skew := s.placement.Skew(truth, speeds)
 		if n >= warmUp {
 			s.run.skews = append(s.run.skews, skew)
 		}
-		observeSteps(s.stragglers, speeds)
-		if s.features.trigger && s.trigger.Due(skew) {
-			s.smoother.Observe(n, measured)
-			s.plan(n, n)
+		s.observe(measured)
+		if skew < planFrom {
+			continue
+		}
+		var loads int
+		s.placement, loads = s.policy(s.placement, s.estimate, speeds)
+		if n >= warmUp {
+			s.run.loads += loads
 		}
 	}
-	s.smoother.Observe(n, measured)
-	s.plan(n, n+1)
 }
 
-func (s *simulation) plan(n, next int) {
-	estimate := s.smoother.Estimate(next)
-	var loads int
-	s.placement, loads = s.policy(s.placement, estimate, s.stragglers.Speeds())
-	s.trigger.Planned(s.placement.Skew(estimate, s.stragglers.Speeds()))
-	if n >= warmUp {
-		s.run.loads += loads
+// observe smooths what was measured.
+func (s *simulation) observe(measured rebalance.Popularity) {
+	if s.estimate == nil {
+		s.estimate = rebalance.NewPopularity(s.options.Shape)
+	}
+	for layer := range measured {
+		for expert, value := range measured[layer] {
+			s.estimate[layer][expert] += reportWeight * (value - s.estimate[layer][expert])
+		}
 	}
 }
 
@@ -134,17 +129,6 @@
 	return speeds
 }
 
-func observeSteps(s *rebalance.Stragglers, speeds []float64) {
-	busy, work := make([]float64, len(speeds)), make([]float64, len(speeds))
-	for rank, speed := range speeds {
-		work[rank] = 1
-		busy[rank] = 1 / speed
-	}
-	for range 5 {
-		s.Observe(busy, work)
-	}
-}
-
 // Rebalance measures skew and loads at two sizes.
 func (r *Reporter) Rebalance() {
 	small := trace.Options{
@@ -157,32 +141,25 @@
 		Intervals: 60, IntervalsPerDay: 288, Zipf: 0.9, Drift: 0.02, Season: 0.5, Noise: 0.05,
 		PeakAt: 40, PeakLength: 8, PeakFactor: 6, Seed: 7,
 	}
-	r.rebalanceAt("rebalance/16x64x8", small, true)
-	r.rebalanceAt("rebalance/256x256x60", large, false)
+	r.rebalanceAt("rebalance/16x64x8", small)
+	r.rebalanceAt("rebalance/256x256x60", large)
 	r.curve("rebalance/curve16", small)
 	r.planningTime(large)
 }
 
-func (r *Reporter) rebalanceAt(name string, o trace.Options, forecast bool) {
-	still := runPolicy(o, never, features{})
-	full := runPolicy(o, repack, features{})
+func (r *Reporter) rebalanceAt(name string, o trace.Options) {
+	still := runPolicy(o, never)
+	full := runPolicy(o, repack)
 	r.Figure(name+"/never/skew-p99", Quantile(still.skews, 0.99), "x")
 	r.Figure(name+"/repack/skew-p99", Quantile(full.skews, 0.99), "x")
 	r.Figure(name+"/repack/loads", float64(full.loads), "experts")
 	planner := rebalance.NewPlanner(o.Shape)
 	for _, d := range deployments {
-		options := rebalance.Options{SkewWeight: d.skew, CostWeight: d.costWeight, MaxMoves: 1 << 20}
-		run := runPolicy(o, planned(planner, options), features{trigger: true})
+		options := rebalance.Options{SkewWeight: d.skew, CostWeight: d.costWeight, MaxMoves: 1 << 20, GoodEnough: goodEnough}
+		run := runPolicy(o, planned(planner, options))
 		r.Against(name+"/"+d.name+"/skew-p50", Quantile(run.skews, 0.5), "x", Quantile(full.skews, 0.5))
 		r.Against(name+"/"+d.name+"/skew-p99", Quantile(run.skews, 0.99), "x", Quantile(full.skews, 0.99))
 		r.Against(name+"/"+d.name+"/loads", float64(run.loads), "experts", float64(full.loads))
-		plain := runPolicy(o, planned(planner, options), features{})
-		r.Against(name+"/"+d.name+"/no-trigger-skew-p99", Quantile(plain.skews, 0.99), "x", Quantile(run.skews, 0.99))
-		if forecast {
-			seen := runPolicy(o, planned(planner, options), features{trigger: true, forecast: true})
-			r.Against(name+"/"+d.name+"/forecast-skew-p99", Quantile(seen.skews, 0.99), "x", Quantile(run.skews, 0.99))
-			r.Against(name+"/"+d.name+"/forecast-loads", float64(seen.loads), "experts", float64(run.loads))
-		}
 	}
 }
 
@@ -190,7 +167,7 @@
 func (r *Reporter) curve(name string, o trace.Options) {
 	planner := rebalance.NewPlanner(o.Shape)
 	for _, price := range []float64{0.03, 0.06, 0.12, 0.25, 0.5, 1, 2, 4} {
-		run := runPolicy(o, planned(planner, rebalance.Options{SkewWeight: 1, CostWeight: price, MaxMoves: 1 << 20}), features{trigger: true})
+		run := runPolicy(o, planned(planner, rebalance.Options{SkewWeight: 1, CostWeight: price, MaxMoves: 1 << 20, GoodEnough: goodEnough}))
 		r.Figure(fmt.Sprintf("%s/price-%g/loads", name, price), float64(run.loads), "experts")
 		r.Figure(fmt.Sprintf("%s/price-%g/skew-p99", name, price), Quantile(run.skews, 0.99), "x")
 	}
@@ -208,7 +185,7 @@
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	planner := rebalance.NewPlanner(o.Shape)
-	options := rebalance.Options{SkewWeight: 1, CostWeight: deployments[0].costWeight, MaxMoves: 1 << 20}
+	options := rebalance.Options{SkewWeight: 1, CostWeight: deployments[0].costWeight, MaxMoves: 1 << 20, GoodEnough: goodEnough}
 	var steady []float64
 	for interval := range 20 {
 		truth, _ := t.Next()
