--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -20,6 +20,11 @@
 	// late: slowPart is the part of the longest prompt pause from which on they do.
 	fullSlow = 0.4
 	slowPart = 0.95
+	// behindStep is by how much earlier a request is refused for each rank of priority
+	// that it's behind the most urgent for its service, mostBehind how many ranks
+	// count: less urgent work gives way first, and is never shut out.
+	behindStep = 0.1
+	mostBehind = 3
 	// comeBackLeast and comeBackMost bound the hint to come back; it's spread, so that
 	// those who were refused together don't return together.
 	comeBackLeast = 700 * time.Millisecond
@@ -37,6 +42,7 @@
 	case pause > time.Duration(slowPart*float64(x.route.EventPause)) && x.route.EventPause > 0:
 		full = fullSlow
 	}
+	full -= behindStep * float64(min(x.config.Behind(x.service.Name, x.request.Priority), mostBehind))
 	if x.route.Kind != fleet.KindStreaming || x.begun || picked.server.Rank == nil || picked.occupied < full {
 		return nil
 	}
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -91,13 +91,15 @@
 	if x.route == nil {
 		return failure.NotRun(failure.StepRoute, "", failure.CodeNotFound, "no route has this host and path")
 	}
+	var customer *fleet.Customer
 	if x.config.NeedsKey(x.route) {
-		customer := x.config.Customer(r.APIKey)
+		customer = x.config.Customer(r.APIKey)
 		if customer == nil {
 			return failure.NotRun(failure.StepAuthenticate, "", failure.CodeUnauthorized, "unknown API key")
 		}
 		r.Customer = customer.Name
 	}
+	r.Priority = fleet.Priority(x.route, customer)
 	x.service = x.config.Service(pickTarget(x.route, r.ID))
 	if x.service == nil {
 		return failure.NotRun(failure.StepRoute, x.route.Name, failure.CodeNoServer, "the route's service isn't configured").After(noServerRetry)
--- a/internal/dispatch/pipeline_test.go
+++ b/internal/dispatch/pipeline_test.go
@@ -335,3 +335,35 @@
 		Expect(b.board.pick(b.now.Add(avoidFirst+1), servers, nil).server.ID).To(Equal("a"))
 	})
 })
+
+var _ = DescribeTable("a request that is less urgent gives way first", func(route, customer, occupied int, admitted bool) {
+	b := newBench(signed(http.StatusOK, "id: 1\ndata: x\n\n"))
+	urgent, own := 1, customer
+	routes := []*fleet.Route{{
+		Name: "stream", Host: "h.example", PathPrefix: "/stream/", Kind: fleet.KindStreaming, MaxAttempts: 1, Priority: route,
+		Targets: []fleet.Target{{Service: "model", Weight: 1}}, Timeout: 8 * time.Second, Objective: 400 * time.Millisecond,
+	}}
+	keys := map[string]*fleet.Customer{"secret": {Name: "florist"}, "other": {Name: "courier", Priority: &urgent}}
+	if customer >= 0 {
+		keys["secret"].Priority = &own
+	}
+	b.world.config = fleet.NewConfig(7, fleet.Limits{}, routes, []*fleet.Service{{Name: "model"}}, keys, true)
+	for _, id := range []string{"r0", "r1"} {
+		b.board.ReportLoad(id, Load{Running: occupied}, b.now)
+	}
+	result := b.serve("stream")
+	if admitted {
+		Expect(result.Failure).To(BeNil())
+		return
+	}
+	Expect(result.Failure.Code).To(Equal(failure.CodeOverloaded))
+	Expect(result.Failure.Outcome).To(Equal(failure.OutcomeNotRun))
+	Expect(result.Failure.RetryAfter).To(BeNumerically(">", 0))
+},
+	Entry("the most urgent route", 1, -1, 12, true),
+	Entry("a less urgent route, full", 2, -1, 12, false),
+	Entry("a less urgent route, with room", 2, -1, 11, true),
+	Entry("a less urgent route of an urgent customer", 2, 1, 12, true),
+	Entry("an urgent route of a less urgent customer", 1, 3, 11, false),
+	Entry("however far behind, with room", 9, 9, 8, true),
+)
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -34,8 +34,10 @@
 	LastEventID int64
 	// PromptTokens is the size of the request's prompt; 0 when not told.
 	PromptTokens int
-	// Customer is set once the API key is known.
+	// Customer and Priority are set once the API key and the route are known. Priority 0
+	// is the most urgent.
 	Customer string
+	Priority int
 }
 
 // Attempt is one sending of a request to one server.
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"math"
 	"sort"
 	"strings"
 	"time"
@@ -108,6 +109,8 @@
 	routes       map[string][]*Route
 	keys         map[string]*Customer
 	hasCustomers bool
+	// mostUrgent is the lowest priority that a request for a service can have.
+	mostUrgent map[string]int
 }
 
 // NewConfig indexes a configuration. keys maps each API key to its customer;
@@ -116,7 +119,7 @@
 	c := &Config{
 		Version: version, Limits: limits, keys: keys, hasCustomers: hasCustomers,
 		services: make(map[string]*Service, len(services)),
-		routes:   make(map[string][]*Route),
+		routes:   make(map[string][]*Route), mostUrgent: make(map[string]int),
 	}
 	for _, service := range services {
 		c.services[service.Name] = service
@@ -125,12 +128,46 @@
 		host := strings.ToLower(route.Host)
 		c.routes[host] = append(c.routes[host], route)
 	}
+	c.rank(routes)
 	for _, list := range c.routes {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].PathPrefix) > len(list[j].PathPrefix) })
 	}
 	return c
 }
 
+// rank notes how urgent the requests for each service can be.
+func (c *Config) rank(routes []*Route) {
+	ofCustomers := math.MaxInt
+	for _, customer := range c.keys {
+		if customer.Priority != nil {
+			ofCustomers = min(ofCustomers, *customer.Priority)
+		}
+	}
+	for _, route := range routes {
+		lowest := min(route.Priority, ofCustomers)
+		for _, target := range route.Targets {
+			if known, ranked := c.mostUrgent[target.Service]; !ranked || lowest < known {
+				c.mostUrgent[target.Service] = lowest
+			}
+		}
+	}
+}
+
+// Priority ranks a request of a route and a customer, who may be nil; 0 is the most
+// urgent. A customer's own priority wins.
+func Priority(route *Route, customer *Customer) int {
+	if customer != nil && customer.Priority != nil {
+		return *customer.Priority
+	}
+	return route.Priority
+}
+
+// Behind tells by how much a priority is less urgent than the most urgent that
+// requests for a service can have.
+func (c *Config) Behind(service string, priority int) int {
+	return max(priority-c.mostUrgent[service], 0)
+}
+
 // Route returns the route of a host and path, or nil. Of several that match,
 // the one with the longest prefix wins.
 func (c *Config) Route(host, path string) *Route {
