--- a/internal/dispatch/pipeline_test.go
+++ b/internal/dispatch/pipeline_test.go
@@ -356,6 +356,7 @@
 		Expect(result.Failure).To(BeNil())
 		return
 	}
+	Expect(result.Failure).NotTo(BeNil())
 	Expect(result.Failure.Code).To(Equal(failure.CodeOverloaded))
 	Expect(result.Failure.Outcome).To(Equal(failure.OutcomeNotRun))
 	Expect(result.Failure.RetryAfter).To(BeNumerically(">", 0))
