Configuration: the folded state is kept in a keyed topic of the store

With fewer changes nothing lasted: once the records were gone and all entries had stopped, they started without any configuration. Scenario state_outlives_log failed so.

Now entries that read the log keep the state within two seconds of a change, and each minute while other records come, in a topic whose newest records stay for ever: parts and a head with their hash in one conditional append.

Whole or not at all is proved by TestKeptStateIsWhole (overtaken writers, mixed parts), newest wins by TestKeptStateIsTheNewest, and starting from it by TestFoldAgreesEverywhere and the scenarios.

--- a/cmd/crowbridged/entry.go
+++ b/cmd/crowbridged/entry.go
@@ -121,7 +121,9 @@
 	p.loop(e.WatchConfiguration)
 	p.run(e.WatchServers)
 	p.loop(func(ctx context.Context) { e.WatchVMs(ctx, store) })
-	p.loop(func(ctx context.Context) { e.WriteSnapshots(ctx, log) })
+	if readsLog(p.cmd, s) {
+		p.loop(func(ctx context.Context) { rep.Keep(ctx, log, p.log) })
+	}
 	awaitFirstNews(p.asked, p.cmd.Duration("config-timeout"), rep)
 	callers, err := p.listen("listen")
 	if err != nil {
@@ -157,27 +159,42 @@
 	return mux
 }
 
+// ownZone returns the entries of this entry's zone, and its own place among them.
+func ownZone(cmd *cli.Command, s *entrySettings) (own []settings.Peer, place int) {
+	for _, peer := range s.peers {
+		if peer.Zone != cmd.String("zone") {
+			continue
+		}
+		if peer.Address == cmd.String("control") {
+			place = len(own)
+		}
+		own = append(own, peer)
+	}
+	return own, place
+}
+
+// readsLog tells whether this entry is among those that read the log themselves;
+// these also keep the state on the store.
+func readsLog(cmd *cli.Command, s *entrySettings) bool {
+	_, place := ownZone(cmd, s)
+	_, child := replica.Parent(place)
+	return !child
+}
+
 // entrySources orders where an entry reads from. The first entries of a zone
 // read the log; each other one reads from its parent in the zone's tree. All
 // fall back on the rest of the zone, the log, and the other zones.
 func entrySources(cmd *cli.Command, s *entrySettings, log replica.Log) []replica.Source {
-	self, zone := cmd.String("control"), cmd.String("zone")
+	self := cmd.String("control")
 	client := daemon.NewControlClient(cmd.String("daemon-key"))
 	source := func(peer settings.Peer) replica.Source {
 		return replica.NewPeerSource(peer.Address, cmd.String("name"), client)
 	}
-	var own []settings.Peer
+	own, place := ownZone(cmd, s)
 	var others []replica.Source
-	place := 0
 	for _, peer := range s.peers {
-		switch {
-		case peer.Zone != zone:
+		if peer.Zone != cmd.String("zone") {
 			others = append(others, source(peer))
-		case peer.Address == self:
-			place = len(own)
-			own = append(own, peer)
-		default:
-			own = append(own, peer)
 		}
 	}
 	fromLog := replica.LogSource{Log: log}
--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -39,12 +39,7 @@
 	Chain   string                  `json:"chain"`
 	Unread  map[RecordKind]UnreadAt `json:"unread,omitempty"`
 
-	// SnapshotBase is the base offset of the newest complete snapshot seen. It
-	// depends on where a process began to read, so it is not part of the hash.
-	SnapshotBase int64 `json:"-"`
-
-	assembly map[string]*assembly
-	shared   bool // Objects is shared with a View and must be cloned before a write
+	shared bool // Objects is shared with a View and must be cloned before a write
 }
 
 // UnreadAt marks records that this release does not know how to fold.
@@ -59,14 +54,12 @@
 // NewState returns the state before the first record.
 func NewState() *State {
 	return &State{
-		Offset:       NoOffset,
-		Configured:   NoOffset,
-		Objects:      map[string]*Object{},
-		Agents:       map[string]AgentRun{},
-		Homes:        map[string]HomesChange{},
-		Results:      map[string]Result{},
-		SnapshotBase: NoOffset,
-		assembly:     map[string]*assembly{},
+		Offset:     NoOffset,
+		Configured: NoOffset,
+		Objects:    map[string]*Object{},
+		Agents:     map[string]AgentRun{},
+		Homes:      map[string]HomesChange{},
+		Results:    map[string]Result{},
 	}
 }
 
@@ -101,8 +94,6 @@
 	switch {
 	case record.Kind == RecordChange && record.Bundle != nil:
 		s.foldBundle(record.Bundle, entry)
-	case record.Kind == RecordSnapshot && record.Snapshot != nil:
-		s.foldSnapshotChunk(record.Snapshot)
 	case record.Kind == RecordAgent && record.Agent != nil:
 		s.foldAgent(record.Agent, entry)
 	case record.Kind == RecordEvent && record.Event != nil:
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -14,20 +14,18 @@
 
 // The kinds of log records.
 const (
-	RecordChange   RecordKind = "change"
-	RecordSnapshot RecordKind = "snapshot"
-	RecordAgent    RecordKind = "agent"
-	RecordEvent    RecordKind = "event"
+	RecordChange RecordKind = "change"
+	RecordAgent  RecordKind = "agent"
+	RecordEvent  RecordKind = "event"
 )
 
 // Record is one entry of the platform's log as crowbridge writes it.
 type Record struct {
-	Format   int            `json:"format"`
-	Kind     RecordKind     `json:"kind"`
-	Bundle   *Bundle        `json:"bundle,omitempty"`
-	Snapshot *SnapshotChunk `json:"snapshot,omitempty"`
-	Agent    *AgentEvent    `json:"agent,omitempty"`
-	Event    *Event         `json:"event,omitempty"`
+	Format int         `json:"format"`
+	Kind   RecordKind  `json:"kind"`
+	Bundle *Bundle     `json:"bundle,omitempty"`
+	Agent  *AgentEvent `json:"agent,omitempty"`
+	Event  *Event      `json:"event,omitempty"`
 }
 
 // Event tells the audit trail of something that a daemon did. It changes nothing
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -135,35 +135,14 @@
 	return Batch{Entries: entries}, err
 }
 
-// State implements Source: it restores from the newest snapshot on the log.
+// State implements Source: it returns the state that lasts on the store.
 func (s LogSource) State(ctx context.Context) (*config.State, error) {
-	entries, err := s.readAll(ctx)
+	snapshot, err := s.Log.Kept(ctx)
 	if err != nil {
 		return nil, err
 	}
-	state := config.Restore(entries)
-	if state == nil {
-		return nil, errors.New("the log keeps no complete snapshot that its records continue")
-	}
-	return state, nil
-}
-
-func (s LogSource) readAll(ctx context.Context) ([]config.LogEntry, error) {
-	first, err := s.Log.First(ctx)
-	if err != nil {
-		return nil, err
-	}
-	var all []config.LogEntry
-	after := first - 1
-	for {
-		entries, err := s.Log.Read(ctx, after, 0)
-		if err != nil {
-			return nil, err
-		}
-		if len(entries) == 0 {
-			return all, nil
-		}
-		all = append(all, entries...)
-		after = entries[len(entries)-1].Offset
+	if snapshot == nil {
+		return nil, errors.New("the store keeps no state")
 	}
+	return config.DecodeSnapshot(snapshot)
 }
--- a/internal/replica/log.go
+++ b/internal/replica/log.go
@@ -19,6 +19,9 @@
 	// Read returns records after an offset, waiting up to wait for the first. It
 	// returns ErrGone when the record after the offset is no longer kept.
 	Read(ctx context.Context, after int64, wait time.Duration) ([]config.LogEntry, error)
-	// First returns the offset of the oldest record kept.
-	First(ctx context.Context) (int64, error)
+	// Keep puts a snapshot of the state as of an offset where it lasts, unless a newer
+	// one is there. The log itself drops its oldest records.
+	Keep(ctx context.Context, offset int64, snapshot []byte) error
+	// Kept returns the newest snapshot, or nil when there is none.
+	Kept(ctx context.Context) ([]byte, error)
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -208,17 +208,6 @@
 	return data, r.state.Offset, err
 }
 
-// SnapshotDue returns the records of a snapshot when the newest on the log is
-// more than every offsets old, else nil.
-func (r *Replica) SnapshotDue(every int64) ([]*config.Record, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.state.Offset-r.state.SnapshotBase < every {
-		return nil, nil
-	}
-	return r.state.SnapshotRecords()
-}
-
 // Wait blocks until the condition holds or the context ends. The condition is
 // looked at after each change.
 func (r *Replica) Wait(ctx context.Context, condition func() bool) error {
--- /dev/null
+++ b/standins/platform/kept_test.go
@@ -0,0 +1,95 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/crowbridge/crowbridge/platform"
+)
+
+// keptLog is the product's log on a fresh stand-in.
+func keptLog(t *testing.T, before func(http.Handler) http.Handler) platform.ConfigLog {
+	t.Helper()
+	server := httptest.NewServer(before(NewStore()))
+	t.Cleanup(server.Close)
+	store := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), http.DefaultTransport)
+	return platform.ConfigLog{Store: store, Now: time.Now}
+}
+
+func unchanged(h http.Handler) http.Handler { return h }
+
+// snapshotOf returns bytes that are like no others.
+func snapshotOf(size int) []byte {
+	data := make([]byte, size)
+	random := rand.NewChaCha8([32]byte{byte(size)})
+	_, _ = random.Read(data) // it never fails
+	return data
+}
+
+func wantKept(t *testing.T, log platform.ConfigLog, want []byte) {
+	t.Helper()
+	got, err := log.Kept(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(got, want) {
+		t.Fatalf("%d bytes are kept, want %d", len(got), len(want))
+	}
+}
+
+// TestKeptStateIsTheNewest: what was kept comes back whole, in however many
+// parts, and an older state never replaces a newer one.
+func TestKeptStateIsTheNewest(t *testing.T) {
+	log, ctx := keptLog(t, unchanged), context.Background()
+	wantKept(t, log, nil)
+	large, small := snapshotOf(700<<10), snapshotOf(10)
+	for _, step := range []struct {
+		offset   int64
+		snapshot []byte
+		want     []byte
+	}{{5, large, large}, {9, small, small}, {7, large, small}, {9, large, small}, {12, large, large}} {
+		if err := log.Keep(ctx, step.offset, step.snapshot); err != nil {
+			t.Fatal(err)
+		}
+		wantKept(t, log, step.want)
+	}
+}
+
+// TestKeptStateIsWhole: a writer that another one has overtaken writes nothing, and
+// parts that don't belong together are never taken for a state.
+func TestKeptStateIsWhole(t *testing.T) {
+	ctx := context.Background()
+	overtaken := false
+	var log platform.ConfigLog
+	log = keptLog(t, func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost && !overtaken {
+				overtaken = true
+				if err := log.Keep(ctx, 8, snapshotOf(30)); err != nil {
+					t.Error(err)
+				}
+			}
+			next.ServeHTTP(w, r)
+		})
+	})
+	if err := log.Keep(ctx, 6, snapshotOf(20)); err == nil {
+		t.Fatal("a state was kept over one that came meanwhile")
+	}
+	wantKept(t, log, snapshotOf(30))
+
+	store := NewStore()
+	mixed := keptLog(t, func(http.Handler) http.Handler { return store })
+	if err := mixed.Keep(ctx, 6, snapshotOf(20)); err != nil {
+		t.Fatal(err)
+	}
+	store.Put("keyed.configuration", "part-0000", "another's")
+	if _, err := mixed.Kept(ctx); err == nil {
+		t.Fatal("parts of two states were taken for one")
+	}
+}
