--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -82,7 +82,7 @@
 	for {
 		event, err := reader.Next()
 		if err == nil {
-			last = p.notePause(x, last)
+			last = p.notePause(x, server, last)
 		}
 		if err == nil && (event.ID < 0 || event.ID > x.lastEvent) {
 			pending = append(pending, event.Raw...)
@@ -113,8 +113,12 @@
 	}
 }
 
-// notePause tells the board the pause since the last event, and returns the time.
-func (p *Pipeline) notePause(x *exchange, last time.Time) time.Time {
+// notePause tells the board the pause since the last event of a rank's stream, and
+// returns the time. Passes are what a group's admission goes by.
+func (p *Pipeline) notePause(x *exchange, server *fleet.Server, last time.Time) time.Time {
+	if server.Rank == nil {
+		return last
+	}
 	now := p.now()
 	if !last.IsZero() {
 		p.board.sawPause(x.Service, now.Sub(last), now)
