--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -49,8 +49,8 @@
 	// replica has the product's own configuration, steering its selectors.
 	replica  *replica.Replica
 	steering *steering.Steering
-	// selectors is where that configuration lies.
-	selectors platform.ConfigLog
+	// configLog is where that configuration lies.
+	configLog platform.ConfigLog
 	api       *admin.Admin
 	leaving   atomic.Bool
 }
@@ -65,7 +65,7 @@
 	rep.SetWait(selectorsWait)
 	e := &EntryDaemon{
 		settings: s, log: log, members: members, replica: rep, steering: steering.New(rep, time.Now, log),
-		selectors: platform.ConfigLog{Store: store, Now: time.Now},
+		configLog: platform.ConfigLog{Store: store, Now: time.Now},
 		follower:  membership.NewFollower(members, store, s.StopRouting, log),
 		exchange:  membership.NewExchange(members, s.Control, s.Seeds, control, log),
 		board:     dispatch.NewBoard(budgetPolicy(s), s.Zone, rand.IntN),
@@ -77,7 +77,7 @@
 	e.pipeline = dispatch.NewPipeline(view, e.board, backend, time.Now, log)
 	e.frontend = frontend.New(e.pipeline, platform.Wire{}, e.limits, time.Now)
 	if len(operators) > 0 {
-		e.api = admin.New(e, rep, e.selectors, store, operators, log)
+		e.api = admin.New(e, rep, e.configLog, store, operators, log)
 	}
 	return e
 }
@@ -201,13 +201,13 @@
 func (e *EntryDaemon) followSelectors(ctx context.Context) {
 	client := &http.Client{Transport: upstream.NewTransport()}
 	e.replica.Follow(ctx, []replica.Source{
-		replica.LogSource{Log: e.selectors},
+		replica.LogSource{Log: e.configLog},
 		peersSource{daemon: e.settings.Daemon, peers: e.exchange.Peers, client: client},
 	}, e.log)
 }
 
 // keepSelectors keeps that configuration where it lasts.
-func (e *EntryDaemon) keepSelectors(ctx context.Context) { e.replica.Keep(ctx, e.selectors, e.log) }
+func (e *EntryDaemon) keepSelectors(ctx context.Context) { e.replica.Keep(ctx, e.configLog, e.log) }
 
 const (
 	// peersPace is the time between rounds of asking other daemons while the store
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -7,6 +7,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/config"
@@ -33,6 +34,7 @@
 	replica *replica.Replica
 	now     func() time.Time
 	log     *logrus.Entry
+	known   atomic.Bool
 
 	mu    sync.Mutex // a leaf
 	rules *rules
@@ -58,8 +60,19 @@
 }
 
 // Known tells whether the configuration's log has been heard of since the start,
-// directly or through another daemon. Until then nobody can say what is allowed.
-func (s *Steering) Known() bool { return s.replica.Heard() }
+// directly or through another daemon, and what it said is in force. Until then nobody
+// can say what is allowed.
+func (s *Steering) Known() bool {
+	if s.known.Load() {
+		return true
+	}
+	in := s.inForce()
+	if in == nil || !s.replica.Heard() || in.index.Configured() != s.replica.View().Configured {
+		return false
+	}
+	s.known.Store(true)
+	return true
+}
 
 // Follow brings each change into force until the context ends.
 func (s *Steering) Follow(ctx context.Context) {
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -104,8 +104,18 @@
 		return ids, rule
 	}
 
-	It("isn't known before the log has been heard of", func() {
+	It("isn't known before the log has been heard of and what it said is in force", func() {
+		s.compile(rep.View())
+		Expect(s.Known()).To(BeFalse())
+		apply(manifest)
+		s.rules = nil
 		Expect(s.Known()).To(BeFalse())
+		s.compile(rep.View())
+		Expect(s.Known()).To(BeTrue())
+	})
+
+	It("is known when the log is empty", func() {
+		s.compile(rep.View())
 		Expect(rep.Fold(replica.Batch{})).To(Succeed())
 		Expect(s.Known()).To(BeTrue())
 	})
