Entries ask another entry each 0.65 s; a first read of the log is given up after 0.5 s

Its long read, sent within a millisecond of the store's return, was neither answered nor ended; another entry told it at its next question, up to 5 s later.

Ruled out: load as the cause.

Before, after: spec 'learns a new configuration from another entry when its own long read hangs' failed (5 reads of registrations until then, 3 allowed). It also showed that an entry whose first read of the operators' log hung answered 503 for 22 s; that read is now given up after 0.5 s and another entry asked.

--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -211,11 +211,13 @@
 
 const (
 	// peersPace is the time between rounds of asking other daemons while the store
-	// can't be reached; peersCalm otherwise, to stay known to them.
-	peersPace = 300 * time.Millisecond
-	peersCalm = 5 * time.Second
-	// peersAtOnce is how many are asked in a round.
+	// can't be reached, and peersAtOnce how many are asked in a round.
+	peersPace   = 300 * time.Millisecond
 	peersAtOnce = 3
+	// calmPace is the time between questions to one other daemon otherwise, to stay
+	// known to them and because a long read of the store may hang without an error: a
+	// third of the two seconds within which a configuration must be in force.
+	calmPace = 650 * time.Millisecond
 )
 
 // askPeers asks other daemons for what is newer while the store can't be reached.
@@ -224,15 +226,15 @@
 		peers := e.exchange.Peers()
 		e.board.SetEntries(len(peers) + 1)
 		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		for _, peer := range peers[:min(len(peers), peersAtOnce)] {
+		pace, most := peersPace, peersAtOnce
+		if e.follower.Healthy() {
+			pace, most = calmPace, 1
+		}
+		for _, peer := range peers[:min(len(peers), most)] {
 			if err := e.exchange.Ask(ctx, peer); err != nil {
 				e.log.WithError(err).WithField("peer", peer).Debug("peer not reached")
 			}
 		}
-		pace := peersPace
-		if e.follower.Healthy() {
-			pace = peersCalm
-		}
 		timer := time.NewTimer(pace)
 		select {
 		case <-timer.C:
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -20,8 +20,10 @@
 	// staleMargin is by how much a source's news may be older than a read waits before
 	// it is given up for the next.
 	staleMargin = 3 * time.Second
-	// readTimeout bounds a read beyond its wait.
-	readTimeout = 2 * time.Second
+	// readTimeout bounds a read beyond its wait; firstTimeout does until the log has
+	// been heard of, so that another source is asked soon.
+	readTimeout  = 2 * time.Second
+	firstTimeout = 500 * time.Millisecond
 	minBackoff  = 100 * time.Millisecond
 	maxBackoff  = 2 * time.Second
 )
@@ -80,12 +82,12 @@
 }
 
 func (r *Replica) followOnce(ctx context.Context, source Source) (time.Duration, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.wait+readTimeout)
-	defer cancel()
-	wait := r.wait
+	wait, timeout := r.wait, r.wait+readTimeout
 	if r.Offset() == config.NoOffset && !r.Heard() {
-		wait = firstWait
+		wait, timeout = firstWait, firstTimeout
 	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	batch, err := source.Records(ctx, r.Offset(), wait)
 	if err != nil {
 		return 0, err
--- a/standins/hosted/hosted_test.go
+++ b/standins/hosted/hosted_test.go
@@ -280,6 +280,35 @@
 		Expect(servedBy(second)()).To(Equal("for t by i-2"))
 	})
 
+	It("learns a new configuration from another entry when its own long read hangs", func() {
+		serveOne()
+		run(hosted.NewEntryDaemon(settings, nil, quietLog()))
+		Eventually(ready(settings), patience).Should(Equal(http.StatusOK))
+		var registrationReads atomic.Int64
+		hanging := listen("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Query().Get("wait_ms") != "" {
+				<-r.Context().Done()
+				return
+			}
+			if r.URL.Query().Get("topic") == "keyed.servers" {
+				registrationReads.Add(1)
+			}
+			store.ServeHTTP(w, r)
+		}))
+		second := entrySettings("127.0.0.2", hanging)
+		second.Seeds = []string{settings.Control}
+		run(hosted.NewEntryDaemon(second, nil, quietLog()))
+		Eventually(ready(second), patience).Should(Equal(http.StatusOK))
+		store.Put("keyed.op", "config", configVersion(2, `"k2"`))
+		before := registrationReads.Load()
+		Eventually(func() int {
+			status, _ := ask(second, "/a/x", "k2")
+			return status
+		}, patience).Should(Equal(http.StatusOK))
+		// Registrations are read each 0.9 s here.
+		Expect(registrationReads.Load()-before).To(BeNumerically("<=", 3))
+	})
+
 	It("finishes what is in flight when it's stopped, and is not ready meanwhile", func() {
 		store.Put("keyed.op", "config", configVersion(1, `"k1"`))
 		begun, release := make(chan struct{}), make(chan struct{})
