Soak against the whole platform path, with the proxy's faults

Cause: the soak drove only the store and processes. Standin relay now has these modes (pass, delay, reset, one-way, silent; half of the held answers are lost), and the soak injects them.

Also formats two files which the formatter check had refused.

--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -24,8 +24,8 @@
 	// been heard of, so that another source is asked soon.
 	readTimeout  = 2 * time.Second
 	firstTimeout = 500 * time.Millisecond
-	minBackoff  = 100 * time.Millisecond
-	maxBackoff  = 2 * time.Second
+	minBackoff   = 100 * time.Millisecond
+	maxBackoff   = 2 * time.Second
 )
 
 // rotation chooses the source to read from: the first of the list that answers
--- a/standins/cmd/standin/main.go
+++ b/standins/cmd/standin/main.go
@@ -142,10 +142,19 @@
 
 func relayCommand() *cli.Command {
 	return &cli.Command{
-		Name: "relay", Usage: "link between availability zones",
-		Flags: []cli.Flag{&cli.StringSliceFlag{Name: "pair", Usage: "listen=target"}},
+		Name: "relay", Usage: "proxy between processes",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "pair", Usage: "listen=target"},
+			&cli.StringFlag{Name: "listen", Usage: "IP:port of the control port; empty for none"},
+		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
-			return relay.Run(cmd.StringSlice("pair"))
+			r := relay.New()
+			var tasks errgroup.Group
+			if address := cmd.String("listen"); address != "" {
+				tasks.Go(func() error { return serveAt(address, r.Control()) })
+			}
+			tasks.Go(func() error { return r.Run(cmd.StringSlice("pair")) })
+			return tasks.Wait()
 		},
 	}
 }
--- a/standins/harness/manifest.go
+++ b/standins/harness/manifest.go
@@ -26,11 +26,11 @@
 	for _, s := range c.Servers {
 		if s.Group != "" {
 			fmt.Fprintf(&b, "---\nkind: BackendServer\nname: %s\nbackendServer: {service: %s, zone: %s, address: %q, control: %q, group: %s, rank: %d, engine: %q, ignoresFence: %t}\n",
-				s.Name, s.Service, s.Zone, s.address, s.control, s.Group, s.Rank, s.backend, c.Layout.IgnoreFences)
+				s.Name, s.Service, s.Zone, s.reached(), s.control, s.Group, s.Rank, s.backend, c.Layout.IgnoreFences)
 			continue
 		}
 		fmt.Fprintf(&b, "---\nkind: BackendServer\nname: %s\nbackendServer: {service: %s, zone: %s, address: %q, control: %q}\n",
-			s.Name, s.Service, s.Zone, s.address, s.control)
+			s.Name, s.Service, s.Zone, s.reached(), s.control)
 	}
 	return b.String()
 }
--- a/standins/hosted/hosted_test.go
+++ b/standins/hosted/hosted_test.go
@@ -306,7 +306,7 @@
 			return status
 		}, patience).Should(Equal(http.StatusOK))
 		// Registrations are read each 0.9 s here.
-		Expect(registrationReads.Load()-before).To(BeNumerically("<=", 3))
+		Expect(registrationReads.Load() - before).To(BeNumerically("<=", 3))
 	})
 
 	It("finishes what is in flight when it's stopped, and is not ready meanwhile", func() {
--- /dev/null
+++ b/standins/soak/faults.go
@@ -0,0 +1,124 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"github.com/crowbridge/crowbridge/standins/harness"
+	"github.com/crowbridge/crowbridge/standins/relay"
+	"github.com/pkg/errors"
+)
+
+// fault draws one fault: its name, whose last word is what it is about, and what
+// begins and ends it.
+type fault func(r *run) (name string, begin, end func() error)
+
+var faults = []fault{
+	killed, killed, stopped, paused, paused, linkPaused, proxied, proxied, storeFault, storeFault, zoneCut, ordersLate, engineDown,
+	changed, changed,
+}
+
+// daemon draws one of our own processes.
+func (r *run) daemon() *harness.Process {
+	var names []string
+	for _, e := range r.cluster.Entries {
+		names = append(names, e.Name)
+	}
+	for _, s := range r.cluster.Servers {
+		names = append(names, "agent-"+s.Name)
+	}
+	return r.cluster.Processes[names[r.random.IntN(len(names))]]
+}
+
+func killed(r *run) (string, func() error, func() error) {
+	p := r.daemon()
+	return "kill " + p.Name, p.Kill, p.Start
+}
+
+func stopped(r *run) (string, func() error, func() error) {
+	p := r.daemon()
+	return "stop " + p.Name, func() error { return p.Signal(syscall.SIGTERM) }, func() error {
+		if err := p.Ended(); err != nil {
+			return err
+		}
+		return p.Start()
+	}
+}
+
+func paused(r *run) (string, func() error, func() error) {
+	p := r.daemon()
+	return "pause " + p.Name, func() error { return p.Signal(syscall.SIGSTOP) }, func() error { return p.Signal(syscall.SIGCONT) }
+}
+
+func linkPaused(r *run) (string, func() error, func() error) {
+	zones := r.cluster.Layout.Zones
+	p := r.cluster.Processes["link-"+zones[r.random.IntN(len(zones))]]
+	return "pause " + p.Name, func() error { return p.Signal(syscall.SIGSTOP) }, func() error { return p.Signal(syscall.SIGCONT) }
+}
+
+func proxied(r *run) (string, func() error, func() error) {
+	mode := relay.Modes[r.random.IntN(len(relay.Modes))]
+	// What was held back is lost, as often as not: the requests have run, and nobody
+	// gets their answers.
+	lost := r.random.IntN(2) == 0
+	return string(mode) + " proxy", func() error { return r.cluster.ProxyMode(mode) }, func() error {
+		if lost {
+			if err := r.cluster.ProxyMode(relay.Reset); err != nil {
+				return err
+			}
+		}
+		return r.cluster.ProxyMode(relay.Pass)
+	}
+}
+
+func storeFault(r *run) (string, func() error, func() error) {
+	bodies := []string{`{"down":true}`, `{"loseAnswers":true}`, `{"delayMs":300}`, `{"keep":1}`}
+	body := bodies[r.random.IntN(len(bodies))]
+	return body + " store", func() error { return r.cluster.Fault("/fault/log", body) },
+		func() error { return r.cluster.Fault("/fault/log", `{}`) }
+}
+
+func zoneCut(r *run) (string, func() error, func() error) {
+	zones := r.cluster.Layout.Zones
+	zone := zones[r.random.IntN(len(zones))]
+	return "cut zone-" + zone, func() error { return r.cluster.Fault("/fault/cut/"+zone+"/true", "") },
+		func() error { return r.cluster.Fault("/fault/cut/"+zone+"/false", "") }
+}
+
+func ordersLate(r *run) (string, func() error, func() error) {
+	return "late orders", func() error { return r.cluster.GroupFault("late/7/800") },
+		func() error { return r.cluster.GroupFault("late/0/0") }
+}
+
+func engineDown(r *run) (string, func() error, func() error) {
+	rank := r.random.IntN(len(r.cluster.Layout.Zones) * r.cluster.Layout.RanksPerZone)
+	return fmt.Sprintf("down engine-%d", rank), func() error { return r.cluster.GroupFault(fmt.Sprintf("down/%d/true", rank)) },
+		func() error { return r.cluster.GroupFault(fmt.Sprintf("down/%d/false", rank)) }
+}
+
+// changed applies a change and notes it if it's accepted.
+func changed(r *run) (string, func() error, func() error) {
+	customer := fmt.Sprintf("soak-%d", r.random.IntN(3))
+	r.weight++
+	weight := r.weight
+	apply := func() error {
+		path := filepath.Join(r.options.Dir, fmt.Sprintf("change-%d.yaml", weight))
+		text := fmt.Sprintf("kind: Customer\nname: %s\ncustomer: {weight: %d}\n", customer, weight)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			return errors.Wrap(err, "change")
+		}
+		out, err := r.cluster.Operator("apply", "-f", path, "--reason", "soak")
+		verdict := strings.TrimSpace(out)
+		r.say("change %d: %.80s", weight, verdict)
+		if err == nil {
+			r.changed[customer] = weight
+		} else {
+			delete(r.changed, customer) // rejected, or unknown: either weight may be in force
+		}
+		return nil
+	}
+	return "change " + customer, apply, func() error { return nil }
+}
