--- a/standins/harness/cluster.go
+++ b/standins/harness/cluster.go
@@ -2,104 +2,18 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
-	"github.com/crowbridge/crowbridge/internal/daemon"
 	"github.com/crowbridge/crowbridge/standins/engine"
 	"github.com/crowbridge/crowbridge/standins/relay"
 	"github.com/pkg/errors"
 )
 
-// Layout is the deployment's size.
-type Layout struct {
-	Zones          []string
-	EntriesPerZone int
-	EnginesPerZone int
-	PlainPerZone   int
-	// Links puts a relay process between the daemons of each zone and the entries of
-	// the others, named link-ZONE.
-	Links bool
-	// RanksPerZone makes a group of ranks over all zones.
-	RanksPerZone int
-	// Proxy puts a relay process between entries and agents, named proxy, whose mode
-	// ProxyMode sets.
-	Proxy bool
-	// IgnoreFences makes the group's engines take orders with old fencing numbers.
-	IgnoreFences bool
-	// Step of the stand-in servers.
-	Step time.Duration
-	// KeyWindowSeconds and ClockSkewMs go into the policy.
-	KeyWindowSeconds int
-	ClockSkewMs      int
-	// Drain bounds a planned stop.
-	Drain time.Duration
-	// Quiet logs warnings only and counts no executions, for measurements.
-	Quiet bool
-	// EntryArgs and AgentArgs are added to the daemons' settings, and win over them.
-	EntryArgs, AgentArgs []string
-	// NoBackends starts agents without the servers behind them, to measure control
-	// traffic alone.
-	NoBackends bool
-}
-
-func (l *Layout) logLevel() string {
-	if l.Quiet {
-		return "warn"
-	}
-	return "debug"
-}
-
-// Backend is the address of the backend server itself.
-func (s *Server) Backend() string { return s.backend }
-
-// Secrets of the harness's deployments.
-const (
-	DaemonKey     = "harness-daemon-key"
-	operatorToken = "harness-operator-token"
-	readerToken   = "harness-reader-token"
-)
-
-// Server is one backend server with its agent.
-type Server struct {
-	Name, Zone, Service string
-	Protocol            string
-	// Group is set for a rank of the group; Rank is its number.
-	Group   string
-	Rank    int
-	backend string
-	address string
-	control string
-	metrics string
-	// proxied is the address at which entries reach the agent by the proxy, or empty.
-	proxied string
-}
-
-// reached is where entries reach the agent.
-func (s *Server) reached() string {
-	if s.proxied != "" {
-		return s.proxied
-	}
-	return s.address
-}
-
-// Entry is one entry.
-type Entry struct {
-	Name, Zone string
-	Callers    string
-	Control    string
-	metrics    string
-}
-
-// Metrics is the address of the entry's metrics port.
-func (e *Entry) Metrics() string { return e.metrics }
-
 // Cluster is a running deployment.
 type Cluster struct {
 	Layout    Layout
@@ -163,210 +77,6 @@
 	return c, nil
 }
 
-// addLinks lays a relay between each zone's daemons and the entries elsewhere.
-func (c *Cluster) addLinks() error {
-	for _, zone := range c.Layout.Zones {
-		args := []string{"relay"}
-		ready := ""
-		for _, e := range c.Entries {
-			if !c.Layout.Links || e.Zone == zone {
-				continue
-			}
-			address, err := freeAddress()
-			if err != nil {
-				return err
-			}
-			c.links[zone+e.Name] = address
-			args = append(args, "--pair", address+"="+e.Control)
-			ready = address
-		}
-		if ready != "" {
-			c.add("link-"+zone, "standin", ready, args)
-		}
-	}
-	return nil
-}
-
-// addProxy lays a relay between the entries and the agents.
-func (c *Cluster) addProxy() error {
-	if !c.Layout.Proxy {
-		return nil
-	}
-	listen, err := freeAddress()
-	if err != nil {
-		return err
-	}
-	c.proxyURL = "http://" + listen
-	args := []string{"relay", "--listen", listen}
-	for i := range c.Servers {
-		address, err := freeAddress()
-		if err != nil {
-			return err
-		}
-		args = append(args, "--pair", address+"="+c.Servers[i].address)
-		c.Servers[i].proxied = address
-	}
-	c.add("proxy", "standin", listen, args)
-	return nil
-}
-
-// ProxyMode sets what the relay between entries and agents does.
-func (c *Cluster) ProxyMode(mode relay.Mode) error { return put(c.proxyURL+"/mode/"+string(mode), "") }
-
-// addGroup lays the stand-in of the group's engines, one process for all ranks.
-func (c *Cluster) addGroup() error {
-	if len(c.ranks) == 0 {
-		return nil
-	}
-	listen, err := freeAddress()
-	if err != nil {
-		return err
-	}
-	c.groupURL = "http://" + listen
-	args := []string{
-		"group", "--name", GroupName, "--listen", listen, "--step", c.Layout.Step.String(), "--recorder", c.PlatformURL,
-		"--experts", strconv.Itoa(groupExperts), "--sets", strconv.Itoa(groupLayers),
-	}
-	for _, address := range c.ranks {
-		args = append(args, "--rank", address)
-	}
-	if c.Layout.IgnoreFences {
-		args = append(args, "--ignore-fences")
-	}
-	c.add("backend-"+GroupName, "standin", listen, args)
-	return nil
-}
-
-func (c *Cluster) addPlatform() error {
-	listen, err := freeAddress()
-	if err != nil {
-		return err
-	}
-	c.PlatformURL = "http://" + listen
-	args := []string{"platform", "--listen", listen}
-	for _, zone := range c.Layout.Zones {
-		address, err := freeAddress()
-		if err != nil {
-			return err
-		}
-		c.platforms[zone] = address
-		args = append(args, "--zone", zone+"="+address)
-	}
-	c.add("platform", "standin", listen, args)
-	return nil
-}
-
-func (c *Cluster) addZone(zone string) error {
-	for i := range c.Layout.EntriesPerZone {
-		addresses, err := addresses(3)
-		if err != nil {
-			return err
-		}
-		c.Entries = append(c.Entries, Entry{
-			Name: fmt.Sprintf("entry-%s-%d", zone, i+1), Zone: zone,
-			Callers: addresses[0], Control: addresses[1], metrics: addresses[2],
-		})
-	}
-	for i := range c.Layout.EnginesPerZone {
-		if err := c.addServer(zone, "petal-writer", "engine", i); err != nil {
-			return err
-		}
-	}
-	for i := range c.Layout.RanksPerZone {
-		if err := c.addServer(zone, groupService, "rank", i); err != nil {
-			return err
-		}
-		s := &c.Servers[len(c.Servers)-1]
-		s.Protocol, s.Group, s.Rank = "engine", GroupName, len(c.ranks)
-		c.ranks = append(c.ranks, s.backend)
-	}
-	for i := range c.Layout.PlainPerZone {
-		if err := c.addServer(zone, "dispatch-api", "plain", i); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (c *Cluster) addServer(zone, service, protocol string, i int) error {
-	addresses, err := addresses(4)
-	if err != nil {
-		return err
-	}
-	c.Servers = append(c.Servers, Server{
-		Name: fmt.Sprintf("%s-%s-%d", protocol, zone, i+1), Zone: zone, Service: service, Protocol: protocol,
-		backend: addresses[0], address: addresses[1], control: addresses[2], metrics: addresses[3],
-	})
-	return nil
-}
-
-func addresses(n int) ([]string, error) {
-	found := make([]string, 0, n)
-	for range n {
-		address, err := freeAddress()
-		if err != nil {
-			return nil, err
-		}
-		found = append(found, address)
-	}
-	return found, nil
-}
-
-func (c *Cluster) add(name, binary, ready string, args []string) {
-	c.Processes[name] = &Process{
-		Name: name, binary: filepath.Join(c.bin, binary), args: args,
-		ready: ready, logPath: logFile(c.dir, name),
-	}
-	c.order = append(c.order, name)
-}
-
-func (c *Cluster) addProcesses() {
-	for _, s := range c.Servers {
-		args := []string{s.Protocol, "--name", s.Name, "--listen", s.backend, "--step", c.Layout.Step.String()}
-		if !c.Layout.Quiet {
-			args = append(args, "--recorder", c.PlatformURL)
-		}
-		if !c.Layout.NoBackends && s.Group == "" {
-			c.add("backend-"+s.Name, "standin", s.backend, args)
-		}
-	}
-	for _, e := range c.Entries {
-		c.add(e.Name, "crowbridged", e.Callers, append([]string{
-			"entry", "--name", e.Name, "--zone", e.Zone, "--listen", e.Callers, "--control", e.Control,
-			"--metrics", e.metrics, "--daemon-key", DaemonKey, "--log-level", c.Layout.logLevel(),
-			"--drain-timeout", c.Layout.Drain.String(),
-			"--store", c.platforms[e.Zone],
-			"--operator", "ops:change:" + daemon.HashSecret(operatorToken),
-			"--operator", "viewer:read:" + daemon.HashSecret(readerToken),
-		}, append(c.peerArgs(e.Zone), c.Layout.EntryArgs...)...))
-	}
-	for _, s := range c.Servers {
-		rank := []string{}
-		if s.Group != "" {
-			rank = []string{"--store", c.platforms[s.Zone]}
-		}
-		c.add("agent-"+s.Name, "crowbridged", s.address, append(append([]string{
-			"agent", "--server", s.Name, "--zone", s.Zone, "--listen", s.address, "--control", s.control,
-			"--metrics", s.metrics, "--daemon-key", DaemonKey, "--backend", "http://" + s.backend,
-			"--protocol", s.Protocol, "--log-level", c.Layout.logLevel(), "--drain-timeout", c.Layout.Drain.String(),
-			"--config-timeout", "1s",
-		}, append(c.peerArgs(s.Zone), c.Layout.AgentArgs...)...), rank...))
-	}
-}
-
-// peerArgs names the entries as the daemons of a zone reach them.
-func (c *Cluster) peerArgs(zone string) []string {
-	var args []string
-	for _, e := range c.Entries {
-		address := e.Control
-		if link := c.links[zone+e.Name]; link != "" {
-			address = link
-		}
-		args = append(args, "--entry-peer", e.Zone+"="+address)
-	}
-	return args
-}
-
 // Start starts all processes and applies the configuration.
 func (c *Cluster) Start() error {
 	started := func(prefix string) error {
@@ -426,6 +136,9 @@
 	return found
 }
 
+// ProxyMode sets what the relay between entries and agents does.
+func (c *Cluster) ProxyMode(mode relay.Mode) error { return put(c.proxyURL+"/mode/"+string(mode), "") }
+
 // Fault sets a fault at the platform, such as `log` with a JSON body.
 func (c *Cluster) Fault(path, body string) error {
 	return put(c.PlatformURL+path, body)
