A stop whose time runs out answers the requests that are left

Now both servers end the requests' contexts with ErrLeaving, and the pipeline answers "leaving" with what is true of the run and a time to come back; the bound for these last answers is 1 s and 300 ms (within the margin kept before SIGKILL).

Tests, each failed first: internal/entry "answers what is still in flight when the time for a planned stop runs out" (no answer in 5 s), internal/frontend "is answered when the time for a planned stop runs out" (context never ended).

--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -8,6 +8,7 @@
 	"github.com/crowbridge/crowbridge/internal/failure"
 	"github.com/crowbridge/crowbridge/internal/fleet"
 	"github.com/crowbridge/crowbridge/internal/outcome"
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 )
 
@@ -265,12 +266,18 @@
 	failure.CodeNoServer: true, failure.CodeLeaving: true, failure.CodeSlow: true,
 }
 
+// ErrLeaving is the cause of a request's context that ended because this process
+// stops: the caller is still there, and may ask another.
+var ErrLeaving = errors.New("this process is leaving")
+
 // explain turns the final failure into one that is true of the whole request.
 func (p *Pipeline) explain(caller context.Context, x *exchange, f *failure.Error) *failure.Error {
 	if f == nil {
 		return nil
 	}
 	switch {
+	case errors.Is(context.Cause(caller), ErrLeaving):
+		f.Code, f.RetryAfter = failure.CodeLeaving, noServerRetry
 	case caller.Err() != nil:
 		f.Code = failure.CodeCanceled
 	case !p.now().Before(x.Limit):
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/crowbridge/crowbridge/internal/replica"
 	"github.com/crowbridge/crowbridge/internal/routing"
 	"github.com/crowbridge/crowbridge/internal/selector"
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 )
@@ -65,7 +66,7 @@
 	budget   *routing.RetryBudget
 	random   *rand.Rand
 	inFlight map[string]int // requests in flight by customer
-	cancels  map[requestRef]context.CancelFunc
+	cancels  map[requestRef]context.CancelCauseFunc
 
 	stopping atomic.Bool
 }
@@ -102,7 +103,7 @@
 		budget:   routing.NewRetryBudget(config.Policy{}.WithDefaults().RetryPercent),
 		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		inFlight: map[string]int{},
-		cancels:  map[requestRef]context.CancelFunc{},
+		cancels:  map[requestRef]context.CancelCauseFunc{},
 	}
 	e.rebuild()
 	e.pipeline = dispatch.NewTargetPipeline(noFleet{}, tableChooser{e}, agentBackend{e}, now, log)
@@ -128,16 +129,35 @@
 	// prefetchBody is how much of a body is read before the handler runs; the
 	// handler reads the rest and enforces MaxBody.
 	prefetchBody = 64 << 10
+	// lastAnswers bounds the answers to requests given up by a stop: one way to a
+	// caller.
+	lastAnswers = time.Second
 )
 
 // Serve answers callers on the listener until Stop.
 func (e *Entry) Serve(listener net.Listener) error { return e.server.Serve(listener) }
 
 // Stop refuses new connections and returns when every request in flight has
-// ended, or the context has.
+// ended. Those that are left when the context ends are given up and answered.
 func (e *Entry) Stop(ctx context.Context) error {
 	e.stopping.Store(true)
-	return e.server.ShutdownWithContext(ctx)
+	bounded, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer context.AfterFunc(ctx, func() {
+		e.giveUp()
+		time.AfterFunc(lastAnswers, cancel)
+	})()
+	return errors.Wrap(e.server.ShutdownWithContext(bounded), "stop: requests in flight")
+}
+
+// giveUp ends every request in flight.
+func (e *Entry) giveUp() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.log.WithField("requests", len(e.cancels)).Warn("drain timeout: requests in flight are given up")
+	for _, cancel := range e.cancels {
+		cancel(dispatch.ErrLeaving)
+	}
 }
 
 // Ready tells whether the balancer should send requests here.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -349,6 +349,31 @@
 		Expect(failureIn(body).Code).To(Equal("canceled"))
 	})
 
+	It("answers what is still in flight when the time for a planned stop runs out", func() {
+		arrived := make(chan struct{}, 1)
+		agent := fakeAgent(func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			arrived <- struct{}{}
+			<-r.Context().Done()
+		})
+		f := newFixture([]string{agent}, nil)
+		got := make(chan string, 1)
+		go func() {
+			defer GinkgoRecover()
+			response, body := f.post(keyOfRozsa, "/v1/chat/completions", completion, nil)
+			Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
+			got <- body
+		}()
+		<-arrived
+		over, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = f.entry.Stop(over)
+		var body string
+		Eventually(got, "5s").Should(Receive(&body))
+		Expect(failureIn(body)).To(HaveField("Code", "leaving"))
+		Expect(failureIn(body)).To(HaveField("Outcome", "unknown"))
+	})
+
 	It("bounds a customer's requests in flight", func() {
 		release := make(chan struct{})
 		arrived := make(chan struct{}, 8)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -22,10 +22,10 @@
 
 // execute hands the request to the pipeline and answers.
 func (e *Entry) execute(x *exchange) {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	e.register(x, cancel)
 	request, target := e.newRequest(x), e.newTarget(x)
-	r := &relay{entry: e, x: x, cancel: cancel, begun: make(chan struct{}), ended: make(chan struct{})}
+	r := &relay{entry: e, x: x, cancel: func() { cancel(nil) }, begun: make(chan struct{}), ended: make(chan struct{})}
 	go func() {
 		defer e.leave(x)
 		r.end(e.pipeline.ServeTarget(ctx, request, target, r))
@@ -33,7 +33,7 @@
 	r.await(x)
 }
 
-func (e *Entry) register(x *exchange, cancel context.CancelFunc) {
+func (e *Entry) register(x *exchange, cancel context.CancelCauseFunc) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.cancels[requestRef{customer: x.customer.Name, requestID: x.id}] = cancel
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -114,7 +114,7 @@
 		writeFailure(x, failure.NotRun(failure.StepRoute, "", failure.CodeNotFound, "no such request of yours in flight at this entry"))
 		return
 	}
-	cancel()
+	cancel(nil)
 	x.ctx.SetStatusCode(fasthttp.StatusAccepted)
 }
 
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -41,6 +41,8 @@
 	http     *http.Server
 	conns    *connTimers
 	leaving  atomic.Bool
+	// giveUp ends the contexts of all requests.
+	giveUp context.CancelCauseFunc
 	// bodyTimeout is the constant of that name, or what a spec sets.
 	bodyTimeout time.Duration
 }
@@ -54,12 +56,20 @@
 	// bodyTimeout bounds how long a body may take to come: several times the longest
 	// deadline of the users' requests.
 	bodyTimeout = 30 * time.Second
+	// lastAnswers bounds the answers to requests that a stop gives up: one way to a
+	// caller, within the entry's margin before it is killed.
+	lastAnswers = 300 * time.Millisecond
 )
 
 // New returns a server. limits returns what is configured at present.
 func New(pipeline Pipeline, dialect Dialect, limits func() fleet.Limits, now func() time.Time) *Server {
 	s := &Server{pipeline: pipeline, dialect: dialect, limits: limits, now: now, conns: newConnTimers(limits), bodyTimeout: bodyTimeout}
-	s.http = &http.Server{Handler: s, MaxHeaderBytes: headerRoom, ConnState: s.conns.changed, ConnContext: remember}
+	base, giveUp := context.WithCancelCause(context.Background())
+	s.giveUp = giveUp
+	s.http = &http.Server{
+		Handler: s, MaxHeaderBytes: headerRoom, ConnState: s.conns.changed, ConnContext: remember,
+		BaseContext: func(net.Listener) context.Context { return base },
+	}
 	return s
 }
 
@@ -75,9 +85,16 @@
 func (s *Server) Leave() { s.leaving.Store(true) }
 
 // Shutdown takes no more connections and waits for the requests in flight.
-// When the context ends first, the rest is cut off.
+// When the context ends first, the rest is given up and answered; what then doesn't
+// end within lastAnswers is cut off.
 func (s *Server) Shutdown(ctx context.Context) error {
-	if err := s.http.Shutdown(ctx); err != nil {
+	bounded, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer context.AfterFunc(ctx, func() {
+		s.giveUp(dispatch.ErrLeaving)
+		time.AfterFunc(lastAnswers, cancel)
+	})()
+	if err := s.http.Shutdown(bounded); err != nil {
 		return errors.Join(err, s.http.Close())
 	}
 	return nil
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -186,6 +186,27 @@
 		Expect(response.Close).To(BeTrue())
 	})
 
+	It("is answered when the time for a planned stop runs out", func() {
+		started := make(chan struct{})
+		address, s := serve(func(ctx context.Context, _ *dispatch.Request, _ dispatch.Caller) dispatch.Result {
+			defer GinkgoRecover()
+			close(started)
+			<-ctx.Done()
+			Expect(context.Cause(ctx)).To(MatchError(dispatch.ErrLeaving))
+			return dispatch.Result{Failure: failure.Unknown(failure.StepRun, "", failure.CodeLeaving, "")}
+		}, testLimits)
+		over, cancel := context.WithCancel(context.Background())
+		cancel()
+		go func() {
+			<-started
+			_ = s.Shutdown(over)
+		}()
+		response, body, err := exchange(address, get)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusBadGateway))
+		Expect(body).To(ContainSubstring(string(failure.CodeLeaving)))
+	})
+
 	DescribeTable("loses a connection that stays idle, or in the middle of a header", func(limits fleet.Limits, request string) {
 		address, _ := serve(failsWith(failure.NotRun(failure.StepRoute, "", failure.CodeNotFound, ""), false), limits)
 		conn, err := net.Dial("tcp", address)
--- a/standins/harness/process.go
+++ b/standins/harness/process.go
@@ -145,11 +145,14 @@
 const (
 	firstPort = 18000
 	lastPort  = 32000
+	// portSpread puts processes whose numbers follow each other far apart in that
+	// range, by the golden ratio: each walks on from where it began.
+	portSpread = 8653
 )
 
 var nextPort atomic.Int64
 
-func init() { nextPort.Store(int64(firstPort + os.Getpid()*61%(lastPort-firstPort))) }
+func init() { nextPort.Store(int64(firstPort + os.Getpid()*portSpread%(lastPort-firstPort))) }
 
 // freeAddress returns a loopback address that no other caller in this process
 // gets, and that is free.
