--- a/standins/soak/faults.go
+++ b/standins/soak/faults.go
@@ -88,6 +88,8 @@
 		func() error { return r.cluster.Fault("/fault/cut/"+zone+"/false", "") }
 }
 
+// ordersLate makes the engines carry out each seventh order 800 ms late, after the
+// holder has given up on it.
 func ordersLate(r *run) (string, func() error, func() error) {
 	return "late orders", func() error { return r.cluster.GroupFault("late/7/800") },
 		func() error { return r.cluster.GroupFault("late/0/0") }
