internal/ranks: FuzzDifference skips nothing

Cause: inputs with more than 8 sets or ranks were skipped, though apply bounds them by the base's shape.

--- a/internal/ranks/ranks_test.go
+++ b/internal/ranks/ranks_test.go
@@ -308,8 +308,8 @@
 	f.Add([]byte(strings.Repeat("\x2a\x01\x00", 4)))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var d peerrpc.MapDifference
-		if proto.Unmarshal(data, &d) != nil || d.GetSets() > 8 || d.GetRanks() > 8 {
-			t.Skip()
+		if proto.Unmarshal(data, &d) != nil {
+			return // not a message
 		}
 		base := defaultMap(2, 3, 6)
 		lists, ok := apply(base, &d)
