platform: the stand-ins write none of its names either

Cause: the test that keeps the names inside looked into internal and cmd only. Widened to standins it failed first on fencing_token (a second copy of the order's format) and expected_end. The stand-in engine now reads orders by platform.ReadOrder into the typed experts.Order, and the query's name is shared. Specs of the wire (literal names) are unchanged and pass.

--- a/standins/engine/grouphttp.go
+++ b/standins/engine/grouphttp.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/crowbridge/crowbridge/internal/experts"
 	"github.com/crowbridge/crowbridge/platform"
 )
 
@@ -95,34 +96,24 @@
 	}) // the reader is gone
 }
 
-func (g *Group) picked(w http.ResponseWriter, rank int, lists bool) {
+func (g *Group) picked(w http.ResponseWriter, rank int, whole bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	own := g.ranks[rank]
-	if !lists {
+	if !whole {
 		_ = json.NewEncoder(w).Encode(map[string]any{"step": g.pass, "epoch": g.epoch, "counts": own.counts}) // the reader is gone
 		return
 	}
-	experts := make([][]int, g.options.Sets)
-	for set := range experts {
-		experts[set] = own.lists[own.version][set][rank]
+	lists := make([][]int, g.options.Sets)
+	for set := range lists {
+		lists[set] = own.lists[own.version][set][rank]
 	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"map": map[string]any{"version": own.version, "experts": experts}}) // the reader is gone
-}
-
-// groupOrder is an order as it comes.
-type groupOrder struct {
-	Operation string    `json:"operation"`
-	Version   int64     `json:"version"`
-	Step      int64     `json:"step"`
-	Epoch     int64     `json:"epoch"`
-	Map       [][][]int `json:"map"`
-	Fence     int64     `json:"fencing_token"`
+	_ = json.NewEncoder(w).Encode(map[string]any{"map": map[string]any{"version": own.version, "experts": lists}}) // the reader is gone
 }
 
 func (g *Group) order(w http.ResponseWriter, r *http.Request, rank int) {
-	var order groupOrder
-	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+	order, err := platform.ReadOrder(r.Body)
+	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -135,14 +126,14 @@
 	w.WriteHeader(g.carryOut(rank, order))
 }
 
-func (g *Group) carryOutLate(rank int, order groupOrder) {
+func (g *Group) carryOutLate(rank int, order experts.Order) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.carryOut(rank, order)
 }
 
 // carryOut returns the status of an order. The caller holds mu.
-func (g *Group) carryOut(rank int, o groupOrder) int {
+func (g *Group) carryOut(rank int, o experts.Order) int {
 	own := g.ranks[rank]
 	if o.Fence < own.fence && !g.options.IgnoreFences {
 		return http.StatusPreconditionFailed
@@ -152,19 +143,19 @@
 		return http.StatusConflict
 	}
 	switch {
-	case o.Operation == "prepare" && o.Version == own.prepared:
+	case o.Operation == experts.Prepare && o.Version == own.prepared:
 		return http.StatusOK
-	case o.Operation == "prepare" && o.Version > own.highest && own.armed == 0:
+	case o.Operation == experts.Prepare && o.Version > own.highest && own.armed == 0:
 		own.prepared, own.highest, own.lists[o.Version] = o.Version, o.Version, o.Map
-	case o.Operation == "arm" && o.Version == own.prepared && o.Step > g.pass:
-		own.armed, own.armedPass = o.Version, o.Step
-	case o.Operation == "hold" && o.Step > g.pass && (own.held == 0 || own.held == o.Step):
-		own.held = o.Step
-	case o.Operation == "go":
-		if own.held == o.Step {
+	case o.Operation == experts.Arm && o.Version == own.prepared && o.Pass > g.pass:
+		own.armed, own.armedPass = o.Version, o.Pass
+	case o.Operation == experts.Hold && o.Pass > g.pass && (own.held == 0 || own.held == o.Pass):
+		own.held = o.Pass
+	case o.Operation == experts.Release:
+		if own.held == o.Pass {
 			own.held = 0
 		}
-	case o.Operation == "disarm" && o.Version != own.version:
+	case o.Operation == experts.Disarm && o.Version != own.version:
 		if own.armed == o.Version {
 			own.armed = 0
 		}
--- a/standins/platform/store.go
+++ b/standins/platform/store.go
@@ -176,7 +176,7 @@
 	defer s.mu.Unlock()
 	name := r.URL.Query().Get("topic")
 	end := s.topic(name).end()
-	if expected := r.URL.Query().Get("expected_end"); expected != "" && expected != strconv.FormatInt(end, 10) {
+	if expected := r.URL.Query().Get(platform.QueryExpectedEnd); expected != "" && expected != strconv.FormatInt(end, 10) {
 		w.WriteHeader(http.StatusPreconditionFailed)
 		writeJSON(w, map[string]int64{"end": end})
 		return
