internal/ranks: a wrong answer to an order can't end the holder; unread fields go

Cause: read in the diff. An agent that answers "base unknown" to an order without a map made the holder encode an empty map: index out of range, the process ends. The spec "end with an error when an order without a map is answered as if it had one" panicked first. The comment of stopMargin names the last answers that it must cover.

--- a/internal/experts/types.go
+++ b/internal/experts/types.go
@@ -11,8 +11,6 @@
 	Size  int
 	// Open is false while the group can't run.
 	Open bool
-	// Sequence counts the orders that began something.
-	Sequence int64
 	// Pass is the pass begun last. An idle group makes no passes.
 	Pass int64
 	// Map is the version in use; Prepared the newest whose experts are all copied;
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -30,7 +30,7 @@
 	// leaveDelay is how long a leaving entry goes on taking connections: the
 	// platform's balancer asks once a second and needs two misses.
 	leaveDelay = 2600 * time.Millisecond
-	// stopMargin is kept between the end of the last request and SIGKILL.
+	// stopMargin is kept before SIGKILL: the frontend's last answers take 0.3 s of it.
 	stopMargin = 500 * time.Millisecond
 	// controlTimeout bounds a call to another daemon.
 	controlTimeout = 600 * time.Millisecond
--- a/internal/ranks/client.go
+++ b/internal/ranks/client.go
@@ -16,7 +16,6 @@
 // client reaches the agents of a group's ranks for a holder. It implements
 // experts.Ranks.
 type client struct {
-	holder    string
 	group     string
 	directory Directory
 	link      *link
@@ -189,7 +188,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.patience(ctx))
 	defer cancel()
 	answer, err := c.link.call(ctx, at.Agent, &peerrpc.RankCall{Observe: &peerrpc.ObserveRequest{
-		Holder: c.holder, Fence: fence, Lists: ask.Lists, CountsFrom: int32(ask.From), CountsTo: int32(ask.To),
+		Fence: fence, Lists: ask.Lists, CountsFrom: int32(ask.From), CountsTo: int32(ask.To),
 	}})
 	if err != nil {
 		return experts.Observation{}, errors.Wrapf(err, "agent of server %s", at.Server)
@@ -241,7 +240,7 @@
 // commandAgent gives an agent an order as a datagram, or over HTTP when that is
 // too small for the order's map.
 func (c *client) commandAgent(ctx context.Context, rank int, at Place, order experts.Order) (*peerrpc.CommandReply, error) {
-	request := encodeOrder(c.holder, order)
+	request := encodeOrder(order)
 	request.Group, request.Rank = c.group, int32(rank)
 	if len(order.Map) > 0 {
 		if err := c.maps.Acquire(ctx, 1); err != nil {
@@ -256,6 +255,9 @@
 		if err != nil || !answer.GetCommand().GetBaseUnknown() {
 			return answer.GetCommand(), err
 		}
+		if len(order.Map) == 0 {
+			return nil, errors.New("the order has no map, but the agent lacks the base of one")
+		}
 	}
 	request.Map, request.Difference = encodeMap(order.Map), nil
 	return c.agent(at).Command(ctx, request)
--- a/internal/ranks/codec.go
+++ b/internal/ranks/codec.go
@@ -23,7 +23,7 @@
 
 func encodeState(r experts.RankReport) *peerrpc.RankState {
 	return &peerrpc.RankState{
-		Group: r.Group, Epoch: r.Epoch, Rank: int32(r.Rank), Size: int32(r.Size), Open: r.Open, Sequence: r.Sequence,
+		Group: r.Group, Epoch: r.Epoch, Rank: int32(r.Rank), Size: int32(r.Size), Open: r.Open,
 		Pass: r.Pass, Map: r.Map, Prepared: r.Prepared, Armed: r.Armed, Held: r.Held,
 		Running: int32(r.Running), Pace: r.Pace,
 	}
@@ -32,15 +32,15 @@
 func decodeState(s *peerrpc.RankState) experts.RankReport {
 	return experts.RankReport{
 		Group: s.GetGroup(), Epoch: s.GetEpoch(), Rank: int(s.GetRank()), Size: int(s.GetSize()), Open: s.GetOpen(),
-		Sequence: s.GetSequence(), Pass: s.GetPass(), Map: s.GetMap(), Prepared: s.GetPrepared(),
+		Pass: s.GetPass(), Map: s.GetMap(), Prepared: s.GetPrepared(),
 		Armed: s.GetArmed(), Held: s.GetHeld(), Running: int(s.GetRunning()), Pace: s.GetPace(),
 	}
 }
 
 // encodeOrder leaves the map out.
-func encodeOrder(self string, o experts.Order) *peerrpc.CommandRequest {
+func encodeOrder(o experts.Order) *peerrpc.CommandRequest {
 	return &peerrpc.CommandRequest{
-		Holder: self, Fence: o.Fence, Operation: int32(o.Operation), Epoch: o.Epoch, Version: o.Version, Pass: o.Pass,
+		Fence: o.Fence, Operation: int32(o.Operation), Epoch: o.Epoch, Version: o.Version, Pass: o.Pass,
 	}
 }
 
--- a/internal/ranks/lead.go
+++ b/internal/ranks/lead.go
@@ -158,7 +158,7 @@
 	}
 	defer link.close()
 	ranks := &client{
-		holder: l.options.Daemon, group: report.Group, directory: l.directory, link: link, http: l.http,
+		group: report.Group, directory: l.directory, link: link, http: l.http,
 		local: l.agent, ownRank: report.Rank, engine: l.engine, room: l.options.Room, silent: map[int]bool{}, places: map[int]Place{}, maps: semaphore.NewWeighted(mapsAtOnce),
 	}
 	lease := experts.Lease{Claimed: claimed, Size: report.Size, OwnRank: report.Rank, Engine: terms.Engine, Pause: terms.Pause}
--- a/internal/ranks/ranks_test.go
+++ b/internal/ranks/ranks_test.go
@@ -138,7 +138,7 @@
 			Expect(<-ended).NotTo(HaveOccurred())
 		})
 		return &client{
-			holder: "h", group: "g", link: l, http: http.DefaultClient, ownRank: 0, engine: engine, silent: map[int]bool{}, places: map[int]Place{}, maps: semaphore.NewWeighted(mapsAtOnce),
+			group: "g", link: l, http: http.DefaultClient, ownRank: 0, engine: engine, silent: map[int]bool{}, places: map[int]Place{}, maps: semaphore.NewWeighted(mapsAtOnce),
 			directory: place{Place{Server: "s", Agent: conn.LocalAddr().String()}},
 		}
 	}
@@ -255,6 +255,29 @@
 		Expect(httpCalls).To(Equal(1))
 	})
 
+	It("end with an error when an order without a map is answered as if it had one", func() {
+		conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		sealed := seal{key: []byte(key)}
+		go func() {
+			buffer := make([]byte, maxSealed)
+			n, from, err := conn.ReadFrom(buffer)
+			data, ok := sealed.open(buffer[:n])
+			var call peerrpc.RankCall
+			if err != nil || !ok || proto.Unmarshal(data, &call) != nil {
+				return
+			}
+			answer, _ := proto.Marshal(&peerrpc.RankAnswer{Id: call.GetId(), Command: &peerrpc.CommandReply{BaseUnknown: true}})
+			_, _ = conn.WriteTo(sealed.add(answer), from)
+		}()
+		c := connect(key)
+		c.directory = place{Place{Server: "s", Agent: conn.LocalAddr().String()}}
+		verdict, err := c.Command(bounded(5*time.Second), 1, experts.Order{Operation: experts.Arm, Version: 4, Pass: 12, Fence: 4}, false)
+		Expect(verdict).To(Equal(experts.Unanswered))
+		Expect(err).To(MatchError(ContainSubstring("no map")))
+	})
+
 	It("carry a map over HTTP when it differs too much for a datagram", func() {
 		c := connect(key)
 		lists := [][][]int{make([][]int, 2)}
