Connections that fall silent for good are noticed within two seconds; streams on them go on elsewhere

A stream whose connection went silent was waited for until its caller had left (two seconds); a long read of the configuration ended after three (probes at one and two seconds, user timeout 2.5 s), as late as the bound itself. Ruled out: plain requests (a second server after 0.8 of the objective), paced reads and exchanges (0.9 and 0.6 s), rank calls (datagrams). Change: a resumable stream that brings no event for 1.2 s while others of its service do goes on at another server after its last event, from the retry budget; a group that stalls as a whole is left alone. User timeout 1.9 s, so that the second probe ends an idle connection after 2 s. Specs: "goes on at another server when it alone falls silent" and "isn't waited for at a connection that has fallen silent" failed on the old code.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -11,6 +11,8 @@
 
 // attempt sends the request to one server and passes its answer on.
 func (p *Pipeline) attempt(ctx context.Context, x *exchange, server *fleet.Server, caller Caller) *failure.Error {
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
 	ctx, cancel := p.attemptContext(ctx, x)
 	defer cancel()
 	began := p.now()
@@ -33,7 +35,9 @@
 	}
 	var f *failure.Error
 	if isStream(x, answer) {
-		f = p.relayStream(ctx, x, server, answer, caller)
+		watch := p.newStallWatch(x, server, end)
+		defer watch.stop()
+		f = p.relayStream(ctx, x, server, answer, caller, watch)
 	} else {
 		f = p.relayAnswer(ctx, x, server, answer, caller)
 	}
--- a/internal/dispatch/dispatch_suite_test.go
+++ b/internal/dispatch/dispatch_suite_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -69,14 +70,46 @@
 	attempts []Attempt
 }
 
-func (s *script) Send(_ context.Context, r *Request, a Attempt) (*Answer, *SendError) {
+func (s *script) Send(ctx context.Context, r *Request, a Attempt) (*Answer, *SendError) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.attempts = append(s.attempts, a)
 	if len(s.attempts) > len(s.replies) {
 		Fail("attempt " + strconv.Itoa(len(s.attempts)) + " was not expected")
 	}
-	return s.replies[len(s.attempts)-1](r, a)
+	answer, err := s.replies[len(s.attempts)-1](r, a)
+	if answer != nil {
+		if body, isSilent := answer.Body.(*silentBody); isSilent {
+			body.attempt = ctx
+		}
+	}
+	return answer, err
+}
+
+// silentBody brings nothing after its events until the attempt has ended.
+type silentBody struct {
+	events  io.Reader
+	attempt context.Context
+}
+
+func (s *silentBody) Read(p []byte) (int, error) {
+	if n, err := s.events.Read(p); err == nil {
+		return n, nil
+	}
+	<-s.attempt.Done()
+	return 0, s.attempt.Err()
+}
+
+func (s *silentBody) Close() error { return nil }
+
+// fallsSilent answers with events, after which nothing more comes.
+func fallsSilent(events string) reply {
+	return func(r *Request, _ Attempt) (*Answer, *SendError) {
+		return &Answer{
+			Status: http.StatusOK, Header: http.Header{}, Info: AnswerInfo{Signed: true, RequestID: r.ID}, Length: -1,
+			Body: &silentBody{events: strings.NewReader(events)},
+		}, nil
+	}
 }
 
 // breaking is a body that ends with an error.
--- a/internal/dispatch/pauses.go
+++ b/internal/dispatch/pauses.go
@@ -40,3 +40,6 @@
 	}
 	return 0
 }
+
+// flowing tells whether own streams of a service bring events.
+func (b *Board) flowing(service string, now time.Time) bool { return b.pause(service, now) > 0 }
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -31,18 +31,20 @@
 	now     func() time.Time
 	log     *logrus.Entry
 	ledger  outcome.Ledger
+	// streamStall is the constant of that name, or what a spec sets.
+	streamStall time.Duration
 }
 
 // NewPipeline returns a pipeline over a view of the fleet. The board chooses servers.
 func NewPipeline(f Fleet, board *Board, backend Backend, now func() time.Time, log *logrus.Entry) *Pipeline {
-	return &Pipeline{fleet: f, board: board, chooser: board, backend: backend, now: now, log: log}
+	return &Pipeline{fleet: f, board: board, chooser: board, backend: backend, now: now, log: log, streamStall: streamStall}
 }
 
 // NewTargetPipeline returns a pipeline for frontends that know where their requests
 // go: it takes ServeTarget only.
 func NewTargetPipeline(f Fleet, chooser Chooser, backend Backend, now func() time.Time, log *logrus.Entry) *Pipeline {
 	board := NewBoard(BudgetPolicy{}, "", func(int) int { return 0 })
-	return &Pipeline{fleet: f, board: board, chooser: chooser, backend: backend, now: now, log: log}
+	return &Pipeline{fleet: f, board: board, chooser: chooser, backend: backend, now: now, log: log, streamStall: streamStall}
 }
 
 // Result is how a request ended.
--- a/internal/dispatch/pipeline_test.go
+++ b/internal/dispatch/pipeline_test.go
@@ -219,6 +219,24 @@
 		Expect(b.script.attempts[1].Server.ID).NotTo(Equal(b.script.attempts[0].Server.ID))
 	})
 
+	It("goes on at another server when it alone falls silent", func() {
+		b := newBench(fallsSilent(one+two), signed(http.StatusOK, three))
+		b.pipeline.streamStall = 20 * time.Millisecond
+		b.board.sawPause("model", 80*time.Millisecond, b.now)
+		Expect(b.serve("stream").Failure).To(BeNil())
+		Expect(b.caller.body.String()).To(Equal(one + two + three))
+		Expect(b.script.attempts[1].ResumeAfter).To(Equal(int64(2)))
+		Expect(b.logs.AllEntries()).To(ContainElement(HaveField("Data", HaveKeyWithValue("cause", ContainSubstring("no events")))))
+	})
+
+	It("is left alone while all streams of its group are silent", func() {
+		b := newBench(fallsSilent(one))
+		b.pipeline.streamStall = time.Millisecond
+		r := b.request("stream", 100*time.Millisecond)
+		Expect(b.pipeline.Serve(context.Background(), r, b.caller).Failure.Code).NotTo(Equal(failure.CodeSlow))
+		Expect(b.script.attempts).To(HaveLen(1))
+	})
+
 	It("that can't be resumed ends visibly broken", func() {
 		b := newBench(breaksOff(one))
 		result := b.serve("fixed")
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -67,6 +67,9 @@
 
 // brokenOff explains an answer that ended too early.
 func (p *Pipeline) brokenOff(ctx context.Context, server *fleet.Server, err error) *failure.Error {
+	if cause := context.Cause(ctx); errors.Is(cause, errStalled) {
+		return failure.Unknown(failure.StepRelay, server.ID, failure.CodeSlow, cause.Error())
+	}
 	if ctx.Err() == nil && !errors.Is(err, errCaller) {
 		p.chooser.Failed(server.ID, p.now())
 	}
@@ -75,7 +78,7 @@
 
 // relayStream passes whole events on as they come. Nothing reaches the caller
 // before the first one, so that a stream without any can be asked for again.
-func (p *Pipeline) relayStream(ctx context.Context, x *exchange, server *fleet.Server, a *Answer, caller Caller) *failure.Error {
+func (p *Pipeline) relayStream(ctx context.Context, x *exchange, server *fleet.Server, a *Answer, caller Caller, watch *stallWatch) *failure.Error {
 	reader := httpapi.NewEventReader(a.Body)
 	var pending []byte
 	var last time.Time
@@ -83,6 +86,7 @@
 		event, err := reader.Next()
 		if err == nil {
 			last = p.notePause(x, server, last)
+			watch.sawEvent()
 		}
 		if err == nil && (event.ID < 0 || event.ID > x.lastEvent) {
 			pending = append(pending, event.Raw...)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -27,8 +27,14 @@
 	// idleTimeout is below one second, the shortest keep-alive time that a header can
 	// announce, so that a request rarely crosses the server's close.
 	idleTimeout = 900 * time.Millisecond
-	// unackedTimeout ends connections to a peer that doesn't acknowledge bytes.
-	unackedTimeout = 2500 * time.Millisecond
+	// unackedTimeout ends connections to a peer that doesn't acknowledge bytes. An idle
+	// one ends at the probe that follows it, two seconds after the last bytes: open
+	// connections may fall silent for good while new ones work, and a configuration
+	// that such a read of the store misses has to be in force within three seconds.
+	unackedTimeout = 1900 * time.Millisecond
+	// probeTime is after how long without bytes a connection is probed, and the time
+	// between probes: the shortest that the system offers.
+	probeTime = time.Second
 	// idlePerServer bounds the connections kept open to one server.
 	idlePerServer = 16
 	// maxAnswerHeader bounds a server's header, in bytes.
@@ -61,7 +67,7 @@
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
+			Enable: true, Idle: probeTime, Interval: probeTime, Count: 1,
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var set error
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -12,6 +12,7 @@
 	"github.com/crowbridge/crowbridge/internal/fleet"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 )
 
 func TestUpstream(t *testing.T) {
@@ -98,6 +99,28 @@
 		Expect(sendErr.Sent).To(BeTrue())
 	})
 
+	It("isn't waited for at a connection that has fallen silent", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		conn, err := NewTransport().DialContext(context.Background(), "tcp", listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		raw, err := conn.(*net.TCPConn).SyscallConn()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(raw.Control(func(fd uintptr) {
+			option := func(name int) int {
+				value, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, name)
+				Expect(err).NotTo(HaveOccurred())
+				return value
+			}
+			// The system drops it at the first probe that is due once bytes or a probe
+			// have stayed unanswered for the user timeout.
+			Expect(option(unix.TCP_KEEPIDLE) + option(unix.TCP_KEEPINTVL)).To(Equal(2))
+			Expect(option(unix.TCP_USER_TIMEOUT)).To(BeNumerically("<", 2000))
+		})).To(Succeed())
+	})
+
 	It("is never repeated on its own when a kept connection dies", func() {
 		requests := make(chan int, 8)
 		address := rawServer(func(n int, conn net.Conn, in *bufio.Reader) {
