membership: one daemon of a zone reads the registrations, the others ask it; heartbeats aren't told on

Change: daemons tell their zone; the one with the first address reads (at 0.8 of the pace), the others ask it when they are due and take its registrations if they are at most half a pace old, counted from before its read. Registrations that the reader keeps because they lapsed in an outage are named in its replies, so that those who ask keep them as long; until now a daemon that heard of deletions from a peer before its own first read took lapsed servers as gone. Ruled out: longer pace (the drain bound), a long read of the registrations (returns at every heartbeat).

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -57,7 +57,7 @@
 	store := platform.NewStore(s.Store, upstream.NewTransport())
 	return &AgentDaemon{
 		settings: s, log: log, members: members, agent: agent,
-		exchange: membership.NewExchange(members, "", s.Seeds, client, log),
+		exchange: membership.NewExchange(members, membership.Peer{Zone: s.Zone}, s.Seeds, client, log),
 		leader:   ranks.NewLeader(options, agent, engines, directory{settings: s, members: members}, store, client, log),
 	}
 }
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -66,10 +66,10 @@
 	e := &EntryDaemon{
 		settings: s, log: log, members: members, replica: rep, steering: steering.New(rep, time.Now, log),
 		configLog: platform.ConfigLog{Store: store, Now: time.Now},
-		follower:  membership.NewFollower(members, store, s.StopRouting, log),
-		exchange:  membership.NewExchange(members, s.Control, s.Seeds, control, log),
 		board:     dispatch.NewBoard(budgetPolicy(s), s.Zone, rand.IntN),
 	}
+	e.exchange = membership.NewExchange(members, membership.Peer{Control: s.Control, Zone: s.Zone}, s.Seeds, control, log)
+	e.follower = membership.NewFollower(members, store, e.exchange, s.StopRouting, log)
 	backend := upstream.New(platform.Wire{})
 	members.OnServers(e.board.Keep)
 	members.OnServers(backend.Keep)
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -13,24 +13,36 @@
 // Exchange answers other daemons, and asks them. Its lock is a leaf.
 type Exchange struct {
 	members *Membership
-	self    string
+	self    Peer
 	seeds   []string
 	client  *http.Client
 	log     *logrus.Entry
 
-	mu sync.Mutex
-	// peers are control addresses, and when each was heard of.
-	peers map[string]time.Time
+	mu    sync.Mutex
+	peers map[string]heardPeer
+}
+
+// Peer is a daemon: its control address, empty when it takes no calls, and its
+// availability zone.
+type Peer struct{ Control, Zone string }
+
+// heardPeer is what is known of a daemon besides its address.
+type heardPeer struct {
+	// zone is empty until the daemon itself has been heard.
+	zone string
+	// heard is when it was heard of last.
+	heard time.Time
+	// passedOver is until when it isn't asked for registrations, because it couldn't tell.
+	passedOver time.Time
 }
 
 type offsets struct{ operators, servers int64 }
 
-// NewExchange returns the exchange of a daemon. self is its control address, or
-// empty when it takes no calls.
-func NewExchange(members *Membership, self string, seeds []string, client *http.Client, log *logrus.Entry) *Exchange {
+// NewExchange returns the exchange of a daemon.
+func NewExchange(members *Membership, self Peer, seeds []string, client *http.Client, log *logrus.Entry) *Exchange {
 	return &Exchange{
 		members: members, self: self, seeds: seeds, client: client, log: log,
-		peers: map[string]time.Time{},
+		peers: map[string]heardPeer{},
 	}
 }
 
@@ -45,13 +57,26 @@
 // far it knows the topics: a daemon that lacks something asks itself.
 func (e *Exchange) Exchange(_ context.Context, r *peerrpc.ExchangeRequest) (*peerrpc.ExchangeReply, error) {
 	if r.GetControl() != "" {
-		e.heard(r.GetControl())
+		e.heardOf(Peer{Control: r.GetControl(), Zone: r.GetZone()})
 	}
+	reply := &peerrpc.ExchangeReply{Peers: e.Peers(), Zone: e.self.Zone, ServersAgeMs: ageMs(e.members.now(), e.members.asOf())}
 	operators, servers := e.changes(offsets{r.GetOperatorsNext(), r.GetServersNext()})
-	if r.GetServersOnly() {
-		operators = nil
+	reply.Servers = servers
+	if !r.GetServersOnly() {
+		reply.Operators = operators
+	}
+	for id, left := range e.members.keptLapses() {
+		reply.Lapses = append(reply.Lapses, &peerrpc.Lapse{Key: id, RemainingMs: left.Milliseconds()})
+	}
+	return reply, nil
+}
+
+// ageMs is how long ago a time was, in milliseconds, or -1 for the zero time.
+func ageMs(now, at time.Time) int64 {
+	if at.IsZero() {
+		return -1
 	}
-	return &peerrpc.ExchangeReply{Operators: operators, Servers: servers, Peers: e.Peers()}, nil
+	return now.Sub(at).Milliseconds()
 }
 
 // Ask takes in what a peer knows and this daemon lacks.
@@ -63,20 +88,17 @@
 
 func (e *Exchange) ask(ctx context.Context, peer string, serversOnly bool) error {
 	operators, servers := e.members.offsets()
+	asked := e.members.now()
 	reply, err := peerrpc.NewMembershipProtobufClient("http://"+peer, e.client).Exchange(ctx, &peerrpc.ExchangeRequest{
-		Control: e.self, OperatorsNext: operators, ServersNext: servers, ServersOnly: serversOnly,
+		Control: e.self.Control, Zone: e.self.Zone, OperatorsNext: operators, ServersNext: servers, ServersOnly: serversOnly,
 	})
 	if err != nil {
 		return err
 	}
-	e.takeIn(reply.GetOperators(), reply.GetServers(), "peer "+peer)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.peers[peer] = e.members.now()
+	e.takeIn(reply, asked, "peer "+peer)
+	e.heardOf(Peer{Control: peer, Zone: reply.GetZone()})
 	for _, other := range reply.GetPeers() {
-		if _, listed := e.peers[other]; !listed && other != e.self {
-			e.peers[other] = e.members.now()
-		}
+		e.toldOf(other)
 	}
 	return nil
 }
@@ -102,20 +124,30 @@
 	return encoded
 }
 
-func (e *Exchange) takeIn(operators, servers *peerrpc.Topic, source string) {
+// takeIn takes in a reply to a question that was asked at a time.
+func (e *Exchange) takeIn(reply *peerrpc.ExchangeReply, asked time.Time, source string) {
+	operators, servers := reply.GetOperators(), reply.GetServers()
 	knownOperators, knownServers := e.members.offsets()
-	if news(operators, knownOperators) {
+	if operators.GetNext() > knownOperators {
 		e.members.takeOperators(decode(operators), operators.GetNext(), operators.GetWhole(), source)
 	}
-	if news(servers, knownServers) {
+	if servers.GetNext() < knownServers || servers.GetNext() == unknown {
+		return
+	}
+	news := registrations{
+		records: decode(servers), next: servers.GetNext(), whole: servers.GetWhole(), source: source,
+		lapses: make(map[string]time.Duration, len(reply.GetLapses())),
+	}
+	if age := reply.GetServersAgeMs(); age >= 0 {
+		news.asOf = asked.Add(-time.Duration(age) * time.Millisecond)
+	}
+	for _, lapse := range reply.GetLapses() {
+		news.lapses[lapse.GetKey()] = time.Duration(lapse.GetRemainingMs()) * time.Millisecond
+	}
+	if servers.GetNext() > knownServers && len(news.lapses) == 0 {
 		e.members.heardFromPeer()
-		e.members.takeServers(decode(servers), servers.GetNext(), servers.GetWhole(), source)
 	}
-}
-
-// news tells whether a peer's topic holds more than is known.
-func news(t *peerrpc.Topic, known int64) bool {
-	return t.GetNext() > known && (t.GetWhole() || len(t.GetRecords()) > 0)
+	e.members.takeServers(news)
 }
 
 func decode(t *peerrpc.Topic) []Record {
@@ -129,10 +161,22 @@
 // peerForget is how long a peer that isn't heard of is kept.
 const peerForget = 60 * time.Second
 
-func (e *Exchange) heard(peer string) {
+// heardOf notes that a daemon itself was heard.
+func (e *Exchange) heardOf(peer Peer) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.peers[peer] = e.members.now()
+	known := e.peers[peer.Control]
+	known.zone, known.heard = peer.Zone, e.members.now()
+	e.peers[peer.Control] = known
+}
+
+// toldOf notes that another daemon knows of a daemon.
+func (e *Exchange) toldOf(peer string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, listed := e.peers[peer]; !listed && peer != e.self.Control {
+		e.peers[peer] = heardPeer{heard: e.members.now()}
+	}
 }
 
 // Peers returns the control addresses of known daemons, the seeds included.
@@ -141,15 +185,15 @@
 	defer e.mu.Unlock()
 	var found []string
 	now := e.members.now()
-	for peer, heard := range e.peers {
-		if now.Sub(heard) > peerForget {
+	for peer, known := range e.peers {
+		if now.Sub(known.heard) > peerForget {
 			delete(e.peers, peer)
 			continue
 		}
 		found = append(found, peer)
 	}
 	for _, seed := range e.seeds {
-		if _, listed := e.peers[seed]; !listed && seed != e.self {
+		if _, listed := e.peers[seed]; !listed && seed != e.self.Control {
 			found = append(found, seed)
 		}
 	}
--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -32,6 +32,16 @@
 	Newest(ctx context.Context, topic Topic) ([]Record, int64, error)
 }
 
+// Zone is the daemons of one availability zone, one of which reads the registrations
+// for all.
+type Zone interface {
+	// Refresh asks that daemon. It tells whether the registrations are known now as they
+	// were at most maxAge ago; never at that daemon itself.
+	Refresh(ctx context.Context, maxAge time.Duration) bool
+	// ReadsForZone tells whether this daemon is the one, and others may ask it.
+	ReadsForZone() bool
+}
+
 const (
 	// configWait is how long one read waits for a new configuration. Each read is
 	// paid for, so it is long; a broken connection is noticed by keep-alive probes.
@@ -41,6 +51,11 @@
 	// it when that isn't set.
 	serversPart = 0.55
 	serversPace = 900 * time.Millisecond
+	// readerPart is the time between a zone's reader's own reads, as a part of that of
+	// other daemons, and relayedPart the greatest age, as such a part, of registrations
+	// that the others take from it. The reader's are newer when the others ask.
+	readerPart  = 0.8
+	relayedPart = 0.5
 	// callTimeout bounds one call beyond its wait. The store answers in some
 	// milliseconds; its slow spells are some fifty times that.
 	callTimeout = 900 * time.Millisecond
@@ -49,12 +64,18 @@
 	retryMost  = 600 * time.Millisecond
 )
 
+// fromStore names the store as a source of records in logs.
+const fromStore = "store"
+
 // Follower keeps a Membership up to date from the store.
 type Follower struct {
 	members *Membership
 	store   Store
+	zone    Zone
 	log     *logrus.Entry
 	pace    time.Duration
+	// failures are the reads of registrations that have failed in a row.
+	failures int
 	// healthy is whether the last call to the store succeeded.
 	healthy atomic.Bool
 	// rereads wakes a long read whose connection may be dead.
@@ -63,14 +84,15 @@
 	lost chan struct{}
 }
 
-// NewFollower returns a follower. stopRouting is how soon requests must stop
-// going to a server that is known to leave, or 0.
-func NewFollower(members *Membership, store Store, stopRouting time.Duration, log *logrus.Entry) *Follower {
+// NewFollower returns a follower. zone may be nil: then it reads everything itself.
+// stopRouting is how soon requests must stop going to a server that is known to
+// leave, or 0.
+func NewFollower(members *Membership, store Store, zone Zone, stopRouting time.Duration, log *logrus.Entry) *Follower {
 	pace := time.Duration(serversPart * float64(stopRouting))
 	if pace <= 0 {
 		pace = serversPace
 	}
-	return &Follower{members: members, store: store, log: log, pace: pace, rereads: make(chan struct{}, 1), lost: make(chan struct{}, 1)}
+	return &Follower{members: members, store: store, zone: zone, log: log, pace: pace, rereads: make(chan struct{}, 1), lost: make(chan struct{}, 1)}
 }
 
 // Healthy tells whether the store answered last time.
@@ -112,7 +134,7 @@
 		return f.readNewest(ctx, TopicOperators)
 	}
 	if err == nil {
-		f.members.takeOperators(records, next, false, "store")
+		f.members.takeOperators(records, next, false, fromStore)
 	}
 	return err
 }
@@ -120,18 +142,29 @@
 // FollowServers follows the registrations until the context ends. It also finds
 // out whether the store can be reached.
 func (f *Follower) FollowServers(ctx context.Context) {
-	failures := 0
 	for ctx.Err() == nil {
-		err := f.readServers(ctx)
-		f.note(err)
-		if err == nil {
-			failures = 0
-			wait.For(ctx, f.pace)
-			continue
-		}
-		failures++
-		wait.For(ctx, pause(failures))
+		wait.For(ctx, f.refreshServers(ctx))
+	}
+}
+
+// refreshServers gets the registrations from the zone's reader or from the store. It
+// returns how long they do: however they came, they are read again once they are as
+// of pace ago.
+func (f *Follower) refreshServers(ctx context.Context) time.Duration {
+	if f.zone != nil && f.failures == 0 && f.zone.Refresh(ctx, time.Duration(relayedPart*float64(f.pace))) {
+		return f.members.asOf().Add(f.pace).Sub(f.members.now())
+	}
+	err := f.readServers(ctx)
+	f.note(err)
+	if err != nil {
+		f.failures++
+		return pause(f.failures)
+	}
+	f.failures = 0
+	if f.zone != nil && f.zone.ReadsForZone() {
+		return time.Duration(readerPart * float64(f.pace))
 	}
+	return f.pace
 }
 
 func (f *Follower) readServers(ctx context.Context) error {
@@ -141,12 +174,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	asked := f.members.now()
 	records, next, err := f.store.Read(ctx, TopicServers, from, 0)
 	if errors.Is(err, ErrGone) {
 		return f.readNewest(ctx, TopicServers)
 	}
 	if err == nil {
-		f.members.takeServers(records, next, false, "store")
+		f.members.takeServers(registrations{records: records, next: next, asOf: asked, source: fromStore})
 	}
 	return err
 }
@@ -154,15 +188,16 @@
 func (f *Follower) readNewest(ctx context.Context, topic Topic) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	asked := f.members.now()
 	records, next, err := f.store.Newest(ctx, topic)
 	if err != nil {
 		return err
 	}
 	switch topic {
 	case TopicOperators:
-		f.members.takeOperators(records, next, true, "store")
+		f.members.takeOperators(records, next, true, fromStore)
 	case TopicServers:
-		f.members.takeServers(records, next, true, "store")
+		f.members.takeServers(registrations{records: records, next: next, whole: true, asOf: asked, source: fromStore})
 	}
 	return nil
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -40,6 +40,8 @@
 	// meanwhile: then the store was away for this daemon only, and nothing lapsed.
 	away, peerNews bool
 	onServers      []func(*fleet.Servers)
+	// serversAsOf is a time at which nothing newer had been registered.
+	serversAsOf time.Time
 
 	config  atomic.Pointer[fleet.Config]
 	present atomic.Pointer[fleet.Servers]
@@ -86,7 +88,9 @@
 			m.adopt(r, source)
 		}
 	}
-	take(records, next)
+	for _, key := range take(records, next) {
+		m.operators.markChanged(key)
+	}
 }
 
 // adopt puts a configuration in force if it is newer and well-formed.
@@ -108,42 +112,71 @@
 	log.WithField("version", config.Version).Info("configuration in force")
 }
 
+// registrations are records of servers to be taken in.
+type registrations struct {
+	records []Record
+	// next is the offset up to which they are known; whole says that they are the
+	// newest of every key.
+	next  int64
+	whole bool
+	// asOf is a time at which nothing newer had been registered; zero when unknown.
+	asOf   time.Time
+	source string
+	// lapses are the deleted ones that the source keeps, and for how long still.
+	lapses map[string]time.Duration
+}
+
 // takeServers takes in registrations.
-func (m *Membership) takeServers(records []Record, next int64, whole bool, source string) {
+func (m *Membership) takeServers(r registrations) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	take := m.servers.take
-	if whole {
+	if r.whole {
 		take = m.servers.replace
 	}
+	if r.next >= m.servers.next && r.asOf.After(m.serversAsOf) {
+		m.serversAsOf = r.asOf
+	}
 	first := m.present.Load() == nil
 	changed := false
-	for _, id := range take(records, next) {
-		changed = m.applyServer(id, source) || changed
+	for _, id := range take(r.records, r.next) {
+		changed = m.applyServer(id, r) || changed
 	}
 	if changed = m.expire() || changed; changed || first {
 		m.publish()
 	}
 }
 
+// asOf returns a time at which nothing newer than the known registrations had been
+// registered; zero while none are known.
+func (m *Membership) asOf() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.serversAsOf
+}
+
 // applyServer takes one changed registration over. It returns whether anything
 // but a heartbeat happened.
-func (m *Membership) applyServer(id, source string) bool {
+func (m *Membership) applyServer(id string, from registrations) bool {
 	r := m.servers.records[id]
-	log := m.log.WithFields(logrus.Fields{"server": id, "offset": r.Offset, "source": source})
+	log := m.log.WithFields(logrus.Fields{"server": id, "offset": r.Offset, "source": from.source})
 	old := m.decoded[id]
 	if len(r.Value) == 0 {
-		return m.remove(id, old, log)
+		m.servers.markChanged(id)
+		return m.remove(id, old, from.lapses[id], log)
 	}
-	delete(m.lapsed, id)
 	server, err := m.decoder.DecodeServer(id, r.Value)
 	if err != nil {
+		m.servers.markChanged(id)
 		log.WithError(err).Error("registration refused: the last one stays")
 		return false
 	}
-	if old != nil && equal(old, server) {
+	_, lapsed := m.lapsed[id]
+	delete(m.lapsed, id)
+	if same := old != nil && equal(old, server); same && !lapsed {
 		return false
 	}
+	m.servers.markChanged(id)
 	m.decoded[id] = server
 	log.WithFields(logrus.Fields{
 		"address": server.Address, "leaving": server.Leaving, "rank": describe(server.Rank),
@@ -165,12 +198,17 @@
 	return sameRank && x == y
 }
 
-func (m *Membership) remove(id string, old *fleet.Server, log *logrus.Entry) bool {
+// remove takes a server as gone, or keeps it for a while if it may only have lapsed:
+// for as long as the source of the news does, or because the store was away.
+func (m *Membership) remove(id string, old *fleet.Server, kept time.Duration, log *logrus.Entry) bool {
 	if old == nil {
 		return false
 	}
-	if m.away && !m.peerNews && !old.Leaving {
-		m.lapsed[id] = m.now().Add(outageGrace)
+	if kept == 0 && m.away && !m.peerNews && !old.Leaving {
+		kept = outageGrace
+	}
+	if kept > 0 {
+		m.lapsed[id] = m.now().Add(kept)
 		log.Info("registration lapsed while the store was away: kept for now")
 		return false
 	}
@@ -227,3 +265,16 @@
 	defer m.mu.Unlock()
 	m.peerNews = true
 }
+
+// keptLapses returns the deleted registrations that are kept, and for how long still.
+func (m *Membership) keptLapses() map[string]time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	kept := make(map[string]time.Duration, len(m.lapsed))
+	for id, until := range m.lapsed {
+		if left := until.Sub(m.now()); left > 0 {
+			kept[id] = left
+		}
+	}
+	return kept
+}
--- a/internal/membership/membership_suite_test.go
+++ b/internal/membership/membership_suite_test.go
@@ -104,7 +104,7 @@
 	b := &bench{now: time.Unix(1000, 0), store: newFakeStore(), logs: logs}
 	log := logrus.NewEntry(logger)
 	b.members = New(plainDecoder{}, func() time.Time { return b.now }, log)
-	b.follower = NewFollower(b.members, b.store, 0, log)
+	b.follower = NewFollower(b.members, b.store, nil, 0, log)
 	return b
 }
 
@@ -220,10 +220,10 @@
 			Expect(other.read()).To(Succeed())
 			b.store.err = errors.New("refused")
 			Expect(b.read()).NotTo(Succeed())
-			exchange := NewExchange(other.members, "", nil, http.DefaultClient, other.follower.log)
+			exchange := NewExchange(other.members, Peer{}, nil, http.DefaultClient, other.follower.log)
 			server := httptest.NewServer(peerrpc.NewMembershipServer(exchange))
 			DeferCleanup(server.Close)
-			own := NewExchange(b.members, "", nil, http.DefaultClient, b.follower.log)
+			own := NewExchange(b.members, Peer{}, nil, http.DefaultClient, b.follower.log)
 			Expect(own.Ask(context.Background(), strings.TrimPrefix(server.URL, "http://"))).To(Succeed())
 			Expect(b.ids()).To(BeEmpty())
 		})
@@ -269,7 +269,7 @@
 var _ = Describe("daemons among themselves", func() {
 	// serve puts an exchange on a loopback port and returns its address.
 	serve := func(b *bench) (string, *Exchange) {
-		e := NewExchange(b.members, "", nil, http.DefaultClient, logrus.NewEntry(logrus.New()))
+		e := NewExchange(b.members, Peer{}, nil, http.DefaultClient, logrus.NewEntry(logrus.New()))
 		server := httptest.NewServer(peerrpc.NewMembershipServer(e))
 		DeferCleanup(server.Close)
 		return strings.TrimPrefix(server.URL, "http://"), e
@@ -281,7 +281,7 @@
 		knowing.store.append(TopicServers, "a", "1.1.1.1:1")
 		Expect(knowing.read()).To(Succeed())
 		address, _ := serve(knowing)
-		e := NewExchange(asking.members, "", []string{address}, http.DefaultClient, asking.follower.log)
+		e := NewExchange(asking.members, Peer{}, []string{address}, http.DefaultClient, asking.follower.log)
 		Expect(e.Ask(context.Background(), address)).To(Succeed())
 		Expect(asking.members.Config().Version).To(Equal(int64(5)))
 		Expect(asking.ids()).To(ConsistOf("a"))
@@ -293,7 +293,7 @@
 		Expect(asking.read()).To(Succeed())
 		address, server := serve(asked)
 		sent := &countingTransport{}
-		e := NewExchange(asking.members, "10.0.0.9:1", []string{address}, &http.Client{Transport: sent}, asking.follower.log)
+		e := NewExchange(asking.members, Peer{Control: "10.0.0.9:1"}, []string{address}, &http.Client{Transport: sent}, asking.follower.log)
 		for range 3 {
 			Expect(e.Ask(context.Background(), address)).To(Succeed())
 		}
@@ -310,7 +310,7 @@
 		knowing.store.append(TopicServers, "a", "1.1.1.1:1")
 		Expect(knowing.read()).To(Succeed())
 		address, _ := serve(knowing)
-		e := NewExchange(asking.members, "", []string{address}, http.DefaultClient, asking.follower.log)
+		e := NewExchange(asking.members, Peer{}, []string{address}, http.DefaultClient, asking.follower.log)
 		Expect(e.AskServers(context.Background(), address)).To(Succeed())
 		Expect(asking.members.Config()).To(BeNil())
 		Expect(asking.ids()).To(ConsistOf("a"))
@@ -326,7 +326,7 @@
 		newer.store.append(TopicOperators, "config", "8")
 		Expect(newer.read()).To(Succeed())
 		address, _ := serve(old)
-		e := NewExchange(newer.members, "", []string{address}, http.DefaultClient, newer.follower.log)
+		e := NewExchange(newer.members, Peer{}, []string{address}, http.DefaultClient, newer.follower.log)
 		Expect(e.Ask(context.Background(), address)).To(Succeed())
 		Expect(newer.members.Config().Version).To(Equal(int64(8)))
 	})
@@ -334,7 +334,7 @@
 	It("learn of each other", func() {
 		asked, asking := newBench(), newBench()
 		address, server := serve(asked)
-		e := NewExchange(asking.members, "10.0.0.9:1", []string{address}, http.DefaultClient, asking.follower.log)
+		e := NewExchange(asking.members, Peer{Control: "10.0.0.9:1"}, []string{address}, http.DefaultClient, asking.follower.log)
 		Expect(e.Ask(context.Background(), address)).To(Succeed())
 		Expect(server.Peers()).To(ConsistOf("10.0.0.9:1"))
 	})
--- /dev/null
+++ b/internal/membership/reader_test.go
@@ -0,0 +1,174 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/peerrpc"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+)
+
+// served is a daemon whose exchange others can ask.
+type served struct {
+	*bench
+	exchange *Exchange
+	address  string
+	asked    int
+}
+
+// serveIn puts a daemon of a zone on a loopback port. Its follower has the zone.
+func serveIn(zone string, store *fakeStore) *served {
+	s := &served{bench: newBench()}
+	s.store = store
+	server := httptest.NewUnstartedServer(nil)
+	s.address = server.Listener.Addr().String()
+	log := logrus.NewEntry(logrus.New())
+	log.Logger.SetOutput(GinkgoWriter)
+	s.exchange = NewExchange(s.members, Peer{Control: s.address, Zone: zone}, nil, http.DefaultClient, log)
+	calls := peerrpc.NewMembershipServer(s.exchange)
+	server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.asked++
+		calls.ServeHTTP(w, r)
+	})
+	server.Start()
+	DeferCleanup(server.Close)
+	s.follower = NewFollower(s.members, store, s.exchange, 0, log)
+	return s
+}
+
+// zoneOf returns two daemons of a zone that know each other, the reader first.
+func zoneOf(store *fakeStore) (reader, other *served) {
+	reader, other = serveIn("z", store), serveIn("z", store)
+	if other.address < reader.address {
+		reader, other = other, reader
+	}
+	Expect(other.exchange.Ask(context.Background(), reader.address)).To(Succeed())
+	return reader, other
+}
+
+var _ = Describe("the registrations of a zone", func() {
+	// ownPace is the time between a reader's own reads.
+	const ownPace = time.Duration(readerPart * float64(serversPace))
+	ctx := context.Background()
+
+	It("are read by one daemon, and the others ask it", func() {
+		store := newFakeStore()
+		store.append(TopicServers, "a", "1.1.1.1:1")
+		reader, other := zoneOf(store)
+		Expect(reader.follower.refreshServers(ctx)).To(Equal(ownPace))
+		reads := store.reads
+		Expect(other.follower.refreshServers(ctx)).To(BeNumerically("~", serversPace, time.Millisecond))
+		Expect(store.reads).To(Equal(reads))
+		Expect(other.ids()).To(ConsistOf("a"))
+	})
+
+	It("are as new at the others as if they had read them: the reader's age counts", func() {
+		store := newFakeStore()
+		reader, other := zoneOf(store)
+		reader.follower.refreshServers(ctx)
+		reader.now = reader.now.Add(300 * time.Millisecond)
+		Expect(other.follower.refreshServers(ctx)).To(BeNumerically("~", serversPace-300*time.Millisecond, 5*time.Millisecond))
+	})
+
+	It("are read from the store while the reader's are too old", func() {
+		store := newFakeStore()
+		reader, other := zoneOf(store)
+		reader.follower.refreshServers(ctx)
+		reader.now = reader.now.Add(serversPace)
+		reads := store.reads
+		Expect(other.follower.refreshServers(ctx)).To(Equal(ownPace), "it's the zone's reader meanwhile")
+		Expect(store.reads).To(Equal(reads + 1))
+		asked := reader.asked
+		other.follower.refreshServers(ctx)
+		Expect(reader.asked).To(Equal(asked), "who couldn't tell isn't asked again at once")
+		other.now = other.now.Add(readerPause + time.Millisecond)
+		other.follower.refreshServers(ctx)
+		Expect(reader.asked).To(Equal(asked + 1))
+	})
+
+	It("are read from the store when the reader can't be reached", func() {
+		store := newFakeStore()
+		store.append(TopicServers, "a", "1.1.1.1:1")
+		other := serveIn("z", store)
+		other.exchange.heardOf(Peer{Control: "0.0.0.0:1", Zone: "z"})
+		Expect(other.follower.refreshServers(ctx)).To(Equal(ownPace))
+		Expect(other.ids()).To(ConsistOf("a"))
+	})
+
+	It("are read by each zone for itself", func() {
+		store := newFakeStore()
+		here, there := serveIn("z1", store), serveIn("z2", store)
+		Expect(here.exchange.Ask(ctx, there.address)).To(Succeed())
+		for _, daemon := range []*served{here, there} {
+			Expect(daemon.exchange.ReadsForZone()).To(BeFalse())
+			reads := store.reads
+			daemon.follower.refreshServers(ctx)
+			Expect(store.reads).To(BeNumerically(">=", reads))
+			Expect(daemon.members.Servers()).NotTo(BeNil())
+		}
+	})
+
+	It("aren't sent again for a heartbeat", func() {
+		store := newFakeStore()
+		store.append(TopicServers, "a", "1.1.1.1:1")
+		store.append(TopicServers, "b", "1.1.1.2:1")
+		reader, other := zoneOf(store)
+		reader.follower.refreshServers(ctx)
+		other.follower.refreshServers(ctx)
+		_, known := other.members.offsets()
+		store.append(TopicServers, "a", "1.1.1.1:1")
+		store.append(TopicServers, "b", "1.1.1.2:1 leaving")
+		reader.follower.refreshServers(ctx)
+		_, changes := reader.exchange.changes(offsets{0, known})
+		Expect(changes.GetRecords()).To(HaveLen(1))
+		Expect(changes.GetRecords()[0].GetKey()).To(Equal("b"))
+		other.follower.refreshServers(ctx)
+		Expect(other.members.Servers().Server("b").Leaving).To(BeTrue())
+		_, next := other.members.offsets()
+		Expect(next).To(Equal(changes.GetNext()))
+	})
+
+	Describe("that lapsed in an outage", func() {
+		// lapsed returns a zone whose reader alone has seen an outage, in which a lapsed.
+		lapsed := func() (reader, other *served) {
+			store := newFakeStore()
+			store.append(TopicServers, "a", "1.1.1.1:1")
+			reader, other = zoneOf(store)
+			reader.follower.refreshServers(ctx)
+			other.follower.refreshServers(ctx)
+			store.err = errors.New("down")
+			reader.follower.refreshServers(ctx)
+			store.err = nil
+			store.append(TopicServers, "a", "")
+			reader.follower.refreshServers(ctx)
+			other.follower.refreshServers(ctx)
+			return reader, other
+		}
+
+		It("are kept by those who ask for as long as by the reader", func() {
+			reader, other := lapsed()
+			Expect(other.ids()).To(ConsistOf("a"))
+			for _, daemon := range []*served{reader, other} {
+				daemon.now = daemon.now.Add(outageGrace + time.Millisecond)
+				daemon.follower.refreshServers(ctx)
+				Expect(daemon.ids()).To(BeEmpty())
+			}
+		})
+
+		It("stay when they are registered again as before", func() {
+			reader, other := lapsed()
+			reader.store.append(TopicServers, "a", "1.1.1.1:1")
+			for _, daemon := range []*served{reader, other} {
+				daemon.follower.refreshServers(ctx)
+				daemon.now = daemon.now.Add(outageGrace + time.Millisecond)
+				daemon.follower.refreshServers(ctx)
+				Expect(daemon.ids()).To(ConsistOf("a"))
+			}
+		})
+	})
+})
--- a/internal/membership/topic.go
+++ b/internal/membership/topic.go
@@ -20,14 +20,20 @@
 type topic struct {
 	next    int64
 	records map[string]Record
+	// changed is the offset at which each key last changed by more than a heartbeat:
+	// only such changes are told on.
+	changed map[string]int64
 	// base is the offset up to which only the newest of each key was read: deletions
 	// before it aren't among the records.
 	base int64
 }
 
-func newTopic() *topic { return &topic{next: unknown, records: map[string]Record{}, base: unknown} }
+func newTopic() *topic {
+	return &topic{next: unknown, records: map[string]Record{}, changed: map[string]int64{}, base: unknown}
+}
 
-// take takes in records up to the offset next. It returns the keys that changed.
+// take takes in records up to the offset next. It returns the keys that have a
+// newer record; markChanged says which of these are to be told on.
 func (t *topic) take(records []Record, next int64) []string {
 	var changed []string
 	for _, r := range records {
@@ -57,12 +63,15 @@
 	return t.take(records, next)
 }
 
-// since returns the records from an offset on.
+// markChanged notes that a key's newest record is more than a heartbeat.
+func (t *topic) markChanged(key string) { t.changed[key] = t.records[key].Offset }
+
+// since returns the newest records of the keys that changed from an offset on.
 func (t *topic) since(offset int64) []Record {
 	var found []Record
-	for _, r := range t.records {
-		if r.Offset >= offset {
-			found = append(found, r)
+	for key, changed := range t.changed {
+		if changed >= offset {
+			found = append(found, t.records[key])
 		}
 	}
 	return found
