dispatch: fair admission between customers on the platform

Cause: hosted admission knew occupancy and priorities only. In a model of one group (20 requests a second, one customer asks for 50, nine for 1 each) the nine got 0.55 of theirs: whoever sends most gets most. Change: an entry counts its customers' requests in progress; one that has more than 1.25 times an equal part among those that asked in the last 3 s is refused at 0.90 of the places instead of 1.05, and when it comes again at 1.05 instead of 1.5, so that the others find a place. Nobody else's counts are asked for; a customer may always have two. After: 0.95 or more for each of the nine, two customers that both want more than half of the places end at 0.4 or more for the smaller sender, nobody is bounded while there is room. Ruled out: counting requests instead of places (a customer of long answers would get more), weights (the platform's settings name none).

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -25,6 +25,10 @@
 	// count: less urgent work gives way first, and is never shut out.
 	behindStep = 0.1
 	mostBehind = 3
+	// overShareStep is by how much earlier a request is refused whose customer has more
+	// than its share of the places in use already, so that others find one. When it
+	// comes again it gets no more places than a new one of the others.
+	overShareStep = 0.15
 	// comeBackLeast and comeBackMost bound the hint to come back; it's spread, so that
 	// those who were refused together don't return together.
 	comeBackLeast = 700 * time.Millisecond
@@ -37,20 +41,38 @@
 	if x.route.Kind != fleet.KindStreaming || x.begun || picked.Server.Rank == nil {
 		return nil
 	}
-	full := fullFirst
+	overShare := p.board.askedForPlace(x.Service, x.request.Customer, p.now())
 	pause := p.board.pause(x.Service, p.now())
-	switch {
-	case x.repeated:
-		full = fullRepeat
-	case pause > time.Duration(slowPart*float64(x.route.EventPause)) && x.route.EventPause > 0:
-		full = fullSlow
-	}
-	full -= behindStep * float64(min(x.behind, mostBehind))
+	full := fullAt(x, pause, overShare)
 	if picked.Occupied < full {
+		p.takePlace(x)
 		return nil
 	}
 	spread := time.Duration(p.board.random(int((comeBackMost - comeBackLeast).Milliseconds()))) * time.Millisecond
 	return failure.NotRun(failure.StepQueue, x.Service, failure.CodeOverloaded,
-		fmt.Sprintf("%.2f of the servers' places are taken, %.2f admitted at %d ms between events",
-			picked.Occupied, full, pause.Milliseconds())).After(comeBackLeast + spread)
+		fmt.Sprintf("%.2f of the servers' places are taken, %.2f admitted at %d ms between events, customer over its share: %t",
+			picked.Occupied, full, pause.Milliseconds(), overShare)).After(comeBackLeast + spread)
+}
+
+// takePlace counts an admitted request as its customer's, once.
+func (p *Pipeline) takePlace(x *exchange) {
+	if !x.hasPlace {
+		x.hasPlace = true
+		p.board.gotPlace(x.Service, x.request.Customer)
+	}
+}
+
+// fullAt is the part of all places from which on a request is refused.
+func fullAt(x *exchange, pause time.Duration, overShare bool) float64 {
+	full := fullFirst
+	switch {
+	case overShare && !x.repeated:
+		full -= overShareStep
+	case x.repeated && !overShare:
+		full = fullRepeat
+	}
+	if slow := time.Duration(slowPart * float64(x.route.EventPause)); slow > 0 && pause > slow && !x.repeated {
+		full = fullSlow
+	}
+	return full - behindStep*float64(min(x.behind, mostBehind))
 }
--- a/internal/dispatch/board.go
+++ b/internal/dispatch/board.go
@@ -16,6 +16,8 @@
 	budgets map[string]*retryBudget
 	// pauses is the smoothed pause between events of own streams, by service.
 	pauses map[string]*pauseEstimate
+	// shares are the customers' requests in progress, by service.
+	shares map[string]*customerShares
 	// patience is the most that the callers of a route have shown.
 	patience map[string]time.Duration
 	policy   BudgetPolicy
@@ -62,7 +64,8 @@
 // NewBoard returns an empty board. random returns a number below n.
 func NewBoard(policy BudgetPolicy, zone string, random func(n int) int) *Board {
 	return &Board{
-		rows: map[string]*row{}, groups: map[string]*groupState{}, budgets: map[string]*retryBudget{}, patience: map[string]time.Duration{}, pauses: map[string]*pauseEstimate{},
+		rows: map[string]*row{}, groups: map[string]*groupState{}, budgets: map[string]*retryBudget{},
+		patience: map[string]time.Duration{}, pauses: map[string]*pauseEstimate{}, shares: map[string]*customerShares{},
 		policy: policy, zone: zone, random: random,
 	}
 }
--- /dev/null
+++ b/internal/dispatch/fairness_test.go
@@ -0,0 +1,154 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/failure"
+	"github.com/crowbridge/crowbridge/internal/fleet"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// arrival is a customer's request in a crowd.
+type arrival struct {
+	at       time.Duration
+	customer string
+	repeated bool
+}
+
+// crowd plays customers who share one group of ranks, on a clock of its own: each
+// admitted stream holds a place for a while, each refused one comes back once, when
+// it was told to.
+type crowd struct {
+	*bench
+	places  int
+	lasts   time.Duration
+	ends    []placeEnd
+	waiting []arrival
+	asked   map[string]int
+	served  map[string]int
+}
+
+type placeEnd struct {
+	at       time.Duration
+	server   string
+	customer string
+}
+
+const crowdServers = 4
+
+func newCrowd(places int, lasts time.Duration) *crowd {
+	c := &crowd{bench: newBench(), places: places, lasts: lasts, asked: map[string]int{}, served: map[string]int{}}
+	random := rand.New(rand.NewPCG(1, 2))
+	c.board.random = random.IntN
+	var servers []*fleet.Server
+	for i := range crowdServers {
+		servers = append(servers, &fleet.Server{
+			ID: "r" + strconv.Itoa(i), Service: "model", Capacity: places / crowdServers,
+			Rank: &fleet.GroupRank{Group: "g", Epoch: 1, Rank: i, Size: crowdServers, Open: true},
+		})
+	}
+	c.world.setServers(servers...)
+	return c
+}
+
+// comes adds a customer's requests, a second's worth evenly spread.
+func (c *crowd) comes(customer string, perSecond, seconds int) {
+	for i := range perSecond * seconds {
+		at := time.Duration(i) * time.Second / time.Duration(perSecond)
+		c.waiting = append(c.waiting, arrival{at: at, customer: customer})
+		c.asked[customer]++
+	}
+}
+
+func (c *crowd) play() {
+	start := c.now
+	for len(c.waiting) > 0 {
+		sort.SliceStable(c.waiting, func(i, j int) bool { return c.waiting[i].at < c.waiting[j].at })
+		next := c.waiting[0]
+		c.waiting = c.waiting[1:]
+		c.endUntil(next.at)
+		c.now = start.Add(next.at)
+		c.take(next)
+	}
+}
+
+func (c *crowd) endUntil(at time.Duration) {
+	for len(c.ends) > 0 && c.ends[0].at <= at {
+		c.board.Ended(c.ends[0].server)
+		c.board.leftPlace("model", c.ends[0].customer)
+		c.ends = c.ends[1:]
+	}
+}
+
+func (c *crowd) take(a arrival) {
+	route := c.world.Config().Route("h.example", "/stream/x")
+	r := c.request("stream", 8*time.Second)
+	r.Customer = a.customer
+	x := &exchange{Target: Target{Route: route, Service: "model", repeated: a.repeated}, request: r, route: route, lastEvent: -1}
+	server, f := c.pipeline.choose(context.Background(), x)
+	if f == nil {
+		c.board.Sent(server.ID, r, c.now)
+		c.ends = append(c.ends, placeEnd{at: a.at + c.lasts, server: server.ID, customer: a.customer})
+		c.served[a.customer]++
+		return
+	}
+	Expect(f.Outcome).To(Equal(failure.OutcomeNotRun))
+	if !a.repeated {
+		c.waiting = append(c.waiting, arrival{at: a.at + f.RetryAfter, customer: a.customer, repeated: true})
+	}
+}
+
+// servedPart is the part of a customer's requests that were served.
+func (c *crowd) servedPart(customer string) float64 {
+	return float64(c.served[customer]) / float64(c.asked[customer])
+}
+
+var _ = Describe("admission between customers", func() {
+	const seconds = 40
+
+	It("leaves the others their places when one sends fifty times as much", func() {
+		c := newCrowd(40, 2*time.Second) // 20 requests a second
+		c.comes("flood", 50, seconds)
+		for i := range 9 {
+			c.comes("c"+strconv.Itoa(i), 1, seconds)
+		}
+		c.play()
+		for i := range 9 {
+			Expect(c.servedPart("c"+strconv.Itoa(i))).To(BeNumerically(">=", 0.95), "customer %d", i)
+		}
+		Expect(c.servedPart("flood")).To(BeNumerically(">=", 0.15), "what the others leave")
+	})
+
+	It("divides the places evenly between customers who all want more", func() {
+		c := newCrowd(40, 2*time.Second)
+		c.comes("large", 30, seconds)
+		c.comes("small", 15, seconds)
+		c.play()
+		large, small := float64(c.served["large"]), float64(c.served["small"])
+		Expect(small / (large + small)).To(BeNumerically(">=", 0.4))
+	})
+
+	It("bounds nobody while there is room", func() {
+		c := newCrowd(40, 2*time.Second)
+		c.comes("only", 15, seconds)
+		c.comes("rare", 1, seconds)
+		c.play()
+		Expect(c.servedPart("only")).To(Equal(1.0))
+		Expect(c.servedPart("rare")).To(Equal(1.0))
+	})
+
+	It("forgets customers that are gone", func() {
+		shares := newCustomerShares()
+		now := time.Unix(1000, 0)
+		for i := range 1000 {
+			shares.asked(strconv.Itoa(i), now)
+		}
+		shares.asked("last", now.Add(askedLately+time.Millisecond))
+		Expect(shares.customers).To(HaveLen(1))
+	})
+})
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -70,6 +70,8 @@
 	begun      bool
 	// paid is set when the next attempt has been taken from the retry budget.
 	paid bool
+	// hasPlace is set once the request counts as its customer's in progress.
+	hasPlace bool
 	// movesOn is set when the last home has let the request go to the next.
 	movesOn bool
 	// lastEvent is the last event that the caller got, or -1.
@@ -101,6 +103,9 @@
 	limited, cancel := context.WithTimeout(ctx, x.Limit.Sub(p.now()))
 	f := p.execute(limited, x, caller)
 	cancel()
+	if x.hasPlace {
+		p.board.leftPlace(x.Service, x.request.Customer)
+	}
 	f = p.explain(ctx, x, f)
 	p.record(x, f)
 	ticket.Close(outcomeOf(f))
