--- a/internal/dispatch/pipeline_test.go
+++ b/internal/dispatch/pipeline_test.go
@@ -300,7 +300,9 @@
 	It("leaves its requests to the service's other groups", func() {
 		for _, brokenFirst := range []bool{true, false} {
 			b := newBench(signed(http.StatusOK, "id: 1\ndata: a\n\n"))
-			rank := func(group string) *fleet.GroupRank { return &fleet.GroupRank{Group: group, Epoch: 1, Size: 1, Open: true} }
+			rank := func(group string) *fleet.GroupRank {
+				return &fleet.GroupRank{Group: group, Epoch: 1, Size: 1, Open: true}
+			}
 			well := &fleet.Server{ID: "w", Service: "model", Capacity: 12, Rank: rank("h")}
 			broken := &fleet.Server{ID: "r0", Service: "model", Capacity: 12, Rank: rank("g")}
 			b.world.setServers(well, broken)
