--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -25,10 +25,11 @@
 	// count: less urgent work gives way first, and is never shut out.
 	behindStep = 0.1
 	mostBehind = 3
-	// overShareStep is by how much earlier a request is refused whose customer has more
-	// than its share of the places in use already, so that others find one. When it
-	// comes again it gets no more places than a new one of the others.
-	overShareStep = 0.15
+	// fullOverShare replaces both for a customer that has more than its share of the
+	// places in use already, so that the others find one. In a model in which one
+	// customer sends fifty times as much, 0.05 below fullFirst is enough; on the
+	// users' days larger steps cost up to 0.01 of worth, this one none.
+	fullOverShare = 1.0
 	// comeBackLeast and comeBackMost bound the hint to come back; it's spread, so that
 	// those who were refused together don't return together.
 	comeBackLeast = 700 * time.Millisecond
@@ -66,9 +67,9 @@
 func fullAt(x *exchange, pause time.Duration, overShare bool) float64 {
 	full := fullFirst
 	switch {
-	case overShare && !x.repeated:
-		full -= overShareStep
-	case x.repeated && !overShare:
+	case overShare:
+		full = fullOverShare
+	case x.repeated:
 		full = fullRepeat
 	}
 	if slow := time.Duration(slowPart * float64(x.route.EventPause)); slow > 0 && pause > slow && !x.repeated {
--- a/internal/dispatch/fairness.go
+++ b/internal/dispatch/fairness.go
@@ -3,10 +3,10 @@
 import "time"
 
 const (
-	// shareSlack is by how much a customer may exceed an equal share of the requests in
-	// progress, and leastShare how many it may always have: one entry sees few requests,
-	// whose numbers vary.
-	shareSlack = 1.25
+	// shareSlack is how many times as many requests in progress as the others have on
+	// average a customer may have, and leastShare how many it may always have: one entry
+	// sees few requests, whose numbers vary. 1.5 cost 0.004 of worth on a users' day, 2 none.
+	shareSlack = 2
 	leastShare = 2
 	// askedLately is how long a customer counts after its last request, also a refused
 	// one: longer than callers wait before they come back.
@@ -35,8 +35,7 @@
 }
 
 // asked notes that a customer asks for a place. It tells whether the customer has
-// more than its share already: more than an equal part of the places in use among
-// all customers that asked lately.
+// more than its share already: a multiple of what the others that asked lately have.
 func (s *customerShares) asked(name string, now time.Time) (over bool) {
 	c := s.customers[name]
 	if c == nil {
@@ -46,8 +45,11 @@
 	}
 	c.askedAt = now
 	s.count(now)
-	equal := float64(s.inFlight) / float64(s.active)
-	return float64(c.inFlight) >= max(leastShare, shareSlack*equal)
+	if s.active < 2 {
+		return false
+	}
+	others := float64(s.inFlight-c.inFlight) / float64(s.active-1)
+	return float64(c.inFlight) >= max(leastShare, shareSlack*others)
 }
 
 // count brings the number of active customers up to date and forgets the others.
--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -53,9 +53,10 @@
 	serversPace = 900 * time.Millisecond
 	// readerPart is the time between a zone's reader's own reads, as a part of that of
 	// other daemons, and relayedPart the greatest age, as such a part, of registrations
-	// that the others take from it. The reader's are newer when the others ask.
+	// that the others take from it. Between two reads its are younger than that, and
+	// who took them late asks again soon, just after the reader's next read.
 	readerPart  = 0.8
-	relayedPart = 0.5
+	relayedPart = 0.9
 	// callTimeout bounds one call beyond its wait. The store answers in some
 	// milliseconds; its slow spells are some fifty times that.
 	callTimeout = 900 * time.Millisecond
