--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -6,75 +6,11 @@
 package admission
 
 import (
-	"container/heap"
 	"time"
 
-	"github.com/crowbridge/crowbridge/internal/config"
 	"github.com/crowbridge/crowbridge/internal/failure"
 )
 
-// Request is one request that wants to run at the server.
-type Request struct {
-	ID       string
-	Customer string
-	// Weight is the customer's share relative to others in the same class.
-	Weight int
-	Class  config.Class
-	// Deadline after which the answer is of no use.
-	Deadline time.Time
-	// Cost is the estimate in tokens; Done corrects it.
-	Cost float64
-}
-
-// Options are the limits of a Queue.
-type Options struct {
-	// Limit governs how many requests run at once.
-	Limit LimitOptions
-	// MaxQueued bounds the waiting requests of all customers together.
-	MaxQueued int
-	// PatientPercent is the share of dispatched cost kept for patient requests
-	// while any of them waits.
-	PatientPercent int
-}
-
-// rank orders classes; lower is more urgent.
-type rank int
-
-const (
-	rankUrgent rank = iota
-	rankNormal
-	rankPatient
-	rankCount
-)
-
-func rankOf(class config.Class) rank {
-	switch class {
-	case config.ClassUrgent:
-		return rankUrgent
-	case config.ClassPatient:
-		return rankPatient
-	case config.ClassNormal:
-		return rankNormal
-	default:
-		return rankNormal
-	}
-}
-
-// waiting is a queued request; it is in its flow until dispatched or withdrawn.
-type waiting struct {
-	request Request
-	queued  time.Time
-	flow    *flow
-	gone    bool
-}
-
-// running is a dispatched request.
-type running struct {
-	request Request
-	started time.Time
-	flow    *flow
-}
-
 // Queue is the aggregate. Invariants: a request is in exactly one of queue and
 // run table, or in neither once it ended; a request that Withdraw reported as
 // not started is never returned by Next. Not safe for concurrent use.
@@ -133,34 +69,6 @@
 	return nil
 }
 
-// minRetryAfter is the least hint given when a queue is full.
-const minRetryAfter = 250 * time.Millisecond
-
-// evictFor tells whether room was made for the request by leaving the newest
-// request of the customer that waits with the most cost per weight in the same
-// or a less urgent class. The evicted one is returned by Expired.
-func (q *Queue) evictFor(request Request) bool {
-	for r := rankPatient; r >= rankOf(request.Class); r-- {
-		longest := q.classes[r].longest()
-		if longest == nil {
-			continue
-		}
-		sameClass := r == rankOf(request.Class)
-		own := q.classes[r].backlog(request.Customer) + request.Cost/float64(request.Weight)
-		if sameClass && longest.backlog() <= own {
-			continue
-		}
-		victim := longest.newest()
-		if victim == nil {
-			continue
-		}
-		q.classes[r].evicted = append(q.classes[r].evicted, victim.request)
-		q.remove(victim)
-		return true
-	}
-	return false
-}
-
 // expectMargin allows for requests that cost more than their estimate.
 const expectMargin = 1.25
 
@@ -216,13 +124,6 @@
 	return granted
 }
 
-// giveUp takes out a request that would end after its deadline: the server's
-// time goes to those that can still be answered in time. Expired returns it.
-func (q *Queue) giveUp(item *waiting) {
-	q.remove(item)
-	q.hopeless = append(q.hopeless, item.request)
-}
-
 // pick chooses the class: patient work when its guaranteed share is due, else
 // the most urgent class that waits and may use the free slot.
 func (q *Queue) pick(now time.Time) *waiting {
@@ -328,41 +229,6 @@
 	q.classes[rankOf(item.request.Class)].remove(item)
 }
 
-// Expired takes out and returns the requests that won't run any more, each with
-// its final answer: those whose deadline has passed, those that made room, and
-// those that Next gave up. Call it before and after Next.
-func (q *Queue) Expired(now time.Time) []Refusal {
-	var refused []Refusal
-	for _, request := range q.hopeless {
-		refused = append(refused, Refusal{Request: request, Failure: failure.NotRun(failure.StepQueue, "",
-			failure.CodeDeadline, "it would end after its deadline").After(q.retryAfter(request))})
-	}
-	q.hopeless = nil
-	for _, class := range q.classes {
-		for _, request := range class.evicted {
-			refused = append(refused, Refusal{Request: request, Failure: failure.NotRun(failure.StepQueue, "",
-				failure.CodeOverloaded, "gave way: its customer had the longest queue").After(q.retryAfter(request))})
-		}
-		class.evicted = nil
-		for _, item := range class.overdue(now) {
-			q.remove(item)
-			refused = append(refused, Refusal{Request: item.request, Failure: failure.NotRun(failure.StepQueue, "",
-				failure.CodeDeadline, "the deadline passed in the queue").After(q.retryAfter(item.request))})
-		}
-	}
-	return refused
-}
-
-func (q *Queue) retryAfter(request Request) time.Duration {
-	return max(q.EstimateWait(request), minRetryAfter)
-}
-
-// Refusal is the final answer to a request that had been queued.
-type Refusal struct {
-	Request Request
-	Failure *failure.Error
-}
-
 // NextDeadline returns the earliest deadline of a waiting request.
 func (q *Queue) NextDeadline() (time.Time, bool) {
 	var earliest time.Time
@@ -394,28 +260,3 @@
 
 // ServiceTime is the smoothed time from start to end of a request.
 func (q *Queue) ServiceTime() time.Duration { return q.limit.Latency() }
-
-// deadlineHeap orders waiting requests by deadline.
-type deadlineHeap []*waiting
-
-func (h deadlineHeap) Len() int           { return len(h) }
-func (h deadlineHeap) Less(i, j int) bool { return h[i].request.Deadline.Before(h[j].request.Deadline) }
-func (h deadlineHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-
-// Push implements heap.Interface.
-func (h *deadlineHeap) Push(x any) {
-	if item, ok := x.(*waiting); ok {
-		*h = append(*h, item)
-	}
-}
-
-// Pop implements heap.Interface.
-func (h *deadlineHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return last
-}
-
-var _ heap.Interface = (*deadlineHeap)(nil)
--- /dev/null
+++ b/standins/scenarios/operator_commands_test.go
@@ -0,0 +1,105 @@
+package scenarios
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// cmdOperator runs the operators' command line: operator [as-reader|@entry] ARGS...
+func cmdOperator(ts *testscript.TestScript, neg bool, args []string) {
+	out, err := runOperator(ts, args)
+	ts.Logf("%s", out)
+	ts.Check(os.WriteFile(filepath.Join(ts.Getenv("WORK"), "out"), []byte(out), 0o600))
+	if (err != nil) != neg {
+		ts.Fatalf("operator %v: error %v", args, err)
+	}
+}
+
+// cmdDaemon runs crowbridged for its output: daemon ARGS...
+func cmdDaemon(ts *testscript.TestScript, neg bool, args []string) {
+	bin, err := buildOnce()
+	ts.Check(err)
+	cmd := exec.Command(filepath.Join(bin, "crowbridged"), args...)
+	for _, name := range []string{"CROWBRIDGE_ZONE", "CROWBRIDGE_DAEMON_KEY"} {
+		cmd.Env = append(cmd.Env, name+"="+ts.Getenv(name))
+	}
+	out, err := cmd.CombinedOutput()
+	ts.Check(os.WriteFile(filepath.Join(ts.Getenv("WORK"), "out"), out, 0o600))
+	if (err != nil) != neg {
+		ts.Fatalf("crowbridged %v: error %v: %s", args, err, out)
+	}
+}
+
+func runOperator(ts *testscript.TestScript, args []string) (string, error) {
+	cluster := of(ts).cluster
+	for i, arg := range args {
+		if strings.HasSuffix(arg, ".yaml") {
+			args[i] = ts.MkAbs(arg)
+		}
+	}
+	if args[0] == "as-reader" {
+		return cluster.Reader(args[1:]...)
+	}
+	name, at := strings.CutPrefix(args[0], "@")
+	if !at {
+		return cluster.Operator(args...)
+	}
+	for _, e := range cluster.Entries {
+		if e.Name == name {
+			return cluster.OperatorAt(e.Control, args[1:]...)
+		}
+	}
+	return "", fmt.Errorf("no entry %s", name)
+}
+
+const eventualTimeout = 15 * time.Second
+
+// cmdEventual repeats an operator's command until its output holds a text:
+// eventual TEXT [@entry] ARGS...
+func cmdEventual(ts *testscript.TestScript, neg bool, args []string) {
+	deadline := time.Now().Add(eventualTimeout)
+	for {
+		out, _ := runOperator(ts, args[1:])
+		if strings.Contains(out, args[0]) != neg {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("%q: found is %t in:\n%s", args[0], neg, out)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// cmdConverge waits until all running entries have the same offset and hash.
+func cmdConverge(ts *testscript.TestScript, _ bool, _ []string) {
+	cluster := of(ts).cluster
+	deadline := time.Now().Add(eventualTimeout)
+	for {
+		states := map[string]bool{}
+		for _, e := range cluster.Entries {
+			if !cluster.Processes[e.Name].Running() {
+				continue
+			}
+			out, err := cluster.OperatorAt(e.Control, "status")
+			if err != nil {
+				states[err.Error()] = true
+				continue
+			}
+			fields := strings.Fields(strings.SplitN(out, "\n", 2)[0])
+			states[fmt.Sprint(fields[5], fields[len(fields)-1])] = true
+		}
+		if len(states) == 1 {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("entries differ: %v", states)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
