--- a/standins/relay/relay.go
+++ b/standins/relay/relay.go
@@ -30,9 +30,12 @@
 	OneWay Mode = "one-way"
 	// Silent holds both ways until the mode ends.
 	Silent Mode = "silent"
+	// Stale silences the present connections for good; new ones pass.
+	Stale Mode = "stale"
 )
 
-// Modes are all modes but Pass.
+// Modes are those that a soak draws. Stale came later and has a scenario of its own:
+// the seeds that ever failed stand for these.
 var Modes = []Mode{Delay, Reset, OneWay, Silent}
 
 const (
@@ -48,19 +51,27 @@
 	mu    sync.Mutex
 	mode  Mode
 	conns map[*net.TCPConn]bool
+	// stale are connections that have fallen silent.
+	stale map[*net.TCPConn]bool
 }
 
 // New returns a relay that passes everything.
-func New() *Relay { return &Relay{mode: Pass, conns: map[*net.TCPConn]bool{}} }
+func New() *Relay {
+	return &Relay{mode: Pass, conns: map[*net.TCPConn]bool{}, stale: map[*net.TCPConn]bool{}}
+}
 
 // SetMode changes what the relay does.
 func (r *Relay) SetMode(mode Mode) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.mode = mode
-	if mode == Reset {
-		for conn := range r.conns {
+	for conn := range r.conns {
+		switch mode {
+		case Reset:
 			reset(conn)
+		case Stale:
+			r.stale[conn] = true
+		default:
 		}
 	}
 }
@@ -147,6 +158,7 @@
 	defer r.mu.Unlock()
 	for _, conn := range conns {
 		delete(r.conns, conn)
+		delete(r.stale, conn)
 		_ = conn.Close() // closed by either side already
 	}
 }
@@ -158,6 +170,9 @@
 	for {
 		n, err := from.Read(buffer)
 		r.hold(held)
+		if r.isStale(from) && err == nil {
+			continue // taken, and never passed on
+		}
 		if n > 0 {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				break
@@ -174,6 +189,12 @@
 	_ = from.Close()
 }
 
+func (r *Relay) isStale(conn *net.TCPConn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stale[conn]
+}
+
 // hold waits as the mode asks.
 func (r *Relay) hold(held Mode) {
 	mode := r.current()
--- a/standins/scenarios/scenarios_test.go
+++ b/standins/scenarios/scenarios_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/crowbridge/crowbridge/standins/harness"
 	"github.com/crowbridge/crowbridge/standins/load"
+	"github.com/crowbridge/crowbridge/standins/relay"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -77,6 +78,7 @@
 			"log":      cmdLog,
 			"cut":      cmdCut,
 			"vm":       cmdVM,
+			"proxy":    cmdProxy,
 			"operator": cmdOperator,
 			"daemon":   cmdDaemon,
 			"eventual": cmdEventual,
@@ -171,7 +173,7 @@
 	ts.Check(os.WriteFile(filepath.Join(ts.Getenv("WORK"), "out"), []byte(out.String()), 0o600))
 }
 
-// cmdCluster: cluster [entry:--flag=value] [agent:--flag=value] [zones=2] [entries=1] [engines=1] [plain=1] [ranks=0] [unfenced=0] [links=0] [skew=ms] [step=ms] [drain=s]
+// cmdCluster: cluster [entry:--flag=value] [agent:--flag=value] [zones=2] [entries=1] [engines=1] [plain=1] [ranks=0] [unfenced=0] [links=0] [proxy=0] [skew=ms] [step=ms] [drain=s]
 func cmdCluster(ts *testscript.TestScript, _ bool, args []string) {
 	entryArgs, args := taken(args, "entry:")
 	agentArgs, args := taken(args, "agent:")
@@ -185,7 +187,7 @@
 	dir := ts.Getenv("WORK")
 	cluster, err := harness.New(harness.Layout{
 		Zones: zones, EntriesPerZone: valueOr(v, "entries", 1), EnginesPerZone: valueOr(v, "engines", 1),
-		PlainPerZone: valueOr(v, "plain", 1), RanksPerZone: valueOr(v, "ranks", 0), IgnoreFences: valueOr(v, "unfenced", 0) > 0, Links: valueOr(v, "links", 0) > 0, EntryArgs: entryArgs, AgentArgs: agentArgs, Step: time.Duration(valueOr(v, "step", 6)) * time.Millisecond,
+		PlainPerZone: valueOr(v, "plain", 1), RanksPerZone: valueOr(v, "ranks", 0), IgnoreFences: valueOr(v, "unfenced", 0) > 0, Links: valueOr(v, "links", 0) > 0, Proxy: valueOr(v, "proxy", 0) > 0, EntryArgs: entryArgs, AgentArgs: agentArgs, Step: time.Duration(valueOr(v, "step", 6)) * time.Millisecond,
 		KeyWindowSeconds: 60, ClockSkewMs: valueOr(v, "skew", 50), Drain: time.Duration(valueOr(v, "drain", 20)) * time.Second,
 	}, bin, dir)
 	ts.Check(err)
@@ -194,14 +196,14 @@
 	ts.Check(cluster.Start())
 }
 
-// cmdLoad starts traffic in the background: load seconds=5 [rate=60] [plain=40] [stream=30] [unkeyed=20] [tokens=10] [customers=3]
+// cmdLoad starts traffic in the background: load seconds=5 [rate=60] [plain=40] [stream=30] [unkeyed=20] [tokens=10] [deadline=20000] [customers=3]
 func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
 	r, v := of(ts), settings(ts, args)
 	r.options = load.Options{
 		Entries: r.cluster.Callers(), Keys: r.cluster.Keys, RunsURL: r.cluster.PlatformURL,
 		Rate: valueOr(v, "rate", 60), Duration: time.Duration(valueOr(v, "seconds", 5)) * time.Second,
 		Tokens: valueOr(v, "tokens", 10), PlainPercent: valueOr(v, "plain", 40), StreamPercent: valueOr(v, "stream", 30),
-		UnkeyedPercent: valueOr(v, "unkeyed", 20), DeadlineMs: 20000, Asks: valueOr(v, "asks", 30),
+		UnkeyedPercent: valueOr(v, "unkeyed", 20), DeadlineMs: valueOr(v, "deadline", 20000), Asks: valueOr(v, "asks", 30),
 	}
 	r.loads = make(chan loadResult, 1)
 	go func(options load.Options, done chan<- loadResult) {
@@ -279,6 +281,14 @@
 	ts.Check(of(ts).cluster.Fault("/fault/cut/"+args[0]+"/"+strconv.FormatBool(args[1] == "on"), ""))
 }
 
+// cmdProxy sets what the proxy between entries and agents does: proxy pass|stale|...
+func cmdProxy(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 1 {
+		ts.Fatalf("name one mode")
+	}
+	ts.Check(of(ts).cluster.ProxyMode(relay.Mode(args[0])))
+}
+
 // cmdVM sets what the platform's list says: vm NAME live|leaving
 func cmdVM(ts *testscript.TestScript, _ bool, args []string) {
 	ts.Check(of(ts).cluster.Fault("/fault/server/"+args[0]+"/"+args[1], ""))
