--- a/cmd/crowbridge/main.go
+++ b/cmd/crowbridge/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/crowbridge/crowbridge/internal/buildinfo"
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 )
@@ -46,8 +47,9 @@
 
 func newApp() *cli.Command {
 	return &cli.Command{
-		Name:  "crowbridge",
-		Usage: "administer a crowbridge deployment",
+		Name:    "crowbridge",
+		Version: buildinfo.String(),
+		Usage:   "administer a crowbridge deployment",
 		Description: `Exit codes: 0 done, 1 failed, 2 rejected, 3 unknown (ask again with the same --command-id).
 
 Examples:
--- a/cmd/crowbridged/main.go
+++ b/cmd/crowbridged/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/crowbridge/crowbridge/internal/buildinfo"
 	"github.com/urfave/cli/v3"
 )
 
@@ -17,6 +18,7 @@
 	defer stop()
 	app := &cli.Command{
 		Name:                  "crowbridged",
+		Version:               buildinfo.String(),
 		Usage:                 "load balancer daemon for expert-parallel model groups",
 		EnableShellCompletion: true,
 		Commands:              []*cli.Command{entryCommand(), agentCommand(), hostedEntryCommand(), hostedAgentCommand()},
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/crowbridge/crowbridge/internal/buildinfo"
 	"github.com/crowbridge/crowbridge/internal/daemon"
 	"github.com/crowbridge/crowbridge/internal/experts"
 	"github.com/crowbridge/crowbridge/internal/loadfeed"
@@ -108,7 +109,7 @@
 		WatchSettings(tasks, a.settings, a.log, func(s *platform.Settings) { a.exchange.SetSeeds(s.Seeds) })
 		return nil
 	})
-	a.log.WithField("engine", a.settings.LocalServer).Info("agent started")
+	a.log.WithFields(logrus.Fields{"engine": a.settings.LocalServer, "build": buildinfo.String()}).Info("agent started")
 	err = errors.Wrap(group.Wait(), "agent")
 	a.log.Info("agent stopped")
 	return err
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/admin"
+	"github.com/crowbridge/crowbridge/internal/buildinfo"
 	"github.com/crowbridge/crowbridge/internal/daemon"
 	"github.com/crowbridge/crowbridge/internal/dispatch"
 	"github.com/crowbridge/crowbridge/internal/fleet"
@@ -136,7 +137,9 @@
 			return nil
 		})
 	}
-	e.log.WithFields(logrus.Fields{"callers": e.settings.Callers, "store": e.settings.Store}).Info("entry started")
+	e.log.WithFields(logrus.Fields{
+		"callers": e.settings.Callers, "store": e.settings.Store, "build": buildinfo.String(),
+	}).Info("entry started")
 	select {
 	case <-ctx.Done():
 		e.leave()
