bench: what an entry on the users' platform adds to a direct call

In one run, in one process: processor and time of requests and of streamed events through the entry against the same calls to the stand-in server.

--- /dev/null
+++ b/standins/bench/hosted.go
@@ -0,0 +1,214 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/hosted"
+	"github.com/crowbridge/crowbridge/platform"
+	standin "github.com/crowbridge/crowbridge/standins/platform"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// hostedWorkers callers keep the entry busy, each with one request at a time.
+	hostedWorkers = 16
+	// hostedEvents is how long a stream is.
+	hostedEvents = 200
+	hostedLength = 5 * time.Second
+	// hostedStart bounds an entry's start.
+	hostedStart = 10 * time.Second
+)
+
+// hostedBench is an entry of the users' platform before one stand-in server.
+type hostedBench struct {
+	direct, through string
+	client          *http.Client
+	requests        atomic.Int64
+}
+
+// Hosted measures what an entry on the users' platform adds to a direct call: time
+// and processor, this process's with and without the entry.
+func (r *Reporter) Hosted() error {
+	store := standin.NewStore()
+	storeServer, backend := httptest.NewServer(store), httptest.NewServer(standin.Backend(hostedEvents))
+	defer storeServer.Close()
+	defer backend.Close()
+	address := backend.Listener.Addr().String()
+	store.Put(platform.TopicOperators, platform.Records{}.ConfigKey(), standin.BackendConfig)
+	store.Put(platform.TopicRegistrations, "i-1", fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","capacity":64,"state":"ready"}`, standin.BackendService, address))
+	settings, err := hostedSettings(storeServer.Listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- hosted.NewEntryDaemon(settings, nil, discardLog()).Run(ctx) }()
+	b := &hostedBench{
+		direct: address, through: settings.Callers,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: hostedWorkers}},
+	}
+	err = b.measure(r, settings.Readiness)
+	stop()
+	if stopped := <-ended; err == nil {
+		err = stopped
+	}
+	return err
+}
+
+func discardLog() *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return logrus.NewEntry(logger)
+}
+
+// hostedSettings returns settings on free loopback ports.
+func hostedSettings(store string) (*platform.Settings, error) {
+	const ip, ports = "127.0.0.1", 6
+	var free [ports]string
+	for i := range free {
+		listener, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, errors.Wrap(err, "hosted bench")
+		}
+		free[i] = listener.Addr().String()
+		if err := listener.Close(); err != nil {
+			return nil, errors.Wrap(err, "hosted bench")
+		}
+	}
+	_, first, err := net.SplitHostPort(free[0])
+	if err != nil {
+		return nil, errors.Wrap(err, "hosted bench")
+	}
+	firstPort, err := strconv.Atoi(first)
+	return &platform.Settings{
+		Daemon: "bench", IP: ip, Zone: "z", Store: store, Callers: free[1], Readiness: free[2], Control: free[3],
+		FirstPort: firstPort, Grace: hostedLength, RetryRatio: 1, RetryExtra: 1, RetryWindow: time.Second,
+	}, errors.Wrap(err, "hosted bench")
+}
+
+func (b *hostedBench) measure(r *Reporter, ready string) error {
+	if err := b.awaitReady(ready); err != nil {
+		return err
+	}
+	for _, kind := range []struct {
+		name, path string
+		// units are what one request counts for.
+		units int
+		unit  string
+	}{
+		{"requests", standin.BackendPlain, 1, "request"},
+		{"streams", standin.BackendStream, hostedEvents, "event"},
+	} {
+		if _, err := b.load(b.through, kind.path); err != nil { // warms both sides up
+			return err
+		}
+		direct, err := b.load(b.direct, kind.path)
+		if err != nil {
+			return err
+		}
+		through, err := b.load(b.through, kind.path)
+		if err != nil {
+			return err
+		}
+		perUnit := func(s sample) float64 { return s.processor / float64(s.requests*kind.units) * 1e6 }
+		r.Against("hosted/"+kind.name+"/processor-per-"+kind.unit, perUnit(through), "us", perUnit(direct))
+		r.Figure("hosted/"+kind.name+"/processor-added-per-"+kind.unit, perUnit(through)-perUnit(direct), "us")
+		r.Against("hosted/"+kind.name+"/p50", Quantile(through.times, 0.5), "ms", Quantile(direct.times, 0.5))
+		r.Against("hosted/"+kind.name+"/p99", Quantile(through.times, 0.99), "ms", Quantile(direct.times, 0.99))
+	}
+	return nil
+}
+
+func (b *hostedBench) awaitReady(address string) error {
+	for start := time.Now(); time.Since(start) < hostedStart; time.Sleep(10 * time.Millisecond) {
+		response, err := b.client.Get("http://" + address + "/ready")
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close() // empty
+		if response.StatusCode == http.StatusOK {
+			return nil
+		}
+	}
+	return errors.New("hosted bench: the entry isn't ready")
+}
+
+// sample is what a load of some seconds saw.
+type sample struct {
+	requests int
+	// times are in milliseconds, processor in seconds of this process.
+	times     []float64
+	processor float64
+}
+
+// load keeps workers busy at an address.
+func (b *hostedBench) load(address, path string) (sample, error) {
+	type result struct {
+		times []float64
+		err   error
+	}
+	results := make(chan result, hostedWorkers)
+	before, end := ownProcessor(), time.Now().Add(hostedLength)
+	for range hostedWorkers {
+		go func() {
+			var one result
+			for one.err == nil && time.Now().Before(end) {
+				start := time.Now()
+				one.err = b.ask(address, path)
+				one.times = append(one.times, time.Since(start).Seconds()*1000)
+			}
+			results <- one
+		}()
+	}
+	var all sample
+	var failed error
+	for range hostedWorkers {
+		one := <-results
+		all.times = append(all.times, one.times...)
+		if one.err != nil {
+			failed = one.err
+		}
+	}
+	all.requests, all.processor = len(all.times), ownProcessor()-before
+	return all, failed
+}
+
+func (b *hostedBench) ask(address, path string) error {
+	request, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return errors.Wrap(err, "request")
+	}
+	request.Host = standin.BackendHost
+	request.Header.Set(platform.HeaderRequestID, strconv.FormatInt(b.requests.Add(1), 10))
+	response, err := b.client.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "request")
+	}
+	defer func() { _ = response.Body.Close() }() // read whole, or given up
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return errors.Wrap(err, "answer")
+	}
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("status %d", response.StatusCode)
+	}
+	return nil
+}
+
+// ownProcessor is the processor time that this process has used, in seconds.
+func ownProcessor() float64 {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()).Seconds()
+}
--- a/standins/cmd/bench/main.go
+++ b/standins/cmd/bench/main.go
@@ -31,6 +31,7 @@
 		{"admission", func() error { r.Admission(); return nil }},
 		{"config", r.Config},
 		{"path", func() error { return r.Path(args[0]) }},
+		{"hosted", r.Hosted},
 		{"control", func() error { return r.Control(args[0]) }},
 		{"group", func() error { return r.Group(args[0]) }},
 		{"rebalance", func() error { r.Rebalance(); return nil }},
--- a/standins/hosted/hosted_test.go
+++ b/standins/hosted/hosted_test.go
@@ -192,7 +192,7 @@
 	})
 
 	serveOne := func() {
-		store.Put("keyed.op", "config", configVersion(1, `"k1"`))
+		store.Put(platform.TopicOperators, "config", configVersion(1, `"k1"`))
 		address := listen("127.0.0.1:0", signingServer(&served))
 		store.Put("keyed.servers", "i-1", fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","capacity":6,"state":"ready"}`, address))
 	}
@@ -220,7 +220,7 @@
 			}
 		}
 		Eventually(statusWith("k1"), patience).Should(Equal(http.StatusOK))
-		store.Put("keyed.op", "config", configVersion(2, `"k2"`))
+		store.Put(platform.TopicOperators, "config", configVersion(2, `"k2"`))
 		Eventually(statusWith("k1"), patience).Should(Equal(http.StatusUnauthorized))
 		Expect(statusWith("k2")()).To(Equal(http.StatusOK))
 	})
@@ -299,7 +299,7 @@
 		second.Seeds = []string{settings.Control}
 		run(hosted.NewEntryDaemon(second, nil, quietLog()))
 		Eventually(ready(second), patience).Should(Equal(http.StatusOK))
-		store.Put("keyed.op", "config", configVersion(2, `"k2"`))
+		store.Put(platform.TopicOperators, "config", configVersion(2, `"k2"`))
 		before := registrationReads.Load()
 		Eventually(func() int {
 			status, _ := ask(second, "/a/x", "k2")
@@ -310,7 +310,7 @@
 	})
 
 	It("finishes what is in flight when it's stopped, and is not ready meanwhile", func() {
-		store.Put("keyed.op", "config", configVersion(1, `"k1"`))
+		store.Put(platform.TopicOperators, "config", configVersion(1, `"k1"`))
 		begun, release := make(chan struct{}), make(chan struct{})
 		address := listen("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			close(begun)
@@ -341,7 +341,7 @@
 	It("agree on a holder that moves the hot expert's work, and no pass sees two maps", func() {
 		store := standin.NewStore()
 		settings := entrySettings("127.0.0.1", listen("127.0.0.1:0", store))
-		store.Put("keyed.op", "config", configVersion(1, `"k1"`))
+		store.Put(platform.TopicOperators, "config", configVersion(1, `"k1"`))
 		group := engine.NewGroup(engine.GroupOptions{Name: "g", Ranks: groupRanks, Experts: groupExperts, Sets: 1, Pass: passTime})
 		base := freePorts("127.0.0.20")
 		stops := make([]func(), groupRanks)
