--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -32,8 +32,8 @@
 	zone string
 	// heard is when it was heard of last.
 	heard time.Time
-	// passedOver is until when it isn't asked for registrations, because it couldn't tell.
-	passedOver time.Time
+	// avoidUntil is until when it isn't asked as the zone's reader, because it failed.
+	avoidUntil time.Time
 }
 
 type offsets struct{ operators, servers int64 }
@@ -54,7 +54,7 @@
 }
 
 // Exchange implements peerrpc.Membership. The asking side tells nothing but how
-// far it knows the topics: a daemon that lacks something asks itself.
+// far it knows the topics: replies go to who asks, nothing is pushed.
 func (e *Exchange) Exchange(_ context.Context, r *peerrpc.ExchangeRequest) (*peerrpc.ExchangeReply, error) {
 	if r.GetControl() != "" {
 		e.heardOf(Peer{Control: r.GetControl(), Zone: r.GetZone()})
--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -32,13 +32,13 @@
 	Newest(ctx context.Context, topic Topic) ([]Record, int64, error)
 }
 
-// Zone is the daemons of one availability zone, one of which reads the registrations
-// for all.
-type Zone interface {
-	// Refresh asks that daemon. It tells whether the registrations are known now as they
-	// were at most maxAge ago; never at that daemon itself.
+// ZoneReader is the one daemon of an availability zone that reads the registrations
+// from the store; the others ask it.
+type ZoneReader interface {
+	// Refresh asks it. It tells whether the registrations are now known as of at most
+	// maxAge ago; it's always false at the reader itself.
 	Refresh(ctx context.Context, maxAge time.Duration) bool
-	// ReadsForZone tells whether this daemon is the one, and others may ask it.
+	// ReadsForZone tells whether this daemon is the reader and has others to read for.
 	ReadsForZone() bool
 }
 
@@ -72,7 +72,7 @@
 type Follower struct {
 	members *Membership
 	store   Store
-	zone    Zone
+	zone    ZoneReader
 	log     *logrus.Entry
 	pace    time.Duration
 	// failures are the reads of registrations that have failed in a row.
@@ -88,7 +88,7 @@
 // NewFollower returns a follower. zone may be nil: then it reads everything itself.
 // stopRouting is how soon requests must stop going to a server that is known to
 // leave, or 0.
-func NewFollower(members *Membership, store Store, zone Zone, stopRouting time.Duration, log *logrus.Entry) *Follower {
+func NewFollower(members *Membership, store Store, zone ZoneReader, stopRouting time.Duration, log *logrus.Entry) *Follower {
 	pace := time.Duration(serversPart * float64(stopRouting))
 	if pace <= 0 {
 		pace = serversPace
--- a/internal/membership/reader.go
+++ b/internal/membership/reader.go
@@ -10,7 +10,7 @@
 	// less than a millisecond, some tens on a slow VM. What is left of the time within
 	// which requests must stop going to a leaving server is for a read of the store.
 	readerTimeout = 200 * time.Millisecond
-	// readerPause is how long a daemon that couldn't tell isn't asked again: a few
+	// readerPause is how long a reader that failed or was stale isn't asked again: a few
 	// reads of the store, and as long as most VMs take to come back.
 	readerPause = 5 * time.Second
 )
@@ -29,7 +29,7 @@
 			continue
 		}
 		shared = true
-		if address < first && now.After(known.passedOver) {
+		if address < first && now.After(known.avoidUntil) {
 			first = address
 		}
 	}
@@ -39,13 +39,13 @@
 	return first, shared
 }
 
-// ReadsForZone implements Zone.
+// ReadsForZone implements ZoneReader.
 func (e *Exchange) ReadsForZone() bool {
 	reader, shared := e.reader()
 	return reader == "" && shared
 }
 
-// Refresh implements Zone.
+// Refresh implements ZoneReader.
 func (e *Exchange) Refresh(ctx context.Context, maxAge time.Duration) bool {
 	reader, _ := e.reader()
 	if reader == "" {
@@ -61,9 +61,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	known := e.peers[reader]
-	known.passedOver = e.members.now().Add(readerPause)
+	known.avoidUntil = e.members.now().Add(readerPause)
 	e.peers[reader] = known
 	e.log.WithError(err).WithField("peer", reader).WithField("age_ms", ageMs(e.members.now(), asOf)).
-		Info("registrations are read from the store: the zone's reader can't tell")
+		Info("zone reader failed or is stale: registrations are read from the store")
 	return false
 }
--- a/internal/membership/reader_test.go
+++ b/internal/membership/reader_test.go
@@ -85,7 +85,7 @@
 		Expect(store.reads).To(Equal(reads + 1))
 		asked := reader.asked
 		other.follower.refreshServers(ctx)
-		Expect(reader.asked).To(Equal(asked), "who couldn't tell isn't asked again at once")
+		Expect(reader.asked).To(Equal(asked), "a reader that was stale isn't asked again at once")
 		other.now = other.now.Add(readerPause + time.Millisecond)
 		other.follower.refreshServers(ctx)
 		Expect(reader.asked).To(Equal(asked + 1))
--- a/internal/membership/topic.go
+++ b/internal/membership/topic.go
@@ -16,12 +16,12 @@
 
 // topic is the newest record of each key of one topic. Invariant: next never
 // falls, and a key's record never gives way to an older one. Deleted keys stay,
-// so that they can be told on.
+// so that they can be propagated.
 type topic struct {
 	next    int64
 	records map[string]Record
-	// changed is the offset at which each key last changed by more than a heartbeat:
-	// only such changes are told on.
+	// changed is the offset at which each key last changed by more than a heartbeat.
+	// Only such changes are propagated to other daemons.
 	changed map[string]int64
 	// base is the offset up to which only the newest of each key was read: deletions
 	// before it aren't among the records.
@@ -33,7 +33,7 @@
 }
 
 // take takes in records up to the offset next. It returns the keys that have a
-// newer record; markChanged says which of these are to be told on.
+// newer record; markChanged says which of these are to be propagated.
 func (t *topic) take(records []Record, next int64) []string {
 	var changed []string
 	for _, r := range records {
