--- a/internal/hosted/steer.go
+++ b/internal/hosted/steer.go
@@ -15,8 +15,8 @@
 )
 
 // selectorsWait is how long one read of the product's configuration waits for a
-// change: each is paid for.
-const selectorsWait = 20 * time.Second
+// change: each is paid for, and the store lets none wait for more than 30 s.
+const selectorsWait = 28 * time.Second
 
 // steeredFleet is what the request pipeline asks: the platform's configuration and
 // registrations, narrowed by the operators' selectors. It implements dispatch.Fleet.
--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -44,8 +44,9 @@
 
 const (
 	// configWait is how long one read waits for a new configuration. Each read is
-	// paid for, so it is long; a broken connection is noticed by keep-alive probes.
-	configWait = 20 * time.Second
+	// paid for, so it is long (the store allows 30 s); a broken connection is noticed by
+	// keep-alive probes.
+	configWait = 28 * time.Second
 	// serversPart is the time between reads of registrations, as a part of the time
 	// within which requests must stop going to a leaving server; serversPace replaces
 	// it when that isn't set.
