--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -127,7 +127,7 @@
 	if err != nil {
 		return errors.Wrap(err, "load feed")
 	}
-	group.Go(func() error { return loadfeed.Receive(tasks, load, e.members.Servers, e.board, time.Now, e.log) })
+	group.Go(func() error { return loadfeed.Listen(tasks, load, e.members.Servers, e.board, time.Now, e.log) })
 	for _, task := range []func(context.Context){
 		e.follower.FollowConfig, e.follower.FollowServers, e.askPeers, e.watchSettings,
 		e.followSelectors, e.steering.Follow, e.keepSelectors,
--- a/internal/loadfeed/loadfeed.go
+++ b/internal/loadfeed/loadfeed.go
@@ -78,9 +78,9 @@
 	ReportGroup(rank fleet.GroupRank, at time.Time)
 }
 
-// Receive reads reports until the context ends. servers returns what is
+// Listen reads reports until the context ends. servers returns what is
 // registered at present, or nil.
-func Receive(ctx context.Context, conn net.PacketConn, servers func() *fleet.Servers, board Board, now func() time.Time, log *logrus.Entry) error {
+func Listen(ctx context.Context, conn net.PacketConn, servers func() *fleet.Servers, board Board, now func() time.Time, log *logrus.Entry) error {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // ends the read
 	defer stop()
 	buffer := make([]byte, maxDatagram)
@@ -101,6 +101,9 @@
 	}
 }
 
+// take takes in a report of a registered server. What it says of a group counts
+// only if the server is registered as a rank of it: a report of any other would
+// speak for the group's real ranks.
 func take(report *peerrpc.LoadReport, servers *fleet.Servers, board Board, now time.Time) {
 	if servers == nil {
 		return
@@ -110,9 +113,9 @@
 		return
 	}
 	board.ReportLoad(server.ID, dispatch.Load{
-		Running: int(report.GetRunning()), Waiting: int(report.GetQueued()), Pace: report.GetPace(),
+		Running: max(int(report.GetRunning()), 0), Waiting: max(int(report.GetQueued()), 0), Pace: report.GetPace(),
 	}, now)
-	if report.GetGroup() != "" {
+	if server.Rank != nil && report.GetGroup() == server.Rank.Group {
 		board.ReportGroup(fleet.GroupRank{
 			Group: report.GetGroup(), Epoch: report.GetEpoch(), Rank: int(report.GetRank()), Size: int(report.GetSize()), Open: report.GetOpen(),
 		}, now)
--- /dev/null
+++ b/internal/loadfeed/loadfeed_test.go
@@ -0,0 +1,145 @@
+package loadfeed
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/dispatch"
+	"github.com/crowbridge/crowbridge/internal/experts"
+	"github.com/crowbridge/crowbridge/internal/fleet"
+	"github.com/crowbridge/crowbridge/internal/peerrpc"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+	logrustest "github.com/sirupsen/logrus/hooks/test"
+	"google.golang.org/protobuf/proto"
+)
+
+func TestLoadfeed(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "loadfeed")
+}
+
+// fakeBoard remembers what it was told.
+type fakeBoard struct {
+	mu     sync.Mutex
+	loads  map[string]dispatch.Load
+	groups []fleet.GroupRank
+}
+
+func (b *fakeBoard) ReportLoad(id string, load dispatch.Load, _ time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.loads[id] = load
+}
+
+func (b *fakeBoard) ReportGroup(rank fleet.GroupRank, _ time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.groups = append(b.groups, rank)
+}
+
+func (b *fakeBoard) load(id string) dispatch.Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.loads[id]
+}
+
+func newFakeBoard() *fakeBoard { return &fakeBoard{loads: map[string]dispatch.Load{}} }
+
+const engineAddress = "10.0.0.1:80"
+
+func registered() *fleet.Servers {
+	return fleet.NewServers([]*fleet.Server{
+		{ID: "r0", Address: engineAddress, Rank: &fleet.GroupRank{Group: "g", Epoch: 1, Open: true}},
+		{ID: "plain", Address: "10.0.0.2:80"},
+	})
+}
+
+var _ = Describe("the load feed", func() {
+	report := experts.RankReport{Group: "g", Epoch: 3, Size: 2, Open: true, Running: 4, Queued: 1, Pace: 1.5}
+
+	It("tells entries an engine's load and group, and outlives datagrams that aren't reports", func() {
+		conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		board := newFakeBoard()
+		logger, _ := logrustest.NewNullLogger()
+		ctx, stop := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- Listen(ctx, conn, registered, board, time.Now, logrus.NewEntry(logger)) }()
+		DeferCleanup(func() {
+			stop()
+			Expect(<-ended).NotTo(HaveOccurred())
+		})
+		to := conn.LocalAddr().(*net.UDPAddr).AddrPort()
+		sender, err := NewSender("127.0.0.1", engineAddress, to.Port())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(sender.Close)
+		_, err = sender.conn.WriteTo([]byte("rubbish"), conn.LocalAddr())
+		Expect(err).NotTo(HaveOccurred())
+		now := time.Unix(1000, 0)
+		Eventually(func() dispatch.Load {
+			now = now.Add(refresh) // a lost datagram is made good by the next
+			Expect(sender.Send(now, report, []netip.Addr{to.Addr()})).To(Succeed())
+			return board.load("r0")
+		}, "10s").Should(Equal(dispatch.Load{Running: 4, Waiting: 1, Pace: 1.5}))
+		Expect(board.groups).To(ContainElement(fleet.GroupRank{Group: "g", Epoch: 3, Size: 2, Open: true}))
+	})
+
+	It("sends what has changed, and now and then what hasn't", func() {
+		sender, err := NewSender("127.0.0.1", engineAddress, 9)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(sender.Close)
+		now := time.Unix(1000, 0)
+		sent := func() bool {
+			before := sender.sentAt
+			Expect(sender.Send(now, report, nil)).To(Succeed())
+			return sender.sentAt != before
+		}
+		Expect(sent()).To(BeTrue())
+		now = now.Add(refresh / 2)
+		Expect(sent()).To(BeFalse())
+		report.Running++
+		Expect(sent()).To(BeTrue())
+		now = now.Add(refresh)
+		Expect(sent()).To(BeTrue())
+	})
+
+	It("believes reports of a group from its own ranks only", func() {
+		for _, stranger := range []*peerrpc.LoadReport{
+			{Address: "10.0.0.9:80", Group: "g", Epoch: 99},
+			{Address: "10.0.0.2:80", Group: "g", Epoch: 99},
+			{Address: engineAddress, Group: "other", Epoch: 99},
+		} {
+			board := newFakeBoard()
+			take(stranger, registered(), board, time.Unix(1000, 0))
+			Expect(board.groups).To(BeEmpty())
+		}
+	})
+})
+
+// FuzzReport: no datagram makes the receiver panic or report a negative load.
+func FuzzReport(f *testing.F) {
+	good, err := proto.Marshal(&peerrpc.LoadReport{Address: engineAddress, Running: -3, Group: "g"})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var report peerrpc.LoadReport
+		if proto.Unmarshal(data, &report) != nil {
+			return
+		}
+		board := newFakeBoard()
+		take(&report, registered(), board, time.Unix(1000, 0))
+		for id, load := range board.loads {
+			if load.Running < 0 || load.Waiting < 0 {
+				t.Fatalf("%s: %+v", id, load)
+			}
+		}
+	})
+}
