dispatch: a customer's share holds at plain services too

Cause: the calls that must be prompt (slots, status, register) go to plain services, whose servers answer in the order of arrival: one customer's flood takes the queue. Change: who has more than its share is refused there once as many wait as run; nobody else is.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/failure"
@@ -30,21 +31,31 @@
 	// customer sends fifty times as much, 0.05 below fullFirst is enough; on the
 	// users' days larger steps cost up to 0.01 of worth, this one none.
 	fullOverShare = 1.0
+	// fullPlain is the part of a plain service's places from which on a request is
+	// refused whose customer has more than its share: as many wait as run then. Nobody
+	// else is refused there before the servers do.
+	fullPlain = 2.0
 	// comeBackLeast and comeBackMost bound the hint to come back; it's spread, so that
 	// those who were refused together don't return together.
 	comeBackLeast = 700 * time.Millisecond
 	comeBackMost  = 2200 * time.Millisecond
 )
 
-// admit refuses a stream at once when the servers are so full that it would
-// come too late.
+// admit refuses a request at once when the servers are so full that it would come
+// too late, or that its customer's share is used up.
 func (p *Pipeline) admit(x *exchange, picked Choice) *failure.Error {
-	if x.route.Kind != fleet.KindStreaming || x.begun || picked.Server.Rank == nil {
+	if x.begun {
 		return nil
 	}
 	overShare := p.board.askedForPlace(x.Service, x.request.Customer, p.now())
 	pause := p.board.pause(x.Service, p.now())
-	full := fullAt(x, pause, overShare)
+	full := math.Inf(1)
+	switch {
+	case x.route.Kind == fleet.KindStreaming && picked.Server.Rank != nil:
+		full = fullAt(x, pause, overShare)
+	case overShare:
+		full = fullPlain
+	}
 	if picked.Occupied < full {
 		p.takePlace(x)
 		return nil
@@ -63,7 +74,7 @@
 	}
 }
 
-// fullAt is the part of all places from which on a request is refused.
+// fullAt is the part of a group's places from which on a stream is refused.
 func fullAt(x *exchange, pause time.Duration, overShare bool) float64 {
 	full := fullFirst
 	switch {
--- a/internal/dispatch/fairness_test.go
+++ b/internal/dispatch/fairness_test.go
@@ -34,11 +34,13 @@
 	return x
 }
 
-// crowd plays customers who share one group of ranks, on a clock of its own: each
-// admitted stream holds a place for a while, each refused one comes back once, when
+// crowd plays customers who share one service, on a clock of its own: each
+// admitted request holds a place for a while, each refused one comes back once, when
 // it was told to.
 type crowd struct {
 	*bench
+	route   string
+	service string
 	places  int
 	lasts   time.Duration
 	ends    []placeEnd
@@ -57,8 +59,9 @@
 
 const crowdServers = 4
 
+// newCrowd returns customers of a group of ranks.
 func newCrowd(places int, lasts time.Duration) *crowd {
-	c := &crowd{bench: newBench(), places: places, lasts: lasts, asked: map[string]int{}, served: map[string]int{}, atOnce: map[string]int{}}
+	c := &crowd{bench: newBench(), route: "stream", service: "model", places: places, lasts: lasts, asked: map[string]int{}, served: map[string]int{}, atOnce: map[string]int{}}
 	random := rand.New(rand.NewPCG(1, 2))
 	c.board.random = random.IntN
 	var servers []*fleet.Server
@@ -95,16 +98,16 @@
 func (c *crowd) endUntil(at time.Duration) {
 	for len(c.ends) > 0 && c.ends[0].at <= at {
 		c.board.Ended(c.ends[0].server)
-		c.board.leftPlace("model", c.ends[0].customer)
+		c.board.leftPlace(c.service, c.ends[0].customer)
 		c.ends = c.ends[1:]
 	}
 }
 
 func (c *crowd) take(a arrival) {
-	route := c.world.Config().Route("h.example", "/stream/x")
-	r := c.request("stream", 8*time.Second)
+	route := c.world.Config().Route("h.example", "/"+c.route+"/x")
+	r := c.request(c.route, 8*time.Second)
 	r.Customer = a.customer
-	x := &exchange{Target: Target{Route: route, Service: "model", repeated: a.repeated}, request: r, route: route, lastEvent: -1}
+	x := &exchange{Target: Target{Route: route, Service: c.service, repeated: a.repeated}, request: r, route: route, lastEvent: -1}
 	server, f := c.pipeline.choose(context.Background(), x)
 	if f == nil {
 		c.board.Sent(server.ID, r, c.now)
@@ -157,6 +160,21 @@
 		}
 	})
 
+	It("holds at plain services too, where nobody else is refused", func() {
+		c := newCrowd(12, 20*time.Millisecond)
+		c.route, c.service = "again", "plain"
+		c.world.setServers(&fleet.Server{ID: "a", Service: "plain", Capacity: 6}, &fleet.Server{ID: "b", Service: "plain", Capacity: 6})
+		c.comes("flood", 3000, 4) // 60 at once at 12 places
+		for i := range 3 {
+			c.comes("c"+strconv.Itoa(i), 50, 4)
+		}
+		c.play()
+		for i := range 3 {
+			Expect(c.servedPart("c" + strconv.Itoa(i))).To(Equal(1.0))
+		}
+		Expect(c.servedPart("flood")).To(BeNumerically("<", 0.6))
+	})
+
 	It("bounds nobody while there is room", func() {
 		c := newCrowd(40, 2*time.Second)
 		c.comes("only", 15, seconds)
