dispatch: pauses between events are kept by group, and groups are forgotten with their last rank

Read in the diff: the estimate was by service, so that with several groups a group that stalls as a whole would have had its streams moved while another's went on, and a slow group would have closed admission to the others. Specs changed to groups: "is left alone while all streams of its group are silent, whatever other groups do"; new: "is forgotten once none of its ranks is registered".

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -48,10 +48,10 @@
 		return nil
 	}
 	overShare := p.board.askedForPlace(x.Service, x.request.Customer, p.now())
-	pause := p.board.pause(x.Service, p.now())
-	full := math.Inf(1)
+	pause, full := time.Duration(0), math.Inf(1)
 	switch {
 	case x.route.Kind == fleet.KindStreaming && picked.Server.Rank != nil:
+		pause = p.board.pause(picked.Server.Rank.Group, p.now())
 		full = fullAt(x, pause, overShare)
 	case overShare:
 		full = fullPlain
--- a/internal/dispatch/board.go
+++ b/internal/dispatch/board.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -14,7 +15,7 @@
 	rows    map[string]*row
 	groups  map[string]*groupState
 	budgets map[string]*retryBudget
-	// pauses is the smoothed pause between events of own streams, by service.
+	// pauses is the smoothed pause between events of own streams, by group.
 	pauses map[string]*pauseEstimate
 	// shares are the customers' requests in progress, by service.
 	shares map[string]*customerShares
@@ -103,10 +104,19 @@
 	return r
 }
 
-// Keep forgets servers that are no longer registered and that no request is at.
+// Keep forgets servers that are no longer registered and that no request is at, and
+// groups of which no rank is registered.
 func (b *Board) Keep(servers *fleet.Servers) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	registered := map[string]bool{}
+	for _, server := range servers.All() {
+		if server.Rank != nil {
+			registered[server.Rank.Group] = true
+		}
+	}
+	maps.DeleteFunc(b.groups, func(group string, _ *groupState) bool { return !registered[group] })
+	maps.DeleteFunc(b.pauses, func(group string, _ *pauseEstimate) bool { return !registered[group] })
 	for id, r := range b.rows {
 		if servers.Server(id) == nil && r.inFlight == 0 {
 			delete(b.rows, id)
--- a/internal/dispatch/pipeline_test.go
+++ b/internal/dispatch/pipeline_test.go
@@ -221,16 +221,17 @@
 	It("goes on at another server when it alone falls silent", func() {
 		b := newBench(fallsSilent(one+two), signed(http.StatusOK, three))
 		b.pipeline.streamStall = 20 * time.Millisecond
-		b.board.sawPause("model", 80*time.Millisecond, b.now)
+		b.board.sawPause("g", 80*time.Millisecond, b.now)
 		Expect(b.serve("stream").Failure).To(BeNil())
 		Expect(b.caller.body.String()).To(Equal(one + two + three))
 		Expect(b.script.attempts[1].ResumeAfter).To(Equal(int64(2)))
 		Expect(b.logs.AllEntries()).To(ContainElement(HaveField("Data", HaveKeyWithValue("cause", ContainSubstring("no events")))))
 	})
 
-	It("is left alone while all streams of its group are silent", func() {
+	It("is left alone while all streams of its group are silent, whatever other groups do", func() {
 		b := newBench(fallsSilent(one))
 		b.pipeline.streamStall = time.Millisecond
+		b.board.sawPause("another", 80*time.Millisecond, b.now)
 		r := b.request("stream", 100*time.Millisecond)
 		Expect(b.pipeline.Serve(context.Background(), r, b.caller).Failure.Code).NotTo(Equal(failure.CodeSlow))
 		Expect(b.script.attempts).To(HaveLen(1))
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -125,7 +125,7 @@
 	}
 	now := p.now()
 	if !last.IsZero() {
-		p.board.sawPause(x.Service, now.Sub(last), now)
+		p.board.sawPause(server.Rank.Group, now.Sub(last), now)
 	}
 	return now
 }
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// streamStall is how long a stream may bring no event, while others of its service
+	// streamStall is how long a stream may bring no event, while others of its group
 	// do, before it goes on at another server: its connection may have fallen silent
 	// for good. Ten of the longest pauses that the users' routes allow, so that a slow
 	// server isn't taken for a silent one, and well before the two seconds after
@@ -22,14 +22,14 @@
 )
 
 // errStalled ends an attempt whose stream stalled.
-var errStalled = errors.New("the stream brings no events while others of its service do")
+var errStalled = errors.New("the stream brings no events while others of its group do")
 
 // stallWatch ends the attempt of a stream that stalls alone. A group stalls with
 // all its streams at once, so that no other rank would do better. A nil watch does
 // nothing.
 type stallWatch struct {
 	pipeline *Pipeline
-	service  string
+	group    string
 	end      context.CancelCauseFunc
 
 	mu        sync.Mutex // a leaf but for the board's
@@ -43,7 +43,7 @@
 	if server.Rank == nil || !x.route.Idempotent() || x.sent >= x.route.MaxAttempts {
 		return nil
 	}
-	return &stallWatch{pipeline: p, service: x.Service, end: end}
+	return &stallWatch{pipeline: p, group: server.Rank.Group, end: end}
 }
 
 // sawEvent notes that an event came.
@@ -80,7 +80,7 @@
 		w.timer.Reset(stall - silent)
 		return
 	}
-	if !w.pipeline.board.flowing(w.service, w.pipeline.now()) {
+	if !w.pipeline.board.flowing(w.group, w.pipeline.now()) {
 		w.timer.Reset(stall / stallChecks)
 		return
 	}
