--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -85,7 +85,7 @@
 	for {
 		event, err := reader.Next()
 		if err == nil {
-			last = p.notePause(x, server, last)
+			last = p.notePause(server, last)
 			watch.sawEvent()
 		}
 		if err == nil && (event.ID < 0 || event.ID > x.lastEvent) {
@@ -119,7 +119,7 @@
 
 // notePause tells the board the pause since the last event of a rank's stream, and
 // returns the time. Passes are what a group's admission goes by.
-func (p *Pipeline) notePause(x *exchange, server *fleet.Server, last time.Time) time.Time {
+func (p *Pipeline) notePause(server *fleet.Server, last time.Time) time.Time {
 	if server.Rank == nil {
 		return last
 	}
