--- a/internal/ranks/lead.go
+++ b/internal/ranks/lead.go
@@ -84,8 +84,11 @@
 }
 
 const (
-	// silencePace is how often an agent looks whether a holder still calls.
+	// silencePace is how often an agent looks for what it needs before it can claim.
 	silencePace = 50 * time.Millisecond
+	// silenceLook bounds the wait until a holder may have been silent for long enough:
+	// the engine's rank, or its group, may change meanwhile.
+	silenceLook = 250 * time.Millisecond
 	// claimTimeout bounds a claim of the lease.
 	claimTimeout = 1500 * time.Millisecond
 	// claimPause is kept after a claim that failed.
@@ -97,15 +100,16 @@
 func (l *Leader) Run(ctx context.Context) {
 	l.learnFence(ctx)
 	for ctx.Err() == nil {
-		wait.For(ctx, silencePace)
 		report := l.agent.Last()
 		fence, silent := l.agent.Silent()
-		if report.Size == 0 || silent < experts.Silence(report.Rank) {
+		if left := experts.Silence(report.Rank) - silent; left > 0 || report.Size == 0 {
+			wait.For(ctx, min(max(left, silencePace), silenceLook))
 			continue
 		}
 		if terms, known := l.directory.Terms(report.Group); known {
 			l.claim(ctx, report, terms, fence)
 		}
+		wait.For(ctx, silencePace)
 	}
 }
 
