--- a/internal/ranks/lead.go
+++ b/internal/ranks/lead.go
@@ -113,8 +113,8 @@
 	}
 }
 
-// learnFence reads the lease's history, so that an agent that started again can
-// claim without waiting twice.
+// learnFence reads the lease's history, so that an agent that started again takes no
+// orders of a former holder, and can claim without waiting twice.
 func (l *Leader) learnFence(ctx context.Context) {
 	for ctx.Err() == nil && l.agent.Last().Size == 0 {
 		wait.For(ctx, silencePace)
