--- a/internal/dispatch/fairness.go
+++ b/internal/dispatch/fairness.go
@@ -37,12 +37,7 @@
 // asked notes that a customer asks for a place. It tells whether the customer has
 // more than its share already: a multiple of what the others that asked lately have.
 func (s *customerShares) asked(name string, now time.Time) (over bool) {
-	c := s.customers[name]
-	if c == nil {
-		c = &customerShare{}
-		s.customers[name] = c
-		s.countedAt = time.Time{}
-	}
+	c := s.customer(name)
 	c.askedAt = now
 	s.count(now)
 	if s.active < 2 {
@@ -52,6 +47,18 @@
 	return float64(c.inFlight) >= max(leastShare, shareSlack*others)
 }
 
+// customer returns a customer's share, a new one if it isn't known: it may have been
+// forgotten since it asked, when this process has been paused.
+func (s *customerShares) customer(name string) *customerShare {
+	c := s.customers[name]
+	if c == nil {
+		c = &customerShare{}
+		s.customers[name] = c
+		s.countedAt = time.Time{}
+	}
+	return c
+}
+
 // count brings the number of active customers up to date and forgets the others.
 func (s *customerShares) count(now time.Time) {
 	if now.Sub(s.countedAt) < countPace {
@@ -70,12 +77,12 @@
 
 // began and ended follow a request that got a place.
 func (s *customerShares) began(name string) {
-	s.customers[name].inFlight++
+	s.customer(name).inFlight++
 	s.inFlight++
 }
 
 func (s *customerShares) ended(name string) {
-	s.customers[name].inFlight--
+	s.customer(name).inFlight--
 	s.inFlight--
 }
 
--- a/internal/dispatch/fairness_test.go
+++ b/internal/dispatch/fairness_test.go
@@ -184,6 +184,18 @@
 		Expect(c.servedPart("rare")).To(Equal(1.0))
 	})
 
+	It("counts a customer that was forgotten between its question and its place", func() {
+		shares := newCustomerShares()
+		now := time.Unix(1000, 0)
+		shares.asked("paused", now)
+		shares.asked("other", now.Add(askedLately+time.Millisecond))
+		Expect(shares.customers).NotTo(HaveKey("paused"))
+		shares.began("paused")
+		Expect(shares.inFlight).To(Equal(1))
+		shares.ended("paused")
+		Expect(shares.inFlight).To(BeZero())
+	})
+
 	It("forgets customers that are gone", func() {
 		shares := newCustomerShares()
 		now := time.Unix(1000, 0)
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -32,7 +32,7 @@
 	group    string
 	end      context.CancelCauseFunc
 
-	mu        sync.Mutex // a leaf but for the board's
+	mu        sync.Mutex // taken before the board's
 	lastEvent time.Time
 	timer     *time.Timer
 }
