membership: a reply that doesn't tell the age of its registrations isn't taken as fresh

Read in the diff: 0 meant "as of now", which is also what a daemon of an earlier release leaves unset, and ages were rounded down. 0 is unknown now and ages are rounded up. Spec "are read from the store when the reader doesn't tell how old its are".

--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -71,12 +71,12 @@
 	return reply, nil
 }
 
-// ageMs is how long ago a time was, in milliseconds, or -1 for the zero time.
+// ageMs is how long ago a time was, in milliseconds rounded up, or 0 for the zero time.
 func ageMs(now, at time.Time) int64 {
 	if at.IsZero() {
-		return -1
+		return 0
 	}
-	return now.Sub(at).Milliseconds()
+	return now.Sub(at).Milliseconds() + 1
 }
 
 // Ask takes in what a peer knows and this daemon lacks.
@@ -138,7 +138,7 @@
 		records: decode(servers), next: servers.GetNext(), whole: servers.GetWhole(), source: source,
 		lapses: make(map[string]time.Duration, len(reply.GetLapses())),
 	}
-	if age := reply.GetServersAgeMs(); age >= 0 {
+	if age := reply.GetServersAgeMs(); age > 0 {
 		news.asOf = asked.Add(-time.Duration(age) * time.Millisecond)
 	}
 	for _, lapse := range reply.GetLapses() {
--- a/internal/membership/reader_test.go
+++ b/internal/membership/reader_test.go
@@ -91,6 +91,16 @@
 		Expect(reader.asked).To(Equal(asked + 1))
 	})
 
+	It("are read from the store when the reader doesn't tell how old its are", func() {
+		store := newFakeStore()
+		reader, other := zoneOf(store)
+		reader.follower.refreshServers(ctx)
+		reader.members.serversAsOf = time.Time{}
+		reads := store.reads
+		Expect(other.follower.refreshServers(ctx)).To(Equal(ownPace))
+		Expect(store.reads).To(Equal(reads + 1))
+	})
+
 	It("are read from the store when the reader can't be reached", func() {
 		store := newFakeStore()
 		store.append(TopicServers, "a", "1.1.1.1:1")
