--- a/internal/membership/reader_test.go
+++ b/internal/membership/reader_test.go
@@ -101,6 +101,12 @@
 		Expect(store.reads).To(Equal(reads + 1))
 	})
 
+	It("aren't taken as fresh from a daemon of a release that tells no age", func() {
+		asking := serveIn("z", newFakeStore())
+		asking.exchange.takeIn(&peerrpc.ExchangeReply{Servers: &peerrpc.Topic{}}, asking.now, "earlier release")
+		Expect(asking.members.asOf().IsZero()).To(BeTrue())
+	})
+
 	It("are read from the store when the reader can't be reached", func() {
 		store := newFakeStore()
 		store.append(TopicServers, "a", "1.1.1.1:1")
