--- a/internal/experts/holder.go
+++ b/internal/experts/holder.go
@@ -46,10 +46,7 @@
 	// callTimeout bounds a call to a rank's agent, commandTimeout one that carries an
 	// order: an order without an answer is repeated. Both grow by rankTime for each
 	// rank that is called at once, prepare orders by mapTime: whole maps go over HTTP.
-	// lostTimeout bounds a call to a rank that didn't answer last time: some times the
-	// way between zones and back.
 	callTimeout    = 250 * time.Millisecond
-	lostTimeout    = 100 * time.Millisecond
 	commandTimeout = 120 * time.Millisecond
 	rankTime       = time.Millisecond
 	mapTime        = 12 * time.Millisecond
@@ -167,7 +164,7 @@
 		if counts {
 			ask.From, ask.To = h.window(rank)
 		}
-		ctx, cancel := context.WithTimeout(ctx, h.lookTimeout(rank))
+		ctx, cancel := context.WithTimeout(ctx, h.patience(callTimeout, rankTime))
 		defer cancel()
 		seen, err := h.ranks.Observe(ctx, rank, h.lease.Fence, ask)
 		h.mu.Lock()
@@ -189,18 +186,6 @@
 	}
 }
 
-// lookTimeout bounds a look at one rank. All wait for the slowest, so that a rank
-// that was lost at the last look is given less time: a new holder may have to release
-// the pass that the former one held before its VM stopped.
-func (h *Holder) lookTimeout(rank int) time.Duration {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.lost[rank] {
-		return lostTimeout
-	}
-	return h.patience(callTimeout, rankTime)
-}
-
 // noteStage logs when a switch moves on; each stage ends within some passes.
 func (h *Holder) noteStage() {
 	stage := h.state.Stage()
