A new holder can't go round in circles over a pass that the former one held

Symptoms: from 12.8 s (holder's VM frozen during a switch) to 34 s (the group formed anew) no pass was made; the new holder's log has 405 times "order not accepted, stage burn, rank 0, status 400". (2) A refusal leads from burn back to undo, and drive went on from undo to burn at once, for ever, never looking at the ranks again, so that the frozen rank's return wasn't seen.

--- a/internal/experts/holder.go
+++ b/internal/experts/holder.go
@@ -218,14 +218,17 @@
 	all.Wait()
 }
 
-// drive gives the orders that are due until the state waits for reports.
+// drive gives the orders that are due until the state waits for reports, or comes
+// back to a stage: then what the ranks report has to be looked at first.
 func (h *Holder) drive(ctx context.Context) {
+	driven := map[Stage]bool{}
 	for ctx.Err() == nil {
 		orders := h.state.Orders()
 		if len(orders) == 0 {
 			return
 		}
 		stage, pass, due := h.state.Stage(), h.state.pass, len(orders)
+		driven[stage] = true
 		var all sync.WaitGroup
 		for _, o := range orders {
 			all.Go(func() { h.command(ctx, o) })
@@ -236,6 +239,9 @@
 		if h.state.Stage() == StagePrepare || (same && len(h.state.Orders()) >= due) {
 			return
 		}
+		if h.state.Stage() != stage && driven[h.state.Stage()] {
+			return
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/experts/holder_test.go
@@ -0,0 +1,68 @@
+package experts
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/fleet"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+	logrustest "github.com/sirupsen/logrus/hooks/test"
+)
+
+// heldRanks are three ranks, one of which holds a pass for a former holder at the
+// unreachable rank 1. Rank 0's engine refuses every map.
+type heldRanks struct {
+	mu       sync.Mutex
+	prepares int
+}
+
+const formerRank = 1
+
+func (r *heldRanks) Observe(_ context.Context, rank int, fence int64, _ Question) (Observation, error) {
+	if rank == formerRank {
+		return Observation{}, errors.New("no answer")
+	}
+	report := RankReport{Group: "g", Epoch: 1, Rank: rank, Size: 3, Open: true, Pass: 8}
+	if rank == 2 {
+		report.Held = 9
+	}
+	return Observation{Report: report, Fence: fence, Experts: [][]int{{rank}}}, nil
+}
+
+func (r *heldRanks) Command(_ context.Context, rank int, o Order, _ bool) (Verdict, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o.Operation == Prepare && rank == 0 {
+		r.prepares++
+		return Refused, nil
+	}
+	return Accepted, nil
+}
+
+func (r *heldRanks) Room() float64 { return 1e6 }
+
+var _ = Describe("a new holder", func() {
+	It("looks at the ranks again when undoing what the former one did comes back to where it began", func() {
+		logger, _ := logrustest.NewNullLogger()
+		now := time.Unix(1000, 0)
+		ranks := &heldRanks{}
+		lease := Lease{
+			Claimed: Claimed{Fence: 2, Newest: 2, FormerRank: formerRank}, Size: 3,
+			Engine: &fleet.EngineModel{Experts: 3, Sets: 1, Placements: 2},
+		}
+		h := NewHolder(ranks, lease, func() Policy { return DefaultPolicy }, func() time.Time { return now }, logrus.NewEntry(logger))
+		h.observe(context.Background())
+		now = now.Add(reportLag + time.Millisecond)
+		h.observe(context.Background())
+		Expect(h.state.Stage()).To(Equal(StageUndo))
+		bounded, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		h.drive(bounded)
+		Expect(bounded.Err()).NotTo(HaveOccurred(), "it went on without a look")
+		Expect(ranks.prepares).To(Equal(1))
+	})
+})
