entry: a planned stop answers on open connections first, and ends each with its answer

At SIGTERM the own API's entry closed idle connections at once, and a request that was on its way over one got no answer. Traced by reading: the HTTP library closes them as the first thing of a shutdown; the hosted entries have a time to leave for that reason. Change: for 0.5 s answers go on, each with Connection: close, before the shutdown.

--- a/cmd/crowbridged/entry.go
+++ b/cmd/crowbridged/entry.go
@@ -14,6 +14,7 @@
 	"github.com/crowbridge/crowbridge/internal/rpc"
 	"github.com/crowbridge/crowbridge/internal/settings"
 	"github.com/crowbridge/crowbridge/internal/upstream"
+	"github.com/crowbridge/crowbridge/internal/wait"
 	"github.com/crowbridge/crowbridge/platform"
 	"github.com/urfave/cli/v3"
 )
@@ -113,11 +114,17 @@
 	return err
 }
 
+// leaveDelay is how long a stopping entry goes on answering on open connections,
+// each of which ends with its next answer: busy callers use theirs several times in it.
+const leaveDelay = 500 * time.Millisecond
+
 // stopEntry finishes the requests in flight; when a task has failed, it closes
 // at once.
 func stopEntry(p *process, e *entry.Entry) error {
 	ctx, cancel := context.WithTimeout(p.tasks, p.cmd.Duration("drain-timeout"))
 	defer cancel()
+	e.Leave()
+	wait.For(ctx, leaveDelay)
 	return e.Stop(ctx)
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -137,10 +137,14 @@
 // Serve answers callers on the listener until Stop.
 func (e *Entry) Serve(listener net.Listener) error { return e.server.Serve(listener) }
 
+// Leave makes every answer the last of its connection and the entry not ready. What
+// is closed by Stop afterwards is hardly used any more, so that few requests cross it.
+func (e *Entry) Leave() { e.stopping.Store(true) }
+
 // Stop refuses new connections and returns when every request in flight has
 // ended. Those that are left when the context ends are given up and answered.
 func (e *Entry) Stop(ctx context.Context) error {
-	e.stopping.Store(true)
+	e.Leave()
 	bounded, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	defer context.AfterFunc(ctx, func() {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -261,6 +261,18 @@
 })
 
 var _ = Describe("planned stops", func() {
+	It("answer on open connections first, and end each with its answer", func() {
+		agent := fakeAgent(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "{}") })
+		f := newFixture([]string{agent}, nil)
+		response, _ := f.post(keyOfRozsa, "/v1/chat/completions", completion, nil)
+		Expect(response.Close).To(BeFalse())
+		f.entry.Leave()
+		Expect(f.entry.Ready()).To(BeFalse())
+		response, _ = f.post(keyOfRozsa, "/v1/chat/completions", completion, nil)
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		Expect(response.Close).To(BeTrue())
+	})
+
 	It("answer what is still in flight when their time runs out", func() {
 		arrived := make(chan struct{}, 1)
 		agent := fakeAgent(func(_ http.ResponseWriter, r *http.Request) {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -51,6 +51,9 @@
 func (e *Entry) serve(ctx *fasthttp.RequestCtx) {
 	x := &exchange{ctx: ctx, id: uuid.NewString()}
 	ctx.Response.Header.Set(wire.HeaderRequestID, x.id)
+	if e.stopping.Load() {
+		ctx.SetConnectionClose()
+	}
 	if f := e.authenticate(x); f != nil {
 		writeFailure(x, f)
 		return
