experts: the estimate of demand begins anew when demand jumps

Cause: a probe that logged each look's counts showed that other experts are liked from one pass to the next (0.35 to 0.56 of the choices go elsewhere; 0.04 to 0.21 between looks otherwise), while the estimate, an average over a half-life of 0.5 s, was a mix for a second: a plan made at a skew of 2.87 was made for 1.60, and left 1.9 where it had planned 1.22.

Ruled out: noise of few choices (100,000 to 400,000 a look and set); a longer or shorter half-life alone (users' trials).

Alone it gains nothing: plans that see the whole jump ask for more copies, and a switch takes up to 2 s.

--- a/internal/experts/agent_test.go
+++ b/internal/experts/agent_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
 	"testing"
 	"time"
 
@@ -189,7 +190,8 @@
 		now := time.Unix(1000, 0)
 		see := func(a, b float64) {
 			now = now.Add(100 * time.Millisecond)
-			d.Observe(now, 0, []float64{a, b})
+			d.Observe(0, []float64{a, b})
+			d.EndLook(now)
 		}
 		see(100, 0)
 		Expect(d.Popularity()[0][0]).To(BeNumerically(">", 99))
@@ -205,15 +207,85 @@
 		shape := rebalance.Shape{Ranks: 1, Experts: 2, Layers: 2, Slots: 2}
 		d := NewDemand(shape, 100*time.Millisecond)
 		now := time.Unix(1000, 0)
-		d.Observe(now, 0, []float64{30, 10})
-		d.Observe(now, 2, []float64{10, 0})
+		d.Observe(0, []float64{30, 10})
+		d.Observe(2, []float64{10, 0})
+		d.EndLook(now)
 		Expect(d.Popularity()[0]).To(Equal([]float64{18.75, 6.25}))
 		Expect(d.Popularity()[1]).To(Equal([]float64{25, 0}))
-		d.Observe(now, 3, []float64{10, 0})
+		d.Observe(3, []float64{10, 0})
+		d.EndLook(now)
 		Expect(d.Weight()).To(Equal(50.0), "counts that belong to no set are left out")
 	})
 })
 
+// zipf is how many of so many choices each expert gets: the first-liked most.
+func zipf(experts, choices, first int) []float64 {
+	counts, total := make([]float64, experts), 0.0
+	for place := range counts {
+		counts[(first+place)%experts] = math.Pow(float64(place+1), -1.3)
+		total += counts[(first+place)%experts]
+	}
+	for expert := range counts {
+		counts[expert] *= float64(choices) / total
+	}
+	return counts
+}
+
+var _ = Describe("demand that jumps", func() {
+	const experts, choices = 96, 100_000
+	shape := rebalance.Shape{Ranks: 12, Experts: experts, Layers: 1, Slots: 11}
+	now := time.Unix(1000, 0)
+	look := func(d *Demand, counts []float64) Look {
+		now = now.Add(150 * time.Millisecond)
+		d.Observe(0, counts)
+		return d.EndLook(now)
+	}
+	steady := func() *Demand {
+		d := NewDemand(shape, DefaultPolicy.HalfLife)
+		for range 20 {
+			look(d, zipf(experts, choices, 0))
+		}
+		return d
+	}
+
+	It("is known with the second look, without a trace of what was liked before", func() {
+		d := steady()
+		both := zipf(experts, choices/2, 0)
+		for expert, n := range zipf(experts, choices/2, 40) {
+			both[expert] += n
+		}
+		Expect(look(d, both).Jumped).To(BeTrue())
+		Expect(d.Settled()).To(BeFalse(), "the look had passes of both sides")
+		Expect(look(d, zipf(experts, choices, 40)).Jumped).To(BeFalse())
+		Expect(d.Settled()).To(BeTrue())
+		liked := d.Popularity()[0]
+		Expect(liked[40]).To(BeNumerically("~", zipf(experts, choices, 40)[40], 1))
+		Expect(liked[0]).To(BeNumerically("<", liked[40]/10))
+	})
+
+	It("isn't seen in a prompt that stands out, nor in few choices", func() {
+		d := steady()
+		prompt := zipf(experts, choices, 0)
+		prompt[77] += 0.15 * choices
+		Expect(look(d, prompt).Jumped).To(BeFalse())
+		Expect(look(d, zipf(experts, 500, 40)).Jumped).To(BeFalse())
+		Expect(d.Settled()).To(BeTrue())
+	})
+
+	It("is told from looks that always differ, as those of few requests do", func() {
+		d := steady()
+		settled := 0
+		for i := range 40 {
+			look(d, zipf(experts, choices, i*29%experts))
+			if i >= 20 && d.Settled() {
+				settled++
+			}
+		}
+		Expect(settled).To(Equal(20))
+		Expect(d.Weight()).To(BeNumerically(">", 3*choices), "the estimate rests on several looks")
+	})
+})
+
 var _ = DescribeTable("the lead of a switch", func(arming, pass time.Duration, want int64) {
 	Expect(lead(arming, pass)).To(Equal(want))
 },
--- a/internal/experts/demand.go
+++ b/internal/experts/demand.go
@@ -8,38 +8,155 @@
 )
 
 // Demand estimates how often each expert is chosen at present, from the counts
-// of all ranks. Not safe for concurrent use.
+// of all ranks. Counts of one look at the ranks come by Observe and are taken in
+// by EndLook. Not safe for concurrent use.
+//
+// Demand moves in two ways. It drifts, and the prompts of a moment stand out by some
+// per cent of the choices: an average over half a second evens that out. And it
+// jumps: other experts are liked from one pass to the next. An average across a
+// jump fits neither side, and a map that is planned by it has to be planned again. So
+// a look that differs from the estimate by much more than looks usually do
+// replaces it.
 type Demand struct {
 	shape    rebalance.Shape
 	halfLife time.Duration
 	smoothed rebalance.Popularity
 	at       time.Time
 	seen     float64
+	// fresh is what the present look has brought, by set.
+	fresh     rebalance.Popularity
+	freshSeen float64
+	// usual is the smoothed distance of looks from the estimate.
+	usual float64
+	// unsettled is set after a jump until the next look: that in which the jump showed
+	// had passes of both sides.
+	unsettled bool
+	// began is the time of the first look, jumps how many there were since.
+	began time.Time
+	jumps int
 }
 
+const (
+	// leastLook is how many choices a look must have brought to be compared: the
+	// distance between two samples of 2,000 choices among 96 experts is 0.12.
+	leastLook = 2000
+	// leastJump and jumpOverUsual bound the distance from which on demand has jumped.
+	// On the users' days looks differ by 0.04 to 0.21, and by 0.35 to 0.56 after
+	// half to four fifths of what is liked has changed.
+	leastJump     = 0.25
+	jumpOverUsual = 2.0
+	// usualAtFirst and usualWeight are where the smoothed distance begins and the
+	// weight of the newest: some ten looks make the estimate.
+	usualAtFirst = 0.1
+	usualWeight  = 0.1
+)
+
 // NewDemand returns an estimate that forgets half of what it knows in a time.
 func NewDemand(shape rebalance.Shape, halfLife time.Duration) *Demand {
-	return &Demand{shape: shape, halfLife: halfLife, smoothed: rebalance.NewPopularity(shape)}
+	return &Demand{
+		shape: shape, halfLife: halfLife, usual: usualAtFirst,
+		smoothed: rebalance.NewPopularity(shape), fresh: rebalance.NewPopularity(shape),
+	}
 }
 
 // Observe takes in what a rank's requests chose since the last look: counts set
 // after set, from a place on. Ranks may tell a part of the sets at a time.
-func (d *Demand) Observe(now time.Time, from int, chosen []float64) {
+func (d *Demand) Observe(from int, chosen []float64) {
 	if from < 0 || from+len(chosen) > d.shape.Layers*d.shape.Experts {
 		return
 	}
-	total := 0.0
-	for _, n := range chosen {
-		total += n
+	for i, n := range chosen {
+		at := from + i
+		d.fresh[at/d.shape.Experts][at%d.shape.Experts] += n
+		d.freshSeen += n
 	}
-	if total == 0 {
-		return
+}
+
+// Look is what a look at the ranks said of demand.
+type Look struct {
+	// Choices is how many there were; nothing else is known without any.
+	Choices float64
+	// Distance of the look from the estimate before it, 0 to 1: the part of the choices
+	// that went to other experts. Usual is what it was as a rule.
+	Distance, Usual float64
+	// Jumped is set when the estimate begins anew with this look.
+	Jumped bool
+}
+
+// EndLook takes the counts of a look into the estimate.
+func (d *Demand) EndLook(now time.Time) Look {
+	look := Look{Choices: d.freshSeen, Usual: d.usual}
+	if look.Choices == 0 {
+		return look
+	}
+	if d.began.IsZero() {
+		d.began = now
 	}
 	d.decay(now)
-	d.seen += total
-	for i, n := range chosen {
-		at := from + i
-		d.smoothed[at/d.shape.Experts][at%d.shape.Experts] += n
+	if d.seen > 0 && look.Choices >= leastLook {
+		d.compare(&look)
+	}
+	d.merge()
+	return look
+}
+
+// compare looks for a jump between the estimate and the fresh counts.
+func (d *Demand) compare(look *Look) {
+	if d.unsettled {
+		d.forget()
+		d.unsettled = false
+		return
+	}
+	look.Distance = d.distance()
+	look.Jumped = look.Distance > max(leastJump, jumpOverUsual*d.usual)
+	d.usual += usualWeight * (look.Distance - d.usual)
+	if look.Jumped {
+		d.forget()
+		d.unsettled = true
+		d.jumps++
+	}
+}
+
+// distance is the mean over the sets of the part of the fresh choices that would have
+// to go to other experts to be spread as the estimate is.
+func (d *Demand) distance() float64 {
+	total, sets := 0.0, 0
+	for set, fresh := range d.fresh {
+		freshTotal, knownTotal := sum(fresh), sum(d.smoothed[set])
+		if freshTotal == 0 || knownTotal == 0 {
+			continue
+		}
+		sets++
+		for expert, n := range fresh {
+			total += math.Abs(n/freshTotal-d.smoothed[set][expert]/knownTotal) / 2
+		}
+	}
+	return total / float64(max(sets, 1))
+}
+
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, v := range values {
+		total += v
+	}
+	return total
+}
+
+func (d *Demand) forget() {
+	d.seen = 0
+	for _, set := range d.smoothed {
+		clear(set)
+	}
+}
+
+func (d *Demand) merge() {
+	d.seen += d.freshSeen
+	d.freshSeen = 0
+	for set, fresh := range d.fresh {
+		for expert, n := range fresh {
+			d.smoothed[set][expert] += n
+		}
+		clear(fresh)
 	}
 }
 
@@ -65,16 +182,29 @@
 // Weight is how many choices the estimate rests on.
 func (d *Demand) Weight() float64 { return d.seen }
 
+// Settled tells whether the estimate is of one side of the last jump only.
+func (d *Demand) Settled() bool { return !d.unsettled }
+
+// lastsAtFirst is how long demand is taken to stay as it is before it has been seen
+// to jump; it weighs as much as one jump seen.
+const lastsAtFirst = 30 * time.Second
+
+// Lasts is how long demand stays as it is, by the jumps so far.
+func (d *Demand) Lasts(now time.Time) time.Duration {
+	seen := time.Duration(0)
+	if !d.began.IsZero() {
+		seen = now.Sub(d.began)
+	}
+	return (lastsAtFirst + seen) / time.Duration(d.jumps+1)
+}
+
 // Popularity returns the estimate. All sets have the same total, as they have in
 // truth: each token passes all sets, but the counts of some may be newer.
 func (d *Demand) Popularity() rebalance.Popularity {
 	estimate := rebalance.NewPopularity(d.shape)
 	even := d.seen / float64(d.shape.Layers)
 	for set, counts := range d.smoothed {
-		total := 0.0
-		for _, n := range counts {
-			total += n
-		}
+		total := sum(counts)
 		if total == 0 {
 			continue
 		}
--- a/internal/experts/holder.go
+++ b/internal/experts/holder.go
@@ -176,7 +176,7 @@
 		}
 		h.highest = max(h.highest, seen.Fence)
 		h.state.Report(h.now(), rank, seen.Report)
-		h.demand.Observe(h.now(), seen.Counts.From, seen.Counts.Chosen)
+		h.demand.Observe(seen.Counts.From, seen.Counts.Chosen)
 		if lists {
 			h.lists[rank] = seen.Experts
 		}
@@ -184,6 +184,17 @@
 	if lists {
 		h.adoptLists()
 	}
+	h.noteDemand(h.demand.EndLook(h.now()))
+}
+
+// noteDemand logs that demand has jumped.
+func (h *Holder) noteDemand(look Look) {
+	if !look.Jumped {
+		return
+	}
+	h.log.WithFields(logrus.Fields{
+		"epoch": h.state.Epoch(), "choices": look.Choices, "distance": look.Distance, "usual": look.Usual,
+	}).Info("expert demand has jumped: the estimate begins anew")
 }
 
 // noteStage logs when a switch moves on; each stage ends within some passes.
