rebalance: plans count the time until they are in force

Cause: a switch is as slow as the rank that copies most, over all sets together, and the next plan waits for its end. The planner knew nothing of time.

Change: a plan grows in stages, each of which allows every rank some more loads over all layers; the stage that gains most a second until it is in force goes. Copy times come from the engines' description, the rest of a switch is measured, and how long demand lasts is learned from its jumps.

--- a/internal/experts/holder.go
+++ b/internal/experts/holder.go
@@ -97,6 +97,10 @@
 	// planned is where the present switch leads, by so many moves.
 	planned *rebalance.Placement
 	moves   int
+	// copies is how many experts the rank that copies most has to copy for it.
+	copies int
+	// switchTime is the smoothed time that a switch takes besides its copies.
+	switchTime time.Duration
 	// placementEpoch and placementVersion are those of placement.
 	placementEpoch, placementVersion int64
 	lists                            [][][]int
@@ -127,7 +131,7 @@
 	return &Holder{
 		ranks: ranks, lease: lease, policy: policy, now: now, log: log.WithField("fence", lease.Fence),
 		state: state, demand: NewDemand(shape, policy().HalfLife),
-		planner: rebalance.NewPlanner(shape), shape: shape, lost: make([]bool, lease.Size),
+		planner: rebalance.NewPlanner(shape), shape: shape, lost: make([]bool, lease.Size), switchTime: switchAtFirst,
 	}
 }
 
--- a/internal/experts/planning.go
+++ b/internal/experts/planning.go
@@ -1,6 +1,8 @@
 package experts
 
 import (
+	"time"
+
 	"github.com/crowbridge/crowbridge/internal/rebalance"
 	"github.com/sirupsen/logrus"
 )
@@ -10,6 +12,16 @@
 // 0.3 s each, against 0.9 s for a map of 72 ranks that went whole.
 const movesAtOnce = 170
 
+const (
+	// switchAtFirst is what a switch is taken to cost besides its copies until one has
+	// been measured, switchWeight the weight of the newest.
+	switchAtFirst = 300 * time.Millisecond
+	switchWeight  = 0.3
+	// copySlowdown is by which part passes are longer while a rank copies experts, as
+	// the engines' page tells.
+	copySlowdown = 0.15
+)
+
 // plan begins a switch if one pays.
 func (h *Holder) plan() {
 	if h.state.Stage() == StagePrepare && h.now().Sub(h.begun) > prepareTimeout {
@@ -35,6 +47,7 @@
 	moves := h.planner.Plan(h.placement, popularity, speeds, rebalance.Options{
 		SkewWeight: 1, CostWeight: policy.MovePrice,
 		MaxMoves: movesAtOnce, MaxNewPerRank: h.lease.Engine.NewPerOrder, GoodEnough: 1 + (trigger-1)*policy.TargetPart,
+		Times: h.times(),
 	})
 	if len(moves) == 0 {
 		return
@@ -43,9 +56,11 @@
 	next.Apply(moves)
 	after := next.Skew(popularity, speeds)
 	h.planned, h.moves, h.begun = next, len(moves), h.now()
+	h.copies = h.placement.MostLoads(next)
 	h.state.Begin(next.Lists())
 	h.log.WithFields(logrus.Fields{
 		"version": h.state.Version(), "epoch": h.state.Epoch(), "moves": len(moves), "skew": before, "trigger": trigger, "planned_skew": after,
+		"copies": h.copies, "switch_ms": h.switchTime.Milliseconds(), "demand_lasts_ms": h.demand.Lasts(h.now()).Milliseconds(),
 	}).Info("expert map: switch begun")
 }
 
@@ -56,6 +71,7 @@
 	})
 	if h.state.Version() != 0 && h.mapInUse() == h.state.Version() {
 		h.placement, h.placementEpoch, h.placementVersion = h.planned, h.state.Epoch(), h.state.Version()
+		h.timeSwitch()
 		log.Info("expert map: in use at all ranks")
 		h.tellChange()
 	} else {
@@ -64,6 +80,20 @@
 	h.planned = nil
 }
 
+// times are what a plan costs in time, by the engine's description and what the last
+// switches took.
+func (h *Holder) times() rebalance.Times {
+	return rebalance.Times{
+		Copy: h.lease.Engine.CopyTime, Switch: h.switchTime, Slowdown: copySlowdown, Lasts: h.demand.Lasts(h.now()),
+	}
+}
+
+// timeSwitch measures what a switch takes besides its copies.
+func (h *Holder) timeSwitch() {
+	took := h.now().Sub(h.begun) - time.Duration(h.copies)*h.lease.Engine.CopyTime
+	h.switchTime += time.Duration(switchWeight * float64(max(took, 0)-h.switchTime))
+}
+
 // tellChange tells who asked for it that a new map is in use.
 func (h *Holder) tellChange() {
 	if h.lease.Changed == nil {
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -75,6 +75,8 @@
 	NewPerOrder int
 	// ExpertShare is the part of a step's work that is done by experts.
 	ExpertShare float64
+	// CopyTime is how long a rank takes to copy one expert, 0 when nothing tells.
+	CopyTime time.Duration
 }
 
 // Service is a set of interchangeable backend servers.
--- a/internal/rebalance/layer.go
+++ b/internal/rebalance/layer.go
@@ -1,5 +1,7 @@
 package rebalance
 
+import "slices"
+
 // layer is the working state of one layer: who holds what, and each rank's
 // time. The arrays are used again from layer to layer.
 type layer struct {
@@ -9,11 +11,38 @@
 	speeds     []float64
 	hosts      [][]int32 // ranks by expert
 	times      []float64 // by rank
-	// start is what the slots held at first, added how many experts each rank has
-	// that it didn't have then, and maxAdded the bound on that, or 0.
-	start    []int32
-	added    []int
-	maxAdded int
+	// kept is what the slots hold by the moves that are settled, start what they held
+	// at first, added how many experts each rank has that it didn't have then, and
+	// maxAdded the bound on that, or 0. loads is shared by all layers.
+	kept, start []int32
+	added       []int
+	maxAdded    int
+	loads       *rankLoads
+}
+
+// rankLoads counts the experts that each rank has to load, over all layers.
+type rankLoads struct {
+	byRank []int
+	// allowed bounds them; refused is set when the bound has stood in a step's way.
+	allowed int
+	refused bool
+}
+
+func (r *rankLoads) reset() { clear(r.byRank) }
+
+// allow sets the bound.
+func (r *rankLoads) allow(most int) { r.allowed, r.refused = most, false }
+
+// most is the number of the rank that has to load most.
+func (r *rankLoads) most() int { return slices.Max(r.byRank) }
+
+// mayAdd tells whether a rank may load one more.
+func (r *rankLoads) mayAdd(rank int) bool {
+	if r.byRank[rank] < r.allowed {
+		return true
+	}
+	r.refused = true
+	return false
 }
 
 func newLayer(shape Shape) *layer {
@@ -22,6 +51,7 @@
 		slots: make([]int32, shape.Ranks*shape.Slots),
 		hosts: make([][]int32, shape.Experts),
 		times: make([]float64, shape.Ranks),
+		kept:  make([]int32, shape.Ranks*shape.Slots),
 		start: make([]int32, shape.Ranks*shape.Slots),
 		added: make([]int, shape.Ranks),
 	}
@@ -30,6 +60,11 @@
 func (l *layer) load(p *Placement, n int, popularity, speeds []float64) {
 	copy(l.slots, p.slots[n])
 	l.popularity, l.speeds = popularity, speeds
+	l.count()
+}
+
+// count works out who holds what, and each rank's time.
+func (l *layer) count() {
 	for expert := range l.hosts {
 		l.hosts[expert] = l.hosts[expert][:0]
 	}
@@ -44,15 +79,36 @@
 			continue
 		}
 		rank := i / l.shape.Slots
-		l.times[rank] += l.share(int(expert), 0) / speeds[rank]
+		l.times[rank] += l.share(int(expert), 0) / l.speeds[rank]
 	}
 }
 
-// bound limits how many experts may be loaded at each rank from now on.
-func (l *layer) bound(limit int) {
+// bound limits how many experts may be loaded at each rank from now on: in this
+// layer, and in all that share the loads.
+func (l *layer) bound(limit int, loads *rankLoads) {
 	copy(l.start, l.slots)
+	copy(l.kept, l.slots)
 	clear(l.added)
-	l.maxAdded = limit
+	l.maxAdded, l.loads = limit, loads
+}
+
+// keep settles the steps that were taken.
+func (l *layer) keep() { copy(l.kept, l.slots) }
+
+// undo takes back the steps since the last that were settled.
+func (l *layer) undo() {
+	copy(l.slots, l.kept)
+	l.count()
+	for rank := range l.added {
+		l.loads.byRank[rank] -= l.added[rank]
+		l.added[rank] = 0
+		for _, expert := range l.held(rank) {
+			if expert != Empty && !l.hadAtStart(rank, expert) {
+				l.added[rank]++
+			}
+		}
+		l.loads.byRank[rank] += l.added[rank]
+	}
 }
 
 func (l *layer) hadAtStart(rank int, expert int32) bool {
@@ -61,20 +117,27 @@
 
 // mayAdd tells whether a rank may load an expert in the place of another.
 func (l *layer) mayAdd(rank int, expert, victim int32) bool {
-	if l.maxAdded == 0 || l.hadAtStart(rank, expert) {
+	if l.loads == nil || l.hadAtStart(rank, expert) {
 		return true
 	}
-	replaced := victim != Empty && !l.hadAtStart(rank, victim)
-	return replaced || l.added[rank] < l.maxAdded
+	if victim != Empty && !l.hadAtStart(rank, victim) {
+		return true
+	}
+	return (l.maxAdded == 0 || l.added[rank] < l.maxAdded) && l.loads.mayAdd(rank)
 }
 
-// count keeps the number of experts that a rank has loaded.
-func (l *layer) count(rank int, expert, victim int32) {
+// countAdded keeps the number of experts that a rank has to load.
+func (l *layer) countAdded(rank int, expert, victim int32) {
+	more := 0
 	if !l.hadAtStart(rank, expert) {
-		l.added[rank]++
+		more++
 	}
 	if victim != Empty && !l.hadAtStart(rank, victim) {
-		l.added[rank]--
+		more--
+	}
+	l.added[rank] += more
+	if l.loads != nil {
+		l.loads.byRank[rank] += more
 	}
 }
 
@@ -223,8 +286,8 @@
 	l.times[into.Rank] += difference / l.speeds[into.Rank]
 	l.hosts[into.Expert] = append(remove(l.hosts[into.Expert], int32(back.Rank)), int32(into.Rank))
 	l.hosts[back.Expert] = append(remove(l.hosts[back.Expert], int32(into.Rank)), int32(back.Rank))
-	l.count(into.Rank, int32(into.Expert), int32(back.Expert))
-	l.count(back.Rank, int32(back.Expert), int32(into.Expert))
+	l.countAdded(into.Rank, int32(into.Expert), int32(back.Expert))
+	l.countAdded(back.Rank, int32(back.Expert), int32(into.Expert))
 	l.held(into.Rank)[into.Slot] = int32(into.Expert)
 	l.held(back.Rank)[back.Slot] = int32(back.Expert)
 }
@@ -269,7 +332,7 @@
 	if victim != Empty {
 		l.hosts[victim] = remove(l.hosts[victim], int32(m.Rank))
 	}
-	l.count(m.Rank, int32(m.Expert), int32(victim))
+	l.countAdded(m.Rank, int32(m.Expert), int32(victim))
 	l.held(m.Rank)[m.Slot] = int32(m.Expert)
 }
 
--- a/internal/rebalance/placement.go
+++ b/internal/rebalance/placement.go
@@ -2,7 +2,11 @@
 // in, decision out.
 package rebalance
 
-import "github.com/pkg/errors"
+import (
+	"slices"
+
+	"github.com/pkg/errors"
+)
 
 // Shape is a group's size.
 type Shape struct {
@@ -137,6 +141,23 @@
 	return loads
 }
 
+// MostLoads is how many experts the rank that loads most has to load, over all
+// layers, to get from one placement to another.
+func (p *Placement) MostLoads(other *Placement) int {
+	loads := make([]int, p.Shape.Ranks)
+	for layer := range p.slots {
+		for rank := range p.Shape.Ranks {
+			held := p.rank(layer, rank)
+			for _, expert := range other.rank(layer, rank) {
+				if expert != Empty && !contains(held, expert) {
+					loads[rank]++
+				}
+			}
+		}
+	}
+	return slices.Max(loads)
+}
+
 // Popularity is the work that each expert of each layer attracts, in any unit.
 type Popularity [][]float64
 
--- a/internal/rebalance/plan.go
+++ b/internal/rebalance/plan.go
@@ -1,12 +1,14 @@
 package rebalance
 
-import "slices"
+import (
+	"time"
+)
 
 // Options are the operator's weights and the platform's limits.
 type Options struct {
 	// SkewWeight is what one per cent less time of a layer's slowest rank is
 	// worth; CostWeight is what loading one expert costs. Only their ratio counts:
-	// a move is made when it gains more than CostWeight/SkewWeight per cent.
+	// a step is made when it gains more than CostWeight/SkewWeight per cent a load.
 	SkewWeight, CostWeight float64
 	// MaxMoves bounds the moves of one plan, from the weight store's rate and the
 	// planning interval.
@@ -17,129 +19,201 @@
 	// GoodEnough ends the search in a layer once its slowest rank's time is at most
 	// this many times the ideal one; 0 means that only cost does.
 	GoodEnough float64
+	// Times say how long it takes until a plan is in force.
+	Times Times
 }
 
-// maxMovesPerLayer bounds the search in one layer.
-const maxMovesPerLayer = 512
+// Times are what a plan costs in time. The zero value means that plans are in force
+// at once.
+type Times struct {
+	// Copy is how long a rank copies one expert. All ranks copy at the same time, each
+	// one expert after the other.
+	Copy time.Duration
+	// Switch is what it takes besides to bring a map into use.
+	Switch time.Duration
+	// Slowdown is by which part passes are longer while experts are copied.
+	Slowdown float64
+	// Lasts is how long demand is expected to stay as it is; 0 means for good.
+	Lasts time.Duration
+}
 
-// patience is how many moves in a row may bring no better net gain before the
-// search in a layer ends.
-const patience = 24
+// rate is what a plan wins in a second until it is in force: its gain in skew, for
+// as long as demand lasts after that, less what the copies slow down meanwhile.
+//
+// Plans follow each other, so that which gains most a second goes first: that order
+// leaves the least skew over time. A long plan makes everybody wait for its last copy.
+func (t Times) rate(before, after float64, loads int) float64 {
+	copies := time.Duration(loads) * t.Copy
+	took := t.Switch + copies
+	if took <= 0 {
+		return before - after
+	}
+	gain := before - after
+	if t.Lasts > 0 {
+		lasts := max(t.Lasts-took, 0)
+		gain = gain*lasts.Seconds()/t.Lasts.Seconds() - before*t.Slowdown*copies.Seconds()/t.Lasts.Seconds()
+	}
+	return gain / took.Seconds()
+}
 
 // Planner turns popularity into moves. It keeps its arrays between plans. Not
 // safe for concurrent use.
 type Planner struct {
-	shape   Shape
-	layer   *layer
-	pending []Move
+	shape  Shape
+	layers []*layer
+	loads  *rankLoads
+	// ideal is each layer's slowest time if it were spread evenly, stuck is set for
+	// layers in which no step helps within the present bound on loads.
+	ideal []float64
+	stuck []bool
+	price float64
+	// moves are those of the plan so far; pending those of a step that has not paid yet.
+	moves, pending []Move
 }
 
 // NewPlanner returns a planner for groups of a shape.
 func NewPlanner(shape Shape) *Planner {
-	return &Planner{shape: shape, layer: newLayer(shape)}
+	p := &Planner{
+		shape: shape, loads: &rankLoads{byRank: make([]int, shape.Ranks)},
+		layers: make([]*layer, shape.Layers), ideal: make([]float64, shape.Layers), stuck: make([]bool, shape.Layers),
+	}
+	for n := range p.layers {
+		p.layers[n] = newLayer(shape)
+	}
+	return p
 }
 
-// layerPlan is what one layer would gain by how many moves.
-type layerPlan struct {
-	moves []Move
-	// ends are where each step of the search ends: the moves of an exchange belong
-	// together.
-	ends []int
-	net  float64 // gain less cost, in per cent of the layer's ideal time
+// Plan returns the moves worth making, or none.
+//
+// The plan grows in stages: each allows every rank some more loads over all layers
+// together, since a switch takes as long as the rank that copies most. Of the
+// stages, the one that gains most a second until it's in force is returned. Within a
+// stage, the layer with the slowest rank is lightened first, step by step; a step
+// that costs more than it gains isn't made, which is the hysteresis against noise.
+func (p *Planner) Plan(current *Placement, popularity Popularity, speeds []float64, options Options) []Move {
+	p.start(current, popularity, speeds, options)
+	before := p.skew()
+	bestRate, bestLength := 0.0, 0
+	for most := p.firstBound(options); ; most = nextBound(most) {
+		p.loads.allow(most)
+		p.lighten(options)
+		if rate := options.Times.rate(before, p.skew(), p.loads.most()); rate > bestRate {
+			bestRate, bestLength = rate, len(p.moves)
+		}
+		if !p.loads.refused || len(p.moves) >= options.MaxMoves {
+			return p.moves[:bestLength:bestLength]
+		}
+	}
 }
 
-// first returns the moves of the first steps, up to a number of moves.
-func (p layerPlan) first(limit int) []Move {
-	length := 0
-	for _, end := range p.ends {
-		if end > min(limit, len(p.moves)) {
-			break
-		}
-		length = end
+// firstBound is the bound on a rank's loads to begin with: none when copies take no
+// time.
+func (p *Planner) firstBound(options Options) int {
+	if options.Times.Copy <= 0 {
+		return p.shape.Layers * p.shape.Slots
 	}
-	return p.moves[:length]
+	return 1
 }
 
-// Plan returns the moves worth making, the most profitable layers first, or
-// none. In each layer, moves are tried one after the other and the prefix with
-// the best net gain is kept: several ranks may have to be lightened before the
-// slowest one's time falls. That the gain must exceed the cost is also the
-// hysteresis against noise.
-func (p *Planner) Plan(current *Placement, popularity Popularity, speeds []float64, options Options) []Move {
-	var plans []layerPlan
-	for n := range p.shape.Layers {
-		plan := p.planLayer(current, n, popularity[n], speeds, options)
-		if len(plan.moves) > 0 {
-			plans = append(plans, plan)
-		}
+// fineBounds is up to which bound the stages differ by one load; further ones differ
+// by a quarter, so that groups of many layers are planned in some twenty stages.
+const fineBounds = 8
+
+func nextBound(most int) int {
+	if most < fineBounds {
+		return most + 1
 	}
-	slices.SortStableFunc(plans, func(a, b layerPlan) int {
-		switch gainA, gainB := a.net/float64(len(a.moves)), b.net/float64(len(b.moves)); {
-		case gainA > gainB:
-			return -1
-		case gainA < gainB:
-			return 1
-		default:
-			return 0
-		}
-	})
-	return take(plans, options.MaxMoves)
+	return most + most/4
 }
 
-// take returns whole layers' plans up to a number of moves. When not even one
-// layer's fits, the first moves of the best are taken.
-func take(plans []layerPlan, limit int) []Move {
-	var moves []Move
-	for _, plan := range plans {
-		if len(moves)+len(plan.moves) > limit {
-			continue
-		}
-		moves = append(moves, plan.moves...)
+// start takes in the present state.
+func (p *Planner) start(current *Placement, popularity Popularity, speeds []float64, options Options) {
+	p.price = 0
+	if options.SkewWeight > 0 {
+		p.price = options.CostWeight / options.SkewWeight
 	}
-	if len(moves) == 0 && len(plans) > 0 {
-		return plans[0].first(limit)
+	p.moves = nil // the last plan's may still be in use
+	p.loads.reset()
+	for n, l := range p.layers {
+		l.load(current, n, popularity[n], speeds)
+		l.bound(options.MaxNewPerRank, p.loads)
+		p.ideal[n] = sum(popularity[n]) / sum(speeds)
 	}
-	return moves
 }
 
-func (p *Planner) planLayer(current *Placement, n int, popularity, speeds []float64, options Options) layerPlan {
-	l := p.layer
-	l.load(current, n, popularity, speeds)
-	l.bound(options.MaxNewPerRank)
-	ideal := sum(popularity) / sum(speeds)
+// skew is Placement.Skew of the plan so far.
+func (p *Planner) skew() float64 {
+	slowest, ideal := 0.0, 0.0
+	for n, l := range p.layers {
+		slowest += l.slowestTime()
+		ideal += p.ideal[n]
+	}
 	if ideal == 0 {
-		return layerPlan{}
+		return 1
 	}
-	price := 0.0
-	if options.SkewWeight > 0 {
-		price = options.CostWeight / options.SkewWeight
+	return slowest / ideal
+}
+
+// lighten makes all steps that pay within the bound on loads.
+func (p *Planner) lighten(options Options) {
+	for n := range p.stuck {
+		p.stuck[n] = false
 	}
+	for {
+		worst := p.worstLayer(options.GoodEnough)
+		if worst < 0 {
+			return
+		}
+		p.stuck[worst] = !p.improve(worst, options)
+	}
+}
+
+// worstLayer returns the layer with the slowest rank among those in which steps may
+// help, or -1.
+func (p *Planner) worstLayer(goodEnough float64) int {
+	worst := -1
+	for n, l := range p.layers {
+		if p.stuck[n] || p.ideal[n] == 0 || l.slowestTime() <= p.ideal[n]*goodEnough {
+			continue
+		}
+		if worst < 0 || l.slowestTime() > p.layers[worst].slowestTime() {
+			worst = n
+		}
+	}
+	return worst
+}
+
+// patience is how many moves in a row may bring no net gain before the search in a
+// layer ends: several ranks may have to be lightened before the slowest one's time
+// falls.
+const patience = 24
+
+// improve makes the fewest steps in a layer that gain more than they cost. It tells
+// whether there are any.
+func (p *Planner) improve(n int, options Options) bool {
+	l := p.layers[n]
 	before := l.slowestTime()
 	p.pending = p.pending[:0]
-	bestNet, bestLength := 0.0, 0
-	var ends []int
-	for len(p.pending) < maxMovesPerLayer && l.slowestTime() > ideal*options.GoodEnough {
+	for len(p.pending) <= patience && l.slowestTime() > p.ideal[n]*options.GoodEnough && p.mayPay(n, before) {
 		best, found := l.bestStep(n)
-		if !found {
+		if !found || len(p.moves)+len(p.pending)+best.loads > options.MaxMoves {
 			break
 		}
 		l.take(best)
 		p.pending = append(p.pending, best.moves[:best.loads]...)
-		ends = append(ends, len(p.pending))
-		gain := (before - l.slowestTime()) / ideal * 100
-		net := gain - price*float64(len(p.pending))
-		if net > bestNet {
-			bestNet, bestLength = net, len(p.pending)
-		}
-		if len(p.pending)-bestLength > patience || p.hopeless(ideal, before, price, bestNet) {
-			break
+		gain := (before - l.slowestTime()) / p.ideal[n] * 100
+		if gain > p.price*float64(len(p.pending)) {
+			p.moves = append(p.moves, p.pending...)
+			l.keep()
+			return true
 		}
 	}
-	return layerPlan{moves: slices.Clone(p.pending[:bestLength]), ends: ends, net: bestNet}
+	l.undo()
+	return false
 }
 
-// hopeless tells that not even a perfect spread would make more moves pay.
-func (p *Planner) hopeless(ideal, before, price, bestNet float64) bool {
-	most := (before-ideal)/ideal*100 - price*float64(len(p.pending)+1)
-	return most <= bestNet
+// mayPay tells whether a perfect spread would pay for one more move.
+func (p *Planner) mayPay(n int, before float64) bool {
+	most := (before - p.ideal[n]) / p.ideal[n] * 100
+	return most > p.price*float64(len(p.pending)+1)
 }
--- a/internal/rebalance/rebalance_test.go
+++ b/internal/rebalance/rebalance_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"math"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -232,3 +233,109 @@
 		t.Fatalf("%d moves are left over", len(left))
 	}
 }
+
+// shiftedDemand is a group with a fitting map whose demand has just jumped: in each
+// layer, one expert is liked by far the most.
+func shiftedDemand(t testing.TB) (*Placement, Popularity, []float64) {
+	t.Helper()
+	shape := Shape{Ranks: 12, Experts: 96, Layers: 3, Slots: 11}
+	p, err := NewPlacement(shape)
+	if err != nil {
+		t.Fatal(err)
+	}
+	popularity, speeds := NewPopularity(shape), make([]float64, shape.Ranks)
+	for rank := range speeds {
+		speeds[rank] = 1
+	}
+	for layer := range popularity {
+		for place := range popularity[layer] {
+			popularity[layer][(place*7+layer*31)%shape.Experts] = math.Pow(float64(place+1), -1.3)
+		}
+	}
+	return p, popularity, speeds
+}
+
+// inForce is the mean skew over a time in which plans follow each other, each in force
+// once its copies are made: what the callers of a group get.
+func inForce(t testing.TB, over time.Duration, times Times, plan func(*Placement, Popularity, []float64) []Move) float64 {
+	t.Helper()
+	p, popularity, speeds := shiftedDemand(t)
+	total, at := 0.0, time.Duration(0)
+	for at < over {
+		next := p.Clone()
+		next.Apply(plan(p, popularity, speeds))
+		took := min(times.Switch+time.Duration(p.MostLoads(next))*times.Copy, over-at)
+		total += took.Seconds() * p.Skew(popularity, speeds)
+		at, p = at+took, next
+	}
+	return total / over.Seconds()
+}
+
+// TestPlansCountTheTimeOfCopies: where a copy takes 0.4 s, the plan that gains most a
+// second leaves less skew over the four seconds after a jump than one that brings
+// everything at once; where copies are quick it
+// doesn't leave more.
+func TestPlansCountTheTimeOfCopies(t *testing.T) {
+	for _, example := range []struct {
+		copy     time.Duration
+		mostPart float64
+	}{
+		{copy: 400 * time.Millisecond, mostPart: 0.85},
+		{copy: 40 * time.Millisecond, mostPart: 1.02},
+	} {
+		times := Times{Copy: example.copy, Switch: 300 * time.Millisecond, Slowdown: 0.15, Lasts: 10 * time.Second}
+		planner := NewPlanner(Shape{Ranks: 12, Experts: 96, Layers: 3, Slots: 11})
+		with := func(times Times) func(*Placement, Popularity, []float64) []Move {
+			return func(p *Placement, popularity Popularity, speeds []float64) []Move {
+				return planner.Plan(p, popularity, speeds, Options{
+					SkewWeight: 1, CostWeight: 1, MaxMoves: 170, MaxNewPerRank: 4, GoodEnough: 1.12, Times: times,
+				})
+			}
+		}
+		const over = 4 * time.Second
+		timed, atOnce := inForce(t, over, times, with(times)), inForce(t, over, times, with(Times{}))
+		t.Logf("copies of %s: mean skew %.3f, all at once %.3f", example.copy, timed, atOnce)
+		if timed > example.mostPart*atOnce {
+			t.Errorf("copies of %s: mean skew %.3f, want at most %.2f of %.3f", example.copy, timed, example.mostPart, atOnce)
+		}
+	}
+}
+
+// TestQuickerCopiesNeverLeaveMoreSkew: more link never makes it worse.
+func TestQuickerCopiesNeverLeaveMoreSkew(t *testing.T) {
+	const slack = 1.02 // batches of whole copies don't always end on time
+	planner := NewPlanner(Shape{Ranks: 12, Experts: 96, Layers: 3, Slots: 11})
+	last := math.Inf(1)
+	for _, copyTime := range []time.Duration{800, 400, 200, 100, 50, 25} {
+		times := Times{Copy: copyTime * time.Millisecond, Switch: 300 * time.Millisecond, Slowdown: 0.15, Lasts: 10 * time.Second}
+		skew := inForce(t, 4*time.Second, times, func(p *Placement, popularity Popularity, speeds []float64) []Move {
+			return planner.Plan(p, popularity, speeds, Options{
+				SkewWeight: 1, CostWeight: 1, MaxMoves: 170, MaxNewPerRank: 4, GoodEnough: 1.12, Times: times,
+			})
+		})
+		t.Logf("copies of %s: mean skew %.3f", times.Copy, skew)
+		if skew > slack*last {
+			t.Errorf("copies of %s leave a mean skew of %.3f, slower ones %.3f", times.Copy, skew, last)
+		}
+		last = skew
+	}
+}
+
+// TestNoPlanThatDemandOutruns: where demand jumps before the copies could pay, nothing
+// is moved.
+func TestNoPlanThatDemandOutruns(t *testing.T) {
+	p, popularity, speeds := shiftedDemand(t)
+	planner := NewPlanner(p.Shape)
+	plan := func(lasts time.Duration) int {
+		return len(planner.Plan(p, popularity, speeds, Options{
+			SkewWeight: 1, CostWeight: 1, MaxMoves: 170,
+			Times: Times{Copy: 400 * time.Millisecond, Switch: 300 * time.Millisecond, Slowdown: 0.15, Lasts: lasts},
+		}))
+	}
+	if n := plan(500 * time.Millisecond); n != 0 {
+		t.Errorf("%d moves for a demand that lasts 0.5 s", n)
+	}
+	if plan(4*time.Second) == 0 {
+		t.Error("no move for a demand that lasts 4 s")
+	}
+}
