experts: a switch is given up while ranks copy when demand has jumped since

Hypothesis: copies for what was liked before bring nothing, and a new plan waits for their end, up to 0.5 s where a copy takes 0.4 s. The engines take a newer version while they copy (seen: accepted at once, prepared 0.45 s later).

The spec failed with the change taken out.

A jump is mended in 0.6 s: who is refused meanwhile is late for certain, who is admitted is late only if the pass is.

--- a/internal/experts/demand.go
+++ b/internal/experts/demand.go
@@ -31,9 +31,10 @@
 	// unsettled is set after a jump until the next look: that in which the jump showed
 	// had passes of both sides.
 	unsettled bool
-	// began is the time of the first look, jumps how many there were since.
-	began time.Time
-	jumps int
+	// began is the time of the first look; jumps is how many there were since, the last
+	// of them at jumpedAt.
+	began, jumpedAt time.Time
+	jumps           int
 }
 
 const (
@@ -114,6 +115,7 @@
 		d.forget()
 		d.unsettled = true
 		d.jumps++
+		d.jumpedAt = d.at
 	}
 }
 
@@ -182,6 +184,9 @@
 // Weight is how many choices the estimate rests on.
 func (d *Demand) Weight() float64 { return d.seen }
 
+// JumpedAt is when the last jump was seen; zero when there was none.
+func (d *Demand) JumpedAt() time.Time { return d.jumpedAt }
+
 // Settled tells whether the estimate is of one side of the last jump only.
 func (d *Demand) Settled() bool { return !d.unsettled }
 
--- a/internal/experts/holder_test.go
+++ b/internal/experts/holder_test.go
@@ -45,6 +45,66 @@
 
 func (r *heldRanks) Room() float64 { return 1e6 }
 
+// likingRanks are two ranks whose requests choose by a popularity that a spec changes.
+// They copy nothing: a switch stays in its first stage.
+type likingRanks struct {
+	mu       sync.Mutex
+	liked    []float64
+	prepared []Order
+}
+
+func (r *likingRanks) Observe(_ context.Context, rank int, fence int64, _ Question) (Observation, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Observation{
+		Report: RankReport{Group: "g", Epoch: 1, Rank: rank, Size: 2, Open: true, Pass: 8}, Fence: fence,
+		Counts:  Counts{Epoch: 1, Chosen: r.liked},
+		Experts: [][]int{{2 * rank, 2*rank + 1}},
+	}, nil
+}
+
+func (r *likingRanks) Command(_ context.Context, _ int, o Order, _ bool) (Verdict, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.prepared = append(r.prepared, o)
+	return Accepted, nil
+}
+
+func (r *likingRanks) Room() float64 { return 1e6 }
+
+var _ = Describe("a holder whose ranks still copy", func() {
+	It("gives the switch up when demand has jumped, and plans for what is liked now", func() {
+		logger, _ := logrustest.NewNullLogger()
+		now := time.Unix(1000, 0)
+		ranks := &likingRanks{liked: []float64{9000, 400, 300, 300}}
+		lease := Lease{
+			Claimed: Claimed{Fence: 2, Newest: 2, FormerRank: -1}, Size: 2,
+			Engine: &fleet.EngineModel{Experts: 4, Sets: 1, Placements: 3, ExpertShare: 1, CopyTime: 400 * time.Millisecond},
+		}
+		h := NewHolder(ranks, lease, func() Policy { return DefaultPolicy }, func() time.Time { return now }, logrus.NewEntry(logger))
+		look := func() {
+			now = now.Add(reportLag)
+			h.observe(context.Background())
+			h.plan()
+			h.drive(context.Background())
+		}
+		for range 4 {
+			look()
+		}
+		Expect(h.state.Stage()).To(Equal(StagePrepare))
+		first := h.state.Version()
+		ranks.liked = []float64{300, 300, 400, 9000}
+		look()
+		Expect(h.state.Version()).To(Equal(first), "the look had passes of both sides")
+		look()
+		Expect(h.state.Stage()).To(Equal(StagePrepare))
+		Expect(h.state.Version()).To(BeNumerically(">", first))
+		newest := ranks.prepared[len(ranks.prepared)-1]
+		Expect(newest.Map[0]).To(ContainElements(ContainElement(3), ContainElement(3)))
+		Expect(newest.Map[0][0]).To(ContainElement(3), "the first rank copies what is liked now")
+	})
+})
+
 var _ = Describe("a new holder", func() {
 	It("looks at the ranks again when undoing what the former one did comes back to where it began", func() {
 		logger, _ := logrustest.NewNullLogger()
--- a/internal/experts/planning.go
+++ b/internal/experts/planning.go
@@ -28,6 +28,10 @@
 		h.log.WithField("version", h.state.Version()).Warn("switch given up: not prepared in time")
 		h.state.Abandon()
 	}
+	if h.outrun() {
+		h.log.WithField("version", h.state.Version()).Info("switch given up: demand has jumped since it was planned")
+		h.state.Abandon()
+	}
 	if h.planned != nil && h.state.Stage() == StageIdle {
 		h.finishSwitch()
 	}
@@ -64,6 +68,14 @@
 	}).Info("expert map: switch begun")
 }
 
+// outrun tells whether demand has jumped since the present switch was planned, while
+// nothing of it is armed or held: its copies are for what was liked before, and the
+// engines take a newer map at any time. Waiting for them instead cost 0.006 of mean
+// worth on the users' days where copies are slow, 0.01 on the most loaded two.
+func (h *Holder) outrun() bool {
+	return h.state.Stage() == StagePrepare && h.planned != nil && h.demand.Settled() && h.demand.JumpedAt().After(h.begun)
+}
+
 // finishSwitch notes the end of a switch.
 func (h *Holder) finishSwitch() {
 	log := h.log.WithFields(logrus.Fields{
