dispatch: ranks whose VM has fallen silent are passed over, and streams there go on elsewhere

Ruled out: a cancellation that was lost (the entries closed within 2 ms, logs kept).

Change: a rank whose agent has told nothing for 1 s, while others of its group did in the last 0.5 s, comes last when one is picked, as long as no more than a quarter are silent; a resumable stream without a first event after 1.2 s goes to another rank when its own is silent. The specs failed before.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/crowbridge/crowbridge/internal/failure"
 	"github.com/crowbridge/crowbridge/internal/fleet"
+	"github.com/pkg/errors"
 )
 
 // attempt sends the request to one server and passes its answer on.
@@ -15,6 +16,8 @@
 	defer end(nil)
 	ctx, cancel := p.attemptContext(ctx, x)
 	defer cancel()
+	watch := p.newStallWatch(x, server, end)
+	defer watch.stop()
 	began := p.now()
 	x.server = server.ID
 	p.chooser.Sent(server.ID, x.request, began)
@@ -35,8 +38,6 @@
 	}
 	var f *failure.Error
 	if isStream(x, answer) {
-		watch := p.newStallWatch(x, server, end)
-		defer watch.stop()
 		f = p.relayStream(ctx, x, server, answer, caller, watch)
 	} else {
 		f = p.relayAnswer(ctx, x, server, answer, caller)
@@ -93,6 +94,9 @@
 		x.mayHaveRun = true
 		step, outcome = failure.StepRun, failure.OutcomeUnknown
 	}
+	if cause := context.Cause(ctx); errors.Is(cause, errSilent) {
+		code, detail = failure.CodeSlow, cause.Error()
+	}
 	if ctx.Err() == nil || !e.Sent {
 		p.chooser.Failed(server.ID, p.now())
 	}
--- a/internal/dispatch/dispatch_suite_test.go
+++ b/internal/dispatch/dispatch_suite_test.go
@@ -78,6 +78,10 @@
 		Fail("attempt " + strconv.Itoa(len(s.attempts)) + " was not expected")
 	}
 	answer, err := s.replies[len(s.attempts)-1](r, a)
+	if err != nil && errors.Is(err.Err, errHangs) {
+		<-ctx.Done()
+		return nil, &SendError{Sent: true, Err: ctx.Err()}
+	}
 	if answer != nil {
 		if body, isSilent := answer.Body.(*silentBody); isSilent {
 			body.attempt = ctx
@@ -112,6 +116,13 @@
 	}
 }
 
+var errHangs = errors.New("hangs")
+
+// hangs gives no answer until the attempt is ended.
+func hangs(*Request, Attempt) (*Answer, *SendError) {
+	return nil, &SendError{Sent: true, Err: errHangs}
+}
+
 // breaking is a body that ends with an error.
 type breaking struct{ io.Reader }
 
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -27,12 +27,13 @@
 
 // Choose picks the server with the least estimated load among those of a
 // service that may get a request, but for those in tried. Those that failed
-// lately or hold their group back come only if there is no other.
+// lately, hold their group back or have fallen silent come only if there is no other.
 func (b *Board) Choose(now time.Time, servers []*fleet.Server, _ *Request, tried []string) Choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var candidates []Choice
 	total, places := 0.0, 0
+	silent := b.silentOnes(now, servers)
 	for _, server := range servers {
 		if server.Leaving || contains(tried, server.ID) {
 			continue
@@ -41,9 +42,11 @@
 		load := r.estimate(now)
 		total += load
 		places += server.Capacity
-		candidates = append(candidates, Choice{
-			Server: server, Load: load, LoadAge: now.Sub(r.reportedAt), score: b.score(now, server, r, load),
-		})
+		score := b.score(now, server, r, load)
+		if silent[server.ID] {
+			score += slowPenalty
+		}
+		candidates = append(candidates, Choice{Server: server, Load: load, LoadAge: now.Sub(r.reportedAt), score: score})
 	}
 	best := b.bestOfSome(unpenalized(candidates))
 	if places > 0 {
@@ -58,8 +61,8 @@
 // at 16 ranks and better than 7 and 18 at 72, by runs on the users' days.
 const drawn = 3
 
-// unpenalized leaves out the candidates that failed lately or are slow, unless
-// all did or are.
+// unpenalized leaves out the candidates that failed lately, are slow or have fallen
+// silent, unless all did or are.
 func unpenalized(candidates []Choice) []Choice {
 	var well []Choice
 	for _, c := range candidates {
--- a/internal/dispatch/pick_test.go
+++ b/internal/dispatch/pick_test.go
@@ -56,6 +56,41 @@
 		Expect(b.board.Choose(b.now, servers, nil, nil).Server.ID).To(Equal("s11"))
 	})
 
+	It("passes over a rank whose VM has fallen silent, as long as the others can take its work over", func() {
+		b := newBench()
+		var servers []*fleet.Server
+		rank := func(i int) fleet.GroupRank { return fleet.GroupRank{Group: "g", Epoch: 1, Rank: i, Open: true} }
+		tell := func(from, to int) {
+			for i := from; i < to; i++ {
+				b.board.ReportLoad(fmt.Sprint("s", i), Load{Running: 6}, b.now)
+				b.board.ReportGroup(rank(i), b.now)
+			}
+		}
+		for i := range 12 {
+			own := rank(i)
+			servers = append(servers, &fleet.Server{ID: fmt.Sprint("s", i), Zone: "z1", Capacity: 12, Rank: &own})
+		}
+		b.board.random = rand.New(rand.NewPCG(1, 1)).IntN
+		picked := func() (silent int) {
+			for range 200 {
+				if id := b.board.Choose(b.now, servers, nil, nil).Server.ID; id == "s0" || id == "s1" {
+					silent++
+				}
+			}
+			return silent
+		}
+		tell(0, 12)
+		Expect(picked()).To(BeNumerically(">", 10))
+		b.now = b.now.Add(silentAfter)
+		tell(2, 12)
+		Expect(picked()).To(BeZero(), "two of twelve stand still")
+		b.now = b.now.Add(silentAfter)
+		tell(4, 12)
+		Expect(picked()).To(BeNumerically(">", 10), "four of twelve are too many")
+		b.now = b.now.Add(silentAfter)
+		Expect(picked()).To(BeNumerically(">", 10), "nobody tells anything: this entry may be cut off")
+	})
+
 	It("passes over a server that failed until its time is over", func() {
 		b := newBench()
 		servers := []*fleet.Server{{ID: "a", Zone: "z1"}, {ID: "b", Zone: "z2"}}
--- a/internal/dispatch/pipeline_test.go
+++ b/internal/dispatch/pipeline_test.go
@@ -228,6 +228,30 @@
 		Expect(b.logs.AllEntries()).To(ContainElement(HaveField("Data", HaveKeyWithValue("cause", ContainSubstring("no events")))))
 	})
 
+	It("goes to another server when its VM falls silent before the first event", func() {
+		b := newBench(hangs, signed(http.StatusOK, one+two+three))
+		b.pipeline.streamStall = 20 * time.Millisecond
+		b.board.sawPause("g", 80*time.Millisecond, b.now)
+		b.board.ReportLoad("r0", Load{Running: 1}, b.now.Add(-silentAfter))
+		b.board.ReportLoad("r1", Load{Running: 3}, b.now)
+		b.board.ReportGroup(fleet.GroupRank{Group: "g", Epoch: 1, Rank: 1, Open: true}, b.now)
+		Expect(b.serve("stream").Failure).To(BeNil())
+		Expect(b.script.attempts[0].Server.ID).To(Equal("r0"), "half of the ranks are silent: too many to pass over")
+		Expect(b.script.attempts[1].Server.ID).To(Equal("r1"))
+		Expect(b.logs.AllEntries()).To(ContainElement(HaveField("Data", HaveKeyWithValue("cause", ContainSubstring("has fallen silent")))))
+	})
+
+	It("waits for its first event while its VM tells its load", func() {
+		b := newBench(hangs)
+		b.pipeline.streamStall = time.Millisecond
+		b.board.sawPause("g", 80*time.Millisecond, b.now)
+		b.board.ReportLoad("r0", Load{Running: 1}, b.now)
+		b.board.ReportGroup(fleet.GroupRank{Group: "g", Epoch: 1, Rank: 0, Open: true}, b.now)
+		r := b.request("stream", 100*time.Millisecond)
+		Expect(b.pipeline.Serve(context.Background(), r, b.caller).Failure.Code).NotTo(Equal(failure.CodeSlow))
+		Expect(b.script.attempts).To(HaveLen(1))
+	})
+
 	It("is left alone while all streams of its group are silent, whatever other groups do", func() {
 		b := newBench(fallsSilent(one))
 		b.pipeline.streamStall = time.Millisecond
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -67,7 +67,7 @@
 
 // brokenOff explains an answer that ended too early.
 func (p *Pipeline) brokenOff(ctx context.Context, server *fleet.Server, err error) *failure.Error {
-	if cause := context.Cause(ctx); errors.Is(cause, errStalled) {
+	if cause := context.Cause(ctx); errors.Is(cause, errStalled) || errors.Is(cause, errSilent) {
 		return failure.Unknown(failure.StepRelay, server.ID, failure.CodeSlow, cause.Error())
 	}
 	if ctx.Err() == nil && !errors.Is(err, errCaller) {
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -24,26 +24,35 @@
 // errStalled ends an attempt whose stream stalled.
 var errStalled = errors.New("the stream brings no events while others of its group do")
 
+// errSilent ends an attempt at a VM that has fallen silent.
+var errSilent = errors.New("the server's VM has fallen silent while others of its group have not")
+
 // stallWatch ends the attempt of a stream that stalls alone. A group stalls with
-// all its streams at once, so that no other rank would do better. A nil watch does
-// nothing.
+// all its streams at once, so that no other rank would do better. Before its first
+// event, a stream may wait for a place: then it stalls only if its server's VM has
+// fallen silent, too. A nil watch does nothing.
 type stallWatch struct {
 	pipeline *Pipeline
-	group    string
+	server   *fleet.Server
 	end      context.CancelCauseFunc
 
 	mu        sync.Mutex // taken before the board's
 	lastEvent time.Time
 	timer     *time.Timer
+	begun     bool
 }
 
 // newStallWatch returns the watch of an attempt that end ends, or nil when the
-// stream couldn't go on elsewhere. The watch begins with the first event.
+// stream couldn't go on elsewhere.
 func (p *Pipeline) newStallWatch(x *exchange, server *fleet.Server, end context.CancelCauseFunc) *stallWatch {
-	if server.Rank == nil || !x.route.Idempotent() || x.sent >= x.route.MaxAttempts {
+	if server.Rank == nil || !x.route.Idempotent() || x.sent+1 >= x.route.MaxAttempts {
 		return nil
 	}
-	return &stallWatch{pipeline: p, group: server.Rank.Group, end: end}
+	w := &stallWatch{pipeline: p, server: server, end: end, lastEvent: time.Now()}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(p.streamStall, w.check)
+	return w
 }
 
 // sawEvent notes that an event came.
@@ -53,10 +62,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lastEvent = time.Now()
-	if w.timer == nil {
-		w.timer = time.AfterFunc(w.pipeline.streamStall, w.check)
-	}
+	w.lastEvent, w.begun = time.Now(), true
 }
 
 // stop ends the watch.
@@ -66,9 +72,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.timer != nil {
-		w.timer.Stop()
-	}
+	w.timer.Stop()
 }
 
 // check ends the attempt, or looks again later.
@@ -80,9 +84,25 @@
 		w.timer.Reset(stall - silent)
 		return
 	}
-	if !w.pipeline.board.flowing(w.group, w.pipeline.now()) {
+	cause := w.cause(w.pipeline.now())
+	if cause == nil {
 		w.timer.Reset(stall / stallChecks)
 		return
 	}
-	w.end(errStalled)
+	w.end(cause)
+}
+
+// cause says why the attempt has to end, if it has to. The watch's lock is held.
+func (w *stallWatch) cause(now time.Time) error {
+	board := w.pipeline.board
+	switch {
+	case !board.flowing(w.server.Rank.Group, now):
+		return nil
+	case w.begun:
+		return errStalled
+	case board.fellSilent(now, w.server):
+		return errSilent
+	default:
+		return nil
+	}
 }
