ranks: a daemon that had the lease before it was restarted claims it at once

Change: agents ask each 0.1 s until they know configuration and servers; the daemon whose earlier process was the last holder claims at once.

--- a/internal/experts/agent.go
+++ b/internal/experts/agent.go
@@ -37,6 +37,8 @@
 	countedFor int64
 	// openedAt is when the group was seen to open last.
 	openedAt time.Time
+	// inherited is the fence of a lease that an earlier process of this daemon had.
+	inherited int64
 	// orders keeps orders one after the other, so that none with an old fence is on
 	// its way once a higher one has been heard of.
 	orders sync.Mutex
@@ -64,6 +66,18 @@
 // Learn notes a fence that the lease's history shows.
 func (a *Agent) Learn(fence int64) { a.hear(fence) }
 
+// Inherit notes a lease that an earlier process of this daemon had. Nobody has it now,
+// so that there is nobody to wait for.
+func (a *Agent) Inherit(fence int64) {
+	a.hear(fence)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.inherited = fence
+}
+
+// neverCalls is for how long a holder has been silent that doesn't run any more.
+const neverCalls = time.Hour
+
 // Silent tells the highest fence heard of, and for how long an open group has
 // gone without a call of its holder. A group that isn't open needs none, and its
 // holder may be on the other side of what broke it.
@@ -73,6 +87,9 @@
 	if !a.last.Open {
 		return a.fence, 0
 	}
+	if a.inherited != 0 && a.inherited == a.fence {
+		return a.fence, neverCalls
+	}
 	since := a.heardAt
 	if a.openedAt.After(since) {
 		since = a.openedAt
--- a/internal/experts/agent_test.go
+++ b/internal/experts/agent_test.go
@@ -78,6 +78,24 @@
 	})
 	ctx := context.Background()
 
+	It("waits for nobody when an earlier process of its daemon was the holder, until another is", func() {
+		_, err := agent.Report(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		agent.Inherit(4)
+		fence, silent := agent.Silent()
+		Expect(fence).To(Equal(int64(4)))
+		Expect(silent).To(BeNumerically(">", Silence(11)))
+		agent.Learn(5)
+		_, silent = agent.Silent()
+		Expect(silent).To(BeZero())
+		engine.report.Open = false
+		agent.Inherit(6)
+		_, err = agent.Report(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		_, silent = agent.Silent()
+		Expect(silent).To(BeZero(), "a group that can't run needs no holder")
+	})
+
 	It("gives no order of a holder that another has replaced", func() {
 		_, err := agent.Observe(ctx, 7, Question{})
 		Expect(err).NotTo(HaveOccurred())
@@ -172,7 +190,7 @@
 		leases.add("other", 1)
 		newest, err := Newest(ctx, leases, "g")
 		Expect(err).NotTo(HaveOccurred())
-		claimed, err := Claim(ctx, leases, record, newest)
+		claimed, err := Claim(ctx, leases, record, newest.Fence)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(claimed).To(Equal(Claimed{Fence: 3, Newest: 3, FormerRank: 5}))
 	})
--- a/internal/experts/lease.go
+++ b/internal/experts/lease.go
@@ -36,22 +36,21 @@
 	AppendLease(ctx context.Context, end int64, data []byte) (bool, error)
 }
 
-// Newest returns the highest fencing number in a group's history.
-func Newest(ctx context.Context, store LeaseStore, group string) (int64, error) {
-	_, records, err := store.ReadLeases(ctx, 0)
-	if err != nil {
-		return 0, err
-	}
-	newest, _, err := newestOf(records, group)
-	return newest, err
-}
-
 // Held is a lease as its newest record tells it.
 type Held struct {
 	LeaseRecord
 	Fence int64
 }
 
+// Newest returns the newest lease in a group's history; its fence is 0 when there is none.
+func Newest(ctx context.Context, store LeaseStore, group string) (Held, error) {
+	_, records, err := store.ReadLeases(ctx, 0)
+	if err != nil {
+		return Held{}, err
+	}
+	return newestOf(records, group)
+}
+
 // Holders returns the newest lease of each group in the history, by group.
 func Holders(ctx context.Context, store LeaseStore) ([]Held, error) {
 	_, records, err := store.ReadLeases(ctx, 0)
@@ -71,20 +70,20 @@
 	return held, nil
 }
 
-// newestOf returns the highest fencing number of a group among records and its
-// holder's rank, or 0 and -1.
-func newestOf(records []StoredRecord, group string) (fence int64, rank int, err error) {
-	rank = -1
+// newestOf returns the newest lease of a group among records, or one with fence 0 and
+// rank -1.
+func newestOf(records []StoredRecord, group string) (Held, error) {
+	newest := Held{LeaseRecord: LeaseRecord{Group: group, Rank: -1}}
 	for _, r := range records {
 		var lease LeaseRecord
 		if err := json.Unmarshal(r.Data, &lease); err != nil {
-			return 0, -1, errors.Wrapf(err, "lease at offset %d", r.Offset)
+			return Held{}, errors.Wrapf(err, "lease at offset %d", r.Offset)
 		}
 		if lease.Group == group {
-			fence, rank = max(fence, fenceOf(r.Offset)), lease.Rank
+			newest = Held{LeaseRecord: lease, Fence: fenceOf(r.Offset)}
 		}
 	}
-	return fence, rank, nil
+	return newest, nil
 }
 
 // Claimed is what became of a claim.
@@ -105,12 +104,12 @@
 	if err != nil {
 		return Claimed{}, err
 	}
-	newest, former, err := newestOf(records, record.Group)
+	newest, err := newestOf(records, record.Group)
 	if err != nil {
 		return Claimed{}, err
 	}
-	if newest > knownFence {
-		return Claimed{Newest: newest}, nil
+	if newest.Fence > knownFence {
+		return Claimed{Newest: newest.Fence}, nil
 	}
 	data, err := json.Marshal(record)
 	if err != nil {
@@ -118,9 +117,9 @@
 	}
 	claimed, err := store.AppendLease(ctx, end, data)
 	if err != nil || !claimed {
-		return Claimed{Newest: newest}, err
+		return Claimed{Newest: newest.Fence}, err
 	}
-	return Claimed{Fence: fenceOf(end), Newest: fenceOf(end), FormerRank: former}, nil
+	return Claimed{Fence: fenceOf(end), Newest: fenceOf(end), FormerRank: newest.Rank}, nil
 }
 
 // fenceOf returns the fencing number of an offset: offsets begin at 0, numbers at 1.
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -30,6 +30,10 @@
 	// membersPace is the time between questions to an entry for what is newer. It
 	// costs no call to the store.
 	membersPace = time.Second
+	// firstPace replaces it until a configuration and servers are known: when all
+	// daemons start together, the entries know none at the first question. At
+	// membersPace, an agent knew neither for 1.05 s.
+	firstPace = 100 * time.Millisecond
 	// configPace is the time between questions for the configuration once one is known.
 	configPace = 15 * time.Second
 	// engineTimeout bounds a look at the engine on the same VM.
@@ -129,10 +133,18 @@
 				a.log.WithError(err).WithField("peer", peer).Debug("peer not reached")
 			}
 		}
-		wait.For(ctx, membersPace)
+		wait.For(ctx, a.nextQuestion())
 	}
 }
 
+// nextQuestion is the time until an entry is asked again.
+func (a *AgentDaemon) nextQuestion() time.Duration {
+	if a.members.Config() == nil || a.members.Servers() == nil {
+		return firstPace
+	}
+	return membersPace
+}
+
 // configDue tells whether the configuration is to be asked for too. An agent
 // needs little of it, the engines' figures, and the whole may be large.
 func (a *AgentDaemon) configDue() bool {
--- a/internal/ranks/lead.go
+++ b/internal/ranks/lead.go
@@ -114,7 +114,10 @@
 }
 
 // learnFence reads the lease's history, so that an agent that started again takes no
-// orders of a former holder, and can claim without waiting twice.
+// orders of a former holder, and can claim without waiting twice. Where an earlier
+// process of this daemon was the holder, it claims at once: when all daemons are killed
+// and start again, that and the pace of members at their start bring the first map
+// into use 0.5 to 0.9 s sooner.
 func (l *Leader) learnFence(ctx context.Context) {
 	for ctx.Err() == nil && l.agent.Last().Size == 0 {
 		wait.For(ctx, silencePace)
@@ -126,7 +129,12 @@
 		l.log.WithError(err).Info("the lease's history wasn't read: it will be when the lease is claimed")
 		return
 	}
-	l.agent.Learn(newest)
+	if newest.Fence > 0 && newest.Holder == l.options.Daemon {
+		l.log.WithField("fence", newest.Fence).Info("an earlier process of this daemon had the lease: it is claimed at once")
+		l.agent.Inherit(newest.Fence)
+		return
+	}
+	l.agent.Learn(newest.Fence)
 }
 
 // claim tries to get the lease and steers the group while it has it.
