--- a/internal/rebalance/layer.go
+++ b/internal/rebalance/layer.go
@@ -204,17 +204,14 @@
 }
 
 // bestStep finds the step that lightens the slowest rank the most without
-// making another as slow. What costs nothing goes first: the rank drops a replica
-// whose work the expert's other hosts can take over. Else one of its experts gets a
-// replica at one of the coldest ranks, in the place of an expert that has other
-// replicas. Only when no such step helps are exchanges tried, which cost two loads.
+// making another as slow. The rank drops a replica whose work the expert's other hosts
+// can take over, which copies nothing, or one of its experts gets a replica at one of
+// the coldest ranks, in the place of an expert that has other replicas. Only when
+// no such step helps are exchanges tried, which cost two loads.
 func (l *layer) bestStep(n int) (step, bool) {
 	hot := l.slowestRank()
 	best, peak := step{}, l.times[hot]
 	l.tryDrops(n, hot, &best, &peak)
-	if best.length > 0 {
-		return best, true
-	}
 	var buffer [coldest]int
 	cold := l.coldestRanks(&buffer)
 	for _, target := range cold {
--- a/internal/rebalance/plan.go
+++ b/internal/rebalance/plan.go
@@ -62,11 +62,12 @@
 	shape  Shape
 	layers []*layer
 	loads  *rankLoads
-	// ideal is each layer's slowest time if it were spread evenly, stuck is set for
-	// layers in which no step helps within the present bound on loads.
-	ideal []float64
-	stuck []bool
-	price float64
+	// ideal is each layer's slowest time if it were spread evenly, slowest what it is by
+	// the moves so far; stuck is set for layers in which no step helps within the present
+	// bound on loads.
+	ideal, slowest []float64
+	stuck          []bool
+	price          float64
 	// moves are those of the plan so far; pending those of a step that has not paid yet.
 	moves, pending []Move
 	// pendingLoads is how many of the pending moves load an expert.
@@ -77,7 +78,7 @@
 func NewPlanner(shape Shape) *Planner {
 	p := &Planner{
 		shape: shape, loads: &rankLoads{byRank: make([]int, shape.Ranks)},
-		layers: make([]*layer, shape.Layers), ideal: make([]float64, shape.Layers), stuck: make([]bool, shape.Layers),
+		layers: make([]*layer, shape.Layers), ideal: make([]float64, shape.Layers), slowest: make([]float64, shape.Layers), stuck: make([]bool, shape.Layers),
 	}
 	for n := range p.layers {
 		p.layers[n] = newLayer(shape)
@@ -139,15 +140,15 @@
 	for n, l := range p.layers {
 		l.load(current, n, popularity[n], speeds)
 		l.bound(options.MaxNewPerRank, p.loads)
-		p.ideal[n] = sum(popularity[n]) / sum(speeds)
+		p.ideal[n], p.slowest[n] = sum(popularity[n])/sum(speeds), l.slowestTime()
 	}
 }
 
 // skew is Placement.Skew of the plan so far.
 func (p *Planner) skew() float64 {
 	slowest, ideal := 0.0, 0.0
-	for n, l := range p.layers {
-		slowest += l.slowestTime()
+	for n := range p.layers {
+		slowest += p.slowest[n]
 		ideal += p.ideal[n]
 	}
 	if ideal == 0 {
@@ -174,11 +175,11 @@
 // help, or -1.
 func (p *Planner) worstLayer(goodEnough float64) int {
 	worst := -1
-	for n, l := range p.layers {
-		if p.stuck[n] || p.ideal[n] == 0 || l.slowestTime() <= p.ideal[n]*goodEnough {
+	for n, slowest := range p.slowest {
+		if p.stuck[n] || p.ideal[n] == 0 || slowest <= p.ideal[n]*goodEnough {
 			continue
 		}
-		if worst < 0 || l.slowestTime() > p.layers[worst].slowestTime() {
+		if worst < 0 || slowest > p.slowest[worst] {
 			worst = n
 		}
 	}
@@ -208,6 +209,7 @@
 		if gain > p.price*float64(p.pendingLoads) {
 			p.moves = append(p.moves, p.pending...)
 			l.keep()
+			p.slowest[n] = l.slowestTime()
 			return true
 		}
 	}
--- a/standins/bench/rebalance.go
+++ b/standins/bench/rebalance.go
@@ -44,7 +44,7 @@
 		next := current.Clone()
 		moves := planner.Plan(current, estimate, speeds, options)
 		next.Apply(moves)
-		return next, len(moves)
+		return next, current.Distance(next)
 	}
 }
 
