--- /dev/null
+++ b/standins/cmd/days/main.go
@@ -0,0 +1,71 @@
+// Command days says where the callers of played days lost what they were owed, from
+// the reports that the users' bench writes.
+//
+//	days --set before='r/base-*.json' --set after='r/new-*.json' --plot credit.svg
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/crowbridge/crowbridge/standins/dayreport"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	command := &cli.Command{
+		Name: "days", Usage: "tabulates and draws reports of played days",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "set", Usage: "NAME=PATTERN: reports that are averaged under a name", Required: true},
+			&cli.StringFlag{Name: "plot", Usage: "file for a plot of the credit by second: .svg or .png"},
+			&cli.StringFlag{Name: "title", Usage: "title of the plot"},
+		},
+		Action: run,
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "days:", err)
+		os.Exit(1)
+	}
+}
+
+func run(_ context.Context, c *cli.Command) error {
+	var sets []dayreport.Set
+	for _, flag := range c.StringSlice("set") {
+		set, err := readSet(flag)
+		if err != nil {
+			return err
+		}
+		sets = append(sets, set)
+	}
+	if err := dayreport.Table(os.Stdout, sets); err != nil {
+		return err
+	}
+	if path := c.String("plot"); path != "" {
+		return dayreport.Plot(path, c.String("title"), sets)
+	}
+	return nil
+}
+
+func readSet(flag string) (dayreport.Set, error) {
+	name, pattern, found := strings.Cut(flag, "=")
+	if !found {
+		return dayreport.Set{}, errors.Errorf("--set %s: use NAME=PATTERN", flag)
+	}
+	paths, err := filepath.Glob(pattern)
+	if err != nil || len(paths) == 0 {
+		return dayreport.Set{}, errors.Errorf("--set %s: no file has this pattern", flag)
+	}
+	set := dayreport.Set{Name: name}
+	for _, path := range paths {
+		report, err := dayreport.Read(path)
+		if err != nil {
+			return set, err
+		}
+		set.Reports = append(set.Reports, report)
+	}
+	return set, nil
+}
--- /dev/null
+++ b/standins/dayreport/show.go
@@ -0,0 +1,71 @@
+package dayreport
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Set is several plays of a day under one name.
+type Set struct {
+	Name    string
+	Reports []*Report
+}
+
+// shownPrices is how many of the largest prices a row shows.
+const shownPrices = 3
+
+// Table writes a row a set: where its callers lost what they were owed.
+func Table(w io.Writer, sets []Set) error {
+	if _, err := fmt.Fprintln(w, "| days | plays | worth | in time, late, refused, failed, % | largest prices |\n| --- | --- | --- | --- | --- |"); err != nil {
+		return errors.Wrap(err, "table")
+	}
+	for _, set := range sets {
+		mean := Mean(set.Reports)
+		prices := slices.Clone(mean.Prices)
+		slices.SortStableFunc(prices, func(a, b Price) int { return cmp.Compare(b.Worth, a.Worth) })
+		shown := ""
+		for _, price := range prices[:min(shownPrices, len(prices))] {
+			shown += fmt.Sprintf("%s %.3f; ", price.Cause, price.Worth)
+		}
+		whole, owed := mean.Whole, max(mean.Whole.Owed, 1)/100
+		if _, err := fmt.Fprintf(w, "| %s | %d | %.3f | %.0f, %.0f, %.0f, %.0f | %s|\n", set.Name, len(set.Reports), mean.Worth,
+			whole.InTime/owed, whole.Late/owed, whole.Refused/owed, whole.Failed/owed, shown); err != nil {
+			return errors.Wrap(err, "table")
+		}
+	}
+	return nil
+}
+
+// The size of a plot, in inches.
+const (
+	plotWidth  = 9 * vg.Inch
+	plotHeight = 3 * vg.Inch
+)
+
+// Plot draws the credit by second of each set into a file, whose ending gives the format.
+func Plot(path, title string, sets []Set) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "first sent at, s", "credit earned of owed"
+	p.Y.Min, p.Y.Max = 0, 1
+	p.Legend.Top = false
+	var lines []any
+	for _, set := range sets {
+		points := plotter.XYs{}
+		for _, w := range Mean(set.Reports).Windows {
+			points = append(points, plotter.XY{X: w.From, Y: w.Credit})
+		}
+		lines = append(lines, set.Name, points)
+	}
+	if err := plotutil.AddLinePoints(p, lines...); err != nil {
+		return errors.Wrap(err, "plot")
+	}
+	return errors.Wrapf(p.Save(plotWidth, plotHeight, path), "plot %s", path)
+}
