--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -17,6 +17,8 @@
 	// Occupied is the part of all candidates' places that is taken; over 1, requests
 	// wait. 0 when nothing is known.
 	Occupied float64
+	// Silent is how many servers were passed over because their VM has fallen silent.
+	Silent int
 	// score is what the choice is made by; the lowest wins.
 	score float64
 }
@@ -49,6 +51,7 @@
 		candidates = append(candidates, Choice{Server: server, Load: load, LoadAge: now.Sub(r.reportedAt), score: score})
 	}
 	best := b.bestOfZones(unpenalized(candidates))
+	best.Silent = len(silent)
 	if places > 0 {
 		best.Occupied = total / float64(places)
 	}
--- a/internal/dispatch/pick_test.go
+++ b/internal/dispatch/pick_test.go
@@ -117,6 +117,7 @@
 		b.now = b.now.Add(silentAfter)
 		tell(2, 12)
 		Expect(picked()).To(BeZero(), "two of twelve stand still")
+		Expect(b.board.Choose(b.now, servers, nil, nil).Silent).To(Equal(2))
 		b.now = b.now.Add(silentAfter)
 		tell(4, 12)
 		Expect(picked()).To(BeNumerically(">", 10), "four of twelve are too many")
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -48,6 +48,9 @@
 	if x.picked.Server != nil {
 		fields["load"], fields["load_age_ms"] = x.picked.Load, loadAge(x.picked)
 		fields["occupied"] = math.Round(x.picked.Occupied*100) / 100
+		if x.picked.Silent > 0 {
+			fields["silent_servers"] = x.picked.Silent
+		}
 	}
 	if x.Version != 0 {
 		fields["config"] = x.Version
