--- a/internal/experts/demand.go
+++ b/internal/experts/demand.go
@@ -124,7 +124,7 @@
 func (d *Demand) distance() float64 {
 	total, sets := 0.0, 0
 	for set, fresh := range d.fresh {
-		freshTotal, knownTotal := sum(fresh), sum(d.smoothed[set])
+		freshTotal, knownTotal := d.fresh.Total(set), d.smoothed.Total(set)
 		if freshTotal == 0 || knownTotal == 0 {
 			continue
 		}
@@ -136,14 +136,6 @@
 	return total / float64(max(sets, 1))
 }
 
-func sum(values []float64) float64 {
-	total := 0.0
-	for _, v := range values {
-		total += v
-	}
-	return total
-}
-
 func (d *Demand) forget() {
 	d.seen = 0
 	for _, set := range d.smoothed {
@@ -209,7 +201,7 @@
 	estimate := rebalance.NewPopularity(d.shape)
 	even := d.seen / float64(d.shape.Layers)
 	for set, counts := range d.smoothed {
-		total := sum(counts)
+		total := d.smoothed.Total(set)
 		if total == 0 {
 			continue
 		}
--- a/internal/rebalance/placement.go
+++ b/internal/rebalance/placement.go
@@ -170,6 +170,9 @@
 	return p
 }
 
+// Total returns the work of one layer.
+func (p Popularity) Total(layer int) float64 { return sum(p[layer]) }
+
 // Skew returns the group's step time over the time that a perfect spread would
 // take. Ranks wait for each other in each layer, so the slowest rank of each
 // counts. speeds are relative; 1 is a healthy rank's.
