--- a/internal/experts/demand.go
+++ b/internal/experts/demand.go
@@ -31,10 +31,8 @@
 	// unsettled is set after a jump until the next look: that in which the jump showed
 	// had passes of both sides.
 	unsettled bool
-	// began is the time of the first look; jumps is how many there were since, the last
-	// of them at jumpedAt.
-	began, jumpedAt time.Time
-	jumps           int
+	// jumpedAt is when the last jump was seen.
+	jumpedAt time.Time
 }
 
 const (
@@ -90,9 +88,6 @@
 	if look.Choices == 0 {
 		return look
 	}
-	if d.began.IsZero() {
-		d.began = now
-	}
 	d.decay(now)
 	if d.seen > 0 && look.Choices >= leastLook {
 		d.compare(&look)
@@ -114,7 +109,6 @@
 	if look.Jumped {
 		d.forget()
 		d.unsettled = true
-		d.jumps++
 		d.jumpedAt = d.at
 	}
 }
@@ -182,19 +176,6 @@
 // Settled tells whether the estimate is of one side of the last jump only.
 func (d *Demand) Settled() bool { return !d.unsettled }
 
-// lastsAtFirst is how long demand is taken to stay as it is before it has been seen
-// to jump; it weighs as much as one jump seen.
-const lastsAtFirst = 30 * time.Second
-
-// Lasts is how long demand stays as it is, by the jumps so far.
-func (d *Demand) Lasts(now time.Time) time.Duration {
-	seen := time.Duration(0)
-	if !d.began.IsZero() {
-		seen = now.Sub(d.began)
-	}
-	return (lastsAtFirst + seen) / time.Duration(d.jumps+1)
-}
-
 // Popularity returns the estimate. All sets have the same total, as they have in
 // truth: each token passes all sets, but the counts of some may be newer.
 func (d *Demand) Popularity() rebalance.Popularity {
--- a/internal/experts/planning.go
+++ b/internal/experts/planning.go
@@ -17,9 +17,6 @@
 	// been measured, switchWeight the weight of the newest.
 	switchAtFirst = 300 * time.Millisecond
 	switchWeight  = 0.3
-	// copySlowdown is by which part passes are longer while a rank copies experts, as
-	// the engines' page tells.
-	copySlowdown = 0.15
 )
 
 // plan begins a switch if one pays.
@@ -64,7 +61,7 @@
 	h.state.Begin(next.Lists())
 	h.log.WithFields(logrus.Fields{
 		"version": h.state.Version(), "epoch": h.state.Epoch(), "moves": len(moves), "skew": before, "trigger": trigger, "planned_skew": after,
-		"copies": h.copies, "switch_ms": h.switchTime.Milliseconds(), "demand_lasts_ms": h.demand.Lasts(h.now()).Milliseconds(),
+		"copies": h.copies, "switch_ms": h.switchTime.Milliseconds(),
 	}).Info("expert map: switch begun")
 }
 
@@ -95,9 +92,7 @@
 // times are what a plan costs in time, by the engine's description and what the last
 // switches took.
 func (h *Holder) times() rebalance.Times {
-	return rebalance.Times{
-		Copy: h.lease.Engine.CopyTime, Switch: h.switchTime, Slowdown: copySlowdown, Lasts: h.demand.Lasts(h.now()),
-	}
+	return rebalance.Times{Copy: h.lease.Engine.CopyTime, Switch: h.switchTime}
 }
 
 // timeSwitch measures what a switch takes besides its copies.
--- a/internal/rebalance/plan.go
+++ b/internal/rebalance/plan.go
@@ -31,29 +31,18 @@
 	Copy time.Duration
 	// Switch is what it takes besides to bring a map into use.
 	Switch time.Duration
-	// Slowdown is by which part passes are longer while experts are copied.
-	Slowdown float64
-	// Lasts is how long demand is expected to stay as it is; 0 means for good.
-	Lasts time.Duration
 }
 
-// rate is what a plan wins in a second until it is in force: its gain in skew, for
-// as long as demand lasts after that, less what the copies slow down meanwhile.
+// rate is what a plan wins in a second until it is in force: its gain in skew.
 //
 // Plans follow each other, so that which gains most a second goes first: that order
 // leaves the least skew over time. A long plan makes everybody wait for its last copy.
 func (t Times) rate(before, after float64, loads int) float64 {
-	copies := time.Duration(loads) * t.Copy
-	took := t.Switch + copies
+	took := t.Switch + time.Duration(loads)*t.Copy
 	if took <= 0 {
 		return before - after
 	}
-	gain := before - after
-	if t.Lasts > 0 {
-		lasts := max(t.Lasts-took, 0)
-		gain = gain*lasts.Seconds()/t.Lasts.Seconds() - before*t.Slowdown*copies.Seconds()/t.Lasts.Seconds()
-	}
-	return gain / took.Seconds()
+	return (before - after) / took.Seconds()
 }
 
 // Planner turns popularity into moves. It keeps its arrays between plans. Not
