--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -118,8 +118,8 @@
 	// room for what is read by the time that the choice matters.
 	tokensPerRequest = 300
 	// otherZone is what another zone costs, in requests: so much busier must the own
-	// zone's servers be before requests go there. 2 keeps a third of the bytes between
-	// zones that 0.25, with candidates drawn from all zones, let through (0.009 of
+	// zone's servers be before requests go there. 2 saves a third of the bytes between
+	// zones that 0.25, with candidates drawn from all zones, cost (0.009 of
 	// worth to 0.006 where these are dear), and gives away nothing: ranks of a group
 	// run each pass together, so that a part of a request more or less at one of them
 	// hardly shows.
--- a/internal/dispatch/pipeline_test.go
+++ b/internal/dispatch/pipeline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -262,6 +263,23 @@
 		Expect(b.script.attempts).To(HaveLen(1))
 	})
 
+	It("isn't watched any more once its attempt has ended", func() {
+		b := newBench()
+		b.pipeline.streamStall = time.Hour
+		ended := errors.New("the attempt was ended")
+		ctx, end := context.WithCancelCause(context.Background())
+		defer end(nil)
+		route := b.world.config.Route("h.example", "/stream/x")
+		watch := b.pipeline.newStallWatch(&exchange{route: route}, b.world.servers.Server("r0"), func(error) { end(ended) })
+		watch.sawEvent()
+		watch.stop()
+		b.pipeline.streamStall = 0
+		b.board.sawPause("g", 80*time.Millisecond, b.now)
+		watch.check() // was due when stop came
+		Expect(ctx.Err()).NotTo(HaveOccurred())
+		Expect(watch.timer.Stop()).To(BeFalse(), "no timer is left")
+	})
+
 	It("is left alone while all streams of its group are silent, whatever other groups do", func() {
 		b := newBench(fallsSilent(one))
 		b.pipeline.streamStall = time.Millisecond
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -39,7 +39,8 @@
 	mu        sync.Mutex // taken before the board's
 	lastEvent time.Time
 	timer     *time.Timer
-	begun     bool
+	// begun is set with the first event, stopped once the attempt has ended.
+	begun, stopped bool
 }
 
 // newStallWatch returns the watch of an attempt that end ends, or nil when the
@@ -72,6 +73,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.stopped = true
 	w.timer.Stop()
 }
 
@@ -79,6 +81,9 @@
 func (w *stallWatch) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.stopped {
+		return // it was due as the attempt ended
+	}
 	stall := w.pipeline.streamStall
 	if silent := time.Since(w.lastEvent); silent < stall {
 		w.timer.Reset(stall - silent)
