--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -12,9 +12,8 @@
 const (
 	// fullFirst is the part of all places from which on a new request is refused: it
 	// would wait longer for a place than its objective allows, and all others with it.
-	// A refused request that is served in time when it comes again earns more than a
-	// late one. fullRepeat is the same for a request that was refused before: its
-	// caller may not come a third time. Both were chosen by runs on the users' days.
+	// fullRepeat is the same for a request that was refused before: its caller may not
+	// come a third time. Of the values tried these gave callers most worth.
 	fullFirst  = 1.05
 	fullRepeat = 1.5
 	// behindStep is by how much earlier a request is refused for each rank of priority
@@ -24,8 +23,8 @@
 	mostBehind = 3
 	// fullOverShare replaces both for a customer that has more than its share of the
 	// places in use already, so that the others find one. In a model in which one
-	// customer sends fifty times as much, 0.05 below fullFirst is enough; on the
-	// users' days larger steps cost up to 0.01 of worth, this one none.
+	// customer sends fifty times as much, 0.05 below fullFirst is enough; under the
+	// load of ten customers, larger steps cost up to 0.01 of worth and this one none.
 	fullOverShare = 1.0
 	// fullPlain is the part of a plain service's places from which on a request is
 	// refused whose customer has more than its share: as many wait as run then. Nobody
@@ -72,8 +71,8 @@
 // fullAt is the part of a group's places from which on a stream is refused. Long passes
 // are no reason to refuse: maps mend what makes them long in less than a second, while who
 // is refused is late for certain. Refusing at 0.4 of the places while passes were too long
-// cost 0.008 of mean worth on the users' days where demand jumps (six seeds a day), and
-// gained nothing elsewhere.
+// cost 0.008 of worth where demand jumps each 4 s (mean of five kinds of trouble, six seeds
+// each), and gained nothing where it doesn't.
 func fullAt(x *exchange, overShare bool) float64 {
 	full := fullFirst
 	switch {
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -61,7 +61,7 @@
 // drawn is among how many candidates, drawn at random, the best is taken. Loads
 // are known with a lag of some hundred milliseconds: if all entries took the best
 // of all, they would all take the same one until its load shows. 3 was as good as 4
-// at 16 ranks and better than 7 and 18 at 72, by runs on the users' days.
+// at 16 ranks and better than 7 and 18 at 72, by the worth that callers got.
 const drawn = 3
 
 // unpenalized leaves out the candidates that failed lately, are slow or have fallen
--- a/internal/experts/demand.go
+++ b/internal/experts/demand.go
@@ -16,8 +16,8 @@
 // jumps: other experts are liked from one pass to the next. An average across a
 // jump fits neither side, and a map that is planned by it has to be planned again. So
 // a look that differs from the estimate by much more than looks usually do
-// replaces it. Without that, the users' days with jumps and slow copies earned 0.047 less
-// (0.560 to 0.514, three seeds a day).
+// replaces it. Without that, callers got 0.514 of worth instead of 0.560 where demand jumps
+// each 4 s and a copy takes 0.4 s (mean of five kinds of trouble, three seeds each).
 type Demand struct {
 	shape    rebalance.Shape
 	halfLife time.Duration
@@ -41,8 +41,8 @@
 	// distance between two samples of 2,000 choices among 96 experts is 0.12.
 	leastLook = 2000
 	// leastJump and jumpOverUsual bound the distance from which on demand has jumped.
-	// On the users' days looks differ by 0.04 to 0.21, and by 0.35 to 0.56 after
-	// half to four fifths of what is liked has changed.
+	// In a group of 12 ranks with 45 streams a second, looks differed by 0.04 to 0.21, and
+	// by 0.35 to 0.56 after half to four fifths of what is liked had changed.
 	leastJump     = 0.25
 	jumpOverUsual = 2.0
 	// usualAtFirst and usualWeight are where the smoothed distance begins and the
--- a/internal/experts/holder.go
+++ b/internal/experts/holder.go
@@ -36,7 +36,7 @@
 	// stagePace is the time between two looks while a switch waits for reports.
 	stagePace = 40 * time.Millisecond
 	// rankPace is the least time between two looks for each rank: a datagram and its
-	// answer took some 0.1 ms of the smallest VMs' processor on the users' days.
+	// answer took some 0.1 ms of a VM with a quarter of a core.
 	rankPace = 500 * time.Microsecond
 	// countBytes is the size of one count in an answer: one or two bytes as a rule.
 	countBytes = 1.5
--- a/internal/rebalance/plan.go
+++ b/internal/rebalance/plan.go
@@ -37,8 +37,9 @@
 //
 // Plans follow each other, so that which gains most a second goes first: that order
 // leaves the least skew over time. A long plan makes everybody wait for its last copy:
-// where a copy takes 0.4 s, plans that didn't count it lost 0.16 of mean worth on the
-// users' days with trouble (0.560 to 0.404, three seeds a day), 0.01 where it takes 0.04 s.
+// where a copy takes 0.4 s and demand jumps each 4 s, callers got 0.404 of worth by plans
+// that didn't count it and 0.560 by these (mean of five kinds of trouble, three seeds
+// each); where a copy takes 0.04 s, 0.438 and 0.443 (two seeds).
 func (t Times) rate(before, after float64, loads int) float64 {
 	took := t.Switch + time.Duration(loads)*t.Copy
 	if took <= 0 {
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -27,12 +27,12 @@
 ---
 kind: Customer
 name: rozsa
-labels: {tier: gold, fleet: viragut}
+labels: {tier: gold, fleet: florists}
 customer: {}
 ---
 kind: Customer
 name: tulipan
-labels: {fleet: viragut}
+labels: {fleet: florists}
 customer: {}
 ---
 kind: Route
@@ -41,7 +41,7 @@
 ---
 kind: Route
 name: plain
-route: {service: writer, customers: "fleet=viragut", servers: "!canary"}
+route: {service: writer, customers: "fleet=florists", servers: "!canary"}
 ---
 kind: Group
 name: g1
--- a/standins/bench/rebalance.go
+++ b/standins/bench/rebalance.go
@@ -9,13 +9,13 @@
 	"github.com/crowbridge/crowbridge/standins/trace"
 )
 
-// Deployments' weights: Shaftline weighs skew, Virágút the cost of moves.
-var deployments = []struct {
+// weightings are what operators weigh more: skew, or the cost of moves.
+var weightings = []struct {
 	name             string
 	skew, costWeight float64
 }{
-	{"shaftline", 1, 0.12},
-	{"viragut", 1, 0.5},
+	{"weighs-skew", 1, 0.12},
+	{"weighs-moves", 1, 0.5},
 }
 
 // reportWeight is the weight of the newest report in the estimate.
@@ -200,7 +200,7 @@
 	r.Figure(name+"/repack/skew-p99", Quantile(full.skews, 0.99), "x")
 	r.Figure(name+"/repack/loads", float64(full.loads), "experts")
 	planner := rebalance.NewPlanner(o.Shape)
-	for _, d := range deployments {
+	for _, d := range weightings {
 		options := rebalance.Options{SkewWeight: d.skew, CostWeight: d.costWeight, MaxMoves: 1 << 20, GoodEnough: goodEnough}
 		run := runPolicy(o, planned(planner, options))
 		r.Against(name+"/"+d.name+"/skew-p50", Quantile(run.skews, 0.5), "x", Quantile(full.skews, 0.5))
@@ -231,7 +231,7 @@
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	planner := rebalance.NewPlanner(o.Shape)
-	options := rebalance.Options{SkewWeight: 1, CostWeight: deployments[0].costWeight, MaxMoves: 1 << 20, GoodEnough: goodEnough}
+	options := rebalance.Options{SkewWeight: 1, CostWeight: weightings[0].costWeight, MaxMoves: 1 << 20, GoodEnough: goodEnough}
 	var steady []float64
 	for interval := range 20 {
 		truth, _ := t.Next()
--- a/standins/cmd/days/main.go
+++ b/standins/cmd/days/main.go
@@ -1,5 +1,5 @@
-// Command days says where the callers of played days lost what they were owed, from
-// the reports that the users' bench writes.
+// Command days says from reports of played load and trouble where callers lost what
+// they were owed.
 //
 //	days --set before='r/base-*.json' --set after='r/new-*.json' --plot credit.svg
 package main
--- a/standins/dayreport/dayreport.go
+++ b/standins/dayreport/dayreport.go
@@ -1,5 +1,5 @@
-// Package dayreport reads the reports that the users' bench writes of played days,
-// and says where callers lost what they were owed: by cause, and by second.
+// Package dayreport reads reports of played load and trouble, and says where callers
+// lost what they were owed: by cause, and by second.
 package dayreport
 
 import (
--- a/standins/harness/layout.go
+++ b/standins/harness/layout.go
@@ -194,7 +194,7 @@
 		})
 	}
 	for i := range c.Layout.EnginesPerZone {
-		if err := c.addServer(zone, "petal-writer", "engine", i); err != nil {
+		if err := c.addServer(zone, "text-writer", "engine", i); err != nil {
 			return err
 		}
 	}
@@ -207,7 +207,7 @@
 		c.ranks = append(c.ranks, s.backend)
 	}
 	for i := range c.Layout.PlainPerZone {
-		if err := c.addServer(zone, "dispatch-api", "plain", i); err != nil {
+		if err := c.addServer(zone, "courier-api", "plain", i); err != nil {
 			return err
 		}
 	}
--- a/standins/harness/manifest.go
+++ b/standins/harness/manifest.go
@@ -12,12 +12,12 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "kind: Policy\nname: default\npolicy: {keyWindowSeconds: %d, clockSkewMs: %d}\n", c.Layout.KeyWindowSeconds, c.Layout.ClockSkewMs)
 	for i, customer := range customers {
-		fmt.Fprintf(&b, "---\nkind: Customer\nname: %s\nlabels: {fleet: viragut}\ncustomer: {weight: 1, keyHashes: [%s]}\n", customer, daemon.HashSecret(c.Keys[i]))
+		fmt.Fprintf(&b, "---\nkind: Customer\nname: %s\nlabels: {fleet: florists}\ncustomer: {weight: 1, keyHashes: [%s]}\n", customer, daemon.HashSecret(c.Keys[i]))
 	}
-	b.WriteString("---\nkind: Service\nname: petal-writer\nservice: {protocol: engine, models: [petal-7b], maxConcurrency: 16}\n")
-	b.WriteString("---\nkind: Service\nname: dispatch-api\nservice: {protocol: plain, pathPrefix: /dispatch, maxConcurrency: 16, class: urgent}\n")
-	b.WriteString("---\nkind: Route\nname: writing\nroute: {service: petal-writer, customers: fleet=viragut}\n")
-	b.WriteString("---\nkind: Route\nname: dispatching\nroute: {service: dispatch-api, customers: fleet=viragut}\n")
+	b.WriteString("---\nkind: Service\nname: text-writer\nservice: {protocol: engine, models: [petal-7b], maxConcurrency: 16}\n")
+	b.WriteString("---\nkind: Service\nname: courier-api\nservice: {protocol: plain, pathPrefix: /dispatch, maxConcurrency: 16, class: urgent}\n")
+	b.WriteString("---\nkind: Route\nname: writing\nroute: {service: text-writer, customers: fleet=florists}\n")
+	b.WriteString("---\nkind: Route\nname: dispatching\nroute: {service: courier-api, customers: fleet=florists}\n")
 	if len(c.ranks) > 0 {
 		fmt.Fprintf(&b, "---\nkind: Service\nname: %s\nservice: {protocol: engine, models: [expert-7b]}\n", groupService)
 		fmt.Fprintf(&b, "---\nkind: Group\nname: %s\ngroup: {service: %s, ranks: %d, experts: %d, layers: %d, slotsPerRank: %d, skewWeight: 1, costWeight: 0.1, maxLoads: 4}\n",
