--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -13,7 +13,10 @@
 	// fullFirst is the part of all places from which on a new request is refused: it
 	// would wait longer for a place than its objective allows, and all others with it.
 	// fullRepeat is the same for a request that was refused before: its caller may not
-	// come a third time. Of the values tried these gave callers most worth.
+	// come a third time. Where demand jumps each 4 s, callers got 0.562 of worth with 0.9 for
+	// fullFirst, 0.567 with 1.05 and 0.569 with 1.3 (mean of five kinds of trouble, six seeds
+	// each; the same code differs by 0.005 from time to time); with 1.1 for fullRepeat and
+	// with 1.5 it was 0.547.
 	fullFirst  = 1.05
 	fullRepeat = 1.5
 	// behindStep is by how much earlier a request is refused for each rank of priority
