dispatch: a group's flow is the time of its last event; nothing needs the smoothed pause

Read as a newcomer: since long passes are no reason to refuse, the estimate of pauses told only whether there was one in the last half second.

--- a/internal/dispatch/board.go
+++ b/internal/dispatch/board.go
@@ -15,8 +15,8 @@
 	rows    map[string]*row
 	groups  map[string]*groupState
 	budgets map[string]*retryBudget
-	// pauses is the smoothed pause between events of own streams, by group.
-	pauses map[string]*pauseEstimate
+	// eventAt is when an own stream brought an event last, by group.
+	eventAt map[string]time.Time
 	// shares are the customers' requests in progress, by service.
 	shares map[string]*customerShares
 	// patience is the most that the callers of a route have shown.
@@ -66,7 +66,7 @@
 func NewBoard(policy BudgetPolicy, zone string, random func(n int) int) *Board {
 	return &Board{
 		rows: map[string]*row{}, groups: map[string]*groupState{}, budgets: map[string]*retryBudget{},
-		patience: map[string]time.Duration{}, pauses: map[string]*pauseEstimate{}, shares: map[string]*customerShares{},
+		patience: map[string]time.Duration{}, eventAt: map[string]time.Time{}, shares: map[string]*customerShares{},
 		policy: policy, zone: zone, random: random,
 	}
 }
@@ -116,7 +116,7 @@
 		}
 	}
 	maps.DeleteFunc(b.groups, func(group string, _ *groupState) bool { return !registered[group] })
-	maps.DeleteFunc(b.pauses, func(group string, _ *pauseEstimate) bool { return !registered[group] })
+	maps.DeleteFunc(b.eventAt, func(group string, _ time.Time) bool { return !registered[group] })
 	for id, r := range b.rows {
 		if servers.Server(id) == nil && r.inFlight == 0 {
 			delete(b.rows, id)
--- a/internal/dispatch/group_test.go
+++ b/internal/dispatch/group_test.go
@@ -92,11 +92,11 @@
 	It("is forgotten once none of its ranks is registered", func() {
 		b := newBench()
 		breakGroup(b)
-		b.board.sawPause("g", time.Second, b.now)
+		b.board.sawEvent(b.world.servers.Server("r1"), b.now)
 		b.board.Keep(b.world.Servers())
 		Expect(b.board.groups).To(HaveKey("g"))
 		b.board.Keep(fleet.NewServers(nil))
 		Expect(b.board.groups).To(BeEmpty())
-		Expect(b.board.pauses).To(BeEmpty())
+		Expect(b.board.eventAt).To(BeEmpty())
 	})
 })
--- a/internal/dispatch/pipeline_test.go
+++ b/internal/dispatch/pipeline_test.go
@@ -222,7 +222,7 @@
 	It("goes on at another server when it alone falls silent", func() {
 		b := newBench(fallsSilent(one+two), signed(http.StatusOK, three))
 		b.pipeline.streamStall = 20 * time.Millisecond
-		b.board.sawPause("g", 80*time.Millisecond, b.now)
+		b.board.sawEvent(b.world.servers.Server("r1"), b.now)
 		Expect(b.serve("stream").Failure).To(BeNil())
 		Expect(b.caller.body.String()).To(Equal(one + two + three))
 		Expect(b.script.attempts[1].ResumeAfter).To(Equal(int64(2)))
@@ -232,7 +232,7 @@
 	It("goes to another server when its VM falls silent before the first event", func() {
 		b := newBench(hangs, signed(http.StatusOK, one+two+three))
 		b.pipeline.streamStall = 20 * time.Millisecond
-		b.board.sawPause("g", 80*time.Millisecond, b.now)
+		b.board.sawEvent(b.world.servers.Server("r1"), b.now)
 		b.board.ReportLoad("r0", Load{Running: 1}, b.now.Add(-silentAfter))
 		b.board.ReportLoad("r1", Load{Running: 3}, b.now)
 		b.board.ReportGroup(fleet.GroupRank{Group: "g", Epoch: 1, Rank: 1, Open: true}, b.now)
@@ -244,10 +244,8 @@
 
 	It("is admitted while passes are long, as long as there are places: 0.4 of them were the bound before", func() {
 		b := newBench(signed(http.StatusOK, one+two+three))
-		b.world.config.Route("h.example", "/stream/x").EventPause = 120 * time.Millisecond
-		b.board.sawPause("g", 150*time.Millisecond, b.now)
 		for _, id := range []string{"r0", "r1"} {
-			b.board.ReportLoad(id, Load{Running: 7}, b.now)
+			b.board.ReportLoad(id, Load{Running: 7, Pace: 3}, b.now)
 		}
 		Expect(b.serve("stream").Failure).To(BeNil())
 	})
@@ -255,7 +253,7 @@
 	It("waits for its first event while its VM tells its load", func() {
 		b := newBench(hangs)
 		b.pipeline.streamStall = time.Millisecond
-		b.board.sawPause("g", 80*time.Millisecond, b.now)
+		b.board.sawEvent(b.world.servers.Server("r1"), b.now)
 		b.board.ReportLoad("r0", Load{Running: 1}, b.now)
 		b.board.ReportGroup(fleet.GroupRank{Group: "g", Epoch: 1, Rank: 0, Open: true}, b.now)
 		r := b.request("stream", 100*time.Millisecond)
@@ -274,7 +272,7 @@
 		watch.sawEvent()
 		watch.stop()
 		b.pipeline.streamStall = 0
-		b.board.sawPause("g", 80*time.Millisecond, b.now)
+		b.board.sawEvent(b.world.servers.Server("r1"), b.now)
 		watch.check() // was due when stop came
 		Expect(ctx.Err()).NotTo(HaveOccurred())
 		Expect(watch.timer.Stop()).To(BeFalse(), "no timer is left")
@@ -283,7 +281,7 @@
 	It("is left alone while all streams of its group are silent, whatever other groups do", func() {
 		b := newBench(fallsSilent(one))
 		b.pipeline.streamStall = time.Millisecond
-		b.board.sawPause("another", 80*time.Millisecond, b.now)
+		b.board.sawEvent(&fleet.Server{Rank: &fleet.GroupRank{Group: "another"}}, b.now)
 		r := b.request("stream", 100*time.Millisecond)
 		Expect(b.pipeline.Serve(context.Background(), r, b.caller).Failure.Code).NotTo(Equal(failure.CodeSlow))
 		Expect(b.script.attempts).To(HaveLen(1))
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"time"
 
 	"github.com/crowbridge/crowbridge/internal/failure"
 	"github.com/crowbridge/crowbridge/internal/fleet"
@@ -81,11 +80,10 @@
 func (p *Pipeline) relayStream(ctx context.Context, x *exchange, server *fleet.Server, a *Answer, caller Caller, watch *stallWatch) *failure.Error {
 	reader := httpapi.NewEventReader(a.Body)
 	var pending []byte
-	var last time.Time
 	for {
 		event, err := reader.Next()
 		if err == nil {
-			last = p.notePause(server, last)
+			p.board.sawEvent(server, p.now())
 			watch.sawEvent()
 		}
 		if err == nil && (event.ID < 0 || event.ID > x.lastEvent) {
@@ -117,19 +115,6 @@
 	}
 }
 
-// notePause tells the board the pause since the last event of a rank's stream, and
-// returns the time. Passes are what a group's admission goes by.
-func (p *Pipeline) notePause(server *fleet.Server, last time.Time) time.Time {
-	if server.Rank == nil {
-		return last
-	}
-	now := p.now()
-	if !last.IsZero() {
-		p.board.sawPause(server.Rank.Group, now.Sub(last), now)
-	}
-	return now
-}
-
 // begin starts the caller's answer, once.
 func (p *Pipeline) begin(x *exchange, a *Answer, caller Caller) {
 	if x.begun {
