--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -80,10 +80,14 @@
 func (p *Pipeline) relayStream(ctx context.Context, x *exchange, server *fleet.Server, a *Answer, caller Caller, watch *stallWatch) *failure.Error {
 	reader := httpapi.NewEventReader(a.Body)
 	var pending []byte
+	begun := false
 	for {
 		event, err := reader.Next()
 		if err == nil {
-			p.board.sawEvent(server, p.now())
+			if begun { // a first event alone doesn't show that its group goes on
+				p.board.sawEvent(server, p.now())
+			}
+			begun = true
 			watch.sawEvent()
 		}
 		if err == nil && (event.ID < 0 || event.ID > x.lastEvent) {
