hosted: the pace at which a new agent asks for the configuration doubles up to the usual one

At a fixed 0.1 s, 2,400 agents that start before any configuration is known would ask the entries 24,000 times a second; so they ask 4 times in the first 1.5 s and then each second.

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -30,9 +30,10 @@
 	// membersPace is the time between questions to an entry for what is newer. It
 	// costs no call to the store.
 	membersPace = time.Second
-	// firstPace replaces it until a configuration and servers are known: when all
-	// daemons start together, the entries know none at the first question. At
-	// membersPace, an agent knew neither for 1.05 s.
+	// firstPace replaces it after the first question that left configuration or servers
+	// unknown, and doubles up to it with each further one: when all daemons start together,
+	// the entries know none at first. At membersPace, an agent knew neither for 1.05 s. It
+	// grows, so that thousands of agents don't press entries that can't tell.
 	firstPace = 100 * time.Millisecond
 	// configPace is the time between questions for the configuration once one is known.
 	configPace = 15 * time.Second
@@ -121,6 +122,7 @@
 
 // followMembers keeps the fleet's state up to date from the entries.
 func (a *AgentDaemon) followMembers(ctx context.Context) {
+	pace := firstPace
 	for ctx.Err() == nil {
 		peers := a.exchange.Peers()
 		if len(peers) > 0 {
@@ -133,16 +135,12 @@
 				a.log.WithError(err).WithField("peer", peer).Debug("peer not reached")
 			}
 		}
-		wait.For(ctx, a.nextQuestion())
-	}
-}
-
-// nextQuestion is the time until an entry is asked again.
-func (a *AgentDaemon) nextQuestion() time.Duration {
-	if a.members.Config() == nil || a.members.Servers() == nil {
-		return firstPace
+		if a.members.Config() != nil && a.members.Servers() != nil {
+			pace = membersPace
+		}
+		wait.For(ctx, pace)
+		pace = min(2*pace, membersPace)
 	}
-	return membersPace
 }
 
 // configDue tells whether the configuration is to be asked for too. An agent
