dispatch: the log tells that two requests are the same, and which attempts were cut off

A caller's repeat has another ID, so one request that comes again looked like many, and an attempt that its server cut off looked like one that we gave up. Change: 'attempt failed' and 'request failed' carry a digest of customer, method, host, path, query and body, 'attempt failed' whether it was cut off, and a counter by service. Ruled out as the digest's parts: IDs (new each time), headers (deadlines differ). No logic is changed.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -19,7 +19,7 @@
 	watch := p.newStallWatch(x, server, end)
 	defer watch.stop()
 	began := p.now()
-	x.server = server.ID
+	x.server, x.cutOff = server.ID, false
 	p.chooser.Sent(server.ID, x.request, began)
 	defer p.chooser.Ended(server.ID)
 	answer, sendErr := p.backend.Send(ctx, x.request, p.newAttempt(x, server))
@@ -93,6 +93,7 @@
 		x.sent++
 		x.mayHaveRun = true
 		step, outcome = failure.StepRun, failure.OutcomeUnknown
+		p.noteCutOff(ctx, x, e)
 	}
 	if cause := context.Cause(ctx); errors.Is(cause, errSilent) {
 		code, detail = failure.CodeSlow, cause.Error()
@@ -104,3 +105,13 @@
 		Step: step, Peer: server.ID, Code: code, Outcome: outcome, Detail: detail, RetryAfter: noServerRetry,
 	}
 }
+
+// noteCutOff notes that an attempt's connection ended with an error while the server may
+// have been running the request, unless we or the caller ended it.
+func (p *Pipeline) noteCutOff(ctx context.Context, x *exchange, err error) {
+	if ctx.Err() != nil || errors.Is(err, errCaller) {
+		return
+	}
+	x.cutOff = true
+	countCutOff(x)
+}
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -74,6 +74,8 @@
 	hasPlace bool
 	// movesOn is set when the last home has let the request go to the next.
 	movesOn bool
+	// cutOff is set when the last attempt ended with its connection, and not by our doing.
+	cutOff bool
 	// lastEvent is the last event that the caller got, or -1.
 	lastEvent int64
 	status    int
--- a/internal/dispatch/pipeline_test.go
+++ b/internal/dispatch/pipeline_test.go
@@ -159,6 +159,24 @@
 		Expect(lines(b, "id-stream")).To(Equal([]string{"request failed: not-run/queue: the group has been broken for 1s"}))
 	})
 
+	It("tells that two requests are the same, and that both were cut off", func() {
+		b := newBench(lost(true), lost(true))
+		for _, id := range []string{"first", "second"} {
+			r := b.request("once", 8*time.Second)
+			r.ID = id
+			b.pipeline.Serve(context.Background(), r, b.caller)
+		}
+		var digests []any
+		for _, entry := range b.logs.AllEntries() {
+			if entry.Message == "attempt failed" {
+				Expect(entry.Data).To(HaveKeyWithValue("cut_off", true))
+				digests = append(digests, entry.Data["digest"])
+			}
+		}
+		Expect(digests).To(HaveLen(2))
+		Expect(digests[0]).To(Equal(digests[1]))
+	})
+
 	It("leads from a stream cut off midway to the server that broke it off", func() {
 		b := newBench(breaksOff("id: 1\ndata: a\n\n"), lost(false))
 		b.serve("stream")
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -70,7 +70,7 @@
 	countEnd(x, f.Outcome, f.Code, now)
 	fields["outcome"], fields["code"], fields["step"], fields["peer"] = f.Outcome, f.Code, f.Step, f.Peer
 	fields["cause"], fields["begun"], fields["last_event"] = f.Detail, x.begun, x.lastEvent
-	fields["retry_after_ms"] = f.RetryAfter.Milliseconds()
+	fields["retry_after_ms"], fields["digest"] = f.RetryAfter.Milliseconds(), x.request.digest()
 	p.log.WithFields(fields).Warn("request failed")
 }
 
@@ -86,10 +86,16 @@
 // neverReported is an age that only a missing report has.
 const neverReported = 24 * time.Hour
 
+// countCutOff enters an attempt that its server, or the way there, cut off.
+func countCutOff(x *exchange) {
+	metrics.GetOrCreateCounter(`crowbridge_attempts_cut_off_total{service="` + x.Service + `"}`).Inc()
+}
+
 // logAttempt writes why an attempt failed and whether another follows.
 func (p *Pipeline) logAttempt(x *exchange, server *fleet.Server, f *failure.Error, again bool) {
 	p.log.WithFields(logrus.Fields{
-		"request": x.request.ID, "server": server.ID, "address": server.Address, "step": f.Step, "outcome": f.Outcome,
+		"request": x.request.ID, "digest": x.request.digest(), "server": server.ID, "address": server.Address,
+		"step": f.Step, "outcome": f.Outcome, "cut_off": x.cutOff,
 		"code": f.Code, "cause": f.Detail, "sent": x.sent, "begun": x.begun, "last_event": x.lastEvent,
 		"left_ms": x.Limit.Sub(p.now()).Milliseconds(), "again": again, "load": x.picked.Load, "load_age_ms": loadAge(x.picked),
 	}).Info("attempt failed")
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -28,7 +28,7 @@
 func (p *Pipeline) relayAnswer(ctx context.Context, x *exchange, server *fleet.Server, a *Answer, caller Caller) *failure.Error {
 	head, err := io.ReadAll(io.LimitReader(a.Body, bufferedAnswer))
 	if err != nil {
-		return p.brokenOff(ctx, server, err)
+		return p.brokenOff(ctx, x, server, err)
 	}
 	length := a.Length
 	whole := len(head) < bufferedAnswer
@@ -38,37 +38,38 @@
 	x.begun, x.status = true, a.Status
 	caller.Begin(a.Status, a.Header, length)
 	if err := caller.Write(head); err != nil {
-		return p.brokenOff(ctx, server, callerError(err))
+		return p.brokenOff(ctx, x, server, callerError(err))
 	}
 	if whole {
 		return nil
 	}
-	return p.copyRest(ctx, server, a, caller)
+	return p.copyRest(ctx, x, server, a, caller)
 }
 
-func (p *Pipeline) copyRest(ctx context.Context, server *fleet.Server, a *Answer, caller Caller) *failure.Error {
+func (p *Pipeline) copyRest(ctx context.Context, x *exchange, server *fleet.Server, a *Answer, caller Caller) *failure.Error {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := a.Body.Read(buffer)
 		if n > 0 {
 			if err := caller.Write(buffer[:n]); err != nil {
-				return p.brokenOff(ctx, server, callerError(err))
+				return p.brokenOff(ctx, x, server, callerError(err))
 			}
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
-			return p.brokenOff(ctx, server, err)
+			return p.brokenOff(ctx, x, server, err)
 		}
 	}
 }
 
 // brokenOff explains an answer that ended too early.
-func (p *Pipeline) brokenOff(ctx context.Context, server *fleet.Server, err error) *failure.Error {
+func (p *Pipeline) brokenOff(ctx context.Context, x *exchange, server *fleet.Server, err error) *failure.Error {
 	if cause := context.Cause(ctx); errors.Is(cause, errStalled) || errors.Is(cause, errSilent) {
 		return failure.Unknown(failure.StepRelay, server.ID, failure.CodeSlow, cause.Error())
 	}
+	p.noteCutOff(ctx, x, err)
 	if ctx.Err() == nil && !errors.Is(err, errCaller) {
 		p.chooser.Failed(server.ID, p.now())
 	}
@@ -103,7 +104,7 @@
 		}
 		if ended || (err == nil && !reader.Ready()) {
 			if p.begin(x, a, caller); caller.Write(pending) != nil {
-				return p.brokenOff(ctx, server, errCaller)
+				return p.brokenOff(ctx, x, server, errCaller)
 			}
 			pending = pending[:0]
 			if ended {
@@ -132,10 +133,10 @@
 // brokenStream passes on what came before the break.
 func (p *Pipeline) brokenStream(ctx context.Context, x *exchange, server *fleet.Server, pending []byte, caller Caller, err error) *failure.Error {
 	if len(pending) > 0 && x.begun && caller.Write(pending) != nil {
-		return p.brokenOff(ctx, server, errCaller)
+		return p.brokenOff(ctx, x, server, errCaller)
 	}
 	if !x.begun {
 		x.lastEvent = -1
 	}
-	return p.brokenOff(ctx, server, err)
+	return p.brokenOff(ctx, x, server, err)
 }
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -12,6 +12,7 @@
 
 	"github.com/crowbridge/crowbridge/internal/failure"
 	"github.com/crowbridge/crowbridge/internal/fleet"
+	"github.com/crowbridge/crowbridge/internal/quarantine"
 )
 
 // Request is a caller's request.
@@ -43,6 +44,12 @@
 	Priority int
 }
 
+// digest tells the request apart from others but the caller's repeats of it. It needs
+// the customer.
+func (r *Request) digest() quarantine.Digest {
+	return quarantine.DigestOf(r.Customer, r.Method, r.Host, r.URI, r.Body)
+}
+
 // Attempt is one sending of a request to one server.
 type Attempt struct {
 	Server *fleet.Server
--- /dev/null
+++ b/internal/quarantine/digest.go
@@ -0,0 +1,46 @@
+// Package quarantine finds requests that end the servers that run them, and keeps
+// them from further servers. It does no I/O and reads no clock.
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// digestBytes is the length of a Digest: enough that no two requests share one by chance
+// or by intent.
+const digestBytes = 16
+
+// Digest tells requests apart by what they ask for: a caller's repeat has another ID and
+// the same digest, at whatever daemon it comes in.
+type Digest [digestBytes]byte
+
+// DigestOf returns the digest of a request. uri is the path with the query, customer is
+// empty where routes need no key.
+func DigestOf(customer, method, host, uri string, body []byte) Digest {
+	h := sha256.New()
+	for _, field := range []string{customer, method, host, uri} {
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(field)))
+		_, _ = h.Write(size[:]) // a hash can't fail
+		_, _ = io.WriteString(h, field)
+	}
+	_, _ = h.Write(body)
+	return Digest(h.Sum(nil)[:digestBytes])
+}
+
+// ParseDigest reads what String returns.
+func ParseDigest(text string) (Digest, error) {
+	data, err := hex.DecodeString(text)
+	if err != nil || len(data) != digestBytes {
+		return Digest{}, errors.Errorf("digest: %q: use %d hexadecimal digits", text, 2*digestBytes)
+	}
+	return Digest(data), nil
+}
+
+// String returns the digest in hexadecimal.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
--- /dev/null
+++ b/internal/quarantine/digest_test.go
@@ -0,0 +1,40 @@
+package quarantine_test
+
+import (
+	"testing"
+
+	"github.com/crowbridge/crowbridge/internal/quarantine"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestQuarantine(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "quarantine")
+}
+
+var _ = Describe("a digest", func() {
+	of := func(customer, method, host, uri, body string) quarantine.Digest {
+		return quarantine.DigestOf(customer, method, host, uri, []byte(body))
+	}
+	first := of("florist", "POST", "h.example", "/a/x?p=1", "body")
+
+	It("is the same for a repeat", func() {
+		Expect(of("florist", "POST", "h.example", "/a/x?p=1", "body")).To(Equal(first))
+	})
+
+	DescribeTable("differs with", func(other quarantine.Digest) { Expect(other).NotTo(Equal(first)) },
+		Entry("the customer", of("mine", "POST", "h.example", "/a/x?p=1", "body")),
+		Entry("the method", of("florist", "PUT", "h.example", "/a/x?p=1", "body")),
+		Entry("the host", of("florist", "POST", "i.example", "/a/x?p=1", "body")),
+		Entry("the query", of("florist", "POST", "h.example", "/a/x?p=2", "body")),
+		Entry("the body", of("florist", "POST", "h.example", "/a/x?p=1", "bodies")),
+		Entry("where one field ends and the next begins", of("florist", "POST", "h.example/a", "/x?p=1", "body")),
+	)
+
+	It("is read from its text", func() {
+		Expect(quarantine.ParseDigest(first.String())).To(Equal(first))
+		_, err := quarantine.ParseDigest("12")
+		Expect(err).To(MatchError(ContainSubstring("use 32 hexadecimal digits")))
+	})
+})
