--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -133,7 +133,7 @@
 // publish appends the command, repeating it while the answer is lost: the
 // command ID keeps it from taking effect twice.
 func (a *Admin) publish(ctx context.Context, bundle *config.Bundle) (*rpc.ApplyReply, error) {
-	record := &config.Record{Format: config.FormatVersion, Kind: config.RecordChange, Bundle: bundle}
+	record := config.NewChange(bundle)
 	data, err := record.Encode()
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -82,7 +82,7 @@
 		s.markUnread("undecodable", entry.Offset)
 		return nil
 	}
-	if record.Format > FormatVersion {
+	if record.Format > newestFormat {
 		s.markUnread(record.Kind, entry.Offset)
 		return nil
 	}
--- a/internal/config/objects.go
+++ b/internal/config/objects.go
@@ -16,10 +16,11 @@
 	KindGroup         Kind = "Group"
 	KindRoute         Kind = "Route"
 	KindPolicy        Kind = "Policy"
+	KindQuarantine    Kind = "Quarantine"
 )
 
 // Kinds lists every kind in the order in which `get` prints them.
-var Kinds = []Kind{KindPolicy, KindCustomer, KindService, KindBackendServer, KindGroup, KindRoute}
+var Kinds = []Kind{KindPolicy, KindCustomer, KindService, KindBackendServer, KindGroup, KindRoute, KindQuarantine}
 
 // Object is one configuration object. Exactly the spec of its kind is set.
 type Object struct {
@@ -33,6 +34,7 @@
 	Group         *Group         `json:"group,omitempty"`
 	Route         *Route         `json:"route,omitempty"`
 	Policy        *Policy        `json:"policy,omitempty"`
+	Quarantine    *Quarantine    `json:"quarantine,omitempty"`
 
 	// Revision is the log offset of the change that set the object.
 	Revision int64 `json:"revision,omitempty"`
@@ -154,6 +156,19 @@
 	To   string `json:"to"`
 }
 
+// Quarantine keeps one request, and the repeats of it, from all servers. Entries set it
+// when servers end while they run the request. It's named by the request's digest;
+// deleting it lets the request run again.
+type Quarantine struct {
+	// Servers are those that ended.
+	Servers []string `json:"servers,omitempty"`
+	// UntilMs is when it ends, in milliseconds of the Unix epoch.
+	UntilMs int64 `json:"untilMs"`
+}
+
+// Until is when the quarantine ends.
+func (q Quarantine) Until() time.Time { return time.UnixMilli(q.UntilMs) }
+
 // PolicyName is the name of the only Policy object.
 const PolicyName = "default"
 
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -6,8 +6,27 @@
 	"github.com/pkg/errors"
 )
 
-// FormatVersion is the newest record format this release writes and folds.
-const FormatVersion = 1
+const (
+	// FormatVersion is the format of records that any release folds.
+	FormatVersion = 1
+	// quarantineFormat is that of changes of quarantines: a release that doesn't know
+	// them would reject the change, and its state would differ from the others'; as a newer
+	// format, it's skipped there and counted.
+	quarantineFormat = 2
+	// newestFormat is the newest that this release folds.
+	newestFormat = quarantineFormat
+)
+
+// NewChange returns the record of a bundle, in the oldest format that has its kinds.
+func NewChange(bundle *Bundle) *Record {
+	record := &Record{Format: FormatVersion, Kind: RecordChange, Bundle: bundle}
+	for _, change := range bundle.Changes {
+		if change.Kind == KindQuarantine {
+			record.Format = quarantineFormat
+		}
+	}
+	return record
+}
 
 // RecordKind names what a log record carries.
 type RecordKind string
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/crowbridge/crowbridge/internal/quarantine"
 	"github.com/pkg/errors"
 	"k8s.io/apimachinery/pkg/labels"
 	k8svalidation "k8s.io/apimachinery/pkg/util/validation"
@@ -98,6 +99,8 @@
 		return o.validateRoute()
 	case KindPolicy:
 		return o.validatePolicy()
+	case KindQuarantine:
+		return o.validateQuarantine()
 	default:
 		return o.wrong("kind", o.Kind, fmt.Sprintf("use one of %v", Kinds))
 	}
@@ -125,7 +128,7 @@
 	n := 0
 	for _, set := range []bool{
 		o.Customer != nil, o.Service != nil, o.BackendServer != nil,
-		o.Group != nil, o.Route != nil, o.Policy != nil,
+		o.Group != nil, o.Route != nil, o.Policy != nil, o.Quarantine != nil,
 	} {
 		if set {
 			n++
@@ -148,6 +151,8 @@
 		return o.Route != nil
 	case KindPolicy:
 		return o.Policy != nil
+	case KindQuarantine:
+		return o.Quarantine != nil
 	default:
 		return true // validate reports the unknown kind itself
 	}
@@ -315,3 +320,13 @@
 	}
 	return nil
 }
+
+func (o *Object) validateQuarantine() error {
+	if _, err := quarantine.ParseDigest(o.Name); err != nil {
+		return o.wrong("name", o.Name, "use the digest of the request, as the entries' log has it: 32 hexadecimal digits")
+	}
+	if o.Quarantine.UntilMs <= 0 {
+		return o.wrong("quarantine.untilMs", o.Quarantine.UntilMs, "use the time at which it ends, in milliseconds of the Unix epoch")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/crashwatch/codec.go
@@ -0,0 +1,85 @@
+package crashwatch
+
+import (
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/peerrpc"
+	"github.com/crowbridge/crowbridge/internal/quarantine"
+)
+
+// peerTable is up to where another daemon's table is known.
+type peerTable struct {
+	id     uint64
+	change int64
+}
+
+// Known says what this daemon knows, for a question to another at an address.
+func (w *Watch) Known(peer string) *peerrpc.CrashesKnown {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	known := w.peers[peer]
+	return &peerrpc.CrashesKnown{Table: known.id, Change: known.change, Hash: w.table.Hash()}
+}
+
+// Tell answers such a question.
+func (w *Watch) Tell(known *peerrpc.CrashesKnown) *peerrpc.CrashNews {
+	from := known.GetChange()
+	if known.GetTable() != w.tableID {
+		from = 0
+	}
+	evidence, change := w.table.Since(from)
+	if known.GetHash() == w.table.Hash() {
+		evidence = nil
+	}
+	return &peerrpc.CrashNews{Table: w.tableID, Change: change, Evidence: Encode(evidence, w.now())}
+}
+
+// Told takes in the answer of a daemon at an address.
+func (w *Watch) Told(peer string, news *peerrpc.CrashNews) {
+	if news == nil {
+		return // a daemon that keeps no table
+	}
+	w.Hear(Decode(news.GetEvidence(), w.now()), "peer "+peer)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.peers[peer] = peerTable{id: news.GetTable(), change: news.GetChange()}
+}
+
+// Forget forgets how far the tables of daemons other than some are known.
+func (w *Watch) Forget(but []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	kept := make(map[string]peerTable, len(but))
+	for _, peer := range but {
+		if known, found := w.peers[peer]; found {
+			kept[peer] = known
+		}
+	}
+	w.peers = kept
+}
+
+// Encode puts evidence into messages, with ages in place of times: clocks differ.
+func Encode(evidence []quarantine.Evidence, now time.Time) []*peerrpc.CrashEvidence {
+	encoded := make([]*peerrpc.CrashEvidence, 0, len(evidence))
+	for _, e := range evidence {
+		encoded = append(encoded, &peerrpc.CrashEvidence{
+			Digest: e.Digest[:], Server: e.Server, AgeMs: now.Sub(e.At).Milliseconds(), Cleared: e.Cleared,
+		})
+	}
+	return encoded
+}
+
+// Decode reads such messages, and leaves out what has no digest or server.
+func Decode(messages []*peerrpc.CrashEvidence, now time.Time) []quarantine.Evidence {
+	evidence := make([]quarantine.Evidence, 0, len(messages))
+	for _, m := range messages {
+		if len(m.GetDigest()) != len(quarantine.Digest{}) || m.GetServer() == "" {
+			continue
+		}
+		evidence = append(evidence, quarantine.Evidence{
+			Digest: quarantine.Digest(m.GetDigest()), Server: m.GetServer(), Cleared: m.GetCleared(),
+			At: now.Add(-time.Duration(max(m.GetAgeMs(), 0)) * time.Millisecond),
+		})
+	}
+	return evidence
+}
--- /dev/null
+++ b/internal/crashwatch/keeper.go
@@ -0,0 +1,157 @@
+package crashwatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/quarantine"
+	"github.com/crowbridge/crowbridge/internal/replica"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// keepPace is the time between looks for quarantines that the configuration lacks.
+	keepPace = 500 * time.Millisecond
+	// keepSpread is how long a daemon waits at most, at random, before it adds one of
+	// which it only heard: the daemon that found it adds it at once. Between daemons that are
+	// cut off from each other the store is the only way, and each moment may end a server.
+	keepSpread = time.Second
+	// keepTimeout bounds an append, keepPause is the pause after one that failed.
+	keepTimeout = 2 * time.Second
+	keepPause   = 2 * time.Second
+	// untilSlack is by how much the configuration's end of a quarantine may fall short of
+	// what daemons' clocks make of it, and how long one that is over is left in it.
+	untilSlack = time.Minute
+)
+
+// Keeper keeps quarantines in the product's configuration, where they outlast all daemons
+// and operators see them and end them.
+type Keeper struct {
+	watch   *Watch
+	replica *replica.Replica
+	store   replica.Log
+	daemon  string
+	log     *logrus.Entry
+	// inForce are the quarantines of the configuration as last seen.
+	inForce map[quarantine.Digest]bool
+	// dueAt is when this daemon adds what is missing; zero while nothing is.
+	dueAt time.Time
+}
+
+// NewKeeper returns the keeper of a daemon.
+func NewKeeper(w *Watch, rep *replica.Replica, store replica.Log, daemon string) *Keeper {
+	return &Keeper{watch: w, replica: rep, store: store, daemon: daemon, log: w.log, inForce: map[quarantine.Digest]bool{}}
+}
+
+// Run keeps them until the context ends.
+func (k *Keeper) Run(ctx context.Context) {
+	tick := time.NewTicker(keepPace)
+	defer tick.Stop()
+	for {
+		changed := k.replica.Changed()
+		k.look(ctx)
+		select {
+		case <-changed:
+		case <-k.watch.found:
+			k.dueAt = k.watch.now()
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// look applies what the configuration says, and adds to it what it lacks.
+func (k *Keeper) look(ctx context.Context) {
+	view := k.replica.View()
+	k.apply(view)
+	now := k.watch.now()
+	changes := k.missing(view, now)
+	switch {
+	case len(changes) == 0:
+		k.dueAt = time.Time{}
+	case k.dueAt.IsZero():
+		k.dueAt = now.Add(rand.N(keepSpread))
+	case !now.Before(k.dueAt):
+		k.dueAt = now.Add(keepPause)
+		k.add(ctx, changes)
+	}
+}
+
+// apply quarantines what the configuration says, and releases what it no longer does.
+func (k *Keeper) apply(view *config.View) {
+	listed := map[quarantine.Digest]bool{}
+	for _, object := range view.List(config.KindQuarantine) {
+		d, err := quarantine.ParseDigest(object.Name)
+		if err != nil {
+			k.log.WithError(err).Error("quarantine passed over") // the fold validates names, so this is a fault of ours
+			continue
+		}
+		listed[d] = true
+		if !k.inForce[d] {
+			k.log.WithFields(logrus.Fields{"digest": d, "servers": object.Quarantine.Servers, "offset": object.Revision - 1}).
+				Info("quarantine in force")
+		}
+		k.watch.table.Order(d, object.Quarantine.Until())
+	}
+	for d := range k.inForce {
+		if !listed[d] {
+			k.log.WithFields(logrus.Fields{"digest": d, "offset": view.Configured}).Info("request released from quarantine")
+			k.watch.release(d)
+		}
+	}
+	k.inForce = listed
+}
+
+// missing are the changes after which the configuration has the quarantines that it
+// should.
+func (k *Keeper) missing(view *config.View, now time.Time) []config.Change {
+	var changes []config.Change
+	for d, v := range k.watch.table.Quarantined(now) {
+		object := view.Get(config.KindQuarantine, d.String())
+		if object != nil && object.Quarantine.Until().Add(untilSlack).After(v.Until) {
+			continue
+		}
+		change := config.Change{Kind: config.KindQuarantine, Name: d.String(), Object: &config.Object{
+			Kind: config.KindQuarantine, Name: d.String(),
+			Quarantine: &config.Quarantine{Servers: v.Servers, UntilMs: v.Until.UnixMilli()},
+		}}
+		if object != nil {
+			change.ExpectedRevision = object.Revision
+		}
+		changes = append(changes, change)
+	}
+	for d := range k.inForce {
+		object := view.Get(config.KindQuarantine, d.String())
+		if k.watch.table.Cleared(d) || now.After(object.Quarantine.Until().Add(untilSlack)) {
+			changes = append(changes, config.Change{Kind: config.KindQuarantine, Name: d.String(), ExpectedRevision: object.Revision})
+		}
+	}
+	return changes
+}
+
+// add puts changes onto the log, each by itself: another daemon may have made some of them.
+func (k *Keeper) add(ctx context.Context, changes []config.Change) {
+	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
+	defer cancel()
+	for _, change := range changes {
+		bundle := &config.Bundle{
+			CommandID: uuid.NewString(), Actor: k.daemon, Reason: "servers end while they run this request",
+			Changes: []config.Change{change},
+		}
+		if change.Object == nil {
+			bundle.Reason = "the quarantine is over, or the request has run to a good end"
+		}
+		data, err := config.NewChange(bundle).Encode()
+		if err == nil {
+			_, err = k.store.Append(ctx, data)
+		}
+		if err != nil {
+			k.log.WithError(err).WithField("digest", change.Name).Warn("quarantine not confirmed on the store: trying again")
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/crashwatch/watch.go
@@ -0,0 +1,255 @@
+// Package crashwatch finds out whether servers that cut requests off have ended, tells
+// other daemons, and keeps the quarantine of requests that end their servers.
+package crashwatch
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/crowbridge/crowbridge/internal/fleet"
+	"github.com/crowbridge/crowbridge/internal/quarantine"
+	"github.com/sirupsen/logrus"
+)
+
+// Liveness is what a probe says of a server.
+type Liveness int
+
+// What a probe can say.
+const (
+	// Unknown servers didn't answer: they may be cut off.
+	Unknown Liveness = iota
+	// Listening servers accept connections.
+	Listening
+	// Ended servers have nobody who listens at their address.
+	Ended
+)
+
+// Prober looks whether somebody listens at a server's address.
+type Prober interface {
+	Probe(ctx context.Context, address string) Liveness
+}
+
+const (
+	// probeDelay is how long after an attempt was cut off its server is probed: a process
+	// that ends may close its connections a little before it stops listening.
+	probeDelay = 100 * time.Millisecond
+	// rankProbeDelay replaces it for ranks of groups: the agents beside them tell sooner,
+	// and a group that breaks cuts off what all its ranks run. Agents tell each 0.4 s at
+	// least.
+	rankProbeDelay = 700 * time.Millisecond
+	// probeTimeout bounds a probe.
+	probeTimeout = 300 * time.Millisecond
+	// reportLag is how long after an attempt was cut off an agent's report shows that the
+	// engine lives on, and soonestRestart up to when it can't be the engine's next start.
+	reportLag      = 250 * time.Millisecond
+	soonestRestart = time.Second
+	// newsQueue is how many pieces of news may wait to be sent: what is over reaches the
+	// others when they ask.
+	newsQueue = 256
+)
+
+// Watch is a daemon's. Safe for concurrent use.
+type Watch struct {
+	table   *quarantine.Table
+	prober  Prober
+	now     func() time.Time
+	after   func(time.Duration, func())
+	log     *logrus.Entry
+	news    chan []quarantine.Evidence
+	tableID uint64
+	// found gets a value when this daemon's own evidence quarantines a request.
+	found chan struct{}
+
+	mu sync.Mutex // taken before the table's
+	// servers is the registry as last seen.
+	servers *fleet.Servers
+	// lastCuts are when attempts were cut off at ranks last, by server.
+	lastCuts map[string]time.Time
+	// peers is what is known of other daemons' tables, by address.
+	peers map[string]peerTable
+}
+
+// New returns a watch. after calls a function after a time.
+func New(prober Prober, now func() time.Time, after func(time.Duration, func()), log *logrus.Entry) *Watch {
+	return &Watch{
+		table: quarantine.NewTable(), prober: prober, now: now, after: after, log: log,
+		news: make(chan []quarantine.Evidence, newsQueue), tableID: rand.Uint64() | 1, found: make(chan struct{}, 1),
+		lastCuts: map[string]time.Time{}, peers: map[string]peerTable{},
+	}
+}
+
+// Enter implements dispatch.Quarantine.
+func (w *Watch) Enter(d quarantine.Digest) quarantine.Verdict { return w.table.Enter(d, w.now()) }
+
+// Leave implements dispatch.Quarantine.
+func (w *Watch) Leave(d quarantine.Digest) { w.table.Leave(d) }
+
+// Served implements dispatch.Quarantine.
+func (w *Watch) Served(d quarantine.Digest) {
+	if cleared := w.table.Served(d); len(cleared) > 0 {
+		w.log.WithFields(logrus.Fields{"digest": d, "servers": len(cleared)}).Info("request cleared: it has run to a good end")
+		w.tell(cleared)
+	}
+}
+
+// CutOff implements dispatch.Quarantine. What a server that is to leave cuts off says
+// nothing against the request.
+func (w *Watch) CutOff(d quarantine.Digest, server *fleet.Server) {
+	if registered := w.registered(server.ID); registered == nil || registered.Leaving {
+		return
+	}
+	now := w.now()
+	delay := probeDelay
+	if server.Rank != nil {
+		delay = rankProbeDelay
+		w.mu.Lock()
+		w.lastCuts[server.ID] = now
+		w.mu.Unlock()
+	}
+	if w.table.CutOff(d, server.ID, now) {
+		w.after(delay, func() { w.probe(server) })
+	}
+}
+
+func (w *Watch) registered(id string) *fleet.Server {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.servers == nil {
+		return nil
+	}
+	return w.servers.Server(id)
+}
+
+// probe finds out whether a server has ended, unless that is known by now.
+func (w *Watch) probe(server *fleet.Server) {
+	if !w.table.Undecided(server.ID, w.now()) {
+		return
+	}
+	began := w.now()
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	switch w.prober.Probe(ctx, server.Address) {
+	case Ended:
+		w.Ended(server.ID, "nobody listens at its address")
+	case Listening:
+		w.table.Alive(server.ID, began)
+	case Unknown:
+		w.log.WithFields(logrus.Fields{"server": server.ID, "address": server.Address}).
+			Info("server cut requests off and can't be reached: taken for alive until it's known to have ended")
+		w.table.Alive(server.ID, began)
+	}
+}
+
+// Ended implements dispatch.Quarantine: a server has ended, as cause shows.
+func (w *Watch) Ended(server, cause string) {
+	found := w.table.Ended(server, w.now())
+	if len(found) == 0 {
+		return
+	}
+	metrics.GetOrCreateCounter(`crowbridge_servers_ended_under_requests_total`).Inc()
+	w.log.WithFields(logrus.Fields{"server": server, "cause": cause, "requests": len(found)}).
+		Warn("server ended with requests in progress")
+	if w.logQuarantined(found, "this daemon") {
+		select {
+		case w.found <- struct{}{}:
+		default: // there is one already
+		}
+	}
+	w.tell(found)
+}
+
+// logQuarantined writes a line for each request that some evidence quarantines, and tells
+// whether there is any.
+func (w *Watch) logQuarantined(evidence []quarantine.Evidence, source string) (quarantined bool) {
+	for _, e := range evidence {
+		v := w.table.Verdict(e.Digest, w.now())
+		if e.Cleared || v.State != quarantine.Quarantined {
+			continue
+		}
+		metrics.GetOrCreateCounter(`crowbridge_requests_quarantined_total`).Inc()
+		w.log.WithFields(logrus.Fields{
+			"digest": e.Digest, "servers": v.Servers, "for_s": int(v.Until.Sub(w.now()).Seconds()), "source": source,
+			"age_ms": w.now().Sub(e.At).Milliseconds(),
+		}).Warn("request quarantined: servers end while they run it")
+		quarantined = true
+	}
+	return quarantined
+}
+
+// tell puts evidence into the queue for other daemons.
+func (w *Watch) tell(evidence []quarantine.Evidence) {
+	select {
+	case w.news <- evidence:
+	default:
+		w.log.WithField("evidence", len(evidence)).Info("evidence not sent, too much is waiting: others hear of it when they ask")
+	}
+}
+
+// News is the evidence that this daemon has found and others should hear of at once.
+func (w *Watch) News() <-chan []quarantine.Evidence { return w.news }
+
+// Hear takes in another daemon's evidence.
+func (w *Watch) Hear(evidence []quarantine.Evidence, source string) {
+	if news := w.table.Merge(evidence, w.now()); len(news) > 0 {
+		w.logQuarantined(news, source)
+	}
+}
+
+// Engine takes in what the agent beside a server says of it: that its engine answers, or
+// that nobody listens where it did.
+func (w *Watch) Engine(server string, answers bool) {
+	if !answers {
+		w.Ended(server, "its agent finds nobody listening")
+		return
+	}
+	w.mu.Lock()
+	cut, found := w.lastCuts[server]
+	w.mu.Unlock()
+	if !found {
+		return
+	}
+	if age := w.now().Sub(cut); age >= reportLag {
+		if age < soonestRestart {
+			w.table.Alive(server, cut)
+		}
+		w.mu.Lock()
+		delete(w.lastCuts, server)
+		w.mu.Unlock()
+	}
+}
+
+// Keep takes in a state of the registry: servers that are gone without having said that
+// they leave, and those that have started again, have ended.
+func (w *Watch) Keep(servers *fleet.Servers) {
+	w.mu.Lock()
+	before := w.servers
+	w.servers = servers
+	maps.DeleteFunc(w.lastCuts, func(id string, _ time.Time) bool { return servers.Server(id) == nil })
+	w.mu.Unlock()
+	if before == nil {
+		return
+	}
+	for id, old := range before.All() {
+		current := servers.Server(id)
+		switch {
+		case current == nil && !old.Leaving:
+			w.Ended(id, "its registration is gone")
+		case current != nil && current.Born != old.Born:
+			w.Ended(id, "it has started again")
+		}
+	}
+}
+
+// Table is the daemon's evidence.
+func (w *Watch) Table() *quarantine.Table { return w.table }
+
+// release ends a quarantine, as the operators say.
+func (w *Watch) release(d quarantine.Digest) {
+	if cleared := w.table.Release(d); len(cleared) > 0 {
+		w.tell(cleared)
+	}
+}
--- /dev/null
+++ b/internal/crashwatch/watch_test.go
@@ -0,0 +1,273 @@
+package crashwatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/fleet"
+	"github.com/crowbridge/crowbridge/internal/quarantine"
+	"github.com/crowbridge/crowbridge/internal/replica"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+	logrustest "github.com/sirupsen/logrus/hooks/test"
+)
+
+func TestCrashwatch(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "crashwatch")
+}
+
+// world is what a watch sees of servers, with a clock that a spec moves.
+type world struct {
+	now    time.Time
+	due    []func() // what waits for a time
+	probes map[string]Liveness
+	probed []string
+	logs   *logrustest.Hook
+}
+
+func (w *world) Probe(_ context.Context, address string) Liveness {
+	w.probed = append(w.probed, address)
+	return w.probes[address]
+}
+
+// pass lets what waits happen.
+func (w *world) pass(d time.Duration) {
+	w.now = w.now.Add(d)
+	due := w.due
+	w.due = nil
+	for _, f := range due {
+		f()
+	}
+}
+
+func newWorld() (*world, *Watch) {
+	w := &world{now: time.Unix(1000, 0), probes: map[string]Liveness{}}
+	logger, logs := logrustest.NewNullLogger()
+	w.logs = logs
+	watch := New(w, func() time.Time { return w.now }, func(_ time.Duration, f func()) { w.due = append(w.due, f) }, logrus.NewEntry(logger))
+	watch.Keep(registry())
+	return w, watch
+}
+
+var (
+	plainA = &fleet.Server{ID: "a", Address: "10.0.0.1:80", Service: "s"}
+	plainB = &fleet.Server{ID: "b", Address: "10.0.0.2:80", Service: "s"}
+	leaves = &fleet.Server{ID: "l", Address: "10.0.0.3:80", Service: "s", Leaving: true}
+	rank   = &fleet.Server{ID: "r", Address: "10.0.0.4:80", Service: "m", Rank: &fleet.GroupRank{Group: "g", Epoch: 1, Open: true}}
+)
+
+// registry has all servers but for those left out.
+func registry(but ...*fleet.Server) *fleet.Servers {
+	var list []*fleet.Server
+next:
+	for _, server := range []*fleet.Server{plainA, plainB, leaves, rank} {
+		for _, other := range but {
+			if server == other {
+				continue next
+			}
+		}
+		list = append(list, server)
+	}
+	return fleet.NewServers(list)
+}
+
+var _ = Describe("a server that cuts a request off", func() {
+	var w *world
+	var watch *Watch
+	d := quarantine.DigestOf("c", "POST", "h", "/", nil)
+
+	BeforeEach(func() { w, watch = newWorld() })
+
+	held := func() quarantine.State { return watch.Table().Verdict(d, w.now).State }
+	told := func() (evidence []quarantine.Evidence) {
+		for {
+			select {
+			case news := <-watch.News():
+				evidence = append(evidence, news...)
+			default:
+				return evidence
+			}
+		}
+	}
+
+	It("has ended when nobody listens there", func() {
+		w.probes[plainA.Address] = Ended
+		watch.CutOff(d, plainA)
+		w.pass(probeDelay)
+		Expect(held()).To(Equal(quarantine.Suspect))
+		Expect(told()).To(HaveLen(1))
+		Expect(w.logs.LastEntry().Message).To(Equal("server ended with requests in progress"))
+	})
+
+	It("is probed once, however many requests it cuts off", func() {
+		watch.CutOff(d, plainA)
+		watch.CutOff(quarantine.DigestOf("c", "POST", "h", "/other", nil), plainA)
+		w.pass(probeDelay)
+		Expect(w.probed).To(HaveLen(1))
+	})
+
+	It("lives when it listens, until its registration goes", func() {
+		w.probes[plainA.Address] = Listening
+		watch.CutOff(d, plainA)
+		w.pass(probeDelay)
+		Expect(held()).To(Equal(quarantine.Sound))
+		watch.Keep(registry(plainA))
+		Expect(held()).To(Equal(quarantine.Suspect))
+	})
+
+	It("has ended when it registers with another start", func() {
+		again := *plainA
+		again.Born = 7
+		watch.CutOff(d, plainA)
+		watch.Keep(fleet.NewServers([]*fleet.Server{&again, plainB, leaves, rank}))
+		Expect(held()).To(Equal(quarantine.Suspect))
+		Expect(told()).To(HaveLen(1))
+	})
+
+	It("says nothing against the request when it was to leave, or has left", func() {
+		watch.CutOff(d, leaves)
+		watch.Keep(registry(plainB))
+		watch.CutOff(d, plainB)
+		watch.Keep(registry(plainB, leaves))
+		w.pass(probeDelay)
+		Expect(w.probed).To(BeEmpty())
+		Expect(told()).To(BeEmpty())
+	})
+
+	It("beside an agent is known sooner, without a probe", func() {
+		watch.CutOff(d, rank)
+		w.now = w.now.Add(reportLag)
+		watch.Engine("r", false)
+		Expect(held()).To(Equal(quarantine.Suspect))
+		w.pass(rankProbeDelay)
+		Expect(w.probed).To(BeEmpty())
+	})
+
+	It("beside an agent lives when its engine answers after that, but not when it's back", func() {
+		watch.CutOff(d, rank)
+		watch.Engine("r", true)
+		Expect(held()).To(Equal(quarantine.Suspect), "the report may be from before")
+		w.now = w.now.Add(reportLag)
+		watch.Engine("r", true)
+		Expect(held()).To(Equal(quarantine.Sound))
+		watch.CutOff(d, rank)
+		w.now = w.now.Add(soonestRestart)
+		watch.Engine("r", true)
+		Expect(held()).To(Equal(quarantine.Suspect))
+		w.probes[rank.Address] = Ended
+		w.pass(0)
+		Expect(told()).To(HaveLen(1))
+	})
+
+	It("and another one make the request known everywhere, however others hear of it", func() {
+		_, asked := newWorld()
+		_, sent := newWorld()
+		watch.CutOff(d, plainA)
+		watch.Ended("a", "spec")
+		asked.Told("here", watch.Tell(asked.Known("here")))
+		Expect(asked.Table().Verdict(d, w.now).State).To(Equal(quarantine.Suspect))
+		watch.CutOff(d, plainB)
+		watch.Ended("b", "spec")
+		news := watch.Tell(asked.Known("here"))
+		Expect(news.GetEvidence()).To(HaveLen(1), "only what has changed")
+		asked.Told("here", news)
+		sent.Hear(Decode(Encode(told(), w.now), w.now), "spec")
+		for _, other := range []*Watch{asked, sent} {
+			Expect(other.Enter(d).State).To(Equal(quarantine.Quarantined))
+		}
+		Expect(watch.Tell(sent.Known("here")).GetEvidence()).To(BeEmpty(), "they agree")
+	})
+})
+
+// fakeLog is the product's log: what is appended reaches the replicas that follow it.
+type fakeLog struct {
+	replica.Log
+	mu       sync.Mutex
+	down     bool
+	replicas []*replica.Replica
+	records  [][]byte
+}
+
+func (l *fakeLog) Append(_ context.Context, data []byte) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return 0, errors.New("down")
+	}
+	offset := int64(len(l.records))
+	l.records = append(l.records, data)
+	for _, rep := range l.replicas {
+		Expect(rep.Fold(replica.Batch{Entries: []config.LogEntry{{Offset: offset, Data: data}}})).To(Succeed())
+	}
+	return offset, nil
+}
+
+var _ = Describe("a quarantine", func() {
+	d := quarantine.DigestOf("c", "POST", "h", "/", nil)
+
+	It("is in the configuration, for daemons that start later, until operators end it", func() {
+		w, watch := newWorld()
+		rep, late := replica.New(func() time.Time { return w.now }), replica.New(func() time.Time { return w.now })
+		log := &fakeLog{replicas: []*replica.Replica{rep, late}, down: true}
+		keeper := NewKeeper(watch, rep, log, "entry")
+		look := func() {
+			for range 3 { // notices, adds, applies
+				keeper.look(context.Background())
+				w.now = w.now.Add(keepPause)
+			}
+		}
+		for _, server := range []string{"a", "b"} {
+			watch.CutOff(d, registry().Server(server))
+			watch.Ended(server, "spec")
+		}
+		look()
+		Expect(log.records).To(BeEmpty())
+		log.down = false
+		look()
+		Expect(log.records).To(HaveLen(1))
+		object := rep.View().Get(config.KindQuarantine, d.String())
+		Expect(object.Quarantine.Servers).To(Equal([]string{"a", "b"}))
+
+		_, started := newWorld()
+		NewKeeper(started, late, log, "late").look(context.Background())
+		Expect(started.Enter(d).State).To(Equal(quarantine.Quarantined))
+
+		data, err := config.NewChange(&config.Bundle{CommandID: "release", Actor: "ops", Changes: []config.Change{
+			{Kind: config.KindQuarantine, Name: d.String(), ExpectedRevision: config.AnyRevision},
+		}}).Encode()
+		Expect(err).NotTo(HaveOccurred())
+		_, err = log.Append(context.Background(), data)
+		Expect(err).NotTo(HaveOccurred())
+		look()
+		Expect(watch.Enter(d).State).To(Equal(quarantine.Sound))
+		Expect(log.records).To(HaveLen(2), "it isn't added again")
+	})
+
+	It("leaves the configuration when it's over", func() {
+		w, watch := newWorld()
+		rep := replica.New(func() time.Time { return w.now })
+		log := &fakeLog{replicas: []*replica.Replica{rep}}
+		keeper := NewKeeper(watch, rep, log, "entry")
+		for _, server := range []string{"a", "b"} {
+			watch.CutOff(d, registry().Server(server))
+			watch.Ended(server, "spec")
+		}
+		for range 3 {
+			keeper.look(context.Background())
+			w.now = w.now.Add(keepPause)
+		}
+		Expect(rep.View().List(config.KindQuarantine)).To(HaveLen(1))
+		w.now = w.now.Add(time.Hour)
+		for range 3 {
+			keeper.look(context.Background())
+			w.now = w.now.Add(keepPause)
+		}
+		Expect(rep.View().List(config.KindQuarantine)).To(BeEmpty())
+	})
+})
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -21,7 +21,7 @@
 	began := p.now()
 	x.server, x.cutOff = server.ID, false
 	p.chooser.Sent(server.ID, x.request, began)
-	defer p.chooser.Ended(server.ID)
+	defer p.chooser.Ended(server.ID, x.request)
 	answer, sendErr := p.backend.Send(ctx, x.request, p.newAttempt(x, server))
 	p.chooser.Answering(server.ID, x.request)
 	if sendErr != nil {
@@ -44,6 +44,9 @@
 	}
 	if f == nil {
 		p.chooser.Succeeded(server.ID, p.now().Sub(began))
+		if p.quarantine != nil {
+			p.quarantine.Served(x.request.digest())
+		}
 	}
 	return f
 }
@@ -93,7 +96,10 @@
 		x.sent++
 		x.mayHaveRun = true
 		step, outcome = failure.StepRun, failure.OutcomeUnknown
-		p.noteCutOff(ctx, x, e)
+		p.noteCutOff(ctx, x, server, e)
+	}
+	if !e.Sent {
+		p.noteRefused(server, e)
 	}
 	if cause := context.Cause(ctx); errors.Is(cause, errSilent) {
 		code, detail = failure.CodeSlow, cause.Error()
@@ -105,13 +111,3 @@
 		Step: step, Peer: server.ID, Code: code, Outcome: outcome, Detail: detail, RetryAfter: noServerRetry,
 	}
 }
-
-// noteCutOff notes that an attempt's connection ended with an error while the server may
-// have been running the request, unless we or the caller ended it.
-func (p *Pipeline) noteCutOff(ctx context.Context, x *exchange, err error) {
-	if ctx.Err() != nil || errors.Is(err, errCaller) {
-		return
-	}
-	x.cutOff = true
-	countCutOff(x)
-}
--- a/internal/dispatch/board.go
+++ b/internal/dispatch/board.go
@@ -30,6 +30,8 @@
 type row struct {
 	// inFlight are own requests that have not ended.
 	inFlight int
+	// suspects are those of them under which a server has ended before.
+	suspects int
 	// unread are prompt tokens of own requests without a first event yet.
 	unread int
 	// reported is the newest load known of the server, and when it came.
@@ -198,6 +200,9 @@
 	r.recent[r.next%recentSends] = now
 	r.next++
 	r.unread += request.PromptTokens
+	if request.Suspect {
+		r.suspects++
+	}
 }
 
 // Answering notes that the server has begun to answer.
@@ -209,11 +214,14 @@
 }
 
 // Ended notes that a request is no longer at a server.
-func (b *Board) Ended(id string) {
+func (b *Board) Ended(id string, request *Request) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.row(id)
 	r.inFlight = max(r.inFlight-1, 0)
+	if request.Suspect {
+		r.suspects = max(r.suspects-1, 0)
+	}
 }
 
 const (
--- a/internal/dispatch/fairness_test.go
+++ b/internal/dispatch/fairness_test.go
@@ -97,7 +97,7 @@
 
 func (c *crowd) endUntil(at time.Duration) {
 	for len(c.ends) > 0 && c.ends[0].at <= at {
-		c.board.Ended(c.ends[0].server)
+		c.board.Ended(c.ends[0].server, &Request{})
 		c.board.leftPlace(c.service, c.ends[0].customer)
 		c.ends = c.ends[1:]
 	}
--- a/internal/dispatch/judge.go
+++ b/internal/dispatch/judge.go
@@ -57,6 +57,9 @@
 	now := p.now()
 	if a.Status == http.StatusMisdirectedRequest {
 		p.chooser.Failed(server.ID, now)
+		if p.quarantine != nil {
+			p.quarantine.Ended(server.ID, "another server has its address")
+		}
 		return failure.NotRun(failure.StepSend, server.ID, failure.CodeWrongServer, "another server has the address").After(noServerRetry)
 	}
 	if server.Rank != nil && a.Info.FaultyServer != "" {
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -29,8 +29,10 @@
 
 // Choose picks the server with the least estimated load among those of a
 // service that may get a request, but for those in tried. Those that failed
-// lately, hold their group back or have fallen silent come only if there is no other.
-func (b *Board) Choose(now time.Time, servers []*fleet.Server, _ *Request, tried []string) Choice {
+// lately, hold their group back or have fallen silent come only if there is no other,
+// and for a suspect request so do those where another suspect one is: if a server ends
+// under both of them again, the sound one is taken for the other.
+func (b *Board) Choose(now time.Time, servers []*fleet.Server, request *Request, tried []string) Choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var candidates []Choice
@@ -45,7 +47,7 @@
 		total += load
 		places += server.Capacity
 		score := b.score(now, server, r, load)
-		if silent[server.ID] {
+		if silent[server.ID] || (request.Suspect && r.suspects > 0) {
 			score += slowPenalty
 		}
 		candidates = append(candidates, Choice{Server: server, Load: load, LoadAge: now.Sub(r.reportedAt), score: score})
--- a/internal/dispatch/pick_test.go
+++ b/internal/dispatch/pick_test.go
@@ -20,9 +20,9 @@
 			{ID: "b", Zone: "z1", Rank: &fleet.GroupRank{}},
 			{ID: "c", Zone: "z1", Leaving: true},
 		}
-		Expect(b.board.Choose(b.now, servers, nil, nil).Server.ID).To(Equal("b"))
-		Expect(b.board.Choose(b.now, servers, nil, []string{"b"}).Server.ID).To(Equal("a"))
-		Expect(b.board.Choose(b.now, servers, nil, []string{"a", "b"}).Server).To(BeNil())
+		Expect(b.board.Choose(b.now, servers, &Request{}, nil).Server.ID).To(Equal("b"))
+		Expect(b.board.Choose(b.now, servers, &Request{}, []string{"b"}).Server.ID).To(Equal("a"))
+		Expect(b.board.Choose(b.now, servers, &Request{}, []string{"a", "b"}).Server).To(BeNil())
 	})
 
 	It("doesn't send all entries to the server that was least loaded when reports came", func() {
@@ -37,7 +37,7 @@
 		b.board.random = random.IntN
 		chosen := map[string]int{}
 		for range 400 {
-			chosen[b.board.Choose(b.now, servers, nil, nil).Server.ID]++
+			chosen[b.board.Choose(b.now, servers, &Request{}, nil).Server.ID]++
 		}
 		for id, n := range chosen {
 			Expect(n).To(BeNumerically("<", 50), id)
@@ -54,7 +54,7 @@
 				b.board.Failed(fmt.Sprint("s", i), b.now)
 			}
 		}
-		Expect(b.board.Choose(b.now, servers, nil, nil).Server.ID).To(Equal("s11"))
+		Expect(b.board.Choose(b.now, servers, &Request{}, nil).Server.ID).To(Equal("s11"))
 	})
 
 	It("stays in its own zone until the servers there are busier by two requests", func() {
@@ -79,7 +79,7 @@
 					}
 					b.board.ReportLoad(server.ID, Load{Running: running}, b.now)
 				}
-				if b.board.Choose(b.now, servers, nil, nil).Server.Zone == "z1" {
+				if b.board.Choose(b.now, servers, &Request{}, nil).Server.Zone == "z1" {
 					own++
 				}
 			}
@@ -106,7 +106,7 @@
 		b.board.random = rand.New(rand.NewPCG(1, 1)).IntN
 		picked := func() (silent int) {
 			for range 200 {
-				if id := b.board.Choose(b.now, servers, nil, nil).Server.ID; id == "s0" || id == "s1" {
+				if id := b.board.Choose(b.now, servers, &Request{}, nil).Server.ID; id == "s0" || id == "s1" {
 					silent++
 				}
 			}
@@ -117,7 +117,7 @@
 		b.now = b.now.Add(silentAfter)
 		tell(2, 12)
 		Expect(picked()).To(BeZero(), "two of twelve stand still")
-		Expect(b.board.Choose(b.now, servers, nil, nil).Silent).To(Equal(2))
+		Expect(b.board.Choose(b.now, servers, &Request{}, nil).Silent).To(Equal(2))
 		b.now = b.now.Add(silentAfter)
 		tell(4, 12)
 		Expect(picked()).To(BeNumerically(">", 10), "four of twelve are too many")
@@ -129,7 +129,7 @@
 		b := newBench()
 		servers := []*fleet.Server{{ID: "a", Zone: "z1"}, {ID: "b", Zone: "z2"}}
 		b.board.Failed("a", b.now)
-		Expect(b.board.Choose(b.now, servers, nil, nil).Server.ID).To(Equal("b"))
-		Expect(b.board.Choose(b.now.Add(avoidFirst+1), servers, nil, nil).Server.ID).To(Equal("a"))
+		Expect(b.board.Choose(b.now, servers, &Request{}, nil).Server.ID).To(Equal("b"))
+		Expect(b.board.Choose(b.now.Add(avoidFirst+1), servers, &Request{}, nil).Server.ID).To(Equal("a"))
 	})
 })
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -31,6 +31,8 @@
 	now     func() time.Time
 	log     *logrus.Entry
 	ledger  outcome.Ledger
+	// quarantine may be nil.
+	quarantine Quarantine
 	// streamStall is the constant of that name, or what a spec sets.
 	streamStall time.Duration
 }
@@ -74,6 +76,8 @@
 	hasPlace bool
 	// movesOn is set when the last home has let the request go to the next.
 	movesOn bool
+	// entered is set while the request counts as in progress for the quarantine.
+	entered bool
 	// cutOff is set when the last attempt ended with its connection, and not by our doing.
 	cutOff bool
 	// lastEvent is the last event that the caller got, or -1.
@@ -105,6 +109,7 @@
 	limited, cancel := context.WithTimeout(ctx, x.Limit.Sub(p.now()))
 	f := p.execute(limited, x, caller)
 	cancel()
+	p.leave(x)
 	if x.hasPlace {
 		p.board.leftPlace(x.Service, x.request.Customer)
 	}
@@ -193,6 +198,9 @@
 // execute sends the request until it has an end that can't be improved.
 func (p *Pipeline) execute(ctx context.Context, x *exchange, caller Caller) *failure.Error {
 	for {
+		if f := p.enter(ctx, x); f != nil {
+			return f
+		}
 		server, f := p.choose(ctx, x)
 		if f != nil {
 			return f
@@ -296,7 +304,7 @@
 	if x.mayHaveRun && f.Outcome == failure.OutcomeNotRun {
 		f.Outcome = failure.OutcomeUnknown
 	}
-	if f.RetryAfter > 0 {
+	if f.RetryAfter > 0 && f.Code != failure.CodeQuarantined { // sooner than that makes no sense
 		left := x.Limit.Sub(p.now())
 		f.RetryAfter = max(min(f.RetryAfter, left/retryAfterPart), 0)
 	}
--- /dev/null
+++ b/internal/dispatch/quarantine.go
@@ -0,0 +1,98 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/failure"
+	"github.com/crowbridge/crowbridge/internal/fleet"
+	"github.com/crowbridge/crowbridge/internal/quarantine"
+	"github.com/crowbridge/crowbridge/internal/wait"
+	"github.com/pkg/errors"
+)
+
+// Quarantine keeps requests that end the servers that run them from further ones.
+type Quarantine interface {
+	// Enter asks whether a request may go to a server now. A sound or suspect one counts
+	// as in progress until Leave.
+	Enter(d quarantine.Digest) quarantine.Verdict
+	Leave(d quarantine.Digest)
+	// CutOff notes that an attempt's connection to a server ended under it, Ended that
+	// the server has ended, and Served that the request has run to a good end.
+	CutOff(d quarantine.Digest, server *fleet.Server)
+	Ended(server, cause string)
+	Served(d quarantine.Digest)
+}
+
+// SetQuarantine makes the pipeline keep requests from servers. Call it before the first
+// request.
+func (p *Pipeline) SetQuarantine(q Quarantine) { p.quarantine = q }
+
+const (
+	// undecidedWait is how long a request waits for what is undecided about it: a little
+	// longer than it takes to find out whether a server that cut it off has ended.
+	undecidedWait = 250 * time.Millisecond
+	// undecidedPoll is how often it looks.
+	undecidedPoll = 10 * time.Millisecond
+	// undecidedRetry is the hint to come back after that.
+	undecidedRetry = time.Second
+)
+
+// enter lets a request go to a server, or refuses it because servers end while they run
+// it. One that is repeated is the same request under another ID, so that it's told by its
+// digest: told by attempts, one request ended a server at each repeat.
+func (p *Pipeline) enter(ctx context.Context, x *exchange) *failure.Error {
+	if p.quarantine == nil {
+		return nil
+	}
+	p.leave(x)
+	until := p.now().Add(undecidedWait)
+	for {
+		v := p.quarantine.Enter(x.request.digest())
+		switch v.State {
+		case quarantine.Sound, quarantine.Suspect:
+			x.entered, x.request.Suspect = true, v.State == quarantine.Suspect
+			return nil
+		case quarantine.Quarantined:
+			return failure.NotRun(failure.StepQueue, x.Service, failure.CodeQuarantined,
+				fmt.Sprintf("%d servers ended while they ran this request (%s): it gets no other before %s",
+					len(v.Servers), strings.Join(v.Servers, ", "), v.Until.UTC().Format(time.RFC3339))).After(v.Until.Sub(p.now()))
+		case quarantine.Undecided:
+		}
+		if !p.now().Before(until) || !wait.For(ctx, undecidedPoll) {
+			return failure.NotRun(failure.StepQueue, x.Service, failure.CodeSuspect,
+				"a server may have ended while it ran this request: it's not known yet, or another attempt is in progress").After(undecidedRetry)
+		}
+	}
+}
+
+// leave ends what enter began.
+func (p *Pipeline) leave(x *exchange) {
+	if x.entered {
+		x.entered = false
+		p.quarantine.Leave(x.request.digest())
+	}
+}
+
+// noteCutOff notes that an attempt's connection ended with an error while the server may
+// have been running the request, unless we or the caller ended it.
+func (p *Pipeline) noteCutOff(ctx context.Context, x *exchange, server *fleet.Server, err error) {
+	if ctx.Err() != nil || errors.Is(err, errCaller) {
+		return
+	}
+	x.cutOff = true
+	countCutOff(x)
+	if p.quarantine != nil {
+		p.quarantine.CutOff(x.request.digest(), server)
+	}
+}
+
+// noteRefused notes what an error without any sending says of the server.
+func (p *Pipeline) noteRefused(server *fleet.Server, err error) {
+	if p.quarantine != nil && errors.Is(err, syscall.ECONNREFUSED) {
+		p.quarantine.Ended(server.ID, "it refuses connections")
+	}
+}
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -69,7 +69,7 @@
 	if cause := context.Cause(ctx); errors.Is(cause, errStalled) || errors.Is(cause, errSilent) {
 		return failure.Unknown(failure.StepRelay, server.ID, failure.CodeSlow, cause.Error())
 	}
-	p.noteCutOff(ctx, x, err)
+	p.noteCutOff(ctx, x, server, err)
 	if ctx.Err() == nil && !errors.Is(err, errCaller) {
 		p.chooser.Failed(server.ID, p.now())
 	}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -42,12 +42,21 @@
 	// is the most urgent.
 	Customer string
 	Priority int
+	// Suspect is set while a server has ended under the request and it hasn't run to a
+	// good end since: it's kept apart from others of its kind.
+	Suspect bool
+	// sum is the digest once it has been worked out.
+	sum *quarantine.Digest
 }
 
-// digest tells the request apart from others but the caller's repeats of it. It needs
-// the customer.
+// digest tells the request apart from others but the caller's repeats of it. The customer
+// has to be known.
 func (r *Request) digest() quarantine.Digest {
-	return quarantine.DigestOf(r.Customer, r.Method, r.Host, r.URI, r.Body)
+	if r.sum == nil {
+		sum := quarantine.DigestOf(r.Customer, r.Method, r.Host, r.URI, r.Body)
+		r.sum = &sum
+	}
+	return *r.sum
 }
 
 // Attempt is one sending of a request to one server.
@@ -145,7 +154,7 @@
 	// Sent, Answering and Ended follow an attempt.
 	Sent(server string, r *Request, now time.Time)
 	Answering(server string, r *Request)
-	Ended(server string)
+	Ended(server string, r *Request)
 	// Failed and Succeeded tell how it went.
 	Failed(server string, now time.Time)
 	Succeeded(server string, took time.Duration)
--- a/internal/entry/chooser.go
+++ b/internal/entry/chooser.go
@@ -43,7 +43,7 @@
 func (tableChooser) Answering(string, *dispatch.Request) {}
 
 // Ended implements dispatch.Chooser.
-func (c tableChooser) Ended(server string) {
+func (c tableChooser) Ended(server string, _ *dispatch.Request) {
 	c.entry.mu.Lock()
 	defer c.entry.mu.Unlock()
 	c.entry.table.Ended(server)
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -61,6 +61,8 @@
 	CodeCanceled       Code = "canceled"
 	CodeWrongServer    Code = "wrong-server"
 	CodeStaleHomes     Code = "stale-configuration"
+	CodeQuarantined    Code = "quarantined"
+	CodeSuspect        Code = "suspect-request"
 )
 
 // Error is a failed request's final answer.
@@ -148,4 +150,6 @@
 	CodeCanceled:       statusClientClosed,
 	CodeWrongServer:    statusUnavailable,
 	CodeStaleHomes:     statusUnavailable,
+	CodeQuarantined:    statusUnavailable,
+	CodeSuspect:        statusUnavailable,
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -15,8 +15,11 @@
 
 // Server is one incarnation of a backend server, as it registered itself.
 type Server struct {
-	// ID is new at each start of the server.
-	ID      string
+	// ID is the server's name in the registry. One that crashed may start again under it.
+	ID string
+	// Born is when this incarnation started, in milliseconds of the Unix epoch as the
+	// server tells it, 0 when it doesn't. Only whether it changes counts.
+	Born    int64
 	Service string
 	// Address is its IP:port. Another service may get it once this server is gone.
 	Address  string
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/buildinfo"
@@ -156,15 +157,27 @@
 // feedLoad tells the entries the engine's load.
 func (a *AgentDaemon) feedLoad(ctx context.Context, sender *loadfeed.Sender) {
 	for ctx.Err() == nil {
-		if report := a.report(ctx); report.Size > 0 {
-			if err := sender.Send(time.Now(), report, a.entries()); err != nil {
-				a.log.WithError(err).Debug("load not told")
-			}
+		if err := a.tellLoad(ctx, sender); err != nil {
+			a.log.WithError(err).Debug("load not told")
 		}
 		wait.For(ctx, loadPace)
 	}
 }
 
+// tellLoad looks at the engine once. That nobody listens there is news, too: the entries
+// find out sooner under which requests it ended.
+func (a *AgentDaemon) tellLoad(ctx context.Context, sender *loadfeed.Sender) error {
+	report, err := a.report(ctx)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return sender.SendEnded(time.Now(), a.entries())
+	case report.Size > 0:
+		return sender.Send(time.Now(), report, a.entries())
+	default:
+		return nil
+	}
+}
+
 // entries returns the addresses of the entries heard of.
 func (a *AgentDaemon) entries() []netip.Addr {
 	var found []netip.Addr
@@ -176,14 +189,14 @@
 	return found
 }
 
-func (a *AgentDaemon) report(ctx context.Context) experts.RankReport {
+func (a *AgentDaemon) report(ctx context.Context) (experts.RankReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
 	report, err := a.agent.Report(ctx)
 	if err != nil {
 		a.log.WithError(err).Debug("engine not reached")
 	}
-	return report
+	return report, err
 }
 
 // linkPart is the part of the VM's link that a holder's counts may fill;
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/crowbridge/crowbridge/internal/admin"
 	"github.com/crowbridge/crowbridge/internal/buildinfo"
+	"github.com/crowbridge/crowbridge/internal/crashwatch"
 	"github.com/crowbridge/crowbridge/internal/daemon"
 	"github.com/crowbridge/crowbridge/internal/dispatch"
 	"github.com/crowbridge/crowbridge/internal/fleet"
@@ -45,6 +46,7 @@
 	follower *membership.Follower
 	exchange *membership.Exchange
 	board    *dispatch.Board
+	crashes  *crashwatch.Watch
 	pipeline *dispatch.Pipeline
 	frontend *frontend.Server
 	// replica has the product's own configuration, steering its selectors.
@@ -68,14 +70,18 @@
 		settings: s, log: log, members: members, replica: rep, steering: steering.New(rep, time.Now, log),
 		configLog: platform.ConfigLog{Store: store, Now: time.Now},
 		board:     dispatch.NewBoard(budgetPolicy(s), s.Zone, rand.IntN),
+		crashes:   crashwatch.New(upstream.Prober{}, time.Now, func(d time.Duration, f func()) { time.AfterFunc(d, f) }, log),
 	}
 	e.exchange = membership.NewExchange(members, membership.Peer{Control: s.Control, Zone: s.Zone}, s.Seeds, control, log)
 	e.follower = membership.NewFollower(members, store, e.exchange, s.StopRouting, log)
 	backend := upstream.New(platform.Wire{})
 	members.OnServers(e.board.Keep)
 	members.OnServers(backend.Keep)
+	members.OnServers(e.crashes.Keep)
+	e.exchange.SetCrashes(e.crashes)
 	view := steeredFleet{Membership: members, steering: e.steering}
 	e.pipeline = dispatch.NewPipeline(view, e.board, backend, time.Now, log)
+	e.pipeline.SetQuarantine(e.crashes)
 	e.frontend = frontend.New(e.pipeline, platform.Wire{}, e.limits, time.Now)
 	if len(operators) > 0 {
 		e.api = admin.New(e, rep, e.configLog, store, operators, log)
@@ -127,10 +133,17 @@
 	if err != nil {
 		return errors.Wrap(err, "load feed")
 	}
-	group.Go(func() error { return loadfeed.Listen(tasks, load, e.members.Servers, e.board, time.Now, e.log) })
+	receiver := loadfeed.Receiver{Servers: e.members.Servers, Board: e.board, Engines: e.crashes, Now: time.Now, Log: e.log}
+	group.Go(func() error { return receiver.Listen(tasks, load) })
+	crashes, err := net.ListenPacket("udp4", ownAddress(e.settings, crashPort))
+	if err != nil {
+		return errors.Wrap(err, "crash news")
+	}
+	group.Go(func() error { return e.hearCrashes(tasks, crashes) })
 	for _, task := range []func(context.Context){
 		e.follower.FollowConfig, e.follower.FollowServers, e.askPeers, e.watchSettings,
-		e.followSelectors, e.steering.Follow, e.keepSelectors,
+		e.followSelectors, e.steering.Follow, e.keepSelectors, e.keepQuarantines,
+		func(ctx context.Context) { e.tellCrashes(ctx, crashes) },
 	} {
 		group.Go(func() error {
 			task(tasks)
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -13,6 +13,7 @@
 	metricsPort = 1
 	rankPort    = 2
 	loadPort    = 3
+	crashPort   = 4
 )
 
 func portOf(s *platform.Settings, offset int) string { return strconv.Itoa(s.FirstPort + offset) }
--- a/internal/loadfeed/loadfeed.go
+++ b/internal/loadfeed/loadfeed.go
@@ -31,6 +31,7 @@
 	port    uint16
 	last    experts.RankReport
 	sentAt  time.Time
+	endedAt time.Time
 }
 
 // NewSender returns a sender of the load of the backend server at an address,
@@ -49,7 +50,7 @@
 	if visible(report) == visible(s.last) && now.Sub(s.sentAt) < refresh {
 		return nil
 	}
-	s.last, s.sentAt = report, now
+	s.last, s.sentAt, s.endedAt = report, now, time.Time{}
 	data, err := proto.Marshal(&peerrpc.LoadReport{
 		Address: s.address, Running: int32(report.Running), Queued: int32(report.Queued),
 		Group: report.Group, Epoch: report.Epoch, Rank: int32(report.Rank), Size: int32(report.Size), Open: report.Open,
@@ -58,6 +59,23 @@
 	if err != nil {
 		return errors.Wrap(err, "load feed")
 	}
+	return s.sendTo(entries, data)
+}
+
+// SendEnded tells the entries at some addresses that nobody listens where the server did.
+func (s *Sender) SendEnded(now time.Time, entries []netip.Addr) error {
+	if now.Sub(s.endedAt) < refresh {
+		return nil
+	}
+	s.endedAt, s.last = now, experts.RankReport{} // the next report is news again
+	data, err := proto.Marshal(&peerrpc.LoadReport{Address: s.address, Ended: true})
+	if err != nil {
+		return errors.Wrap(err, "load feed")
+	}
+	return s.sendTo(entries, data)
+}
+
+func (s *Sender) sendTo(entries []netip.Addr, data []byte) error {
 	var first error
 	for _, entry := range entries {
 		if _, err := s.conn.WriteTo(data, net.UDPAddrFromAddrPort(netip.AddrPortFrom(entry, s.port))); err != nil && first == nil {
@@ -78,9 +96,23 @@
 	ReportGroup(rank fleet.GroupRank, at time.Time)
 }
 
-// Listen reads reports until the context ends. servers returns what is
-// registered at present, or nil.
-func Listen(ctx context.Context, conn net.PacketConn, servers func() *fleet.Servers, board Board, now func() time.Time, log *logrus.Entry) error {
+// Engines takes in whether a server's engine answers the agent beside it.
+type Engines interface {
+	Engine(server string, answers bool)
+}
+
+// Receiver takes in what agents tell.
+type Receiver struct {
+	// Servers returns what is registered at present, or nil.
+	Servers func() *fleet.Servers
+	Board   Board
+	Engines Engines
+	Now     func() time.Time
+	Log     *logrus.Entry
+}
+
+// Listen reads reports until the context ends.
+func (r Receiver) Listen(ctx context.Context, conn net.PacketConn) error {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // ends the read
 	defer stop()
 	buffer := make([]byte, maxDatagram)
@@ -94,17 +126,18 @@
 		}
 		var report peerrpc.LoadReport
 		if err := proto.Unmarshal(buffer[:n], &report); err != nil {
-			log.WithError(err).Debug("load report not understood")
+			r.Log.WithError(err).Debug("load report not understood")
 			continue
 		}
-		take(&report, servers(), board, now())
+		r.take(&report)
 	}
 }
 
 // take takes in a report of a registered server. What it says of a group counts
 // only if the server is registered as a rank of it: a report of any other would
 // speak for the group's real ranks.
-func take(report *peerrpc.LoadReport, servers *fleet.Servers, board Board, now time.Time) {
+func (r Receiver) take(report *peerrpc.LoadReport) {
+	servers := r.Servers()
 	if servers == nil {
 		return
 	}
@@ -112,11 +145,16 @@
 	if server == nil {
 		return
 	}
-	board.ReportLoad(server.ID, dispatch.Load{
+	r.Engines.Engine(server.ID, !report.GetEnded())
+	if report.GetEnded() {
+		return
+	}
+	now := r.Now()
+	r.Board.ReportLoad(server.ID, dispatch.Load{
 		Running: max(int(report.GetRunning()), 0), Waiting: max(int(report.GetQueued()), 0), Pace: report.GetPace(),
 	}, now)
 	if server.Rank != nil && report.GetGroup() == server.Rank.Group {
-		board.ReportGroup(fleet.GroupRank{
+		r.Board.ReportGroup(fleet.GroupRank{
 			Group: report.GetGroup(), Epoch: report.GetEpoch(), Rank: int(report.GetRank()), Size: int(report.GetSize()), Open: report.GetOpen(),
 		}, now)
 	}
--- a/internal/loadfeed/loadfeed_test.go
+++ b/internal/loadfeed/loadfeed_test.go
@@ -26,9 +26,24 @@
 
 // fakeBoard remembers what it was told.
 type fakeBoard struct {
-	mu     sync.Mutex
-	loads  map[string]dispatch.Load
-	groups []fleet.GroupRank
+	mu      sync.Mutex
+	loads   map[string]dispatch.Load
+	groups  []fleet.GroupRank
+	engines map[string]bool
+}
+
+func (b *fakeBoard) Engine(server string, answers bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.engines[server] = answers
+}
+
+// engineAnswers tells what was said last of an engine, and whether anything was.
+func (b *fakeBoard) engineAnswers(server string) (answers, told bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	answers, told = b.engines[server]
+	return answers, told
 }
 
 func (b *fakeBoard) ReportLoad(id string, load dispatch.Load, _ time.Time) {
@@ -55,7 +70,18 @@
 	return append([]fleet.GroupRank(nil), b.groups...)
 }
 
-func newFakeBoard() *fakeBoard { return &fakeBoard{loads: map[string]dispatch.Load{}} }
+func newFakeBoard() *fakeBoard {
+	return &fakeBoard{loads: map[string]dispatch.Load{}, engines: map[string]bool{}}
+}
+
+// receiver is one that a board takes all of.
+func receiver(board *fakeBoard) Receiver {
+	logger, _ := logrustest.NewNullLogger()
+	return Receiver{
+		Servers: registered, Board: board, Engines: board,
+		Now: func() time.Time { return time.Unix(1000, 0) }, Log: logrus.NewEntry(logger),
+	}
+}
 
 const engineAddress = "10.0.0.1:80"
 
@@ -73,10 +99,9 @@
 		conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		board := newFakeBoard()
-		logger, _ := logrustest.NewNullLogger()
 		ctx, stop := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
-		go func() { ended <- Listen(ctx, conn, registered, board, time.Now, logrus.NewEntry(logger)) }()
+		go func() { ended <- receiver(board).Listen(ctx, conn) }()
 		DeferCleanup(func() {
 			stop()
 			Expect(<-ended).NotTo(HaveOccurred())
@@ -94,6 +119,30 @@
 			return board.load("r0")
 		}, "10s").Should(Equal(dispatch.Load{Running: 4, Waiting: 1, Pace: 1.5}))
 		Eventually(board.reportedGroups, "10s").Should(ContainElement(fleet.GroupRank{Group: "g", Epoch: 3, Size: 2, Open: true}))
+		answers, _ := board.engineAnswers("r0")
+		Expect(answers).To(BeTrue())
+		Eventually(func() bool {
+			Expect(sender.SendEnded(now, []netip.Addr{to.Addr()})).To(Succeed())
+			now = now.Add(refresh)
+			answers, _ := board.engineAnswers("r0")
+			return answers
+		}, "10s").Should(BeFalse())
+		Expect(board.load("r0")).To(Equal(dispatch.Load{Running: 4, Waiting: 1, Pace: 1.5}), "no news of its load")
+	})
+
+	It("tells at once that an engine is gone, and that it's back", func() {
+		sender, err := NewSender("127.0.0.1", engineAddress, 9)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(sender.Close)
+		now := time.Unix(1000, 0)
+		Expect(sender.Send(now, report, nil)).To(Succeed())
+		Expect(sender.SendEnded(now, nil)).To(Succeed())
+		Expect(sender.endedAt).To(Equal(now))
+		Expect(sender.SendEnded(now.Add(refresh/2), nil)).To(Succeed())
+		Expect(sender.endedAt).To(Equal(now), "told once each refresh")
+		now = now.Add(time.Millisecond)
+		Expect(sender.Send(now, report, nil)).To(Succeed())
+		Expect(sender.sentAt).To(Equal(now))
 	})
 
 	It("sends what has changed, and now and then what hasn't", func() {
@@ -122,7 +171,7 @@
 			{Address: engineAddress, Group: "other", Epoch: 99},
 		} {
 			board := newFakeBoard()
-			take(stranger, registered(), board, time.Unix(1000, 0))
+			receiver(board).take(stranger)
 			Expect(board.groups).To(BeEmpty())
 		}
 	})
@@ -141,7 +190,7 @@
 			return
 		}
 		board := newFakeBoard()
-		take(&report, registered(), board, time.Unix(1000, 0))
+		receiver(board).take(&report)
 		for id, load := range board.loads {
 			if load.Running < 0 || load.Waiting < 0 {
 				t.Fatalf("%s: %+v", id, load)
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -17,11 +17,22 @@
 	seeds   []string
 	client  *http.Client
 	log     *logrus.Entry
+	// crashes may be nil.
+	crashes Crashes
 
 	mu    sync.Mutex
 	peers map[string]heardPeer
 }
 
+// Crashes is what daemons know of servers that ended under requests.
+type Crashes interface {
+	// Known is what this daemon asks one at an address, Tell its answer to such a
+	// question, and Told takes in the answer.
+	Known(peer string) *peerrpc.CrashesKnown
+	Tell(known *peerrpc.CrashesKnown) *peerrpc.CrashNews
+	Told(peer string, news *peerrpc.CrashNews)
+}
+
 // Peer is a daemon: its control address, empty when it takes no calls, and its
 // availability zone.
 type Peer struct{ Control, Zone string }
@@ -46,6 +57,10 @@
 	}
 }
 
+// SetCrashes makes the exchange carry news of servers that ended under requests. Call it
+// before the first exchange.
+func (e *Exchange) SetCrashes(crashes Crashes) { e.crashes = crashes }
+
 // SetSeeds changes the daemons that are asked first.
 func (e *Exchange) SetSeeds(seeds []string) {
 	e.mu.Lock()
@@ -65,6 +80,9 @@
 	if !r.GetServersOnly() {
 		reply.Operators = operators
 	}
+	if e.crashes != nil && r.GetCrashes() != nil {
+		reply.Crashes = e.crashes.Tell(r.GetCrashes())
+	}
 	for id, left := range e.members.keptLapses() {
 		reply.Lapses = append(reply.Lapses, &peerrpc.Lapse{Key: id, RemainingMs: left.Milliseconds()})
 	}
@@ -89,12 +107,19 @@
 func (e *Exchange) ask(ctx context.Context, peer string, serversOnly bool) error {
 	operators, servers := e.members.offsets()
 	asked := e.members.now()
-	reply, err := peerrpc.NewMembershipProtobufClient("http://"+peer, e.client).Exchange(ctx, &peerrpc.ExchangeRequest{
+	request := &peerrpc.ExchangeRequest{
 		Control: e.self.Control, Zone: e.self.Zone, OperatorsNext: operators, ServersNext: servers, ServersOnly: serversOnly,
-	})
+	}
+	if e.crashes != nil {
+		request.Crashes = e.crashes.Known(peer)
+	}
+	reply, err := peerrpc.NewMembershipProtobufClient("http://"+peer, e.client).Exchange(ctx, request)
 	if err != nil {
 		return err
 	}
+	if e.crashes != nil {
+		e.crashes.Told(peer, reply.GetCrashes())
+	}
 	e.takeIn(reply, asked, "peer "+peer)
 	e.heardOf(Peer{Control: peer, Zone: reply.GetZone()})
 	for _, other := range reply.GetPeers() {
--- /dev/null
+++ b/internal/quarantine/table.go
@@ -0,0 +1,531 @@
+package quarantine
+
+import (
+	"hash/fnv"
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	// endsToQuarantine is how many servers end under a request before it gets no other:
+	// the fewest that tell it from the dozen sound requests that a server runs beside it.
+	// Those have one end in common with it, and a second one only if their repeats run
+	// beside its repeat again.
+	endsToQuarantine = 2
+	// firstQuarantine is how long a request is kept from servers that may have been
+	// quarantined by ill luck: then one more attempt shows. After that it's for
+	// longQuarantine: an attempt a day ends a server a day.
+	firstQuarantine = 30 * time.Minute
+	longQuarantine  = 24 * time.Hour
+	// suspectTime is how long a single end is remembered: callers that repeat a request
+	// do so within minutes, and each server that fails leaves a dozen sound ones suspect.
+	suspectTime = time.Hour
+	// cutOffKept is how long after an attempt was cut off its server may be found to have
+	// ended: registrations go after three missed heartbeats, five seconds at most.
+	cutOffKept = 8 * time.Second
+	// undecidedTime is how long an attempt that was cut off counts against its request
+	// before it's known whether its server ended: a probe answers sooner.
+	undecidedTime = 1500 * time.Millisecond
+	// sameEnd is how far apart the same server's ends are at least, when it starts again
+	// under the ID that it had; what several daemons saw of one end is closer together.
+	sameEnd = 2 * time.Second
+	// mostRequests bounds the requests of which ends are remembered: some hundred bytes
+	// each. A failing server leaves a dozen, and 960 fail or are replaced on a day.
+	mostRequests = 4096
+	// expiryPace is the time between looks for what is too old.
+	expiryPace = 10 * time.Second
+)
+
+// State is what is held of a request.
+type State int
+
+// The states.
+const (
+	// Sound requests have run to no server's end, as far as is known.
+	Sound State = iota
+	// Suspect requests were in progress where a server ended: they run one at a time.
+	Suspect
+	// Undecided requests wait: it isn't known yet whether a second server ended, or
+	// another attempt of a suspect one is in progress.
+	Undecided
+	// Quarantined requests get no server.
+	Quarantined
+)
+
+// String names the state for logs.
+func (s State) String() string {
+	return [...]string{"sound", "suspect", "undecided", "quarantined"}[s]
+}
+
+// Verdict is what is held of a request, and why.
+type Verdict struct {
+	State State
+	// Servers are those that ended under the request, sorted.
+	Servers []string
+	// Until is when a quarantine ends.
+	Until time.Time
+}
+
+// Evidence says that a server ended while a request was in progress there.
+type Evidence struct {
+	Digest Digest
+	Server string
+	// At is when, by this daemon's clock.
+	At time.Time
+	// Cleared is set once the request has run to a good end, or was released by an
+	// operator: the server's end no longer counts against it.
+	Cleared bool
+}
+
+// Table is one daemon's memory of servers that ended under requests. Tables that hear of
+// each other's evidence agree in the end, in whatever order and however often it comes:
+// evidence is only added, and only becomes cleared. Safe for concurrent use.
+type Table struct {
+	mu       sync.Mutex // a leaf
+	requests map[Digest]*request
+	// changes counts the changes of evidence, hash is of all of it.
+	changes   int64
+	hash      uint64
+	expiredAt time.Time
+}
+
+// request is what is known of one request.
+type request struct {
+	// inProgress are attempts of callers that run or wait here.
+	inProgress int
+	// cuts are attempts that were cut off, by server.
+	cuts map[string]cut
+	ends map[string]end
+	// ordered is until when the operators' configuration quarantines the request.
+	ordered time.Time
+}
+
+type cut struct {
+	at time.Time
+	// alive is set when the server seems to live on.
+	alive bool
+}
+
+type end struct {
+	at      time.Time
+	cleared bool
+	// change is the table's change that made it so.
+	change int64
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{requests: map[Digest]*request{}} }
+
+func (t *Table) request(d Digest) *request {
+	r := t.requests[d]
+	if r == nil {
+		r = &request{cuts: map[string]cut{}, ends: map[string]end{}}
+		t.requests[d] = r
+	}
+	return r
+}
+
+// Enter asks whether a request may go to a server now. If it is sound or suspect it
+// counts as in progress until Leave.
+func (t *Table) Enter(d Digest, now time.Time) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	r := t.request(d)
+	v := r.verdict(now)
+	if v.State == Suspect && r.inProgress > 0 {
+		v.State = Undecided
+	}
+	if v.State == Sound || v.State == Suspect {
+		r.inProgress++
+	}
+	t.drop(d, r)
+	return v
+}
+
+// Leave ends what Enter began.
+func (t *Table) Leave(d Digest) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.request(d)
+	r.inProgress--
+	t.drop(d, r)
+}
+
+// drop forgets a request of which nothing is known.
+func (t *Table) drop(d Digest, r *request) {
+	if r.inProgress <= 0 && len(r.cuts) == 0 && len(r.ends) == 0 && r.ordered.IsZero() {
+		delete(t.requests, d)
+	}
+}
+
+// Verdict tells what is held of a request.
+func (t *Table) Verdict(d Digest, now time.Time) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.requests[d]
+	if r == nil {
+		return Verdict{}
+	}
+	return r.verdict(now)
+}
+
+func (r *request) verdict(now time.Time) Verdict {
+	v := Verdict{Servers: r.endedServers()}
+	undecided := 0
+	for _, c := range r.cuts {
+		if !c.alive && now.Sub(c.at) < undecidedTime {
+			undecided++
+		}
+	}
+	v.Until = r.quarantinedUntil()
+	ended := len(v.Servers)
+	switch {
+	case now.Before(v.Until):
+		v.State = Quarantined
+	case undecided > 0 && ended+undecided >= endsToQuarantine:
+		v.State = Undecided
+	case ended+undecided > 0:
+		v.State = Suspect
+	}
+	return v
+}
+
+// endedServers are the servers whose ends count against the request.
+func (r *request) endedServers() []string {
+	var servers []string
+	for server, e := range r.ends {
+		if !e.cleared {
+			servers = append(servers, server)
+		}
+	}
+	slices.Sort(servers)
+	return servers
+}
+
+// quarantinedUntil is when the request's quarantine ends or ended, zero without one.
+func (r *request) quarantinedUntil() time.Time {
+	until := r.ordered
+	ended := 0
+	var newest time.Time
+	for _, e := range r.ends {
+		if e.cleared {
+			continue
+		}
+		ended++
+		if e.at.After(newest) {
+			newest = e.at
+		}
+	}
+	span := time.Duration(0)
+	switch {
+	case ended > endsToQuarantine:
+		span = longQuarantine
+	case ended == endsToQuarantine:
+		span = firstQuarantine
+	}
+	if by := newest.Add(span); span > 0 && by.After(until) {
+		until = by
+	}
+	return until
+}
+
+// CutOff notes that an attempt's connection to a server ended under it. It tells whether
+// this is the server's only one that is undecided: then somebody has to find out.
+func (t *Table) CutOff(d Digest, server string, now time.Time) (first bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	first = !t.undecided(server, now)
+	t.request(d).cuts[server] = cut{at: now}
+	return first
+}
+
+// Undecided tells whether attempts were cut off at a server of which it isn't known
+// whether it ended.
+func (t *Table) Undecided(server string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.undecided(server, now)
+}
+
+func (t *Table) undecided(server string, now time.Time) bool {
+	for _, r := range t.requests {
+		if c, found := r.cuts[server]; found && !c.alive && now.Sub(c.at) < undecidedTime {
+			return true
+		}
+	}
+	return false
+}
+
+// Alive notes that a server has lived on after what was cut off there up to a time.
+func (t *Table) Alive(server string, upTo time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.requests {
+		if c, found := r.cuts[server]; found && !c.at.After(upTo) {
+			c.alive = true
+			r.cuts[server] = c
+		}
+	}
+}
+
+// Ended notes that a server has ended. It returns the evidence against the requests whose
+// attempts were cut off there shortly before.
+func (t *Table) Ended(server string, now time.Time) []Evidence {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var news []Evidence
+	for d, r := range t.requests {
+		c, found := r.cuts[server]
+		if !found {
+			continue
+		}
+		delete(r.cuts, server)
+		if now.Sub(c.at) > cutOffKept {
+			t.drop(d, r)
+			continue
+		}
+		name, known := r.endOf(server, c.at)
+		if known {
+			continue
+		}
+		t.setEnd(r, d, name, end{at: c.at})
+		news = append(news, Evidence{Digest: d, Server: name, At: c.at})
+	}
+	t.bound()
+	return news
+}
+
+// endOf returns the name under which a server's end at a time is remembered, and whether
+// it is already. A server that starts again under the ID that it had ends more than once.
+func (r *request) endOf(server string, at time.Time) (name string, known bool) {
+	name = server
+	for n := 2; ; n++ {
+		e, found := r.ends[name]
+		if !found {
+			return name, false
+		}
+		if at.Sub(e.at).Abs() < sameEnd {
+			return name, true
+		}
+		name = server + "#" + strconv.Itoa(n)
+	}
+}
+
+// setEnd puts one end into place.
+func (t *Table) setEnd(r *request, d Digest, server string, e end) {
+	if old, found := r.ends[server]; found {
+		t.hash ^= hashOf(d, server, old.cleared)
+	}
+	t.changes++
+	e.change = t.changes
+	r.ends[server] = e
+	t.hash ^= hashOf(d, server, e.cleared)
+}
+
+func hashOf(d Digest, server string, cleared bool) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write(d[:]) // a hash can't fail
+	_, _ = h.Write([]byte(server))
+	_, _ = h.Write([]byte(strconv.FormatBool(cleared)))
+	return h.Sum64()
+}
+
+// Served notes that a request has run to a good end: it ends no servers. It returns what
+// that clears.
+func (t *Table) Served(d Digest) []Evidence {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.requests[d]
+	if r == nil {
+		return nil
+	}
+	clear(r.cuts)
+	return t.clear(d, r)
+}
+
+func (t *Table) clear(d Digest, r *request) []Evidence {
+	var news []Evidence
+	for server, e := range r.ends {
+		if e.cleared {
+			continue
+		}
+		e.cleared = true
+		t.setEnd(r, d, server, e)
+		news = append(news, Evidence{Digest: d, Server: server, At: e.at, Cleared: true})
+	}
+	t.drop(d, r)
+	return news
+}
+
+// Merge takes in other daemons' evidence and returns what of it was new.
+func (t *Table) Merge(evidence []Evidence, now time.Time) []Evidence {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var news []Evidence
+	for _, e := range evidence {
+		if now.Sub(e.At) > longQuarantine {
+			continue
+		}
+		r := t.request(e.Digest)
+		old, known := r.ends[e.Server]
+		if known && (old.cleared || !e.Cleared) {
+			continue
+		}
+		if known {
+			e.At = old.at
+		}
+		t.setEnd(r, e.Digest, e.Server, end{at: e.At, cleared: e.Cleared})
+		news = append(news, e)
+	}
+	t.bound()
+	return news
+}
+
+// Since returns the evidence that changed after a change of this table, and its newest
+// change.
+func (t *Table) Since(change int64) ([]Evidence, int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var found []Evidence
+	for d, r := range t.requests {
+		for server, e := range r.ends {
+			if e.change > change {
+				found = append(found, Evidence{Digest: d, Server: server, At: e.at, Cleared: e.cleared})
+			}
+		}
+	}
+	return found, t.changes
+}
+
+// Hash is equal for tables with the same evidence.
+func (t *Table) Hash() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hash
+}
+
+// Order quarantines a request until a time, as the operators' configuration says.
+func (t *Table) Order(d Digest, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.request(d).ordered = until
+}
+
+// Release ends a request's quarantine, as the operators say. It returns what that clears.
+func (t *Table) Release(d Digest) []Evidence {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.request(d)
+	r.ordered = time.Time{}
+	return t.clear(d, r)
+}
+
+// Quarantined returns the requests that are quarantined because of servers' ends.
+func (t *Table) Quarantined(now time.Time) map[Digest]Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	found := map[Digest]Verdict{}
+	for d, r := range t.requests {
+		if v := r.verdict(now); v.State == Quarantined && len(v.Servers) >= endsToQuarantine {
+			found[d] = v
+		}
+	}
+	return found
+}
+
+// Cleared tells whether servers ended under a request and all of these ends are cleared.
+func (t *Table) Cleared(d Digest) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.requests[d]
+	return r != nil && len(r.ends) > 0 && len(r.endedServers()) == 0
+}
+
+// expire forgets what is too old, from time to time.
+func (t *Table) expire(now time.Time) {
+	if now.Sub(t.expiredAt) < expiryPace {
+		return
+	}
+	t.expiredAt = now
+	for d, r := range t.requests {
+		maps.DeleteFunc(r.cuts, func(_ string, c cut) bool { return now.Sub(c.at) > cutOffKept })
+		kept := suspectTime
+		if len(r.endedServers()) >= endsToQuarantine {
+			kept = longQuarantine
+		}
+		for server, e := range r.ends {
+			if now.Sub(e.at) > kept {
+				t.forget(d, r, server)
+			}
+		}
+		if now.After(r.ordered) {
+			r.ordered = time.Time{}
+		}
+		t.drop(d, r)
+	}
+}
+
+func (t *Table) forget(d Digest, r *request, server string) {
+	t.hash ^= hashOf(d, server, r.ends[server].cleared)
+	delete(r.ends, server)
+}
+
+// bound forgets the oldest ends beyond mostRequests, those of quarantined requests last:
+// a part of all at once, so that not each new one has to look for the oldest.
+func (t *Table) bound() {
+	if len(t.requests) <= mostRequests {
+		return
+	}
+	var aged []agedRequest
+	for d, r := range t.requests {
+		if len(r.ends) > 0 {
+			aged = append(aged, agedRequest{digest: d, newest: r.newestEnd(), quarantined: len(r.endedServers()) >= endsToQuarantine})
+		}
+	}
+	if len(aged) <= mostRequests {
+		return
+	}
+	slices.SortFunc(aged, agedRequest.compare)
+	for _, a := range aged[:len(aged)-mostRequests+mostRequests/forgottenPart] {
+		r := t.requests[a.digest]
+		for server := range r.ends {
+			t.forget(a.digest, r, server)
+		}
+		t.drop(a.digest, r)
+	}
+}
+
+// forgottenPart is the part of mostRequests that is forgotten at once.
+const forgottenPart = 16
+
+// agedRequest is a request with what decides when it's forgotten.
+type agedRequest struct {
+	digest      Digest
+	newest      time.Time
+	quarantined bool
+}
+
+func (a agedRequest) compare(b agedRequest) int {
+	if a.quarantined != b.quarantined {
+		if b.quarantined {
+			return -1
+		}
+		return 1
+	}
+	return a.newest.Compare(b.newest)
+}
+
+// newestEnd is when a server ended under the request last.
+func (r *request) newestEnd() time.Time {
+	var newest time.Time
+	for _, e := range r.ends {
+		if e.at.After(newest) {
+			newest = e.at
+		}
+	}
+	return newest
+}
--- /dev/null
+++ b/internal/quarantine/table_test.go
@@ -0,0 +1,188 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/quarantine"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func digest(n int) quarantine.Digest {
+	return quarantine.DigestOf("c", "POST", "h", "/", []byte(fmt.Sprint(n)))
+}
+
+// ends cuts a request off at a server that then turns out to have ended.
+func ends(t *quarantine.Table, d quarantine.Digest, server string, now time.Time) []quarantine.Evidence {
+	t.CutOff(d, server, now)
+	return t.Ended(server, now)
+}
+
+var _ = Describe("a request", func() {
+	var table *quarantine.Table
+	d := digest(1)
+
+	BeforeEach(func() { table = quarantine.NewTable() })
+
+	state := func(now time.Time) quarantine.State { return table.Verdict(d, now).State }
+
+	It("is quarantined once two servers have ended under it, and not before", func() {
+		Expect(state(start)).To(Equal(quarantine.Sound))
+		ends(table, d, "a", start)
+		Expect(state(start)).To(Equal(quarantine.Suspect))
+		ends(table, d, "b", start.Add(time.Second))
+		Expect(state(start.Add(time.Second))).To(Equal(quarantine.Quarantined))
+		Expect(table.Verdict(d, start.Add(time.Second)).Servers).To(Equal([]string{"a", "b"}))
+		Expect(table.Enter(d, start.Add(time.Second)).State).To(Equal(quarantine.Quarantined))
+	})
+
+	It("that shares one end with it stays free, and so does one that was cut off elsewhere", func() {
+		beside, elsewhere := digest(2), digest(3)
+		table.CutOff(beside, "a", start)
+		table.CutOff(elsewhere, "c", start)
+		ends(table, d, "a", start)
+		ends(table, d, "b", start.Add(time.Second))
+		table.Alive("c", start)
+		Expect(table.Verdict(beside, start.Add(time.Second)).State).To(Equal(quarantine.Suspect))
+		Expect(table.Verdict(elsewhere, start.Add(time.Second)).State).To(Equal(quarantine.Sound))
+	})
+
+	It("that has run to a good end is cleared, and needs two more ends", func() {
+		ends(table, d, "a", start)
+		Expect(table.Served(d)).To(HaveLen(1))
+		Expect(state(start)).To(Equal(quarantine.Sound))
+		Expect(table.Cleared(d)).To(BeTrue())
+		ends(table, d, "b", start.Add(time.Second))
+		Expect(state(start.Add(time.Second))).To(Equal(quarantine.Suspect))
+	})
+
+	It("waits while it isn't known whether a second server has ended", func() {
+		table.CutOff(d, "a", start)
+		Expect(state(start)).To(Equal(quarantine.Suspect), "one may be tried again")
+		table.CutOff(d, "b", start)
+		Expect(table.Enter(d, start).State).To(Equal(quarantine.Undecided))
+		table.Alive("a", start)
+		Expect(state(start)).To(Equal(quarantine.Suspect))
+		Expect(state(start.Add(5*time.Second))).To(Equal(quarantine.Sound), "not for ever")
+	})
+
+	It("that is suspect runs once at a time", func() {
+		ends(table, d, "a", start)
+		Expect(table.Enter(d, start).State).To(Equal(quarantine.Suspect))
+		Expect(table.Enter(d, start).State).To(Equal(quarantine.Undecided))
+		table.Leave(d)
+		Expect(table.Enter(d, start).State).To(Equal(quarantine.Suspect))
+	})
+
+	It("counts the ends of a server that starts again under its ID, each once", func() {
+		ends(table, d, "a", start)
+		ends(table, d, "a", start.Add(time.Millisecond))
+		Expect(state(start)).To(Equal(quarantine.Suspect))
+		ends(table, d, "a", start.Add(4*time.Second))
+		Expect(state(start.Add(4 * time.Second))).To(Equal(quarantine.Quarantined))
+	})
+
+	It("isn't held to account for an end long after it was cut off", func() {
+		table.CutOff(d, "a", start)
+		Expect(table.Ended("a", start.Add(time.Minute))).To(BeEmpty())
+	})
+
+	It("gets one more attempt after a first quarantine, and a day after a third end", func() {
+		ends(table, d, "a", start)
+		ends(table, d, "b", start)
+		later := table.Verdict(d, start).Until
+		Expect(later.Sub(start)).To(Equal(30 * time.Minute))
+		Expect(table.Enter(d, later).State).To(Equal(quarantine.Suspect))
+		ends(table, d, "c", later)
+		Expect(table.Verdict(d, later).Until.Sub(later)).To(Equal(24 * time.Hour))
+	})
+
+	It("is quarantined and released as the operators' configuration says", func() {
+		table.Order(d, start.Add(time.Minute))
+		Expect(state(start)).To(Equal(quarantine.Quarantined))
+		Expect(state(start.Add(time.Minute))).To(Equal(quarantine.Sound))
+		ends(table, d, "a", start)
+		ends(table, d, "b", start)
+		Expect(table.Quarantined(start)).To(HaveKey(d))
+		Expect(table.Release(d)).To(HaveLen(2))
+		Expect(state(start)).To(Equal(quarantine.Sound))
+		Expect(table.Quarantined(start)).To(BeEmpty())
+	})
+
+	It("is forgotten in the end, and the oldest first beyond a bound", func() {
+		ends(table, d, "a", start)
+		table.Enter(digest(2), start.Add(2*time.Hour))
+		Expect(table.Hash()).To(BeZero())
+		const many = 5000
+		for i := range many {
+			ends(table, digest(10+i), "s", start.Add(2*time.Hour+time.Duration(i)*time.Millisecond))
+		}
+		evidence, _ := table.Since(0)
+		Expect(len(evidence)).To(And(BeNumerically("<=", 4096), BeNumerically(">=", 4096-4096/16)))
+		Expect(table.Verdict(digest(10), start.Add(2*time.Hour)).State).To(Equal(quarantine.Sound))
+		Expect(table.Verdict(digest(10+many-1), start.Add(2*time.Hour)).State).To(Equal(quarantine.Suspect))
+	})
+})
+
+// Tables that hear all of each other's evidence agree, in whatever order and however
+// often it comes, and no request is quarantined under which fewer than two servers ended.
+var _ = It("tables agree in the end", func() {
+	rapid.Check(GinkgoT(), func(t *rapid.T) {
+		const tables, requests, servers = 3, 3, 4
+		all := make([]*quarantine.Table, tables)
+		for i := range all {
+			all[i] = quarantine.NewTable()
+		}
+		seen := map[quarantine.Digest]map[string]bool{}
+		var pool []quarantine.Evidence
+		now := start
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			table := all[rapid.IntRange(0, tables-1).Draw(t, "table")]
+			d := digest(rapid.IntRange(0, requests-1).Draw(t, "request"))
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0, 1:
+				server := fmt.Sprint("s", rapid.IntRange(0, servers-1).Draw(t, "server"))
+				for _, e := range ends(table, d, server, now) {
+					if seen[e.Digest] == nil {
+						seen[e.Digest] = map[string]bool{}
+					}
+					seen[e.Digest][e.Server] = true
+					pool = append(pool, e)
+				}
+			case 2:
+				pool = append(pool, table.Served(d)...)
+			case 3:
+				if len(pool) > 0 {
+					table.Merge(pool[:rapid.IntRange(1, len(pool)).Draw(t, "heard")], now)
+				}
+			}
+			now = now.Add(time.Second)
+		}
+		for range 2 { // what they tell each other goes round
+			for _, table := range all {
+				evidence, _ := table.Since(0)
+				for _, other := range all {
+					other.Merge(evidence, now)
+				}
+			}
+		}
+		for _, table := range all[1:] {
+			if table.Hash() != all[0].Hash() {
+				t.Fatalf("tables differ")
+			}
+			for n := range requests {
+				a, b := all[0].Verdict(digest(n), now), table.Verdict(digest(n), now)
+				if fmt.Sprint(a.Servers) != fmt.Sprint(b.Servers) {
+					t.Fatalf("request %d: %v and %v", n, a.Servers, b.Servers)
+				}
+				if a.State == quarantine.Quarantined && len(seen[digest(n)]) < 2 {
+					t.Fatalf("request %d is quarantined after %d ends", n, len(seen[digest(n)]))
+				}
+			}
+		}
+	})
+})
--- a/standins/hosted/ending_test.go
+++ b/standins/hosted/ending_test.go
@@ -33,6 +33,8 @@
 	// repeats is how often the caller tries, repeatPause how long it waits between tries.
 	repeats     = 10
 	repeatPause = 300 * time.Millisecond
+	// fewRepeats are as many as it takes where an earlier spell has shown the request up.
+	fewRepeats = 6
 	// mostEnded is how many servers may end: the first two can't be told from servers
 	// that end for another reason, and a third may get the request before news of the
 	// second has gone round.
@@ -134,6 +136,8 @@
 	entries []*platform.Settings
 	stops   []func()
 	ids     atomic.Int64
+	// firstPort is the entries'.
+	firstPort int
 }
 
 const endingConfig = `{"version":1,"routes":[
@@ -142,8 +146,18 @@
  "services":[{"name":"s","max_conns":50}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"t","api_keys":["k1"]}]}`
 
-// newFleet starts entries and servers.
+// newFleet starts entries that know each other, and servers.
 func newFleet(t *testing.T, entries int, reuseIDs bool) *fleetOfEntries {
+	f := newServers(t, reuseIDs)
+	for i := range entries {
+		f.addEntry(i > 0)
+	}
+	f.awaitReady()
+	return f
+}
+
+// newServers starts a store and servers.
+func newServers(t *testing.T, reuseIDs bool) *fleetOfEntries {
 	RegisterTestingT(t)
 	f := &fleetOfEntries{store: standin.NewStore()}
 	f.servers = &endingServers{store: f.store, reuseIDs: reuseIDs}
@@ -160,23 +174,35 @@
 	for i := range serverCount {
 		f.servers.run(t, fmt.Sprintf("i%d", i))
 	}
-	for i := range entries {
-		settings := entrySettings(fmt.Sprintf("127.0.0.%d", 40+i), f.address)
-		if i > 0 {
-			settings.Seeds = []string{f.entries[0].Control}
-		}
-		f.entries = append(f.entries, settings)
-		f.stops = append(f.stops, start(hosted.NewEntryDaemon(settings, nil, quietLog())))
+	f.firstPort = freePorts("127.0.0.40") // the same at all entries, as on the platform
+	t.Cleanup(f.stopEntries)
+	return f
+}
+
+// addEntry starts one more entry, which knows the first one or nobody.
+func (f *fleetOfEntries) addEntry(knowsFirst bool) {
+	settings := entrySettingsAt(fmt.Sprintf("127.0.0.%d", 40+len(f.entries)), f.firstPort, f.address)
+	if knowsFirst {
+		settings.Seeds = []string{f.entries[0].Control}
 	}
-	t.Cleanup(func() {
-		for _, stop := range f.stops {
-			stop()
-		}
-	})
+	f.entries = append(f.entries, settings)
+	f.stops = append(f.stops, start(hosted.NewEntryDaemon(settings, nil, quietLog())))
+}
+
+// stopEntries stops all entries at once.
+func (f *fleetOfEntries) stopEntries() {
+	var stopping sync.WaitGroup
+	for _, stop := range f.stops {
+		stopping.Go(stop)
+	}
+	stopping.Wait()
+	f.stops = nil
+}
+
+func (f *fleetOfEntries) awaitReady() {
 	for _, entry := range f.entries {
 		Eventually(ready(entry), patience).Should(Equal(http.StatusOK))
 	}
-	return f
 }
 
 // post sends one request to an entry. It returns the status, or 0 without an answer.
@@ -282,3 +308,48 @@
 		})
 	}
 }
+
+// quarantines are the changes of the lasting configuration, which has nothing else here.
+func (f *fleetOfEntries) quarantines() int { return len(f.store.Records("configuration")) }
+
+func TestQuarantineOutlasts(t *testing.T) {
+	t.Run("a restart of all entries", func(t *testing.T) {
+		f := newFleet(t, 2, false)
+		f.repeat("/once/x", fewRepeats)
+		Eventually(f.quarantines, patience).Should(BeNumerically(">", 0))
+		before := f.servers.ended.Load()
+		f.stopEntries()
+		for _, settings := range f.entries {
+			f.stops = append(f.stops, start(hosted.NewEntryDaemon(settings, nil, quietLog())))
+		}
+		f.awaitReady()
+		f.repeat("/once/x", fewRepeats)
+		Expect(f.servers.ended.Load()).To(Equal(before))
+	})
+
+	t.Run("an outage of the store, at entries that start during it", func(t *testing.T) {
+		f := newFleet(t, 2, false)
+		f.store.SetFaults(standin.Faults{Down: true})
+		f.repeat("/once/x", fewRepeats)
+		Expect(f.servers.ended.Load()).To(BeNumerically("<=", mostEnded))
+		before := f.servers.ended.Load()
+		f.addEntry(true)
+		f.awaitReady()
+		f.repeat("/once/x", fewRepeats)
+		Expect(f.servers.ended.Load()).To(Equal(before))
+		f.store.SetFaults(standin.Faults{})
+		Eventually(f.quarantines, patience).Should(BeNumerically(">", 0), "and lasts once the store is back")
+	})
+
+	t.Run("a cut between entries, each of which reaches the store", func(t *testing.T) {
+		const entries = 2
+		f := newServers(t, false)
+		for range entries {
+			f.addEntry(false)
+		}
+		f.awaitReady()
+		f.repeat("/once/x", fewRepeats)
+		// Each sees an end of its own before one of them sees the second.
+		Expect(f.servers.ended.Load()).To(BeNumerically("<=", entries+1))
+	})
+}
--- a/standins/hosted/hosted_test.go
+++ b/standins/hosted/hosted_test.go
@@ -76,7 +76,11 @@
 }
 
 func entrySettings(ip, store string) *platform.Settings {
-	base := freePorts(ip)
+	return entrySettingsAt(ip, freePorts(ip), store)
+}
+
+// entrySettingsAt are the settings of an entry whose ports begin with base.
+func entrySettingsAt(ip string, base int, store string) *platform.Settings {
 	at := func(n int) string { return fmt.Sprintf("%s:%d", ip, base+n) }
 	return &platform.Settings{
 		Daemon: "entry-" + ip, IP: ip, Zone: "z", Store: store, Path: "none",
