fleet: what is believed of a server is kept by its start, not by its ID

Cause: a server may start again under its ID and then knows nothing of before; load, failures, kept connections and ends were kept by ID alone, so the next start inherited them. Ruled out: an order of starts by their time, which may have been stepped back. Change: a server's key is its ID with what it says of its start; board rows, connection pools, attempts and evidence go by it. Agents tell the start of the engine, and number their reports: a late one changes nothing, and what the next start says isn't the former's load, but shows that this one has ended. Counts of choices begin anew with a start. Before: the next start was passed over for the former's failures and load (the spec of the board failed by construction: rows went by ID). After: it is chosen as an unknown one. The story of the ended servers waits between repeats until all entries serve: on a busy machine the pause alone could be shorter than the news takes. Its bound is unchanged.

--- a/internal/crashwatch/watch.go
+++ b/internal/crashwatch/watch.go
@@ -99,7 +99,7 @@
 // CutOff implements dispatch.Quarantine. What a server that is to leave cuts off says
 // nothing against the request.
 func (w *Watch) CutOff(d quarantine.Digest, server *fleet.Server) {
-	if registered := w.registered(server.ID); registered == nil || registered.Leaving {
+	if registered := w.registered(server.Key()); registered == nil || registered.Leaving {
 		return
 	}
 	now := w.now()
@@ -107,26 +107,26 @@
 	if server.Rank != nil {
 		delay = rankProbeDelay
 		w.mu.Lock()
-		w.lastCuts[server.ID] = now
+		w.lastCuts[server.Key()] = now
 		w.mu.Unlock()
 	}
-	if w.table.CutOff(d, server.ID, now) {
+	if w.table.CutOff(d, server.Key(), now) {
 		w.after(delay, func() { w.probe(server) })
 	}
 }
 
-func (w *Watch) registered(id string) *fleet.Server {
+func (w *Watch) registered(key string) *fleet.Server {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.servers == nil {
 		return nil
 	}
-	return w.servers.Server(id)
+	return w.servers.Started(key)
 }
 
 // probe finds out whether a server has ended, unless that is known by now.
 func (w *Watch) probe(server *fleet.Server) {
-	if !w.table.Undecided(server.ID, w.now()) {
+	if !w.table.Undecided(server.Key(), w.now()) {
 		return
 	}
 	began := w.now()
@@ -134,13 +134,13 @@
 	defer cancel()
 	switch w.prober.Probe(ctx, server.Address) {
 	case Ended:
-		w.Ended(server.ID, "nobody listens at its address")
+		w.Ended(server.Key(), "nobody listens at its address")
 	case Listening:
-		w.table.Alive(server.ID, began)
+		w.table.Alive(server.Key(), began)
 	case Unknown:
 		w.log.WithFields(logrus.Fields{"server": server.ID, "address": server.Address}).
 			Info("server cut requests off and can't be reached: taken for alive until it's known to have ended")
-		w.table.Alive(server.ID, began)
+		w.table.Alive(server.Key(), began)
 	}
 }
 
@@ -228,7 +228,7 @@
 	w.mu.Lock()
 	before := w.servers
 	w.servers = servers
-	maps.DeleteFunc(w.lastCuts, func(id string, _ time.Time) bool { return servers.Server(id) == nil })
+	maps.DeleteFunc(w.lastCuts, func(key string, _ time.Time) bool { return servers.Started(key) == nil })
 	w.mu.Unlock()
 	if before == nil {
 		return
@@ -237,9 +237,9 @@
 		current := servers.Server(id)
 		switch {
 		case current == nil && !old.Leaving:
-			w.Ended(id, "its registration is gone")
-		case current != nil && current.Born != old.Born:
-			w.Ended(id, "it has started again")
+			w.Ended(old.Key(), "its registration is gone")
+		case current != nil && current.Key() != old.Key():
+			w.Ended(old.Key(), "it has started again")
 		}
 	}
 }
--- a/internal/crashwatch/watch_test.go
+++ b/internal/crashwatch/watch_test.go
@@ -123,7 +123,7 @@
 
 	It("has ended when it registers with another start", func() {
 		again := *plainA
-		again.Born = 7
+		again.Incarnation = "a@7"
 		watch.CutOff(d, plainA)
 		watch.Keep(fleet.NewServers([]*fleet.Server{&again, plainB, leaves, rank}))
 		Expect(held()).To(Equal(quarantine.Suspect))
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -20,10 +20,10 @@
 	defer watch.stop()
 	began := p.now()
 	x.server, x.cutOff = server.ID, false
-	p.chooser.Sent(server.ID, x.request, began)
-	defer p.chooser.Ended(server.ID, x.request)
+	p.chooser.Sent(server.Key(), x.request, began)
+	defer p.chooser.Ended(server.Key(), x.request)
 	answer, sendErr := p.backend.Send(ctx, x.request, p.newAttempt(x, server))
-	p.chooser.Answering(server.ID, x.request)
+	p.chooser.Answering(server.Key(), x.request)
 	if sendErr != nil {
 		return p.unanswered(ctx, x, server, sendErr)
 	}
@@ -31,7 +31,7 @@
 	x.sent++
 	x.movesOn = answer.Info.MovesOn
 	if answer.Info.HasLoad && server.Rank == nil {
-		p.board.ReportLoad(server.ID, answer.Info.Load, p.now())
+		p.board.ReportLoad(server.Key(), answer.Info.Load, p.now())
 	}
 	if f := p.judge(x, server, answer); f != nil {
 		return f
@@ -43,7 +43,7 @@
 		f = p.relayAnswer(ctx, x, server, answer, caller)
 	}
 	if f == nil {
-		p.chooser.Succeeded(server.ID, p.now().Sub(began))
+		p.chooser.Succeeded(server.Key(), p.now().Sub(began))
 		if p.quarantine != nil {
 			p.quarantine.Served(x.request.digest())
 		}
@@ -105,7 +105,7 @@
 		code, detail = failure.CodeSlow, cause.Error()
 	}
 	if ctx.Err() == nil || !e.Sent {
-		p.chooser.Failed(server.ID, p.now())
+		p.chooser.Failed(server.Key(), p.now())
 	}
 	return &failure.Error{
 		Step: step, Peer: server.ID, Code: code, Outcome: outcome, Detail: detail, RetryAfter: noServerRetry,
--- a/internal/dispatch/board.go
+++ b/internal/dispatch/board.go
@@ -12,7 +12,7 @@
 // lock is a leaf: no other lock is taken under it. Safe for concurrent use.
 type Board struct {
 	mu      sync.Mutex
-	rows    map[string]*row
+	rows    map[string]*row // by servers' keys
 	groups  map[string]*groupState
 	budgets map[string]*retryBudget
 	// eventAt is when an own stream brought an event last, by group.
@@ -119,9 +119,9 @@
 	}
 	maps.DeleteFunc(b.groups, func(group string, _ *groupState) bool { return !registered[group] })
 	maps.DeleteFunc(b.eventAt, func(group string, _ time.Time) bool { return !registered[group] })
-	for id, r := range b.rows {
-		if servers.Server(id) == nil && r.inFlight == 0 {
-			delete(b.rows, id)
+	for key, r := range b.rows {
+		if servers.Started(key) == nil && r.inFlight == 0 {
+			delete(b.rows, key)
 		}
 	}
 }
--- a/internal/dispatch/judge.go
+++ b/internal/dispatch/judge.go
@@ -36,7 +36,7 @@
 	if garbled == "" {
 		return nil
 	}
-	p.chooser.Failed(server.ID, p.now())
+	p.chooser.Failed(server.Key(), p.now())
 	f := failure.Unknown(failure.StepRun, server.ID, failure.CodeServerLost, garbled)
 	x.status = a.Status
 	return f
@@ -56,9 +56,9 @@
 func (p *Pipeline) refused(server *fleet.Server, a *Answer) *failure.Error {
 	now := p.now()
 	if a.Status == http.StatusMisdirectedRequest {
-		p.chooser.Failed(server.ID, now)
+		p.chooser.Failed(server.Key(), now)
 		if p.quarantine != nil {
-			p.quarantine.Ended(server.ID, "another server has its address")
+			p.quarantine.Ended(server.Key(), "another server has its address")
 		}
 		return failure.NotRun(failure.StepSend, server.ID, failure.CodeWrongServer, "another server has the address").After(noServerRetry)
 	}
@@ -67,6 +67,6 @@
 		return failure.NotRun(failure.StepQueue, server.ID, failure.CodeNoServer,
 			"the server's group is broken at "+a.Info.FaultyServer).After(groupRetry)
 	}
-	p.chooser.Failed(server.ID, now)
+	p.chooser.Failed(server.Key(), now)
 	return failure.NotRun(failure.StepQueue, server.ID, failure.CodeOverloaded, "the server refused the request").After(max(a.Info.RetryAfter, noServerRetry))
 }
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -39,15 +39,15 @@
 	total, places := 0.0, 0
 	silent := b.silentOnes(now, servers)
 	for _, server := range servers {
-		if server.Leaving || contains(tried, server.ID) {
+		if server.Leaving || contains(tried, server.Key()) {
 			continue
 		}
-		r := b.row(server.ID)
+		r := b.row(server.Key())
 		load := r.estimate(now)
 		total += load
 		places += server.Capacity
 		score := b.score(now, server, r, load)
-		if silent[server.ID] || (request.Suspect && r.suspects > 0) {
+		if silent[server.Key()] || (request.Suspect && r.suspects > 0) {
 			score += slowPenalty
 		}
 		candidates = append(candidates, Choice{Server: server, Load: load, LoadAge: now.Sub(r.reportedAt), score: score})
--- a/internal/dispatch/pick_test.go
+++ b/internal/dispatch/pick_test.go
@@ -125,6 +125,21 @@
 		Expect(picked()).To(BeNumerically(">", 10), "nobody tells anything: this entry may be cut off")
 	})
 
+	It("believes nothing of a server's former start of the next one, late word included", func() {
+		b := newBench()
+		former := &fleet.Server{ID: "a", Incarnation: "a@2", Zone: "z1", Capacity: 6}
+		again := &fleet.Server{ID: "a", Incarnation: "a@1", Zone: "z1", Capacity: 6} // the clock was stepped back between
+		other := &fleet.Server{ID: "b", Zone: "z1", Capacity: 6}
+		b.board.Failed(former.Key(), b.now)
+		b.board.ReportLoad(former.Key(), Load{Running: 6, Waiting: 9, Pace: 4}, b.now)
+		b.board.ReportLoad(other.Key(), Load{Running: 1}, b.now)
+		b.board.Keep(fleet.NewServers([]*fleet.Server{again, other}))
+		b.board.ReportLoad(former.Key(), Load{Running: 6, Waiting: 9, Pace: 4}, b.now)
+		choice := b.board.Choose(b.now, []*fleet.Server{again, other}, &Request{}, nil)
+		Expect(choice.Server).To(BeIdenticalTo(again))
+		Expect(choice.Load).To(BeZero())
+	})
+
 	It("passes over a server that failed until its time is over", func() {
 		b := newBench()
 		servers := []*fleet.Server{{ID: "a", Zone: "z1"}, {ID: "b", Zone: "z2"}}
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -63,7 +63,7 @@
 	Target
 	request *Request
 	route   *fleet.Route // Target's
-	// tried are the servers that had their chance; sent counts those that may have
+	// tried are the keys of the servers that had their chance; sent counts those that may have
 	// got the request.
 	tried []string
 	sent  int
@@ -209,7 +209,7 @@
 		if f == nil {
 			return nil
 		}
-		x.tried = append(x.tried, server.ID)
+		x.tried = append(x.tried, server.Key())
 		again := p.mayRepeat(ctx, x, f)
 		p.logAttempt(x, server, f, again)
 		if !again {
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -93,6 +93,6 @@
 // noteRefused notes what an error without any sending says of the server.
 func (p *Pipeline) noteRefused(server *fleet.Server, err error) {
 	if p.quarantine != nil && errors.Is(err, syscall.ECONNREFUSED) {
-		p.quarantine.Ended(server.ID, "it refuses connections")
+		p.quarantine.Ended(server.Key(), "it refuses connections")
 	}
 }
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -71,7 +71,7 @@
 	}
 	p.noteCutOff(ctx, x, server, err)
 	if ctx.Err() == nil && !errors.Is(err, errCaller) {
-		p.chooser.Failed(server.ID, p.now())
+		p.chooser.Failed(server.Key(), p.now())
 	}
 	return failure.Unknown(failure.StepRelay, server.ID, failure.CodeServerLost, err.Error())
 }
--- a/internal/dispatch/silent.go
+++ b/internal/dispatch/silent.go
@@ -22,7 +22,7 @@
 	if server.Rank == nil {
 		return false
 	}
-	r := b.rows[server.ID]
+	r := b.rows[server.Key()]
 	if r == nil || r.reportedAt.IsZero() || now.Sub(r.reportedAt) < silentAfter {
 		return false
 	}
@@ -46,7 +46,7 @@
 			if silent == nil {
 				silent = map[string]bool{}
 			}
-			silent[server.ID] = true
+			silent[server.Key()] = true
 		}
 	}
 	if float64(len(silent)) > mostSlow*float64(len(servers)) {
--- a/internal/dispatch/slow.go
+++ b/internal/dispatch/slow.go
@@ -30,12 +30,12 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.row(server.ID).slow(now) {
+	if !b.row(server.Key()).slow(now) {
 		return false
 	}
 	slow := 0
 	for _, other := range servers {
-		if b.row(other.ID).slow(now) {
+		if b.row(other.Key()).slow(now) {
 			slow++
 		}
 	}
--- a/internal/experts/agent.go
+++ b/internal/experts/agent.go
@@ -149,8 +149,8 @@
 	defer a.mu.Unlock()
 	last, asked := a.counted, a.countedFor
 	a.counted, a.countedFor = counts, fence
-	more := Counts{Pass: counts.Pass, Epoch: counts.Epoch}
-	if asked != fence || last.Epoch != counts.Epoch || len(last.Chosen) != len(counts.Chosen) {
+	more := Counts{Pass: counts.Pass, Epoch: counts.Epoch, Born: counts.Born}
+	if asked != fence || last.Epoch != counts.Epoch || last.Born != counts.Born || len(last.Chosen) != len(counts.Chosen) {
 		return more
 	}
 	chosen := make([]float64, len(counts.Chosen))
--- a/internal/experts/agent_test.go
+++ b/internal/experts/agent_test.go
@@ -96,6 +96,19 @@
 		Expect(silent).To(BeZero(), "a group that can't run needs no holder")
 	})
 
+	It("counts nothing from one start of its engine to the next", func() {
+		chosen := func(born int64, counts ...float64) []float64 {
+			engine.counts = Counts{Born: born, Chosen: counts}
+			seen, err := agent.Observe(ctx, 7, Question{To: len(counts)})
+			Expect(err).NotTo(HaveOccurred())
+			return seen.Counts.Chosen
+		}
+		Expect(chosen(1, 5, 5)).To(BeNil())
+		Expect(chosen(1, 6, 7)).To(Equal([]float64{1, 2}))
+		Expect(chosen(2, 9, 9)).To(BeNil(), "all counts of the next start have overtaken the former's")
+		Expect(chosen(2, 9, 10)).To(Equal([]float64{0, 1}))
+	})
+
 	It("gives no order of a holder that another has replaced", func() {
 		_, err := agent.Observe(ctx, 7, Question{})
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/experts/types.go
+++ b/internal/experts/types.go
@@ -21,12 +21,16 @@
 	Queued, Running int
 	// Pace over 1 means that the rank is slower than usual.
 	Pace float64
+	// Born tells the engine's starts apart; 0 where it doesn't tell.
+	Born int64
 }
 
 // Counts says how often a rank's requests chose each expert.
 type Counts struct {
 	Pass  int64
 	Epoch int64
+	// Born tells the engine's starts apart, each of which counts from 0.
+	Born int64
 	// Chosen is ordered by set, then by expert, and begins with the place From: since
 	// the rank's start as the engine tells it, since the holder's last look as the
 	// agent does.
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -17,8 +17,10 @@
 type Server struct {
 	// ID is the server's name in the registry. One that crashed may start again under it.
 	ID string
-	// Born is when this incarnation started, in milliseconds of the Unix epoch as the
-	// server tells it, 0 when it doesn't. Only whether it changes counts.
+	// Incarnation names this start of the server, where servers tell their starts apart;
+	// empty otherwise. Two starts have no order: clocks may have been stepped back between.
+	Incarnation string
+	// Born is what the server says of that start itself, 0 where it doesn't.
 	Born    int64
 	Service string
 	// Address is its IP:port. Another service may get it once this server is gone.
@@ -31,18 +33,28 @@
 	Rank *GroupRank
 }
 
+// Key is what is believed of the server is kept by: nothing of it holds for another start.
+func (s *Server) Key() string {
+	if s.Incarnation != "" {
+		return s.Incarnation
+	}
+	return s.ID
+}
+
 // Servers is one state of the registry.
 type Servers struct {
 	byID      map[string]*Server
+	byKey     map[string]*Server
 	byService map[string][]*Server
 	byAddress map[string]*Server
 }
 
 // NewServers indexes a state of the registry.
 func NewServers(list []*Server) *Servers {
-	s := &Servers{byID: make(map[string]*Server, len(list)), byService: map[string][]*Server{}, byAddress: map[string]*Server{}}
+	s := &Servers{byID: make(map[string]*Server, len(list)), byKey: make(map[string]*Server, len(list)), byService: map[string][]*Server{}, byAddress: map[string]*Server{}}
 	for _, server := range list {
 		s.byID[server.ID] = server
+		s.byKey[server.Key()] = server
 		if old := s.byAddress[server.Address]; old == nil || supersedes(server, old) {
 			s.byAddress[server.Address] = server
 		}
@@ -69,6 +81,9 @@
 // Server returns a server by ID, or nil.
 func (s *Servers) Server(id string) *Server { return s.byID[id] }
 
+// Started returns the server whose present start a key names, or nil.
+func (s *Servers) Started(key string) *Server { return s.byKey[key] }
+
 // Of returns the servers of a service, leaving ones included, ordered by ID.
 func (s *Servers) Of(service string) []*Server { return s.byService[service] }
 
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return errors.Wrap(err, "load feed")
 	}
-	receiver := loadfeed.Receiver{Servers: e.members.Servers, Board: e.board, Engines: e.crashes, Now: time.Now, Log: e.log}
+	receiver := loadfeed.NewReceiver(e.members.Servers, e.board, e.crashes, time.Now, e.log)
 	group.Go(func() error { return receiver.Listen(tasks, load) })
 	crashes, err := net.ListenPacket("udp4", ownAddress(e.settings, crashPort))
 	if err != nil {
--- a/internal/hosted/host.go
+++ b/internal/hosted/host.go
@@ -28,7 +28,7 @@
 	now := time.Now()
 	var list []*rpc.ServerStatus
 	for id, server := range registry.All() {
-		seen := e.board.Seen(id, now)
+		seen := e.board.Seen(server.Key(), now)
 		age := int64(-1)
 		if !seen.ReportedAt.IsZero() {
 			age = now.Sub(seen.ReportedAt).Milliseconds()
--- a/internal/loadfeed/loadfeed.go
+++ b/internal/loadfeed/loadfeed.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"time"
@@ -32,13 +33,16 @@
 	last    experts.RankReport
 	sentAt  time.Time
 	endedAt time.Time
+	// id names this process, look counts what it tells.
+	id   uint64
+	look int64
 }
 
 // NewSender returns a sender of the load of the backend server at an address,
 // to entries that listen on a port.
 func NewSender(ip, address string, port uint16) (*Sender, error) {
 	conn, err := net.ListenPacket("udp4", net.JoinHostPort(ip, "0"))
-	return &Sender{conn: conn, address: address, port: port}, errors.Wrap(err, "load feed")
+	return &Sender{conn: conn, address: address, port: port, id: rand.Uint64()}, errors.Wrap(err, "load feed")
 }
 
 // Close releases the socket.
@@ -51,15 +55,11 @@
 		return nil
 	}
 	s.last, s.sentAt, s.endedAt = report, now, time.Time{}
-	data, err := proto.Marshal(&peerrpc.LoadReport{
-		Address: s.address, Running: int32(report.Running), Queued: int32(report.Queued),
+	return s.sendTo(entries, &peerrpc.LoadReport{
+		Running: int32(report.Running), Queued: int32(report.Queued),
 		Group: report.Group, Epoch: report.Epoch, Rank: int32(report.Rank), Size: int32(report.Size), Open: report.Open,
-		Pace: report.Pace,
+		Pace: report.Pace, Born: report.Born,
 	})
-	if err != nil {
-		return errors.Wrap(err, "load feed")
-	}
-	return s.sendTo(entries, data)
 }
 
 // SendEnded tells the entries at some addresses that nobody listens where the server did.
@@ -68,14 +68,16 @@
 		return nil
 	}
 	s.endedAt, s.last = now, experts.RankReport{} // the next report is news again
-	data, err := proto.Marshal(&peerrpc.LoadReport{Address: s.address, Ended: true})
+	return s.sendTo(entries, &peerrpc.LoadReport{Ended: true})
+}
+
+func (s *Sender) sendTo(entries []netip.Addr, report *peerrpc.LoadReport) error {
+	s.look++
+	report.Address, report.Sender, report.Look = s.address, s.id, s.look
+	data, err := proto.Marshal(report)
 	if err != nil {
 		return errors.Wrap(err, "load feed")
 	}
-	return s.sendTo(entries, data)
-}
-
-func (s *Sender) sendTo(entries []netip.Addr, data []byte) error {
 	var first error
 	for _, entry := range entries {
 		if _, err := s.conn.WriteTo(data, net.UDPAddrFromAddrPort(netip.AddrPortFrom(entry, s.port))); err != nil && first == nil {
@@ -87,7 +89,7 @@
 
 // visible is the part of a report whose change is worth a datagram.
 func visible(r experts.RankReport) experts.RankReport {
-	return experts.RankReport{Epoch: r.Epoch, Open: r.Open, Running: r.Running, Queued: r.Queued}
+	return experts.RankReport{Epoch: r.Epoch, Open: r.Open, Running: r.Running, Queued: r.Queued, Born: r.Born}
 }
 
 // Board takes in what the agents tell.
@@ -109,10 +111,34 @@
 	Engines Engines
 	Now     func() time.Time
 	Log     *logrus.Entry
+	// newest is the newest report of each address.
+	newest map[string]reportOrder
+}
+
+// reportOrder orders the reports of one agent's process. Those of two processes have no
+// order: clocks may have been stepped between them.
+type reportOrder struct {
+	sender uint64
+	look   int64
+}
+
+// NewReceiver returns a receiver that knows no reports yet.
+func NewReceiver(servers func() *fleet.Servers, board Board, engines Engines, now func() time.Time, log *logrus.Entry) *Receiver {
+	return &Receiver{Servers: servers, Board: board, Engines: engines, Now: now, Log: log, newest: map[string]reportOrder{}}
+}
+
+// late tells whether a newer report of the same agent's process has been taken in.
+func (r *Receiver) late(report *peerrpc.LoadReport) bool {
+	known := r.newest[report.GetAddress()]
+	if known.sender == report.GetSender() && report.GetLook() <= known.look {
+		return report.GetLook() != 0 // agents of earlier releases don't count
+	}
+	r.newest[report.GetAddress()] = reportOrder{sender: report.GetSender(), look: report.GetLook()}
+	return false
 }
 
 // Listen reads reports until the context ends.
-func (r Receiver) Listen(ctx context.Context, conn net.PacketConn) error {
+func (r *Receiver) Listen(ctx context.Context, conn net.PacketConn) error {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // ends the read
 	defer stop()
 	buffer := make([]byte, maxDatagram)
@@ -136,7 +162,7 @@
 // take takes in a report of a registered server. What it says of a group counts
 // only if the server is registered as a rank of it: a report of any other would
 // speak for the group's real ranks.
-func (r Receiver) take(report *peerrpc.LoadReport) {
+func (r *Receiver) take(report *peerrpc.LoadReport) {
 	servers := r.Servers()
 	if servers == nil {
 		return
@@ -145,14 +171,22 @@
 	if server == nil {
 		return
 	}
-	r.Engines.Engine(server.ID, !report.GetEnded())
+	if r.late(report) {
+		return
+	}
+	// Another start than the registered one is the next: the agent sees it before the
+	// registry tells. Nothing that it says of itself is the former start's.
+	again := report.GetBorn() != 0 && server.Born != 0 && report.GetBorn() != server.Born
+	r.Engines.Engine(server.Key(), !report.GetEnded() && !again)
 	if report.GetEnded() {
 		return
 	}
 	now := r.Now()
-	r.Board.ReportLoad(server.ID, dispatch.Load{
-		Running: max(int(report.GetRunning()), 0), Waiting: max(int(report.GetQueued()), 0), Pace: report.GetPace(),
-	}, now)
+	if !again {
+		r.Board.ReportLoad(server.Key(), dispatch.Load{
+			Running: max(int(report.GetRunning()), 0), Waiting: max(int(report.GetQueued()), 0), Pace: report.GetPace(),
+		}, now)
+	}
 	if server.Rank != nil && report.GetGroup() == server.Rank.Group {
 		r.Board.ReportGroup(fleet.GroupRank{
 			Group: report.GetGroup(), Epoch: report.GetEpoch(), Rank: int(report.GetRank()), Size: int(report.GetSize()), Open: report.GetOpen(),
--- a/internal/loadfeed/loadfeed_test.go
+++ b/internal/loadfeed/loadfeed_test.go
@@ -75,12 +75,9 @@
 }
 
 // receiver is one that a board takes all of.
-func receiver(board *fakeBoard) Receiver {
+func receiver(board *fakeBoard) *Receiver {
 	logger, _ := logrustest.NewNullLogger()
-	return Receiver{
-		Servers: registered, Board: board, Engines: board,
-		Now: func() time.Time { return time.Unix(1000, 0) }, Log: logrus.NewEntry(logger),
-	}
+	return NewReceiver(registered, board, board, func() time.Time { return time.Unix(1000, 0) }, logrus.NewEntry(logger))
 }
 
 const engineAddress = "10.0.0.1:80"
@@ -89,6 +86,7 @@
 	return fleet.NewServers([]*fleet.Server{
 		{ID: "r0", Address: engineAddress, Rank: &fleet.GroupRank{Group: "g", Epoch: 1, Open: true}},
 		{ID: "plain", Address: "10.0.0.2:80"},
+		{ID: "again", Address: "10.0.0.3:80", Incarnation: "again@5", Born: 5, Rank: &fleet.GroupRank{Group: "g", Epoch: 1, Open: true}},
 	})
 }
 
@@ -164,6 +162,26 @@
 		Expect(sent()).To(BeTrue())
 	})
 
+	It("takes nothing that comes late, nor the next start's load for the former one's", func() {
+		board := newFakeBoard()
+		r := receiver(board)
+		tell := func(look, born, running int64, ended bool) {
+			r.take(&peerrpc.LoadReport{
+				Address: "10.0.0.3:80", Sender: 1, Look: look, Born: born, Running: int32(running), Ended: ended, Group: "g", Epoch: 1,
+			})
+		}
+		tell(2, 5, 4, false)
+		tell(1, 5, 9, true)
+		Expect(board.load("again@5").Running).To(Equal(4))
+		answers, _ := board.engineAnswers("again@5")
+		Expect(answers).To(BeTrue(), "it ended before, not after")
+		tell(3, 4, 7, false) // a lower time of birth: the clock was stepped back
+		Expect(board.load("again@5").Running).To(Equal(4))
+		answers, _ = board.engineAnswers("again@5")
+		Expect(answers).To(BeFalse())
+		Expect(board.reportedGroups()).To(HaveLen(2), "what it says of the group counts")
+	})
+
 	It("believes reports of a group from its own ranks only", func() {
 		for _, stranger := range []*peerrpc.LoadReport{
 			{Address: "10.0.0.9:80", Group: "g", Epoch: 99},
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -179,7 +179,7 @@
 	m.servers.markChanged(id)
 	m.decoded[id] = server
 	log.WithFields(logrus.Fields{
-		"address": server.Address, "leaving": server.Leaving, "rank": describe(server.Rank),
+		"address": server.Address, "start": server.Key(), "leaving": server.Leaving, "rank": describe(server.Rank),
 	}).Info("server registered")
 	return true
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -47,8 +47,8 @@
 	ReadAnswer(status int, h http.Header) dispatch.AnswerInfo
 }
 
-// Backend sends attempts to servers. It keeps connections by server, so that
-// none is used for another server at the same address. Safe for concurrent use.
+// Backend sends attempts to servers. It keeps connections by a server's start, so that
+// none is used for another server at the same address, or its next start. Safe for concurrent use.
 type Backend struct {
 	dialect Dialect
 
@@ -92,21 +92,21 @@
 func (b *Backend) Keep(servers *fleet.Servers) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for id, pool := range b.pools {
-		if servers.Server(id) == nil {
+	for key, pool := range b.pools {
+		if servers.Started(key) == nil {
 			pool.CloseIdleConnections()
-			delete(b.pools, id)
+			delete(b.pools, key)
 		}
 	}
 }
 
-func (b *Backend) pool(id string) *http.Transport {
+func (b *Backend) pool(key string) *http.Transport {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	pool := b.pools[id]
+	pool := b.pools[key]
 	if pool == nil {
 		pool = NewTransport()
-		b.pools[id] = pool
+		b.pools[key] = pool
 	}
 	return pool
 }
@@ -130,7 +130,7 @@
 		ContentLength: int64(len(r.Body)),
 		Body:          unrepeatableBody{bytes.NewReader(r.Body)},
 	}).WithContext(httptrace.WithClientTrace(ctx, trace))
-	response, err := b.pool(a.Server.ID).RoundTrip(request)
+	response, err := b.pool(a.Server.Key()).RoundTrip(request)
 	if err != nil {
 		return nil, &dispatch.SendError{Sent: connected.Load(), Err: errors.Wrap(err, a.Server.Address)}
 	}
--- a/standins/hosted/ending_test.go
+++ b/standins/hosted/ending_test.go
@@ -228,11 +228,18 @@
 	return response.StatusCode, string(answer)
 }
 
-// repeat sends the request that ends its servers to the entries in turn.
+// repeat sends the request that ends its servers to the entries in turn, each time once
+// all entries have served something since the last: on a busy machine, all goes slower.
 func (f *fleetOfEntries) repeat(path string, times int) {
 	for i := range times {
 		f.post(i%len(f.entries), path, endingBody)
 		time.Sleep(repeatPause)
+		for entry := range f.entries {
+			Eventually(func() int {
+				status, _ := f.post(entry, "/again/between", fmt.Sprint("repeat ", i, " at ", entry))
+				return status
+			}, patience).Should(Equal(http.StatusOK))
+		}
 	}
 }
 
