quarantine: a request that shares both ends with another isn't taken for it

Ruled out: an end that was none (both servers had ended under both). Change: two ends count only if no other request has both; which is waited for 0.25 s after the second. Once the other has run to a good end, or a third server has ended, they are told apart. Quarantines are announced and kept by one place, which looks when news has settled.

--- a/internal/crashwatch/keeper.go
+++ b/internal/crashwatch/keeper.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/crowbridge/crowbridge/internal/config"
 	"github.com/crowbridge/crowbridge/internal/quarantine"
 	"github.com/crowbridge/crowbridge/internal/replica"
@@ -55,8 +56,7 @@
 		k.look(ctx)
 		select {
 		case <-changed:
-		case <-k.watch.found:
-			k.dueAt = k.watch.now()
+		case <-k.watch.changed:
 		case <-tick.C:
 		case <-ctx.Done():
 			return
@@ -69,13 +69,19 @@
 	view := k.replica.View()
 	k.apply(view)
 	now := k.watch.now()
-	changes := k.missing(view, now)
+	quarantined := k.watch.table.Quarantined(now)
+	k.announce(quarantined, now)
+	changes, foundHere := k.missing(view, quarantined, now)
 	switch {
 	case len(changes) == 0:
 		k.dueAt = time.Time{}
+		return
+	case k.dueAt.IsZero() && foundHere:
+		k.dueAt = now
 	case k.dueAt.IsZero():
 		k.dueAt = now.Add(rand.N(keepSpread))
-	case !now.Before(k.dueAt):
+	}
+	if !now.Before(k.dueAt) {
 		k.dueAt = now.Add(keepPause)
 		k.add(ctx, changes)
 	}
@@ -106,11 +112,23 @@
 	k.inForce = listed
 }
 
+// announce writes a line for each request that is quarantined now and wasn't.
+func (k *Keeper) announce(quarantined map[quarantine.Digest]quarantine.Verdict, now time.Time) {
+	for d, v := range quarantined {
+		if !k.watch.table.Announce(d, v) {
+			continue
+		}
+		metrics.GetOrCreateCounter(`crowbridge_requests_quarantined_total`).Inc()
+		k.log.WithFields(logrus.Fields{
+			"digest": d, "servers": v.Servers, "found_here": v.FoundHere, "for_s": int(v.Until.Sub(now).Seconds()),
+		}).Warn("request quarantined: servers end while they run it")
+	}
+}
+
 // missing are the changes after which the configuration has the quarantines that it
-// should.
-func (k *Keeper) missing(view *config.View, now time.Time) []config.Change {
-	var changes []config.Change
-	for d, v := range k.watch.table.Quarantined(now) {
+// should. foundHere tells whether this daemon saw any of the ends that it lacks.
+func (k *Keeper) missing(view *config.View, quarantined map[quarantine.Digest]quarantine.Verdict, now time.Time) (changes []config.Change, foundHere bool) {
+	for d, v := range quarantined {
 		object := view.Get(config.KindQuarantine, d.String())
 		if object != nil && object.Quarantine.Until().Add(untilSlack).After(v.Until) {
 			continue
@@ -123,6 +141,7 @@
 			change.ExpectedRevision = object.Revision
 		}
 		changes = append(changes, change)
+		foundHere = foundHere || v.FoundHere > 0
 	}
 	for d := range k.inForce {
 		object := view.Get(config.KindQuarantine, d.String())
@@ -130,7 +149,7 @@
 			changes = append(changes, config.Change{Kind: config.KindQuarantine, Name: d.String(), ExpectedRevision: object.Revision})
 		}
 	}
-	return changes
+	return changes, foundHere
 }
 
 // add puts changes onto the log, each by itself: another daemon may have made some of them.
--- a/internal/crashwatch/watch.go
+++ b/internal/crashwatch/watch.go
@@ -61,8 +61,8 @@
 	log     *logrus.Entry
 	news    chan []quarantine.Evidence
 	tableID uint64
-	// found gets a value when this daemon's own evidence quarantines a request.
-	found chan struct{}
+	// changed gets a value when the quarantines may have changed.
+	changed chan struct{}
 
 	mu sync.Mutex // taken before the table's
 	// servers is the registry as last seen.
@@ -77,7 +77,7 @@
 func New(prober Prober, now func() time.Time, after func(time.Duration, func()), log *logrus.Entry) *Watch {
 	return &Watch{
 		table: quarantine.NewTable(), prober: prober, now: now, after: after, log: log,
-		news: make(chan []quarantine.Evidence, newsQueue), tableID: rand.Uint64() | 1, found: make(chan struct{}, 1),
+		news: make(chan []quarantine.Evidence, newsQueue), tableID: rand.Uint64() | 1, changed: make(chan struct{}, 1),
 		lastCuts: map[string]time.Time{}, peers: map[string]peerTable{},
 	}
 }
@@ -93,6 +93,7 @@
 	if cleared := w.table.Served(d); len(cleared) > 0 {
 		w.log.WithFields(logrus.Fields{"digest": d, "servers": len(cleared)}).Info("request cleared: it has run to a good end")
 		w.tell(cleared)
+		w.wake()
 	}
 }
 
@@ -153,31 +154,16 @@
 	metrics.GetOrCreateCounter(`crowbridge_servers_ended_under_requests_total`).Inc()
 	w.log.WithFields(logrus.Fields{"server": server, "cause": cause, "requests": len(found)}).
 		Warn("server ended with requests in progress")
-	if w.logQuarantined(found, "this daemon") {
-		select {
-		case w.found <- struct{}{}:
-		default: // there is one already
-		}
-	}
 	w.tell(found)
+	w.after(quarantine.SettleTime, w.wake)
 }
 
-// logQuarantined writes a line for each request that some evidence quarantines, and tells
-// whether there is any.
-func (w *Watch) logQuarantined(evidence []quarantine.Evidence, source string) (quarantined bool) {
-	for _, e := range evidence {
-		v := w.table.Verdict(e.Digest, w.now())
-		if e.Cleared || v.State != quarantine.Quarantined {
-			continue
-		}
-		metrics.GetOrCreateCounter(`crowbridge_requests_quarantined_total`).Inc()
-		w.log.WithFields(logrus.Fields{
-			"digest": e.Digest, "servers": v.Servers, "for_s": int(v.Until.Sub(w.now()).Seconds()), "source": source,
-			"age_ms": w.now().Sub(e.At).Milliseconds(),
-		}).Warn("request quarantined: servers end while they run it")
-		quarantined = true
-	}
-	return quarantined
+// wake makes the keeper look at once.
+func (w *Watch) wake() {
+	select {
+	case w.changed <- struct{}{}:
+	default: // it will look
+	}
 }
 
 // tell puts evidence into the queue for other daemons.
@@ -194,9 +180,12 @@
 
 // Hear takes in another daemon's evidence.
 func (w *Watch) Hear(evidence []quarantine.Evidence, source string) {
-	if news := w.table.Merge(evidence, w.now()); len(news) > 0 {
-		w.logQuarantined(news, source)
+	news := w.table.Merge(evidence, w.now())
+	if len(news) == 0 {
+		return
 	}
+	w.log.WithFields(logrus.Fields{"evidence": len(news), "source": source}).Info("servers that ended under requests heard of")
+	w.after(quarantine.SettleTime, w.wake)
 }
 
 // Engine takes in what the agent beside a server says of it: that its engine answers, or
--- a/internal/crashwatch/watch_test.go
+++ b/internal/crashwatch/watch_test.go
@@ -179,6 +179,7 @@
 		asked.Told("here", news)
 		sent.Hear(Decode(Encode(told(), w.now), w.now), "spec")
 		for _, other := range []*Watch{asked, sent} {
+			other.now = func() time.Time { return w.now.Add(time.Second) }
 			Expect(other.Enter(d).State).To(Equal(quarantine.Quarantined))
 		}
 		Expect(watch.Tell(sent.Known("here")).GetEvidence()).To(BeEmpty(), "they agree")
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -12,9 +12,15 @@
 const (
 	// endsToQuarantine is how many servers end under a request before it gets no other:
 	// the fewest that tell it from the dozen sound requests that a server runs beside it.
-	// Those have one end in common with it, and a second one only if their repeats run
-	// beside its repeat again.
+	// Those have one end in common with it. One whose repeat runs beside its repeat again
+	// has both: then none of the two is quarantined until the other has run to a good end
+	// or a third server has ended. Without that, in one of six plays of four servers, three
+	// entries and six callers whose attempts are repeated at once a sound request was.
 	endsToQuarantine = 2
+	// SettleTime is how long after a second end it's waited for others' news of who shares it:
+	// datagrams take a few milliseconds, finding an end out up to a tenth of a second longer
+	// at one entry than at another.
+	SettleTime = 250 * time.Millisecond
 	// firstQuarantine is how long a request is kept from servers that may have been
 	// quarantined by ill luck: then one more attempt shows. After that it's for
 	// longQuarantine: an attempt a day ends a server a day.
@@ -67,6 +73,8 @@
 	Servers []string
 	// Until is when a quarantine ends.
 	Until time.Time
+	// FoundHere counts the ends that this daemon saw itself.
+	FoundHere int
 }
 
 // Evidence says that a server ended while a request was in progress there.
@@ -101,6 +109,8 @@
 	ends map[string]end
 	// ordered is until when the operators' configuration quarantines the request.
 	ordered time.Time
+	// announced is the number of ends that Announce told of.
+	announced int
 }
 
 type cut struct {
@@ -110,10 +120,14 @@
 }
 
 type end struct {
-	at      time.Time
+	at time.Time
+	// learned is when this daemon learned of it.
+	learned time.Time
 	cleared bool
 	// change is the table's change that made it so.
 	change int64
+	// own is set when this daemon saw it.
+	own bool
 }
 
 // NewTable returns an empty table.
@@ -135,7 +149,7 @@
 	defer t.mu.Unlock()
 	t.expire(now)
 	r := t.request(d)
-	v := r.verdict(now)
+	v := t.verdict(d, r, now)
 	if v.State == Suspect && r.inProgress > 0 {
 		v.State = Undecided
 	}
@@ -170,11 +184,16 @@
 	if r == nil {
 		return Verdict{}
 	}
-	return r.verdict(now)
+	return t.verdict(d, r, now)
 }
 
-func (r *request) verdict(now time.Time) Verdict {
+func (t *Table) verdict(d Digest, r *request, now time.Time) Verdict {
 	v := Verdict{Servers: r.endedServers()}
+	for _, server := range v.Servers {
+		if r.ends[server].own {
+			v.FoundHere++
+		}
+	}
 	undecided := 0
 	for _, c := range r.cuts {
 		if !c.alive && now.Sub(c.at) < undecidedTime {
@@ -184,7 +203,11 @@
 	v.Until = r.quarantinedUntil()
 	ended := len(v.Servers)
 	switch {
-	case now.Before(v.Until):
+	case now.Before(r.ordered):
+		v.State = Quarantined
+	case ended == endsToQuarantine && now.Sub(r.newestLearned()) < SettleTime:
+		v.State = Undecided
+	case now.Before(v.Until) && (ended > endsToQuarantine || !t.shared(d, v.Servers)):
 		v.State = Quarantined
 	case undecided > 0 && ended+undecided >= endsToQuarantine:
 		v.State = Undecided
@@ -194,6 +217,23 @@
 	return v
 }
 
+// shared tells whether another request has all of a request's ends: either may be to blame.
+func (t *Table) shared(d Digest, servers []string) bool {
+other:
+	for other, r := range t.requests {
+		if other == d {
+			continue
+		}
+		for _, server := range servers {
+			if e, found := r.ends[server]; !found || e.cleared {
+				continue other
+			}
+		}
+		return true
+	}
+	return false
+}
+
 // endedServers are the servers whose ends count against the request.
 func (r *request) endedServers() []string {
 	var servers []string
@@ -209,25 +249,14 @@
 // quarantinedUntil is when the request's quarantine ends or ended, zero without one.
 func (r *request) quarantinedUntil() time.Time {
 	until := r.ordered
-	ended := 0
-	var newest time.Time
-	for _, e := range r.ends {
-		if e.cleared {
-			continue
-		}
-		ended++
-		if e.at.After(newest) {
-			newest = e.at
-		}
-	}
 	span := time.Duration(0)
-	switch {
+	switch ended := len(r.endedServers()); {
 	case ended > endsToQuarantine:
 		span = longQuarantine
 	case ended == endsToQuarantine:
 		span = firstQuarantine
 	}
-	if by := newest.Add(span); span > 0 && by.After(until) {
+	if by := r.newestEnd().Add(span); span > 0 && by.After(until) {
 		until = by
 	}
 	return until
@@ -292,7 +321,7 @@
 		if known {
 			continue
 		}
-		t.setEnd(r, d, name, end{at: c.at})
+		t.setEnd(r, d, name, end{at: c.at, learned: now, own: true})
 		news = append(news, Evidence{Digest: d, Server: name, At: c.at})
 	}
 	t.bound()
@@ -378,7 +407,7 @@
 		if known {
 			e.At = old.at
 		}
-		t.setEnd(r, e.Digest, e.Server, end{at: e.At, cleared: e.Cleared})
+		t.setEnd(r, e.Digest, e.Server, end{at: e.At, learned: now, cleared: e.Cleared})
 		news = append(news, e)
 	}
 	t.bound()
@@ -430,13 +459,29 @@
 	defer t.mu.Unlock()
 	found := map[Digest]Verdict{}
 	for d, r := range t.requests {
-		if v := r.verdict(now); v.State == Quarantined && len(v.Servers) >= endsToQuarantine {
+		if len(r.endedServers()) < endsToQuarantine {
+			continue
+		}
+		if v := t.verdict(d, r, now); v.State == Quarantined {
 			found[d] = v
 		}
 	}
 	return found
 }
 
+// Announce tells whether a quarantined request has more ends than when it was asked last:
+// it is news.
+func (t *Table) Announce(d Digest, v Verdict) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.request(d)
+	if len(v.Servers) <= r.announced {
+		return false
+	}
+	r.announced = len(v.Servers)
+	return true
+}
+
 // Cleared tells whether servers ended under a request and all of these ends are cleared.
 func (t *Table) Cleared(d Digest) bool {
 	t.mu.Lock()
@@ -519,11 +564,22 @@
 	return a.newest.Compare(b.newest)
 }
 
-// newestEnd is when a server ended under the request last.
+// newestLearned is when this daemon learned of such an end last.
+func (r *request) newestLearned() time.Time {
+	var newest time.Time
+	for _, e := range r.ends {
+		if !e.cleared && e.learned.After(newest) {
+			newest = e.learned
+		}
+	}
+	return newest
+}
+
+// newestEnd is when a server last ended under the request, as far as that counts against it.
 func (r *request) newestEnd() time.Time {
 	var newest time.Time
 	for _, e := range r.ends {
-		if e.at.After(newest) {
+		if !e.cleared && e.at.After(newest) {
 			newest = e.at
 		}
 	}
