--- a/internal/experts/agent_test.go
+++ b/internal/experts/agent_test.go
@@ -189,6 +189,18 @@
 		Expect(claimed).To(Equal(Claimed{Fence: 1, Newest: 1, FormerRank: -1}))
 	})
 
+	It("goes on beside records of other writers that can't be read", func() {
+		leases := &fakeLeases{}
+		leases.add("g", 5)
+		leases.records = append(leases.records, StoredRecord{Offset: 1, Data: []byte("\xff{")})
+		claimed, err := Claim(ctx, leases, record, 1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(claimed).To(Equal(Claimed{Fence: 3, Newest: 3, FormerRank: 5, Unreadable: 1}))
+		held, err := Holders(ctx, leases)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(held).To(HaveLen(1))
+	})
+
 	It("isn't claimed from somebody who has just claimed it", func() {
 		leases := &fakeLeases{}
 		leases.add("g", 5)
--- a/internal/experts/lease.go
+++ b/internal/experts/lease.go
@@ -40,6 +40,9 @@
 type Held struct {
 	LeaseRecord
 	Fence int64
+	// Unreadable counts the records of the history that can't be read: other writers may
+	// have left them. They are nobody's lease.
+	Unreadable int
 }
 
 // Newest returns the newest lease in a group's history; its fence is 0 when there is none.
@@ -48,7 +51,7 @@
 	if err != nil {
 		return Held{}, err
 	}
-	return newestOf(records, group)
+	return newestOf(records, group), nil
 }
 
 // Holders returns the newest lease of each group in the history, by group.
@@ -61,7 +64,7 @@
 	for _, r := range records {
 		var lease LeaseRecord
 		if err := json.Unmarshal(r.Data, &lease); err != nil {
-			return nil, errors.Wrapf(err, "lease at offset %d", r.Offset)
+			continue // nobody's lease
 		}
 		newest[lease.Group] = Held{LeaseRecord: lease, Fence: fenceOf(r.Offset)}
 	}
@@ -72,18 +75,21 @@
 
 // newestOf returns the newest lease of a group among records, or one with fence 0 and
 // rank -1.
-func newestOf(records []StoredRecord, group string) (Held, error) {
+func newestOf(records []StoredRecord, group string) Held {
+	unreadable := 0
 	newest := Held{LeaseRecord: LeaseRecord{Group: group, Rank: -1}}
 	for _, r := range records {
 		var lease LeaseRecord
 		if err := json.Unmarshal(r.Data, &lease); err != nil {
-			return Held{}, errors.Wrapf(err, "lease at offset %d", r.Offset)
+			unreadable++
+			continue
 		}
 		if lease.Group == group {
 			newest = Held{LeaseRecord: lease, Fence: fenceOf(r.Offset)}
 		}
 	}
-	return newest, nil
+	newest.Unreadable = unreadable
+	return newest
 }
 
 // Claimed is what became of a claim.
@@ -94,6 +100,8 @@
 	Newest int64
 	// FormerRank is the rank of the holder before, or -1 when that isn't known.
 	FormerRank int
+	// Unreadable counts the history's records that can't be read.
+	Unreadable int
 }
 
 // Claim tries to become the holder of a group. knownFence is the highest number
@@ -104,12 +112,9 @@
 	if err != nil {
 		return Claimed{}, err
 	}
-	newest, err := newestOf(records, record.Group)
-	if err != nil {
-		return Claimed{}, err
-	}
+	newest := newestOf(records, record.Group)
 	if newest.Fence > knownFence {
-		return Claimed{Newest: newest.Fence}, nil
+		return Claimed{Newest: newest.Fence, Unreadable: newest.Unreadable}, nil
 	}
 	data, err := json.Marshal(record)
 	if err != nil {
@@ -119,7 +124,7 @@
 	if err != nil || !claimed {
 		return Claimed{Newest: newest.Fence}, err
 	}
-	return Claimed{Fence: fenceOf(end), Newest: fenceOf(end), FormerRank: newest.Rank}, nil
+	return Claimed{Fence: fenceOf(end), Newest: fenceOf(end), FormerRank: newest.Rank, Unreadable: newest.Unreadable}, nil
 }
 
 // fenceOf returns the fencing number of an offset: offsets begin at 0, numbers at 1.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +36,8 @@
 	// lapsed are servers whose registration went away around an outage of the
 	// store, and when they are to be taken as gone.
 	lapsed map[string]time.Time
+	// refused are the entries that name no server to use.
+	refused map[string]bool
 	// away is set from a failed call to the store until the first read that succeeds
 	// has been taken in. peerNews is set when another daemon knew newer registrations
 	// meanwhile: then the store was away for this daemon only, and nothing lapsed.
@@ -52,7 +55,7 @@
 	return &Membership{
 		decoder: decoder, now: now, log: log,
 		operators: newTopic(), servers: newTopic(),
-		decoded: map[string]*fleet.Server{}, lapsed: map[string]time.Time{},
+		decoded: map[string]*fleet.Server{}, lapsed: map[string]time.Time{}, refused: map[string]bool{},
 	}
 }
 
@@ -78,6 +81,7 @@
 func (m *Membership) takeOperators(records []Record, next int64, whole bool, source string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	records = m.readable(records, source)
 	take := m.operators.take
 	if whole {
 		take = m.operators.replace
@@ -93,6 +97,19 @@
 	}
 }
 
+// readable leaves out records that can't be read, with a line for each: records are read
+// once, but for the newest of each key.
+func (m *Membership) readable(records []Record, source string) []Record {
+	return slices.DeleteFunc(records, func(r Record) bool {
+		if r.Unreadable == "" {
+			return false
+		}
+		m.log.WithFields(logrus.Fields{"key": r.Key, "offset": r.Offset, "source": source, "cause": r.Unreadable}).
+			Warn("record left out: it can't be read")
+		return true
+	})
+}
+
 // adopt puts a configuration in force if it is newer and well-formed.
 func (m *Membership) adopt(r Record, source string) {
 	log := m.log.WithFields(logrus.Fields{"offset": r.Offset, "source": source})
@@ -139,6 +156,7 @@
 	}
 	first := m.present.Load() == nil
 	changed := false
+	r.records = m.readable(r.records, r.source)
 	for _, id := range take(r.records, r.next) {
 		changed = m.applyServer(id, r) || changed
 	}
@@ -162,15 +180,15 @@
 	log := m.log.WithFields(logrus.Fields{"server": id, "offset": r.Offset, "source": from.source})
 	old := m.decoded[id]
 	if len(r.Value) == 0 {
+		delete(m.refused, id)
 		m.servers.markChanged(id)
 		return m.remove(id, old, from.lapses[id], log)
 	}
 	server, err := m.decoder.DecodeServer(id, r.Value)
 	if err != nil {
-		m.servers.markChanged(id)
-		log.WithError(err).Error("registration refused: the last one stays")
-		return false
+		return m.refuse(id, old, err, log)
 	}
+	delete(m.refused, id)
 	_, lapsed := m.lapsed[id]
 	delete(m.lapsed, id)
 	if same := old != nil && equal(old, server); same && !lapsed {
@@ -184,6 +202,19 @@
 	return true
 }
 
+// refuse takes an entry that names no server to use: it says so once, and what was
+// registered there before no longer counts.
+func (m *Membership) refuse(id string, old *fleet.Server, err error, log *logrus.Entry) bool {
+	m.servers.markChanged(id)
+	if !m.refused[id] {
+		m.refused[id] = true
+		log.WithError(err).Error("registration refused: it names no server to use")
+	}
+	delete(m.decoded, id)
+	delete(m.lapsed, id)
+	return old != nil
+}
+
 func describe(rank *fleet.GroupRank) any {
 	if rank == nil {
 		return nil
--- a/internal/membership/topic.go
+++ b/internal/membership/topic.go
@@ -9,6 +9,9 @@
 	Key    string
 	Value  []byte
 	Offset int64
+	// Unreadable says why the record can't be read, where it can't: other writers may have
+	// left it. It names nothing, not even its key.
+	Unreadable string
 }
 
 // unknown is the offset of a topic of which nothing is known.
--- a/internal/ranks/lead.go
+++ b/internal/ranks/lead.go
@@ -145,6 +145,7 @@
 	cancel()
 	log := l.log.WithFields(logrus.Fields{
 		"group": report.Group, "rank": report.Rank, "known_fence": knownFence, "fence": claimed.Fence, "newest": claimed.Newest,
+		"unreadable": claimed.Unreadable,
 	})
 	if err != nil {
 		log.WithError(err).Info("lease not claimed: the store gave no answer")
