clock: ages and limits count what the VM was suspended

Cause: Go's steady clock stands still while a VM is suspended. A zone's reader that slept 5 s told its registrations as 1 s old, and who asked took them for fresh; a request held over the suspension was handed on with more time than its caller had left. Ruled out: timers on another clock (the runtime has none); the time of day, whose steps aren't suspensions. Before: the spec of the reader's age failed with 1001 ms, 6000 wanted; after: 6000 and more.

--- a/internal/crashwatch/keeper.go
+++ b/internal/crashwatch/keeper.go
@@ -36,6 +36,9 @@
 	store   replica.Log
 	daemon  string
 	log     *logrus.Entry
+	// wall is the time of day, which the configuration has: the watch's times are for
+	// comparing with each other only.
+	wall func() time.Time
 	// inForce are the quarantines of the configuration as last seen.
 	inForce map[quarantine.Digest]bool
 	// dueAt is when this daemon adds what is missing; zero while nothing is.
@@ -43,8 +46,8 @@
 }
 
 // NewKeeper returns the keeper of a daemon.
-func NewKeeper(w *Watch, rep *replica.Replica, store replica.Log, daemon string) *Keeper {
-	return &Keeper{watch: w, replica: rep, store: store, daemon: daemon, log: w.log, inForce: map[quarantine.Digest]bool{}}
+func NewKeeper(w *Watch, rep *replica.Replica, store replica.Log, daemon string, wall func() time.Time) *Keeper {
+	return &Keeper{watch: w, replica: rep, store: store, daemon: daemon, log: w.log, wall: wall, inForce: map[quarantine.Digest]bool{}}
 }
 
 // Run keeps them until the context ends.
@@ -101,7 +104,7 @@
 			k.log.WithFields(logrus.Fields{"digest": d, "servers": object.Quarantine.Servers, "offset": object.Revision - 1}).
 				Info("quarantine in force")
 		}
-		k.watch.table.Order(d, object.Quarantine.Until())
+		k.watch.table.Order(d, k.watch.now().Add(object.Quarantine.Until().Sub(k.wall())))
 	}
 	for d := range k.inForce {
 		if !listed[d] {
@@ -130,12 +133,13 @@
 func (k *Keeper) missing(view *config.View, quarantined map[quarantine.Digest]quarantine.Verdict, now time.Time) (changes []config.Change, foundHere bool) {
 	for d, v := range quarantined {
 		object := view.Get(config.KindQuarantine, d.String())
-		if object != nil && object.Quarantine.Until().Add(untilSlack).After(v.Until) {
+		until := k.wall().Add(v.Until.Sub(now))
+		if object != nil && object.Quarantine.Until().Add(untilSlack).After(until) {
 			continue
 		}
 		change := config.Change{Kind: config.KindQuarantine, Name: d.String(), Object: &config.Object{
 			Kind: config.KindQuarantine, Name: d.String(),
-			Quarantine: &config.Quarantine{Servers: v.Servers, UntilMs: v.Until.UnixMilli()},
+			Quarantine: &config.Quarantine{Servers: v.Servers, UntilMs: until.UnixMilli()},
 		}}
 		if object != nil {
 			change.ExpectedRevision = object.Revision
@@ -145,7 +149,7 @@
 	}
 	for d := range k.inForce {
 		object := view.Get(config.KindQuarantine, d.String())
-		if k.watch.table.Cleared(d) || now.After(object.Quarantine.Until().Add(untilSlack)) {
+		if k.watch.table.Cleared(d) || k.wall().After(object.Quarantine.Until().Add(untilSlack)) {
 			changes = append(changes, config.Change{Kind: config.KindQuarantine, Name: d.String(), ExpectedRevision: object.Revision})
 		}
 	}
--- a/internal/crashwatch/watch_test.go
+++ b/internal/crashwatch/watch_test.go
@@ -216,7 +216,7 @@
 		w, watch := newWorld()
 		rep, late := replica.New(func() time.Time { return w.now }), replica.New(func() time.Time { return w.now })
 		log := &fakeLog{replicas: []*replica.Replica{rep, late}, down: true}
-		keeper := NewKeeper(watch, rep, log, "entry")
+		keeper := NewKeeper(watch, rep, log, "entry", func() time.Time { return w.now })
 		look := func() {
 			for range 3 { // notices, adds, applies
 				keeper.look(context.Background())
@@ -236,7 +236,7 @@
 		Expect(object.Quarantine.Servers).To(Equal([]string{"a", "b"}))
 
 		_, started := newWorld()
-		NewKeeper(started, late, log, "late").look(context.Background())
+		NewKeeper(started, late, log, "late", func() time.Time { return w.now }).look(context.Background())
 		Expect(started.Enter(d).State).To(Equal(quarantine.Quarantined))
 
 		data, err := config.NewChange(&config.Bundle{CommandID: "release", Actor: "ops", Changes: []config.Change{
@@ -254,7 +254,7 @@
 		w, watch := newWorld()
 		rep := replica.New(func() time.Time { return w.now })
 		log := &fakeLog{replicas: []*replica.Replica{rep}}
-		keeper := NewKeeper(watch, rep, log, "entry")
+		keeper := NewKeeper(watch, rep, log, "entry", func() time.Time { return w.now })
 		for _, server := range []string{"a", "b"} {
 			watch.CutOff(d, registry().Server(server))
 			watch.Ended(server, "spec")
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -205,6 +205,9 @@
 		if f != nil {
 			return f
 		}
+		if !p.now().Before(x.Limit) { // the VM was suspended meanwhile: timers don't show it
+			return failure.NotRun(failure.StepQueue, x.Service, failure.CodeDeadline, "its time was over before a server got it")
+		}
 		f = p.attempt(ctx, x, server, caller)
 		if f == nil {
 			return nil
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -58,8 +58,8 @@
 			return nil
 		case quarantine.Quarantined:
 			return failure.NotRun(failure.StepQueue, x.Service, failure.CodeQuarantined,
-				fmt.Sprintf("%d servers ended while they ran this request (%s): it gets no other before %s",
-					len(v.Servers), strings.Join(v.Servers, ", "), v.Until.UTC().Format(time.RFC3339))).After(v.Until.Sub(p.now()))
+				fmt.Sprintf("%d servers ended while they ran this request (%s): it gets no other for %s",
+					len(v.Servers), strings.Join(v.Servers, ", "), v.Until.Sub(p.now()).Round(time.Second))).After(v.Until.Sub(p.now()))
 		case quarantine.Undecided:
 		}
 		if !p.now().Before(until) || !wait.For(ctx, undecidedPoll) {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -160,7 +160,7 @@
 		limit = defaultMaxBody
 	}
 	conn := http.NewResponseController(w)
-	if err := conn.SetReadDeadline(s.now().Add(s.bodyTimeout)); err != nil {
+	if err := conn.SetReadDeadline(time.Now().Add(s.bodyTimeout)); err != nil {
 		return nil, failure.NotRun(failure.StepParse, "", failure.CodeInvalid, "body not read: "+err.Error())
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/buildinfo"
+	"github.com/crowbridge/crowbridge/internal/clock"
 	"github.com/crowbridge/crowbridge/internal/daemon"
 	"github.com/crowbridge/crowbridge/internal/experts"
 	"github.com/crowbridge/crowbridge/internal/loadfeed"
@@ -56,7 +57,7 @@
 
 // NewAgentDaemon wires an agent.
 func NewAgentDaemon(s *platform.Settings, log *logrus.Entry) *AgentDaemon {
-	members := membership.New(platform.Records{}, time.Now, log)
+	members := membership.New(platform.Records{}, clock.New(log).Now, log)
 	client := &http.Client{Transport: upstream.NewTransport(), Timeout: controlTimeout}
 	engines := platform.NewEngines(upstream.NewTransport())
 	agent := experts.NewAgent(engines, s.LocalServer, time.Now, log)
--- a/internal/hosted/crashes.go
+++ b/internal/hosted/crashes.go
@@ -26,7 +26,7 @@
 	for {
 		select {
 		case evidence := <-e.crashes.News():
-			messages := crashwatch.Encode(evidence, time.Now())
+			messages := crashwatch.Encode(evidence, e.clock.Now())
 			for at := 0; at < len(messages); at += crashesEach {
 				e.sendCrashes(conn, messages[at:min(at+crashesEach, len(messages))])
 			}
@@ -72,11 +72,11 @@
 			e.log.WithError(err).Debug("crash news not understood")
 			continue
 		}
-		e.crashes.Hear(crashwatch.Decode(news.GetEvidence(), time.Now()), "entry "+from.String())
+		e.crashes.Hear(crashwatch.Decode(news.GetEvidence(), e.clock.Now()), "entry "+from.String())
 	}
 }
 
 // keepQuarantines keeps quarantines in the product's own configuration.
 func (e *EntryDaemon) keepQuarantines(ctx context.Context) {
-	crashwatch.NewKeeper(e.crashes, e.replica, e.configLog, e.settings.Daemon).Run(ctx)
+	crashwatch.NewKeeper(e.crashes, e.replica, e.configLog, e.settings.Daemon, time.Now).Run(ctx)
 }
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/crowbridge/crowbridge/internal/admin"
 	"github.com/crowbridge/crowbridge/internal/buildinfo"
+	"github.com/crowbridge/crowbridge/internal/clock"
 	"github.com/crowbridge/crowbridge/internal/crashwatch"
 	"github.com/crowbridge/crowbridge/internal/daemon"
 	"github.com/crowbridge/crowbridge/internal/dispatch"
@@ -42,6 +43,7 @@
 type EntryDaemon struct {
 	settings *platform.Settings
 	log      *logrus.Entry
+	clock    *clock.Clock
 	members  *membership.Membership
 	follower *membership.Follower
 	exchange *membership.Exchange
@@ -61,16 +63,17 @@
 // NewEntryDaemon wires an entry. Without operators nobody can change the product's
 // own configuration here.
 func NewEntryDaemon(s *platform.Settings, operators []daemon.Operator, log *logrus.Entry) *EntryDaemon {
-	members := membership.New(platform.Records{}, time.Now, log)
+	clk := clock.New(log)
+	members := membership.New(platform.Records{}, clk.Now, log)
 	control := &http.Client{Transport: upstream.NewTransport(), Timeout: controlTimeout}
 	store := platform.NewStore(s.Store, upstream.NewTransport())
 	rep := replica.New(time.Now)
 	rep.SetWait(selectorsWait)
 	e := &EntryDaemon{
-		settings: s, log: log, members: members, replica: rep, steering: steering.New(rep, time.Now, log),
+		settings: s, log: log, clock: clk, members: members, replica: rep, steering: steering.New(rep, time.Now, log),
 		configLog: platform.ConfigLog{Store: store, Now: time.Now},
 		board:     dispatch.NewBoard(budgetPolicy(s), s.Zone, rand.IntN),
-		crashes:   crashwatch.New(upstream.Prober{}, time.Now, func(d time.Duration, f func()) { time.AfterFunc(d, f) }, log),
+		crashes:   crashwatch.New(upstream.Prober{}, clk.Now, func(d time.Duration, f func()) { time.AfterFunc(d, f) }, log),
 	}
 	e.exchange = membership.NewExchange(members, membership.Peer{Control: s.Control, Zone: s.Zone}, s.Seeds, control, log)
 	e.follower = membership.NewFollower(members, store, e.exchange, s.StopRouting, log)
@@ -80,15 +83,23 @@
 	members.OnServers(e.crashes.Keep)
 	e.exchange.SetCrashes(e.crashes)
 	view := steeredFleet{Membership: members, steering: e.steering}
-	e.pipeline = dispatch.NewPipeline(view, e.board, backend, time.Now, log)
+	e.pipeline = dispatch.NewPipeline(view, e.board, backend, clk.Now, log)
 	e.pipeline.SetQuarantine(e.crashes)
-	e.frontend = frontend.New(e.pipeline, platform.Wire{}, e.limits, time.Now)
+	e.frontend = frontend.New(e.pipeline, platform.Wire{}, e.limits, clk.Now)
+	clk.OnWake(e.woke)
 	if len(operators) > 0 {
 		e.api = admin.New(e, rep, e.configLog, store, operators, log)
 	}
 	return e
 }
 
+// woke is called when the VM has been suspended: what is known is as old as that, and the
+// timers of what is due didn't run meanwhile.
+func (e *EntryDaemon) woke(suspended time.Duration) {
+	e.log.WithField("suspended_ms", suspended.Milliseconds()).Warn("the VM has been suspended: registrations and configuration are read again")
+	e.follower.Wake()
+}
+
 // watchSettings takes over what a changed settings file may change while the
 // process runs.
 func (e *EntryDaemon) watchSettings(ctx context.Context) {
@@ -133,7 +144,7 @@
 	if err != nil {
 		return errors.Wrap(err, "load feed")
 	}
-	receiver := loadfeed.NewReceiver(e.members.Servers, e.board, e.crashes, time.Now, e.log)
+	receiver := loadfeed.NewReceiver(e.members.Servers, e.board, e.crashes, e.clock.Now, e.log)
 	group.Go(func() error { return receiver.Listen(tasks, load) })
 	crashes, err := net.ListenPacket("udp4", ownAddress(e.settings, crashPort))
 	if err != nil {
--- a/internal/hosted/host.go
+++ b/internal/hosted/host.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"time"
 
 	"github.com/crowbridge/crowbridge/internal/fleet"
 	"github.com/crowbridge/crowbridge/internal/outcome"
@@ -25,7 +24,7 @@
 	if registry == nil {
 		return nil
 	}
-	now := time.Now()
+	now := e.clock.Now()
 	var list []*rpc.ServerStatus
 	for id, server := range registry.All() {
 		seen := e.board.Seen(server.Key(), now)
--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -80,6 +80,8 @@
 	failures int
 	// healthy is whether the last call to the store succeeded.
 	healthy atomic.Bool
+	// refreshes wakes who waits for the next read of the registrations.
+	refreshes chan struct{}
 	// rereads wakes a long read whose connection may be dead.
 	rereads chan struct{}
 	// lost gets a value when the store can no longer be reached.
@@ -94,7 +96,7 @@
 	if pace <= 0 {
 		pace = serversPace
 	}
-	return &Follower{members: members, store: store, zone: zone, log: log, pace: pace, rereads: make(chan struct{}, 1), lost: make(chan struct{}, 1)}
+	return &Follower{members: members, store: store, zone: zone, log: log, pace: pace, refreshes: make(chan struct{}, 1), rereads: make(chan struct{}, 1), lost: make(chan struct{}, 1)}
 }
 
 // Healthy tells whether the store answered last time.
@@ -145,10 +147,23 @@
 // out whether the store can be reached.
 func (f *Follower) FollowServers(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait.For(ctx, f.refreshServers(ctx))
+		timer := time.NewTimer(f.refreshServers(ctx))
+		select {
+		case <-timer.C:
+		case <-f.refreshes:
+		case <-ctx.Done():
+		}
+		timer.Stop()
 	}
 }
 
+// Wake makes it read everything anew at once: the connection of a long read may have died
+// while this VM was suspended.
+func (f *Follower) Wake() {
+	wake(f.refreshes)
+	wake(f.rereads)
+}
+
 // refreshServers gets the registrations from the zone's reader or from the store. It
 // returns how long to wait before the next time: whichever way they came, they are
 // refreshed when they are pace old.
--- a/internal/membership/reader_test.go
+++ b/internal/membership/reader_test.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/crowbridge/crowbridge/internal/clock"
 	"github.com/crowbridge/crowbridge/internal/peerrpc"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -52,6 +53,24 @@
 	return reader, other
 }
 
+var _ = Describe("the registrations of a reader whose VM was suspended", func() {
+	It("are told with their true age, so that nobody takes them for fresh", func() {
+		b := newBench()
+		boot := time.Hour
+		clk, err := clock.NewFrom(func() time.Time { return b.now }, func() (time.Duration, error) { return boot, nil })
+		Expect(err).NotTo(HaveOccurred())
+		b.members.now = clk.Now
+		b.store.append(TopicServers, "a", "1.1.1.1:1")
+		Expect(b.read()).To(Succeed())
+		boot += 5 * time.Second // suspended
+		b.now, boot = b.now.Add(time.Second), boot+time.Second
+		exchange := NewExchange(b.members, Peer{Zone: "z"}, nil, nil, b.members.log)
+		reply, err := exchange.Exchange(context.Background(), &peerrpc.ExchangeRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.GetServersAgeMs()).To(BeNumerically(">=", 6000))
+	})
+})
+
 var _ = Describe("the registrations of a zone", func() {
 	// ownPace is the time between a reader's own reads.
 	const ownPace = time.Duration(readerPart * float64(serversPace))
