entry: the product's own API quarantines requests that end servers, too

Cause: the same as on the platform. An agent hides the end of the server behind it, so that entries saw a lost request and sent its repeat to the next server, for good. Ruled out: agents that quarantine by themselves (a repeat comes to another one); taking the loss of an agent for the end of its server (its VM may have gone with both). Change: agents tell whether anybody listens behind them (Agents.Engine); the entry asks the agent of a server that lost a request; entries tell each other by calls, at once and each second; the same table, verdicts and objects in the configuration as on the platform. A keyed request that is held back stays 'unknown': it may have run for an earlier caller. Before: the spec's caller was told server-lost for 10 s, an end each time. After: two servers end, then it's told quarantined; another customer is served.

--- a/cmd/crowbridged/entry.go
+++ b/cmd/crowbridged/entry.go
@@ -8,8 +8,10 @@
 
 	"github.com/crowbridge/crowbridge/internal/admin"
 	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/crashwatch"
 	"github.com/crowbridge/crowbridge/internal/daemon"
 	"github.com/crowbridge/crowbridge/internal/entry"
+	"github.com/crowbridge/crowbridge/internal/peerrpc"
 	"github.com/crowbridge/crowbridge/internal/replica"
 	"github.com/crowbridge/crowbridge/internal/rpc"
 	"github.com/crowbridge/crowbridge/internal/settings"
@@ -133,7 +135,7 @@
 	store := platform.NewStore(p.cmd.String("store"), upstream.NewTransport())
 	log := platform.ConfigLog{Store: store, Now: time.Now}
 	api := admin.New(e, rep, log, store, s.operators, p.log)
-	if err := p.serve("control", controlHandler(key, api, rep, log)); err != nil {
+	if err := p.serve("control", controlHandler(key, api, rep, log, e.Crashes())); err != nil {
 		return err
 	}
 	if err := p.serve("metrics", daemon.MetricsHandler(e.Ready, p.log.Logger)); err != nil {
@@ -141,6 +143,10 @@
 	}
 	p.loop(func(ctx context.Context) { rep.Follow(ctx, entrySources(p.cmd, s, log), p.log) })
 	p.loop(e.WatchConfiguration)
+	p.loop(func(ctx context.Context) {
+		e.Crashes().Gossip(ctx, otherEntries(p.cmd, s), daemon.NewControlClient(key))
+	})
+	p.loop(crashwatch.NewKeeper(e.Crashes(), rep, log, p.cmd.String("name"), time.Now).Run)
 	p.run(e.WatchServers)
 	p.loop(func(ctx context.Context) { e.WatchVMs(ctx, store) })
 	if readsLog(p.cmd, s) {
@@ -173,14 +179,27 @@
 	}
 }
 
-func controlHandler(key string, api *admin.Admin, rep *replica.Replica, log replica.Log) http.Handler {
+func controlHandler(key string, api *admin.Admin, rep *replica.Replica, log replica.Log, watch *crashwatch.Watch) http.Handler {
 	peers := rpc.NewPeersServer(&replica.PeerServer{Replica: rep, Log: log, Seen: api.Seen})
 	mux := http.NewServeMux()
 	mux.Handle(peers.PathPrefix(), daemon.RequireKey(key, peers))
+	crashes := peerrpc.NewCrashesServer(crashwatch.Server{Watch: watch})
+	mux.Handle(crashes.PathPrefix(), daemon.RequireKey(key, crashes))
 	mux.Handle(api.PathPrefix(), api.Handler())
 	return mux
 }
 
+// otherEntries are the control addresses of all entries but this one.
+func otherEntries(cmd *cli.Command, s *entrySettings) []string {
+	var others []string
+	for _, peer := range s.peers {
+		if peer.Address != cmd.String("control") {
+			others = append(others, peer.Address)
+		}
+	}
+	return others
+}
+
 // ownZone returns the entries of this entry's zone, and its own place among them.
 func ownZone(cmd *cli.Command, s *entrySettings) (own []settings.Peer, place int) {
 	for _, peer := range s.peers {
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -2,8 +2,13 @@
 
 import (
 	"context"
+	"net/url"
+	"time"
 
+	"github.com/crowbridge/crowbridge/internal/crashwatch"
 	"github.com/crowbridge/crowbridge/internal/rpc"
+	"github.com/crowbridge/crowbridge/internal/upstream"
+	"github.com/pkg/errors"
 )
 
 // Control serves rpc.Agents for an agent.
@@ -21,3 +26,25 @@
 		ServiceTimeUs: load.ServiceTime.Microseconds(),
 	}, nil
 }
+
+// engineTimeout bounds a look at the server on the same VM.
+const engineTimeout = 200 * time.Millisecond
+
+// Engine implements rpc.Agents.
+func (c *Control) Engine(ctx context.Context, _ *rpc.EngineRequest) (*rpc.EngineReply, error) {
+	backend, err := url.Parse(c.Agent.options.Backend)
+	if err != nil {
+		return nil, errors.Wrap(err, "backend")
+	}
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	reply := &rpc.EngineReply{Server: c.Agent.options.Server}
+	switch upstream.ProbeAddress(ctx, backend.Host) {
+	case crashwatch.Listening:
+		reply.State = rpc.EngineState_ENGINE_STATE_LISTENING
+	case crashwatch.Ended:
+		reply.State = rpc.EngineState_ENGINE_STATE_ENDED
+	case crashwatch.Unknown:
+	}
+	return reply, nil
+}
--- a/internal/crashwatch/watch.go
+++ b/internal/crashwatch/watch.go
@@ -28,9 +28,9 @@
 	Ended
 )
 
-// Prober looks whether somebody listens at a server's address.
+// Prober looks whether a server's process listens.
 type Prober interface {
-	Probe(ctx context.Context, address string) Liveness
+	Probe(ctx context.Context, server *fleet.Server) Liveness
 }
 
 const (
@@ -133,7 +133,7 @@
 	began := w.now()
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	switch w.prober.Probe(ctx, server.Address) {
+	switch w.prober.Probe(ctx, server) {
 	case Ended:
 		w.Ended(server.Key(), "nobody listens at its address")
 	case Listening:
@@ -214,11 +214,7 @@
 // Keep takes in a state of the registry: servers that are gone without having said that
 // they leave, and those that have started again, have ended.
 func (w *Watch) Keep(servers *fleet.Servers) {
-	w.mu.Lock()
-	before := w.servers
-	w.servers = servers
-	maps.DeleteFunc(w.lastCuts, func(key string, _ time.Time) bool { return servers.Started(key) == nil })
-	w.mu.Unlock()
+	before := w.SetServers(servers)
 	if before == nil {
 		return
 	}
@@ -233,6 +229,16 @@
 	}
 }
 
+// SetServers takes in the servers that operators list: one that is no longer listed hasn't
+// ended for it. It returns those before.
+func (w *Watch) SetServers(servers *fleet.Servers) (before *fleet.Servers) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before, w.servers = w.servers, servers
+	maps.DeleteFunc(w.lastCuts, func(key string, _ time.Time) bool { return servers.Started(key) == nil })
+	return before
+}
+
 // Table is the daemon's evidence.
 func (w *Watch) Table() *quarantine.Table { return w.table }
 
--- a/internal/crashwatch/watch_test.go
+++ b/internal/crashwatch/watch_test.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/config"
 	"github.com/crowbridge/crowbridge/internal/fleet"
+	"github.com/crowbridge/crowbridge/internal/peerrpc"
 	"github.com/crowbridge/crowbridge/internal/quarantine"
 	"github.com/crowbridge/crowbridge/internal/replica"
 	. "github.com/onsi/ginkgo/v2"
@@ -31,9 +35,9 @@
 	logs   *logrustest.Hook
 }
 
-func (w *world) Probe(_ context.Context, address string) Liveness {
-	w.probed = append(w.probed, address)
-	return w.probes[address]
+func (w *world) Probe(_ context.Context, server *fleet.Server) Liveness {
+	w.probed = append(w.probed, server.Address)
+	return w.probes[server.Address]
 }
 
 // pass lets what waits happen.
@@ -186,6 +190,35 @@
 	})
 })
 
+var _ = Describe("entries of the product's own API", func() {
+	It("tell each other at once, and ask for what they missed", func() {
+		d := quarantine.DigestOf("c", "POST", "h", "/", nil)
+		w, here := newWorld()
+		_, there := newWorld()
+		mux := http.NewServeMux()
+		calls := peerrpc.NewCrashesServer(Server{Watch: there})
+		mux.Handle(calls.PathPrefix(), calls)
+		server := httptest.NewServer(mux)
+		DeferCleanup(server.Close)
+		there.CutOff(d, plainB)
+		there.Ended("b", "spec") // of which it tells nobody
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			here.Gossip(ctx, []string{strings.TrimPrefix(server.URL, "http://")}, http.DefaultClient)
+		}()
+		here.CutOff(d, plainA)
+		here.Ended("a", "spec")
+		both := []string{"a", "b"}
+		for _, watch := range []*Watch{here, there} {
+			Eventually(func() []string { return watch.Table().Verdict(d, w.now).Servers }, "10s").Should(Equal(both))
+		}
+		stop()
+		<-done
+	})
+})
+
 // fakeLog is the product's log: what is appended reaches the replicas that follow it.
 type fakeLog struct {
 	replica.Log
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -33,7 +33,7 @@
 	if answer.Info.HasLoad && server.Rank == nil {
 		p.board.ReportLoad(server.Key(), answer.Info.Load, p.now())
 	}
-	if f := p.judge(x, server, answer); f != nil {
+	if f := p.judge(ctx, x, server, answer); f != nil {
 		return f
 	}
 	var f *failure.Error
--- a/internal/dispatch/judge.go
+++ b/internal/dispatch/judge.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/crowbridge/crowbridge/internal/failure"
@@ -8,9 +9,12 @@
 )
 
 // judge returns why an answer can't be passed on, or nil.
-func (p *Pipeline) judge(x *exchange, server *fleet.Server, a *Answer) *failure.Error {
+func (p *Pipeline) judge(ctx context.Context, x *exchange, server *fleet.Server, a *Answer) *failure.Error {
 	if f := a.Info.Failure; f != nil {
 		x.mayHaveRun = x.mayHaveRun || f.Outcome != failure.OutcomeNotRun
+		if f.Code == failure.CodeServerLost && f.Outcome == failure.OutcomeUnknown {
+			p.noteCutOff(ctx, x, server, f)
+		}
 		return f
 	}
 	if a.Info.NotRun {
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -57,18 +57,27 @@
 			x.entered, x.request.Suspect = true, v.State == quarantine.Suspect
 			return nil
 		case quarantine.Quarantined:
-			return failure.NotRun(failure.StepQueue, x.Service, failure.CodeQuarantined,
+			return heldBack(x, failure.StepQueue, x.Service, failure.CodeQuarantined,
 				fmt.Sprintf("%d servers ended while they ran this request (%s): it gets no other for %s",
 					len(v.Servers), strings.Join(v.Servers, ", "), v.Until.Sub(p.now()).Round(time.Second))).After(v.Until.Sub(p.now()))
 		case quarantine.Undecided:
 		}
 		if !p.now().Before(until) || !wait.For(ctx, undecidedPoll) {
-			return failure.NotRun(failure.StepQueue, x.Service, failure.CodeSuspect,
+			return heldBack(x, failure.StepQueue, x.Service, failure.CodeSuspect,
 				"a server may have ended while it ran this request: it's not known yet, or another attempt is in progress").After(undecidedRetry)
 		}
 	}
 }
 
+// heldBack refuses a request before it gets a server. One with a key may have run for an
+// earlier caller.
+func heldBack(x *exchange, step failure.Step, peer string, code failure.Code, detail string) *failure.Error {
+	if x.Homes != nil {
+		return failure.Unknown(step, peer, code, detail)
+	}
+	return failure.NotRun(step, peer, code, detail)
+}
+
 // leave ends what enter began.
 func (p *Pipeline) leave(x *exchange) {
 	if x.entered {
--- a/internal/entry/compiled.go
+++ b/internal/entry/compiled.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/crowbridge/crowbridge/internal/fleet"
 	"github.com/crowbridge/crowbridge/internal/routing"
 	"github.com/crowbridge/crowbridge/internal/selector"
@@ -17,11 +20,16 @@
 func newCompiled(index *selector.Index) *compiled {
 	c := &compiled{index: index, servers: map[string]*fleet.Server{}}
 	for name, server := range index.Servers() {
-		c.servers[name] = &fleet.Server{ID: name, Service: server.Spec.Service, Address: server.Spec.Address, Zone: server.Spec.Zone}
+		c.servers[name] = &fleet.Server{ID: name, Service: server.Spec.Service, Address: server.Spec.Address, Zone: server.Spec.Zone, Leaving: server.Spec.Draining}
 	}
 	return c
 }
 
+// registry returns the servers as a state of a registry.
+func (c *compiled) registry() *fleet.Servers {
+	return fleet.NewServers(slices.Collect(maps.Values(c.servers)))
+}
+
 // homes returns the servers that may run a keyed request, in order.
 func (c *compiled) homes(x *exchange) []*fleet.Server {
 	homes := []*fleet.Server{}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/crashwatch"
 	"github.com/crowbridge/crowbridge/internal/daemon"
 	"github.com/crowbridge/crowbridge/internal/dispatch"
 	"github.com/crowbridge/crowbridge/internal/outcome"
@@ -59,6 +60,7 @@
 
 	index    atomic.Pointer[compiled]
 	pipeline *dispatch.Pipeline
+	crashes  *crashwatch.Watch
 
 	mu       sync.Mutex
 	table    *routing.Table
@@ -105,8 +107,10 @@
 		inFlight: map[string]int{},
 		cancels:  map[requestRef]context.CancelCauseFunc{},
 	}
+	e.crashes = crashwatch.New(agentProber{e}, now, func(d time.Duration, f func()) { time.AfterFunc(d, f) }, log)
 	e.rebuild()
 	e.pipeline = dispatch.NewTargetPipeline(noFleet{}, tableChooser{e}, agentBackend{e}, now, log)
+	e.pipeline.SetQuarantine(e.crashes)
 	e.server = &fasthttp.Server{
 		Handler:               e.serve,
 		Name:                  "crowbridge",
@@ -169,6 +173,9 @@
 	return !e.stopping.Load() && e.replica.Offset() > config.NoOffset
 }
 
+// Crashes is what the entry knows of requests that end servers.
+func (e *Entry) Crashes() *crashwatch.Watch { return e.crashes }
+
 // Ledger returns how the requests accepted here ended.
 func (e *Entry) Ledger() outcome.Counts { return e.pipeline.Ledger() }
 
@@ -200,7 +207,9 @@
 		e.log.WithError(err).Error("configuration doesn't compile; keeping the routes in force")
 		return
 	}
-	e.index.Store(newCompiled(index))
+	c := newCompiled(index)
+	e.index.Store(c)
+	e.crashes.SetServers(c.registry())
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.table.Sync(index.Servers())
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -11,10 +11,12 @@
 
 	"github.com/crowbridge/crowbridge/internal/entry"
 	"github.com/crowbridge/crowbridge/internal/failure"
+	"github.com/crowbridge/crowbridge/internal/rpc"
 	"github.com/crowbridge/crowbridge/internal/wire"
 	"github.com/google/uuid"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/twitchtv/twirp"
 )
 
 const completion = `{"model":"petal-7b","max_tokens":3,"messages":[{"role":"user","content":"hello"}]}`
@@ -298,3 +300,42 @@
 		Expect(failureIn(body)).To(HaveField("Outcome", "unknown"))
 	})
 })
+
+// endedEngine is the control port of an agent behind whose back the server has ended.
+type endedEngine struct{ rpc.Agents }
+
+func (endedEngine) Engine(context.Context, *rpc.EngineRequest) (*rpc.EngineReply, error) {
+	return &rpc.EngineReply{State: rpc.EngineState_ENGINE_STATE_ENDED}, nil
+}
+
+func (endedEngine) Report(context.Context, *rpc.ReportRequest) (*rpc.LoadReport, error) {
+	return nil, twirp.NewError(twirp.Unavailable, "not asked here")
+}
+
+var _ = Describe("a request that ends the servers behind its agents", func() {
+	It("gets two servers, however often its caller repeats it, and the next customer's is served", func() {
+		var ended atomic.Int64
+		control := rpc.NewAgentsServer(endedEngine{})
+		agent := func(w http.ResponseWriter, r *http.Request) {
+			body, err := io.ReadAll(r.Body)
+			switch {
+			case strings.HasPrefix(r.URL.Path, control.PathPrefix()):
+				r.Body = io.NopCloser(strings.NewReader(string(body)))
+				control.ServeHTTP(w, r)
+			case err == nil && strings.Contains(string(body), "ends its server"):
+				ended.Add(1)
+				refuseWith(failure.Unknown(failure.StepRun, "", failure.CodeServerLost, "EOF"))(w, r)
+			default:
+				answerWith("served")(w, r)
+			}
+		}
+		f := newFixture(nil, []string{fakeAgent(agent), fakeAgent(agent), fakeAgent(agent), fakeAgent(agent)})
+		Eventually(func() string {
+			_, body := f.post(keyOfRozsa, "/dispatch/x", "ends its server", nil)
+			return failureIn(body).Code
+		}, "10s", "300ms").Should(Equal("quarantined"))
+		Expect(ended.Load()).To(Equal(int64(2)))
+		_, body := f.post(keyOfTulipan, "/dispatch/x", "another", nil)
+		Expect(body).To(Equal("served"))
+	})
+})
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/crowbridge/crowbridge/internal/crashwatch"
+	"github.com/crowbridge/crowbridge/internal/fleet"
 	"github.com/crowbridge/crowbridge/internal/routing"
 	"github.com/crowbridge/crowbridge/internal/rpc"
 	"github.com/crowbridge/crowbridge/internal/wire"
@@ -84,6 +86,30 @@
 	e.table.Report(e.now(), row.Server.Name, report.Incarnation, load)
 }
 
+// agentProber asks the agents whether the servers behind them listen. It implements
+// crashwatch.Prober.
+type agentProber struct{ entry *Entry }
+
+// Probe implements crashwatch.Prober.
+func (p agentProber) Probe(ctx context.Context, server *fleet.Server) crashwatch.Liveness {
+	listed := p.entry.index.Load().index.Servers()[server.ID]
+	if listed == nil {
+		return crashwatch.Unknown
+	}
+	reply, err := rpc.NewAgentsProtobufClient("http://"+listed.Spec.Control, p.entry.control).Engine(ctx, &rpc.EngineRequest{})
+	if err != nil {
+		return crashwatch.Unknown // the agent is lost, which says nothing of the request
+	}
+	switch reply.GetState() {
+	case rpc.EngineState_ENGINE_STATE_ENDED:
+		return crashwatch.Ended
+	case rpc.EngineState_ENGINE_STATE_LISTENING:
+		return crashwatch.Listening
+	case rpc.EngineState_ENGINE_STATE_UNKNOWN:
+	}
+	return crashwatch.Unknown
+}
+
 // VMList is the platform's list of backend servers.
 type VMList interface {
 	// Leaving tells of each listed server whether it is leaving.
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -6,14 +6,21 @@
 	"syscall"
 
 	"github.com/crowbridge/crowbridge/internal/crashwatch"
+	"github.com/crowbridge/crowbridge/internal/fleet"
 	"github.com/pkg/errors"
 )
 
-// Prober looks whether servers listen. It implements crashwatch.Prober.
+// Prober looks whether servers listen at their addresses. It implements crashwatch.Prober.
 type Prober struct{}
 
-// Probe implements crashwatch.Prober with one connection that is closed at once.
-func (Prober) Probe(ctx context.Context, address string) crashwatch.Liveness {
+// Probe implements crashwatch.Prober.
+func (Prober) Probe(ctx context.Context, server *fleet.Server) crashwatch.Liveness {
+	return ProbeAddress(ctx, server.Address)
+}
+
+// ProbeAddress looks whether somebody listens at an address, with one connection that is
+// closed at once.
+func ProbeAddress(ctx context.Context, address string) crashwatch.Liveness {
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", address)
 	if err == nil {
 		_ = conn.Close() // nothing was sent
