--- a/standins/cmd/standin/main.go
+++ b/standins/cmd/standin/main.go
@@ -126,11 +126,15 @@
 			return serve(cmd, plain.Handler(plain.Options{
 				Name: cmd.String("name"), Work: cmd.Duration("step"),
 				Recorder: &engine.Recorder{URL: cmd.String("recorder")},
+				Exit:     func() { os.Exit(exitEnded) },
 			}))
 		},
 	}
 }
 
+// exitEnded is the exit code of a server that a call has ended.
+const exitEnded = 3
+
 func serve(cmd *cli.Command, handler http.Handler) error {
 	return serveAt(cmd.String("listen"), handler)
 }
--- a/standins/plain/plain.go
+++ b/standins/plain/plain.go
@@ -3,6 +3,7 @@
 package plain
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -19,8 +20,13 @@
 	Work time.Duration
 	// Recorder counts executions.
 	Recorder *engine.Recorder
+	// Exit ends the process when a call's body holds EndsOn; nil where none does.
+	Exit func()
 }
 
+// EndsOn in a call's body ends the server that runs it.
+const EndsOn = "ends-its-server"
+
 // Handler returns the service's API: it echoes what it was asked.
 func Handler(options Options) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -29,6 +35,10 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
+		if options.Exit != nil && bytes.Contains(body, []byte(EndsOn)) {
+			time.Sleep(options.Work)
+			options.Exit()
+		}
 		options.Recorder.Record(engine.Operation(body))
 		time.Sleep(options.Work) // goes on although the caller left, as real services do
 		w.Header().Set("Content-Type", "text/plain")
--- a/standins/soak/soak.go
+++ b/standins/soak/soak.go
@@ -87,7 +87,17 @@
 		})
 		done <- loaded{report, err}
 	}()
-	if err := r.inject(); err != nil {
+	ending := newEndingCaller(cluster, o.Seed)
+	ctx, stop := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		ending.run(ctx)
+	}()
+	err = r.inject()
+	stop()
+	<-stopped
+	if err != nil {
 		return err
 	}
 	l := <-done
@@ -98,6 +108,11 @@
 	for _, note := range l.report.Notes {
 		r.say("  %s", note)
 	}
+	ended, err := ending.check()
+	r.say("servers that one request ended: %d", ended)
+	if err != nil {
+		return errors.Wrapf(err, "seed %d", o.Seed)
+	}
 	if !l.report.OK() || l.report.Answered == 0 {
 		return errors.Errorf("seed %d: the counts don't add up: %s", o.Seed, l.report)
 	}
