quarantine: operators see whose request it is; a customer can't push out what is known of others

Cause: a Quarantine object named a digest and servers only, so that operators had to search the entries' logs for the customer; and one customer whose requests end many servers could fill the table and push out another's quarantine. Before: of 9,000 requests of one customer, another's quarantine was kept only for being one; after: also a suspect's by share. Spec 'a customer whose requests end many servers...'.

--- a/internal/config/objects.go
+++ b/internal/config/objects.go
@@ -160,6 +160,11 @@
 // when servers end while they run the request. It's named by the request's digest;
 // deleting it lets the request run again.
 type Quarantine struct {
+	// Customer and Path are of the request, where an entry set it.
+	Customer string `json:"customer,omitempty"`
+	Path     string `json:"path,omitempty"`
+	// SinceMs is when the first server ended, in milliseconds of the Unix epoch.
+	SinceMs int64 `json:"sinceMs,omitempty"`
 	// Servers are those that ended.
 	Servers []string `json:"servers,omitempty"`
 	// UntilMs is when it ends, in milliseconds of the Unix epoch.
--- a/internal/crashwatch/codec.go
+++ b/internal/crashwatch/codec.go
@@ -63,7 +63,7 @@
 	encoded := make([]*peerrpc.CrashEvidence, 0, len(evidence))
 	for _, e := range evidence {
 		encoded = append(encoded, &peerrpc.CrashEvidence{
-			Digest: e.Digest[:], Server: e.Server, AgeMs: now.Sub(e.At).Milliseconds(), Cleared: e.Cleared,
+			Digest: e.Digest[:], Customer: e.About.Customer, Path: e.About.Path, Server: e.Server, AgeMs: now.Sub(e.At).Milliseconds(), Cleared: e.Cleared,
 		})
 	}
 	return encoded
@@ -77,7 +77,7 @@
 			continue
 		}
 		evidence = append(evidence, quarantine.Evidence{
-			Digest: quarantine.Digest(m.GetDigest()), Server: m.GetServer(), Cleared: m.GetCleared(),
+			Digest: quarantine.Digest(m.GetDigest()), About: quarantine.About{Customer: m.GetCustomer(), Path: m.GetPath()}, Server: m.GetServer(), Cleared: m.GetCleared(),
 			At: now.Add(-time.Duration(max(m.GetAgeMs(), 0)) * time.Millisecond),
 		})
 	}
--- a/internal/crashwatch/keeper.go
+++ b/internal/crashwatch/keeper.go
@@ -123,7 +123,7 @@
 		}
 		metrics.GetOrCreateCounter(`crowbridge_requests_quarantined_total`).Inc()
 		k.log.WithFields(logrus.Fields{
-			"digest": d, "servers": v.Servers, "found_here": v.FoundHere, "for_s": int(v.Until.Sub(now).Seconds()),
+			"digest": d, "customer": v.About.Customer, "path": v.About.Path, "servers": v.Servers, "found_here": v.FoundHere, "for_s": int(v.Until.Sub(now).Seconds()),
 		}).Warn("request quarantined: servers end while they run it")
 	}
 }
@@ -139,7 +139,10 @@
 		}
 		change := config.Change{Kind: config.KindQuarantine, Name: d.String(), Object: &config.Object{
 			Kind: config.KindQuarantine, Name: d.String(),
-			Quarantine: &config.Quarantine{Servers: v.Servers, UntilMs: until.UnixMilli()},
+			Quarantine: &config.Quarantine{
+				Customer: v.About.Customer, Path: v.About.Path, Servers: v.Servers,
+				SinceMs: k.wall().Add(v.Since.Sub(now)).UnixMilli(), UntilMs: until.UnixMilli(),
+			},
 		}}
 		if object != nil {
 			change.ExpectedRevision = object.Revision
--- a/internal/crashwatch/watch.go
+++ b/internal/crashwatch/watch.go
@@ -99,7 +99,7 @@
 
 // CutOff implements dispatch.Quarantine. What a server that is to leave cuts off says
 // nothing against the request.
-func (w *Watch) CutOff(d quarantine.Digest, server *fleet.Server) {
+func (w *Watch) CutOff(d quarantine.Digest, about quarantine.About, server *fleet.Server) {
 	if registered := w.registered(server.Key()); registered == nil || registered.Leaving {
 		return
 	}
@@ -111,7 +111,7 @@
 		w.lastCuts[server.Key()] = now
 		w.mu.Unlock()
 	}
-	if w.table.CutOff(d, server.Key(), now) {
+	if w.table.CutOff(d, about, server.Key(), now) {
 		w.after(delay, func() { w.probe(server) })
 	}
 }
--- a/internal/crashwatch/watch_test.go
+++ b/internal/crashwatch/watch_test.go
@@ -102,7 +102,7 @@
 
 	It("has ended when nobody listens there", func() {
 		w.probes[plainA.Address] = Ended
-		watch.CutOff(d, plainA)
+		watch.CutOff(d, quarantine.About{Customer: "c", Path: "/"}, plainA)
 		w.pass(probeDelay)
 		Expect(held()).To(Equal(quarantine.Suspect))
 		Expect(told()).To(HaveLen(1))
@@ -110,15 +110,15 @@
 	})
 
 	It("is probed once, however many requests it cuts off", func() {
-		watch.CutOff(d, plainA)
-		watch.CutOff(quarantine.DigestOf("c", "POST", "h", "/other", nil), plainA)
+		watch.CutOff(d, quarantine.About{Customer: "c", Path: "/"}, plainA)
+		watch.CutOff(quarantine.DigestOf("c", "POST", "h", "/other", nil), quarantine.About{}, plainA)
 		w.pass(probeDelay)
 		Expect(w.probed).To(HaveLen(1))
 	})
 
 	It("lives when it listens, until its registration goes", func() {
 		w.probes[plainA.Address] = Listening
-		watch.CutOff(d, plainA)
+		watch.CutOff(d, quarantine.About{Customer: "c", Path: "/"}, plainA)
 		w.pass(probeDelay)
 		Expect(held()).To(Equal(quarantine.Sound))
 		watch.Keep(registry(plainA))
@@ -128,16 +128,16 @@
 	It("has ended when it registers with another start", func() {
 		again := *plainA
 		again.Incarnation = "a@7"
-		watch.CutOff(d, plainA)
+		watch.CutOff(d, quarantine.About{Customer: "c", Path: "/"}, plainA)
 		watch.Keep(fleet.NewServers([]*fleet.Server{&again, plainB, leaves, rank}))
 		Expect(held()).To(Equal(quarantine.Suspect))
 		Expect(told()).To(HaveLen(1))
 	})
 
 	It("says nothing against the request when it was to leave, or has left", func() {
-		watch.CutOff(d, leaves)
+		watch.CutOff(d, quarantine.About{Customer: "c", Path: "/"}, leaves)
 		watch.Keep(registry(plainB))
-		watch.CutOff(d, plainB)
+		watch.CutOff(d, quarantine.About{Customer: "c", Path: "/"}, plainB)
 		watch.Keep(registry(plainB, leaves))
 		w.pass(probeDelay)
 		Expect(w.probed).To(BeEmpty())
@@ -145,7 +145,7 @@
 	})
 
 	It("beside an agent is known sooner, without a probe", func() {
-		watch.CutOff(d, rank)
+		watch.CutOff(d, quarantine.About{Customer: "c", Path: "/"}, rank)
 		w.now = w.now.Add(reportLag)
 		watch.Engine("r", false)
 		Expect(held()).To(Equal(quarantine.Suspect))
@@ -154,13 +154,13 @@
 	})
 
 	It("beside an agent lives when its engine answers after that, but not when it's back", func() {
-		watch.CutOff(d, rank)
+		watch.CutOff(d, quarantine.About{Customer: "c", Path: "/"}, rank)
 		watch.Engine("r", true)
 		Expect(held()).To(Equal(quarantine.Suspect), "the report may be from before")
 		w.now = w.now.Add(reportLag)
 		watch.Engine("r", true)
 		Expect(held()).To(Equal(quarantine.Sound))
-		watch.CutOff(d, rank)
+		watch.CutOff(d, quarantine.About{Customer: "c", Path: "/"}, rank)
 		w.now = w.now.Add(soonestRestart)
 		watch.Engine("r", true)
 		Expect(held()).To(Equal(quarantine.Suspect))
@@ -172,11 +172,11 @@
 	It("and another one make the request known everywhere, however others hear of it", func() {
 		_, asked := newWorld()
 		_, sent := newWorld()
-		watch.CutOff(d, plainA)
+		watch.CutOff(d, quarantine.About{Customer: "c", Path: "/"}, plainA)
 		watch.Ended("a", "spec")
 		asked.Told("here", watch.Tell(asked.Known("here")))
 		Expect(asked.Table().Verdict(d, w.now).State).To(Equal(quarantine.Suspect))
-		watch.CutOff(d, plainB)
+		watch.CutOff(d, quarantine.About{Customer: "c", Path: "/"}, plainB)
 		watch.Ended("b", "spec")
 		news := watch.Tell(asked.Known("here"))
 		Expect(news.GetEvidence()).To(HaveLen(1), "only what has changed")
@@ -200,7 +200,7 @@
 		mux.Handle(calls.PathPrefix(), calls)
 		server := httptest.NewServer(mux)
 		DeferCleanup(server.Close)
-		there.CutOff(d, plainB)
+		there.CutOff(d, quarantine.About{Customer: "c", Path: "/"}, plainB)
 		there.Ended("b", "spec") // of which it tells nobody
 		ctx, stop := context.WithCancel(context.Background())
 		done := make(chan struct{})
@@ -208,7 +208,7 @@
 			defer close(done)
 			here.Gossip(ctx, []string{strings.TrimPrefix(server.URL, "http://")}, http.DefaultClient)
 		}()
-		here.CutOff(d, plainA)
+		here.CutOff(d, quarantine.About{Customer: "c", Path: "/"}, plainA)
 		here.Ended("a", "spec")
 		both := []string{"a", "b"}
 		for _, watch := range []*Watch{here, there} {
@@ -257,7 +257,7 @@
 			}
 		}
 		for _, server := range []string{"a", "b"} {
-			watch.CutOff(d, registry().Server(server))
+			watch.CutOff(d, quarantine.About{Customer: "c", Path: "/"}, registry().Server(server))
 			watch.Ended(server, "spec")
 		}
 		look()
@@ -267,6 +267,9 @@
 		Expect(log.records).To(HaveLen(1))
 		object := rep.View().Get(config.KindQuarantine, d.String())
 		Expect(object.Quarantine.Servers).To(Equal([]string{"a", "b"}))
+		Expect(object.Quarantine.Customer).To(Equal("c"))
+		Expect(object.Quarantine.Path).To(Equal("/"))
+		Expect(object.Quarantine.SinceMs).To(Equal(time.Unix(1000, 0).UnixMilli()))
 
 		_, started := newWorld()
 		NewKeeper(started, late, log, "late", func() time.Time { return w.now }).look(context.Background())
@@ -289,7 +292,7 @@
 		log := &fakeLog{replicas: []*replica.Replica{rep}}
 		keeper := NewKeeper(watch, rep, log, "entry", func() time.Time { return w.now })
 		for _, server := range []string{"a", "b"} {
-			watch.CutOff(d, registry().Server(server))
+			watch.CutOff(d, quarantine.About{Customer: "c", Path: "/"}, registry().Server(server))
 			watch.Ended(server, "spec")
 		}
 		for range 3 {
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -22,7 +22,7 @@
 	Leave(d quarantine.Digest)
 	// CutOff notes that an attempt's connection to a server ended under it, Ended that
 	// the server has ended, and Served that the request has run to a good end.
-	CutOff(d quarantine.Digest, server *fleet.Server)
+	CutOff(d quarantine.Digest, about quarantine.About, server *fleet.Server)
 	Ended(server, cause string)
 	Served(d quarantine.Digest)
 }
@@ -95,7 +95,7 @@
 	x.cutOff = true
 	countCutOff(x)
 	if p.quarantine != nil {
-		p.quarantine.CutOff(x.request.digest(), server)
+		p.quarantine.CutOff(x.request.digest(), quarantine.AboutRequest(x.request.Customer, x.request.URI), server)
 	}
 }
 
--- a/internal/dispatch/quarantine_test.go
+++ b/internal/dispatch/quarantine_test.go
@@ -39,7 +39,7 @@
 
 func (q *fakeQuarantine) Leave(quarantine.Digest) { q.left++ }
 
-func (q *fakeQuarantine) CutOff(_ quarantine.Digest, server *fleet.Server) {
+func (q *fakeQuarantine) CutOff(_ quarantine.Digest, _ quarantine.About, server *fleet.Server) {
 	q.cut = append(q.cut, server.ID)
 }
 
--- a/internal/hosted/crashes.go
+++ b/internal/hosted/crashes.go
@@ -14,8 +14,8 @@
 
 const (
 	// crashesEach is how many pieces of evidence one datagram carries: each takes some
-	// fifty bytes, and a datagram should fit one frame.
-	crashesEach = 16
+	// hundred bytes, with a path of the usual length, and a datagram should fit one frame.
+	crashesEach = 8
 	// crashDatagram bounds a datagram that is read, in bytes.
 	crashDatagram = 4096
 )
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -69,6 +70,9 @@
 // Verdict is what is held of a request, and why.
 type Verdict struct {
 	State State
+	About About
+	// Since is when the first server ended that counts.
+	Since time.Time
 	// Servers are those that ended under the request, sorted.
 	Servers []string
 	// Until is when a quarantine ends.
@@ -77,9 +81,26 @@
 	FoundHere int
 }
 
+// About is what operators are told of a request.
+type About struct {
+	Customer string
+	// Path is without the query, at most pathBytes of it.
+	Path string
+}
+
+// pathBytes bounds a path that is told to other daemons, in bytes.
+const pathBytes = 200
+
+// AboutRequest says what a request is about. uri is the path with the query.
+func AboutRequest(customer, uri string) About {
+	path, _, _ := strings.Cut(uri, "?")
+	return About{Customer: customer, Path: path[:min(len(path), pathBytes)]}
+}
+
 // Evidence says that a server ended while a request was in progress there.
 type Evidence struct {
 	Digest Digest
+	About  About
 	Server string
 	// At is when, by this daemon's clock.
 	At time.Time
@@ -102,6 +123,7 @@
 
 // request is what is known of one request.
 type request struct {
+	about About
 	// inProgress are attempts of callers that run or wait here.
 	inProgress int
 	// cuts are attempts that were cut off, by server.
@@ -188,11 +210,15 @@
 }
 
 func (t *Table) verdict(d Digest, r *request, now time.Time) Verdict {
-	v := Verdict{Servers: r.endedServers()}
+	v := Verdict{About: r.about, Servers: r.endedServers()}
 	for _, server := range v.Servers {
-		if r.ends[server].own {
+		e := r.ends[server]
+		if e.own {
 			v.FoundHere++
 		}
+		if v.Since.IsZero() || e.at.Before(v.Since) {
+			v.Since = e.at
+		}
 	}
 	undecided := 0
 	for _, c := range r.cuts {
@@ -264,11 +290,13 @@
 
 // CutOff notes that an attempt's connection to a server ended under it. It tells whether
 // this is the server's only one that is undecided: then somebody has to find out.
-func (t *Table) CutOff(d Digest, server string, now time.Time) (first bool) {
+func (t *Table) CutOff(d Digest, about About, server string, now time.Time) (first bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	first = !t.undecided(server, now)
-	t.request(d).cuts[server] = cut{at: now}
+	r := t.request(d)
+	r.about = about
+	r.cuts[server] = cut{at: now}
 	return first
 }
 
@@ -322,7 +350,7 @@
 			continue
 		}
 		t.setEnd(r, d, name, end{at: c.at, learned: now, own: true})
-		news = append(news, Evidence{Digest: d, Server: name, At: c.at})
+		news = append(news, Evidence{Digest: d, About: r.about, Server: name, At: c.at})
 	}
 	t.bound()
 	return news
@@ -384,7 +412,7 @@
 		}
 		e.cleared = true
 		t.setEnd(r, d, server, e)
-		news = append(news, Evidence{Digest: d, Server: server, At: e.at, Cleared: true})
+		news = append(news, Evidence{Digest: d, About: r.about, Server: server, At: e.at, Cleared: true})
 	}
 	t.drop(d, r)
 	return news
@@ -407,6 +435,7 @@
 		if known {
 			e.At = old.at
 		}
+		r.about = e.About
 		t.setEnd(r, e.Digest, e.Server, end{at: e.At, learned: now, cleared: e.Cleared})
 		news = append(news, e)
 	}
@@ -423,7 +452,7 @@
 	for d, r := range t.requests {
 		for server, e := range r.ends {
 			if e.change > change {
-				found = append(found, Evidence{Digest: d, Server: server, At: e.at, Cleared: e.cleared})
+				found = append(found, Evidence{Digest: d, About: r.about, Server: server, At: e.at, Cleared: e.cleared})
 			}
 		}
 	}
@@ -519,21 +548,30 @@
 	delete(r.ends, server)
 }
 
-// bound forgets the oldest ends beyond mostRequests, those of quarantined requests last:
-// a part of all at once, so that not each new one has to look for the oldest.
+// bound forgets ends beyond mostRequests, a part of all at once, so that not each new one
+// has to look for the oldest: first of customers that have more than their share of the
+// table, so that nobody can push out what is known of others, those of quarantined requests
+// last, the oldest first.
 func (t *Table) bound() {
 	if len(t.requests) <= mostRequests {
 		return
 	}
 	var aged []agedRequest
+	customers := map[string]int{}
 	for d, r := range t.requests {
 		if len(r.ends) > 0 {
-			aged = append(aged, agedRequest{digest: d, newest: r.newestEnd(), quarantined: len(r.endedServers()) >= endsToQuarantine})
+			aged = append(aged, agedRequest{
+				digest: d, customer: r.about.Customer, newest: r.newestEnd(), quarantined: len(r.endedServers()) >= endsToQuarantine,
+			})
+			customers[r.about.Customer]++
 		}
 	}
 	if len(aged) <= mostRequests {
 		return
 	}
+	for i, a := range aged {
+		aged[i].overShare = customers[a.customer] > mostRequests/len(customers)
+	}
 	slices.SortFunc(aged, agedRequest.compare)
 	for _, a := range aged[:len(aged)-mostRequests+mostRequests/forgottenPart] {
 		r := t.requests[a.digest]
@@ -549,12 +587,20 @@
 
 // agedRequest is a request with what decides when it's forgotten.
 type agedRequest struct {
-	digest      Digest
-	newest      time.Time
-	quarantined bool
+	digest   Digest
+	customer string
+	newest   time.Time
+	// overShare is set where the customer has more than its share of the table.
+	overShare, quarantined bool
 }
 
 func (a agedRequest) compare(b agedRequest) int {
+	if a.overShare != b.overShare {
+		if a.overShare {
+			return -1
+		}
+		return 1
+	}
 	if a.quarantined != b.quarantined {
 		if b.quarantined {
 			return -1
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/quarantine"
@@ -12,13 +13,16 @@
 
 var start = time.Unix(1000, 0)
 
+// about is the requests'.
+var about = quarantine.AboutRequest("c", "/x?p=1")
+
 func digest(n int) quarantine.Digest {
 	return quarantine.DigestOf("c", "POST", "h", "/", []byte(fmt.Sprint(n)))
 }
 
 // ends cuts a request off at a server that then turns out to have ended.
 func ends(t *quarantine.Table, d quarantine.Digest, server string, now time.Time) []quarantine.Evidence {
-	t.CutOff(d, server, now)
+	t.CutOff(d, about, server, now)
 	return t.Ended(server, now)
 }
 
@@ -47,7 +51,7 @@
 	It("that shares both ends with another is told from it by what follows", func() {
 		sound, settled := digest(2), start.Add(quarantine.SettleTime)
 		for _, server := range []string{"a", "b"} {
-			table.CutOff(sound, server, start)
+			table.CutOff(sound, about, server, start)
 			ends(table, d, server, start)
 		}
 		Expect(state(settled)).To(Equal(quarantine.Suspect))
@@ -60,7 +64,7 @@
 	It("that shares both ends with another is quarantined when a third server ends, and the other isn't", func() {
 		sound, settled := digest(2), start.Add(quarantine.SettleTime)
 		for _, server := range []string{"a", "b"} {
-			table.CutOff(sound, server, start)
+			table.CutOff(sound, about, server, start)
 			ends(table, d, server, start)
 		}
 		ends(table, d, "c", settled)
@@ -70,8 +74,8 @@
 
 	It("that shares one end with it stays free, and so does one that was cut off elsewhere", func() {
 		beside, elsewhere := digest(2), digest(3)
-		table.CutOff(beside, "a", start)
-		table.CutOff(elsewhere, "c", start)
+		table.CutOff(beside, about, "a", start)
+		table.CutOff(elsewhere, about, "c", start)
 		ends(table, d, "a", start)
 		ends(table, d, "b", start.Add(time.Second))
 		table.Alive("c", start)
@@ -89,9 +93,9 @@
 	})
 
 	It("waits while it isn't known whether a second server has ended", func() {
-		table.CutOff(d, "a", start)
+		table.CutOff(d, about, "a", start)
 		Expect(state(start)).To(Equal(quarantine.Suspect), "one may be tried again")
-		table.CutOff(d, "b", start)
+		table.CutOff(d, about, "b", start)
 		Expect(table.Enter(d, start).State).To(Equal(quarantine.Undecided))
 		table.Alive("a", start)
 		Expect(state(start)).To(Equal(quarantine.Suspect))
@@ -115,7 +119,7 @@
 	})
 
 	It("isn't held to account for an end long after it was cut off", func() {
-		table.CutOff(d, "a", start)
+		table.CutOff(d, about, "a", start)
 		Expect(table.Ended("a", start.Add(time.Minute))).To(BeEmpty())
 	})
 
@@ -156,6 +160,24 @@
 	})
 })
 
+var _ = It("a customer whose requests end many servers pushes nobody's out", func() {
+	table := quarantine.NewTable()
+	other := digest(1)
+	for _, server := range []string{"a", "b"} {
+		table.CutOff(other, quarantine.About{Customer: "other"}, server, start)
+		table.Ended(server, start)
+	}
+	for i := range 9000 {
+		ends(table, digest(10+i), "s", start.Add(time.Duration(i)*time.Millisecond))
+	}
+	v := table.Verdict(other, start.Add(time.Minute))
+	Expect(v.State).To(Equal(quarantine.Quarantined))
+	Expect(v.About.Customer).To(Equal("other"))
+	Expect(v.Since).To(Equal(start))
+	Expect(table.Verdict(digest(9009), start.Add(time.Minute)).About.Path).To(Equal("/x"))
+	Expect(quarantine.AboutRequest("c", "/"+strings.Repeat("x", 5000)).Path).To(HaveLen(200))
+})
+
 // Tables that hear all of each other's evidence agree, in whatever order and however
 // often it comes, and no request is quarantined under which fewer than two servers ended.
 var _ = It("tables agree in the end", func() {
