quarantine: two ends within a second hold a request back for 30 s only

A rack that fails takes several servers at once, and a request that many callers ask for at the same time, equal in all it asks, may be in progress at two of them: it would have been kept from all servers for 30 minutes for a fault that isn't its own. Maps of a request are made when there is something to put in.

--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -27,6 +27,12 @@
 	// longQuarantine: an attempt a day ends a server a day.
 	firstQuarantine = 30 * time.Minute
 	longQuarantine  = 24 * time.Hour
+	// togetherTime is within which two ends may have one cause that is none of the request's:
+	// a rack that fails takes two servers at which one request, asked for by many callers,
+	// is in progress. Then it's kept for togetherQuarantine only, longer than such spells of
+	// repeats last; if it ends a third server after that, it's known.
+	togetherTime       = time.Second
+	togetherQuarantine = 30 * time.Second
 	// suspectTime is how long a single end is remembered: callers that repeat a request
 	// do so within minutes, and each server that fails leaves a dozen sound ones suspect.
 	suspectTime = time.Hour
@@ -127,8 +133,8 @@
 	// inProgress are attempts of callers that run or wait here.
 	inProgress int
 	// cuts are attempts that were cut off, by server.
-	cuts map[string]cut
-	ends map[string]end
+	cuts map[string]cut // nil while there are none
+	ends map[string]end // nil while there are none
 	// ordered is until when the operators' configuration quarantines the request.
 	ordered time.Time
 	// announced is the number of ends that Announce told of.
@@ -158,7 +164,7 @@
 func (t *Table) request(d Digest) *request {
 	r := t.requests[d]
 	if r == nil {
-		r = &request{cuts: map[string]cut{}, ends: map[string]end{}}
+		r = &request{}
 		t.requests[d] = r
 	}
 	return r
@@ -279,6 +285,8 @@
 	switch ended := len(r.endedServers()); {
 	case ended > endsToQuarantine:
 		span = longQuarantine
+	case ended == endsToQuarantine && r.endedTogether():
+		span = togetherQuarantine
 	case ended == endsToQuarantine:
 		span = firstQuarantine
 	}
@@ -288,6 +296,17 @@
 	return until
 }
 
+// endedTogether tells whether all ends that count came within togetherTime.
+func (r *request) endedTogether() bool {
+	newest := r.newestEnd()
+	for _, e := range r.ends {
+		if !e.cleared && newest.Sub(e.at) > togetherTime {
+			return false
+		}
+	}
+	return true
+}
+
 // CutOff notes that an attempt's connection to a server ended under it. It tells whether
 // this is the server's only one that is undecided: then somebody has to find out.
 func (t *Table) CutOff(d Digest, about About, server string, now time.Time) (first bool) {
@@ -296,6 +315,9 @@
 	first = !t.undecided(server, now)
 	r := t.request(d)
 	r.about = about
+	if r.cuts == nil {
+		r.cuts = map[string]cut{}
+	}
 	r.cuts[server] = cut{at: now}
 	return first
 }
@@ -379,6 +401,9 @@
 	}
 	t.changes++
 	e.change = t.changes
+	if r.ends == nil {
+		r.ends = map[string]end{}
+	}
 	r.ends[server] = e
 	t.hash ^= hashOf(d, server, e.cleared)
 }
@@ -435,7 +460,9 @@
 		if known {
 			e.At = old.at
 		}
-		r.about = e.About
+		if e.About != (About{}) {
+			r.about = e.About
+		}
 		t.setEnd(r, e.Digest, e.Server, end{at: e.At, learned: now, cleared: e.Cleared})
 		news = append(news, e)
 	}
