quarantine: ends that came with those of other servers count as one

Ruled out: a cut-off attempt without an end (all had ended); ill luck over time (29 s of quarantine: both ends within a second). Change: ends of a request within a second count as one if another server ended with them at which it wasn't in progress. The digest in log lines is text (it was a list of numbers).

--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -44,3 +44,6 @@
 
 // String returns the digest in hexadecimal.
 func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// MarshalText implements encoding.TextMarshaler, for logs.
+func (d Digest) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
--- a/internal/quarantine/digest_test.go
+++ b/internal/quarantine/digest_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"encoding/json"
 	"testing"
 
 	"github.com/crowbridge/crowbridge/internal/quarantine"
@@ -34,7 +35,10 @@
 
 	It("is read from its text", func() {
 		Expect(quarantine.ParseDigest(first.String())).To(Equal(first))
-		_, err := quarantine.ParseDigest("12")
+		inLog, err := json.Marshal(map[string]any{"digest": first})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(inLog)).To(Equal(`{"digest":"` + first.String() + `"}`))
+		_, err = quarantine.ParseDigest("12")
 		Expect(err).To(MatchError(ContainSubstring("use 32 hexadecimal digits")))
 	})
 })
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -232,8 +232,8 @@
 			undecided++
 		}
 	}
-	v.Until = r.quarantinedUntil()
-	ended := len(v.Servers)
+	ended := t.count(r, v.Servers)
+	v.Until = r.quarantinedUntil(ended)
 	switch {
 	case now.Before(r.ordered):
 		v.State = Quarantined
@@ -249,6 +249,45 @@
 	return v
 }
 
+// count is how many of a request's ends count against it: those that came together, while
+// another server ended with them at which it wasn't in progress, have one cause that isn't
+// the request. A rack or zone fails so; on a played day with a failure of a whole rack a
+// request whose attempt was repeated at once had two of the rack's four ends.
+func (t *Table) count(r *request, servers []string) int {
+	if len(servers) < endsToQuarantine {
+		return len(servers)
+	}
+	byTime := slices.Clone(servers)
+	slices.SortFunc(byTime, func(a, b string) int { return r.ends[a].at.Compare(r.ends[b].at) })
+	counted := 0
+	for first := 0; first < len(byTime); {
+		from := r.ends[byTime[first]].at
+		next := first + 1
+		for next < len(byTime) && r.ends[byTime[next]].at.Sub(from) <= togetherTime {
+			next++
+		}
+		if next-first > 1 && t.endedElsewhere(r, from) {
+			counted++
+		} else {
+			counted += next - first
+		}
+		first = next
+	}
+	return counted
+}
+
+// endedElsewhere tells whether a server ended about a time at which a request has no end.
+func (t *Table) endedElsewhere(r *request, at time.Time) bool {
+	for _, other := range t.requests {
+		for server, e := range other.ends {
+			if _, own := r.ends[server]; !own && e.at.Sub(at).Abs() <= togetherTime {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // shared tells whether another request has all of a request's ends: either may be to blame.
 func (t *Table) shared(d Digest, servers []string) bool {
 other:
@@ -278,11 +317,12 @@
 	return servers
 }
 
-// quarantinedUntil is when the request's quarantine ends or ended, zero without one.
-func (r *request) quarantinedUntil() time.Time {
+// quarantinedUntil is when the request's quarantine ends or ended, by the ends that count;
+// zero without one.
+func (r *request) quarantinedUntil(ended int) time.Time {
 	until := r.ordered
 	span := time.Duration(0)
-	switch ended := len(r.endedServers()); {
+	switch {
 	case ended > endsToQuarantine:
 		span = longQuarantine
 	case ended == endsToQuarantine && r.endedTogether():
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -133,6 +133,19 @@
 		Expect(table.Verdict(d, later).Until.Sub(later)).To(Equal(24 * time.Hour))
 	})
 
+	It("isn't held to account for a failure that took other servers, too", func() {
+		for i, server := range []string{"a", "b", "c"} {
+			ends(table, d, server, start.Add(time.Duration(i)*10*time.Millisecond))
+		}
+		settled := start.Add(time.Second)
+		Expect(state(settled)).To(Equal(quarantine.Quarantined))
+		ends(table, digest(2), "z", start.Add(100*time.Millisecond))
+		Expect(state(settled)).To(Equal(quarantine.Suspect))
+		Expect(table.Verdict(digest(2), settled).State).To(Equal(quarantine.Suspect))
+		ends(table, d, "e", start.Add(5*time.Second))
+		Expect(state(start.Add(6 * time.Second))).To(Equal(quarantine.Quarantined), "but for one that follows")
+	})
+
 	It("under which two servers ended together is kept from others for a short while", func() {
 		ends(table, d, "a", start)
 		ends(table, d, "b", start.Add(time.Second))
