--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -143,7 +143,7 @@
 		Expect(state(settled)).To(Equal(quarantine.Suspect))
 		Expect(table.Verdict(digest(2), settled).State).To(Equal(quarantine.Suspect))
 		ends(table, d, "e", start.Add(5*time.Second))
-		Expect(state(start.Add(6 * time.Second))).To(Equal(quarantine.Quarantined), "but for one that follows")
+		Expect(state(start.Add(6*time.Second))).To(Equal(quarantine.Quarantined), "but for one that follows")
 	})
 
 	It("under which two servers ended together is kept from others for a short while", func() {
