quarantine: later evidence ends one everywhere, and only operators' release forgets the ends

An entry puts a quarantine into the configuration a quarter of a second after the second end; what a daemon that was cut off adds later (that another request shares both ends, that a rack failed) freed the request at the entries that heard of it, but the object stayed for its 30 minutes, and its deletion would have been taken for an operator's release, which forgets all ends. Ruled out: waiting longer (a cut lasts seconds, and each moment may end a server). Change: a daemon that knows all ends of an object and finds the request acquitted sets the object's end to now; it's deleted a minute later. Only what disappears before its end was released by operators. Before: spec 'ends at all daemons when later evidence speaks for the request' by construction stayed quarantined at the other daemon. After: free there, both ends remembered.

--- a/internal/crashwatch/keeper.go
+++ b/internal/crashwatch/keeper.go
@@ -40,14 +40,14 @@
 	// comparing with each other only.
 	wall func() time.Time
 	// inForce are the quarantines of the configuration as last seen.
-	inForce map[quarantine.Digest]bool
+	inForce map[quarantine.Digest]*config.Quarantine
 	// dueAt is when this daemon adds what is missing; zero while nothing is.
 	dueAt time.Time
 }
 
 // NewKeeper returns the keeper of a daemon.
 func NewKeeper(w *Watch, rep *replica.Replica, store replica.Log, daemon string, wall func() time.Time) *Keeper {
-	return &Keeper{watch: w, replica: rep, store: store, daemon: daemon, log: w.log, wall: wall, inForce: map[quarantine.Digest]bool{}}
+	return &Keeper{watch: w, replica: rep, store: store, daemon: daemon, log: w.log, wall: wall, inForce: map[quarantine.Digest]*config.Quarantine{}}
 }
 
 // Run keeps them until the context ends.
@@ -90,26 +90,31 @@
 	}
 }
 
-// apply quarantines what the configuration says, and releases what it no longer does.
+// apply quarantines what the configuration says, and releases what it no longer does: one
+// that is gone before its time was taken away by an operator. Daemons end one first.
 func (k *Keeper) apply(view *config.View) {
-	listed := map[quarantine.Digest]bool{}
+	listed := map[quarantine.Digest]*config.Quarantine{}
 	for _, object := range view.List(config.KindQuarantine) {
 		d, err := quarantine.ParseDigest(object.Name)
 		if err != nil {
 			k.log.WithError(err).Error("quarantine passed over") // the fold validates names, so this is a fault of ours
 			continue
 		}
-		listed[d] = true
-		if !k.inForce[d] {
+		listed[d] = object.Quarantine
+		if k.inForce[d] == nil {
 			k.log.WithFields(logrus.Fields{"digest": d, "servers": object.Quarantine.Servers, "offset": object.Revision - 1}).
 				Info("quarantine in force")
 		}
 		k.watch.table.Order(d, k.watch.now().Add(object.Quarantine.Until().Sub(k.wall())))
 	}
-	for d := range k.inForce {
-		if !listed[d] {
+	for d, former := range k.inForce {
+		switch {
+		case listed[d] != nil:
+		case k.wall().Before(former.Until()):
 			k.log.WithFields(logrus.Fields{"digest": d, "offset": view.Configured}).Info("request released from quarantine")
 			k.watch.release(d)
+		default:
+			k.watch.table.Order(d, time.Time{})
 		}
 	}
 	k.inForce = listed
@@ -152,13 +157,26 @@
 	}
 	for d := range k.inForce {
 		object := view.Get(config.KindQuarantine, d.String())
-		if k.watch.table.Cleared(d) || k.wall().After(object.Quarantine.Until().Add(untilSlack)) {
-			changes = append(changes, config.Change{Kind: config.KindQuarantine, Name: d.String(), ExpectedRevision: object.Revision})
+		change := config.Change{Kind: config.KindQuarantine, Name: d.String(), ExpectedRevision: object.Revision}
+		switch until := object.Quarantine.Until(); {
+		case k.wall().After(until.Add(untilSlack)):
+		case k.wall().Before(until) && k.watch.table.Acquitted(d, object.Quarantine.Servers, now):
+			change.Object = ended(object, k.wall())
+		default:
+			continue
 		}
+		changes = append(changes, change)
 	}
 	return changes, foundHere
 }
 
+// ended is a quarantine's object once it's over.
+func ended(object *config.Object, now time.Time) *config.Object {
+	over := *object.Quarantine
+	over.UntilMs = now.UnixMilli()
+	return &config.Object{Kind: object.Kind, Name: object.Name, Quarantine: &over}
+}
+
 // add puts changes onto the log, each by itself: another daemon may have made some of them.
 func (k *Keeper) add(ctx context.Context, changes []config.Change) {
 	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
@@ -168,8 +186,8 @@
 			CommandID: uuid.NewString(), Actor: k.daemon, Reason: "servers end while they run this request",
 			Changes: []config.Change{change},
 		}
-		if change.Object == nil {
-			bundle.Reason = "the quarantine is over, or the request has run to a good end"
+		if change.Object == nil || !change.Object.Quarantine.Until().After(k.wall()) {
+			bundle.Reason = "the quarantine is over, or later evidence speaks for the request"
 		}
 		data, err := config.NewChange(bundle).Encode()
 		if err == nil {
--- a/internal/crashwatch/watch_test.go
+++ b/internal/crashwatch/watch_test.go
@@ -286,6 +286,45 @@
 		Expect(log.records).To(HaveLen(2), "it isn't added again")
 	})
 
+	It("ends at all daemons when later evidence speaks for the request, and nothing is forgotten", func() {
+		w, watch := newWorld()
+		rep := replica.New(func() time.Time { return w.now })
+		log := &fakeLog{replicas: []*replica.Replica{rep}}
+		wall := func() time.Time { return w.now }
+		keeper := NewKeeper(watch, rep, log, "entry", wall)
+		_, other := newWorld()
+		other.now = watch.now
+		others := NewKeeper(other, rep, log, "other", wall)
+		look := func() {
+			for range 3 {
+				keeper.look(context.Background())
+				others.look(context.Background())
+				w.now = w.now.Add(keepPause)
+			}
+		}
+		for _, server := range []string{"a", "b"} {
+			watch.CutOff(d, quarantine.About{}, registry().Server(server))
+			watch.Ended(server, "spec")
+		}
+		w.now = w.now.Add(quarantine.SettleTime)
+		look()
+		Expect(other.Enter(d).State).To(Equal(quarantine.Quarantined))
+		innocent := quarantine.DigestOf("c", "POST", "h", "/beside", nil)
+		var shared []quarantine.Evidence
+		for _, server := range []string{"a", "b"} {
+			shared = append(shared, quarantine.Evidence{Digest: innocent, Server: server, At: w.now})
+		}
+		watch.Hear(shared, "a daemon that was cut off")
+		w.now = w.now.Add(quarantine.SettleTime)
+		look()
+		Expect(other.Enter(d).State).To(Equal(quarantine.Sound), "it has heard of no ends")
+		Expect(watch.Enter(d).State).To(Equal(quarantine.Suspect))
+		w.now = w.now.Add(2 * untilSlack)
+		look()
+		Expect(rep.View().List(config.KindQuarantine)).To(BeEmpty())
+		Expect(watch.Table().Verdict(d, w.now).Servers).To(HaveLen(2))
+	})
+
 	It("leaves the configuration when it's over", func() {
 		w, watch := newWorld()
 		rep := replica.New(func() time.Time { return w.now })
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -234,27 +234,44 @@
 			v.Since = e.at
 		}
 	}
+	v.Until = r.quarantinedUntil(t.count(r, v.Servers))
+	if now.Before(r.ordered) {
+		v.State, v.Until = Quarantined, later(v.Until, r.ordered)
+		return v
+	}
+	v.State = t.stateByEvidence(d, r, v.Servers, now)
+	return v
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// stateByEvidence is what is held of a request under which some servers ended, apart from
+// the operators' configuration.
+func (t *Table) stateByEvidence(d Digest, r *request, servers []string, now time.Time) State {
+	ended := t.count(r, servers)
 	undecided := 0
 	for _, c := range r.cuts {
 		if !c.alive && now.Sub(c.at) < undecidedTime {
 			undecided++
 		}
 	}
-	ended := t.count(r, v.Servers)
-	v.Until = r.quarantinedUntil(ended)
 	switch {
-	case now.Before(r.ordered):
-		v.State = Quarantined
 	case ended == endsToQuarantine && now.Sub(r.newestLearned()) < SettleTime:
-		v.State = Undecided
-	case now.Before(v.Until) && (ended > endsToQuarantine || !t.shared(d, v.Servers)):
-		v.State = Quarantined
+		return Undecided
+	case now.Before(r.quarantinedUntil(ended)) && (ended > endsToQuarantine || !t.shared(d, servers)):
+		return Quarantined
 	case undecided > 0 && ended+undecided >= endsToQuarantine:
-		v.State = Undecided
+		return Undecided
 	case ended+undecided > 0:
-		v.State = Suspect
+		return Suspect
+	default:
+		return Sound
 	}
-	return v
 }
 
 // count is how many of a request's ends count against it: those that came together, while
@@ -328,20 +345,16 @@
 // quarantinedUntil is when the request's quarantine ends or ended, by the ends that count;
 // zero without one.
 func (r *request) quarantinedUntil(ended int) time.Time {
-	until := r.ordered
-	span := time.Duration(0)
 	switch {
 	case ended > endsToQuarantine:
-		span = longQuarantine
+		return r.newestEnd().Add(longQuarantine)
 	case ended == endsToQuarantine && r.endedTogether():
-		span = togetherQuarantine
+		return r.newestEnd().Add(togetherQuarantine)
 	case ended == endsToQuarantine:
-		span = firstQuarantine
+		return r.newestEnd().Add(firstQuarantine)
+	default:
+		return time.Time{}
 	}
-	if by := r.newestEnd().Add(span); span > 0 && by.After(until) {
-		until = by
-	}
-	return until
 }
 
 // endedTogether tells whether all ends that count came within togetherTime.
@@ -586,12 +599,22 @@
 	return true
 }
 
-// Cleared tells whether servers ended under a request and all of these ends are cleared.
-func (t *Table) Cleared(d Digest) bool {
+// Acquitted tells whether a request isn't quarantined by the evidence, though this table
+// has all of the ends for which it was: they have been cleared, or others have turned out
+// to share them.
+func (t *Table) Acquitted(d Digest, servers []string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.requests[d]
-	return r != nil && len(r.ends) > 0 && len(r.endedServers()) == 0
+	if r == nil || len(servers) == 0 {
+		return false
+	}
+	for _, server := range servers {
+		if _, found := r.ends[server]; !found {
+			return false
+		}
+	}
+	return t.stateByEvidence(d, r, r.endedServers(), now) < Undecided
 }
 
 // expire forgets what is too old, from time to time.
