--- a/internal/crashwatch/codec.go
+++ b/internal/crashwatch/codec.go
@@ -45,7 +45,7 @@
 	w.peers[peer] = peerTable{id: news.GetTable(), change: news.GetChange()}
 }
 
-// Forget forgets how far the tables of daemons other than some are known.
+// Forget forgets how far other daemons' tables are known, but for those at some addresses.
 func (w *Watch) Forget(but []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/crashwatch/watch.go
+++ b/internal/crashwatch/watch.go
@@ -52,14 +52,16 @@
 	newsQueue = 256
 )
 
-// Watch is a daemon's. Safe for concurrent use.
+// Watch keeps a daemon's evidence and finds out what is missing of it. Safe for
+// concurrent use.
 type Watch struct {
-	table   *quarantine.Table
-	prober  Prober
-	now     func() time.Time
-	after   func(time.Duration, func())
-	log     *logrus.Entry
-	news    chan []quarantine.Evidence
+	table  *quarantine.Table
+	prober Prober
+	now    func() time.Time
+	after  func(time.Duration, func())
+	log    *logrus.Entry
+	news   chan []quarantine.Evidence
+	// tableID names the table to other daemons; never 0, which stands for none.
 	tableID uint64
 	// changed gets a value when the quarantines may have changed.
 	changed chan struct{}
--- a/internal/loadfeed/loadfeed.go
+++ b/internal/loadfeed/loadfeed.go
@@ -105,12 +105,12 @@
 
 // Receiver takes in what agents tell.
 type Receiver struct {
-	// Servers returns what is registered at present, or nil.
-	Servers func() *fleet.Servers
-	Board   Board
-	Engines Engines
-	Now     func() time.Time
-	Log     *logrus.Entry
+	// servers returns what is registered at present, or nil.
+	servers func() *fleet.Servers
+	board   Board
+	engines Engines
+	now     func() time.Time
+	log     *logrus.Entry
 	// newest is the newest report of each address.
 	newest map[string]reportOrder
 }
@@ -124,7 +124,7 @@
 
 // NewReceiver returns a receiver that knows no reports yet.
 func NewReceiver(servers func() *fleet.Servers, board Board, engines Engines, now func() time.Time, log *logrus.Entry) *Receiver {
-	return &Receiver{Servers: servers, Board: board, Engines: engines, Now: now, Log: log, newest: map[string]reportOrder{}}
+	return &Receiver{servers: servers, board: board, engines: engines, now: now, log: log, newest: map[string]reportOrder{}}
 }
 
 // late tells whether a newer report of the same agent's process has been taken in.
@@ -152,7 +152,7 @@
 		}
 		var report peerrpc.LoadReport
 		if err := proto.Unmarshal(buffer[:n], &report); err != nil {
-			r.Log.WithError(err).Debug("load report not understood")
+			r.log.WithError(err).Debug("load report not understood")
 			continue
 		}
 		r.take(&report)
@@ -163,7 +163,7 @@
 // only if the server is registered as a rank of it: a report of any other would
 // speak for the group's real ranks.
 func (r *Receiver) take(report *peerrpc.LoadReport) {
-	servers := r.Servers()
+	servers := r.servers()
 	if servers == nil {
 		return
 	}
@@ -177,18 +177,18 @@
 	// Another start than the registered one is the next: the agent sees it before the
 	// registry tells. Nothing that it says of itself is the former start's.
 	again := report.GetBorn() != 0 && server.Born != 0 && report.GetBorn() != server.Born
-	r.Engines.Engine(server.Key(), !report.GetEnded() && !again)
+	r.engines.Engine(server.Key(), !report.GetEnded() && !again)
 	if report.GetEnded() {
 		return
 	}
-	now := r.Now()
+	now := r.now()
 	if !again {
-		r.Board.ReportLoad(server.Key(), dispatch.Load{
+		r.board.ReportLoad(server.Key(), dispatch.Load{
 			Running: max(int(report.GetRunning()), 0), Waiting: max(int(report.GetQueued()), 0), Pace: report.GetPace(),
 		}, now)
 	}
 	if server.Rank != nil && report.GetGroup() == server.Rank.Group {
-		r.Board.ReportGroup(fleet.GroupRank{
+		r.board.ReportGroup(fleet.GroupRank{
 			Group: report.GetGroup(), Epoch: report.GetEpoch(), Rank: int(report.GetRank()), Size: int(report.GetSize()), Open: report.GetOpen(),
 		}, now)
 	}
