soak: entries of other writers lie on the store

Cause: nothing of ours played entries that other writers leave on the store beside faults. Change: short records, records of other types and bytes that can't be read lie in the configuration's log, the history of leases and the registrations from the start.

--- a/standins/soak/soak.go
+++ b/standins/soak/soak.go
@@ -72,6 +72,9 @@
 	if err := cluster.Start(); err != nil {
 		return err
 	}
+	if err := cluster.Litter(); err != nil {
+		return err
+	}
 	r := &run{
 		options: o, cluster: cluster, random: rand.New(rand.NewPCG(o.Seed, 1)), began: time.Now(), changed: map[string]int{},
 	}
