--- /dev/null
+++ b/internal/membership/otherwriters_test.go
@@ -0,0 +1,85 @@
+package membership
+
+import (
+	"fmt"
+	"maps"
+	"strings"
+
+	"github.com/crowbridge/crowbridge/internal/peerrpc"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+)
+
+var _ = Describe("entries of other writers", func() {
+	It("uses no server that an entry of another writer stands for, and says so once", func() {
+		b := newBench()
+		b.store.append(TopicServers, "a", "1.1.1.1:1")
+		b.store.append(TopicServers, "b", "1.1.1.2:1")
+		Expect(b.read()).To(Succeed())
+		for range 3 {
+			b.store.append(TopicServers, "a", " no address")
+			Expect(b.read()).To(Succeed())
+		}
+		Expect(b.ids()).To(ConsistOf("b"))
+		refusals := 0
+		for _, entry := range b.logs.AllEntries() {
+			if strings.Contains(entry.Message, "registration refused") {
+				refusals++
+			}
+		}
+		Expect(refusals).To(Equal(1))
+		b.store.append(TopicServers, "a", "1.1.1.1:1")
+		Expect(b.read()).To(Succeed())
+		Expect(b.ids()).To(ConsistOf("a", "b"))
+	})
+
+	// Good entries with any mix of bad ones between them give exactly the good ones, read
+	// from the store in any portions or told by a neighbour.
+	It("uses exactly the servers that good entries name", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			here, there := newBench(), newBench()
+			want := map[string]bool{}
+			for range rapid.IntRange(1, 25).Draw(t, "entries") {
+				id := fmt.Sprint("s", rapid.IntRange(0, 5).Draw(t, "server"))
+				switch rapid.IntRange(0, 4).Draw(t, "entry") {
+				case 0, 1:
+					here.store.append(TopicServers, id, "1.1.1.1:1")
+					want[id] = true
+				case 2:
+					here.store.append(TopicServers, id, " bad")
+					delete(want, id)
+				case 3:
+					here.store.append(TopicServers, id, "")
+					delete(want, id)
+				case 4:
+					here.store.append(TopicServers, "", "")
+					last := &here.store.records[TopicServers][len(here.store.records[TopicServers])-1]
+					last.Unreadable = "shorter than its key"
+				}
+				if rapid.Bool().Draw(t, "read now") {
+					if err := here.read(); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+			if err := here.read(); err != nil {
+				t.Fatal(err)
+			}
+			log := logrus.NewEntry(logrus.New())
+			told := NewExchange(here.members, Peer{}, nil, nil, log)
+			_, servers := told.changes(offsets{unknown, unknown})
+			NewExchange(there.members, Peer{}, nil, nil, log).takeIn(&peerrpc.ExchangeReply{Servers: servers}, there.now, "a neighbour")
+			for _, b := range []*bench{here, there} {
+				got := map[string]bool{}
+				for _, id := range b.ids() {
+					got[id] = true
+				}
+				if !maps.Equal(got, want) {
+					t.Fatalf("servers %v, want %v", got, want)
+				}
+			}
+		})
+	})
+})
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -122,8 +122,8 @@
 
 // count is how many of a request's ends count against it: those that came together, while
 // another server ended with them at which it wasn't in progress, have one cause that isn't
-// the request. A rack or zone fails so; on a played day with a failure of a whole rack a
-// request whose attempt was repeated at once had two of the rack's four ends.
+// the request. A rack or zone fails so: a request whose attempt was repeated at once had two
+// of the four ends of one that failed.
 func (t *Table) count(r *request, servers []string) int {
 	if len(servers) < endsToQuarantine {
 		return len(servers)
