--- a/internal/crashwatch/codec.go
+++ b/internal/crashwatch/codec.go
@@ -69,6 +69,15 @@
 	return encoded
 }
 
+// oldest bounds an age that is told: tables forget what is older than a day.
+const oldest = 48 * time.Hour
+
+// age reads one in milliseconds, within bounds: too large a number of them would be a time
+// to come.
+func age(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), oldest.Milliseconds())) * time.Millisecond
+}
+
 // Decode reads such messages, and leaves out what has no digest or server.
 func Decode(messages []*peerrpc.CrashEvidence, now time.Time) []quarantine.Evidence {
 	evidence := make([]quarantine.Evidence, 0, len(messages))
@@ -78,7 +87,7 @@
 		}
 		evidence = append(evidence, quarantine.Evidence{
 			Digest: quarantine.Digest(m.GetDigest()), About: quarantine.About{Customer: m.GetCustomer(), Path: m.GetPath()}, Server: m.GetServer(), Cleared: m.GetCleared(),
-			At: now.Add(-time.Duration(max(m.GetAgeMs(), 0)) * time.Millisecond),
+			At: now.Add(-age(m.GetAgeMs())),
 		})
 	}
 	return evidence
