quarantine: operators may prolong one that entries set

'Acquitted' asked whether the evidence quarantines the request now, so that one whose 30 minutes were over counted as acquitted, and a daemon would have ended an object whose end an operator had put later. Change: only evidence acquits: cleared ends, ends with one cause that isn't the request, or ends that another request shares. Before: the new spec failed (acquitted after an hour); after: it passes.

--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -355,9 +355,9 @@
 	return true
 }
 
-// Acquitted tells whether a request isn't quarantined by the evidence, though this table
-// has all of the ends for which it was: they have been cleared, or others have turned out
-// to share them.
+// Acquitted tells whether the evidence speaks for a request, though this table has all of
+// the ends for which it was quarantined: they have been cleared, or others have turned out
+// to share them. That its time is over doesn't: operators may have prolonged it.
 func (t *Table) Acquitted(d Digest, servers []string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -370,5 +370,9 @@
 			return false
 		}
 	}
-	return t.stateByEvidence(d, r, r.endedServers(), now) < Undecided
+	left := r.endedServers()
+	if ended := t.count(r, left); ended != endsToQuarantine {
+		return ended < endsToQuarantine
+	}
+	return now.Sub(r.newestLearned()) >= SettleTime && t.shared(d, left)
 }
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -162,6 +162,16 @@
 		Expect(table.Verdict(d, later).Until.Sub(later)).To(Equal(24 * time.Hour))
 	})
 
+	It("isn't acquitted because its time is over: operators may have prolonged it", func() {
+		ends(table, d, "a", start)
+		ends(table, d, "b", start.Add(2*time.Second))
+		both := []string{"a", "b"}
+		Expect(table.Acquitted(d, both, start.Add(time.Minute))).To(BeFalse())
+		Expect(table.Acquitted(d, both, start.Add(time.Hour))).To(BeFalse())
+		table.Served(d)
+		Expect(table.Acquitted(d, both, start.Add(time.Hour))).To(BeTrue())
+	})
+
 	It("is quarantined and released as the operators' configuration says", func() {
 		table.Order(d, start.Add(time.Minute))
 		Expect(state(start)).To(Equal(quarantine.Quarantined))
