--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -30,6 +30,7 @@
 	defer func() { _ = answer.Body.Close() }() // read, or given up
 	x.sent++
 	x.movesOn = answer.Info.MovesOn
+	p.hear(x, server, answer)
 	if answer.Info.HasLoad && server.Rank == nil {
 		p.board.ReportLoad(server.Key(), answer.Info.Load, p.now())
 	}
--- a/internal/dispatch/board.go
+++ b/internal/dispatch/board.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/crowbridge/crowbridge/internal/eligibility"
 	"github.com/crowbridge/crowbridge/internal/fleet"
 )
 
@@ -43,6 +44,8 @@
 	failures   int
 	avoidUntil time.Time
 	took       float64 // smoothed time of own plain answers, in seconds
+	// notice is what the server has said of itself.
+	notice eligibility.Notice
 }
 
 const (
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -19,6 +19,12 @@
 	Occupied float64
 	// Silent is how many servers were passed over because their VM has fallen silent.
 	Silent int
+	// Failures are the server's in a row; Avoided is set when it's chosen although it's
+	// passed over for them, because there is no other.
+	Failures int
+	Avoided  bool
+	// RestLeft is how much is left of the rest that the server has asked for.
+	RestLeft time.Duration
 	// score is what the choice is made by; the lowest wins.
 	score float64
 }
@@ -50,7 +56,10 @@
 		if silent[server.Key()] || (request.Suspect && r.suspects > 0) {
 			score += slowPenalty
 		}
-		candidates = append(candidates, Choice{Server: server, Load: load, LoadAge: now.Sub(r.reportedAt), score: score})
+		candidates = append(candidates, Choice{
+			Server: server, Load: load, LoadAge: now.Sub(r.reportedAt), score: score,
+			Failures: r.failures, Avoided: now.Before(r.avoidUntil), RestLeft: r.notice.AskForRest(0, now),
+		})
 	}
 	best := b.bestOfZones(unpenalized(candidates))
 	best.Silent = len(silent)
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -98,5 +98,6 @@
 		"step": f.Step, "outcome": f.Outcome, "cut_off": x.cutOff,
 		"code": f.Code, "cause": f.Detail, "sent": x.sent, "begun": x.begun, "last_event": x.lastEvent,
 		"left_ms": x.Limit.Sub(p.now()).Milliseconds(), "again": again, "load": x.picked.Load, "load_age_ms": loadAge(x.picked),
+		"failures": x.picked.Failures, "avoided": x.picked.Avoided, "rest_left_ms": x.picked.RestLeft.Milliseconds(),
 	}).Info("attempt failed")
 }
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -91,7 +91,10 @@
 	HasLoad bool
 	// FaultyServer is the server on whose account a group refused the request.
 	FaultyServer string
-	RetryAfter   time.Duration
+	// RetryAfter is how long the server wants no requests.
+	RetryAfter time.Duration
+	// Leaving is set when the server says that it leaves.
+	Leaving bool
 	// Vouched is set when an agent of ours answers for the server: the answer is whole
 	// and the request's, whatever its status.
 	Vouched bool
