--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -37,6 +37,11 @@
 }
 
 func benchBefore(backend string, slots int) *bench {
+	return benchUntil(func(stop func()) { DeferCleanup(stop) }, backend, slots)
+}
+
+// benchUntil is benchBefore for any test; cleanup takes what ends it.
+func benchUntil(cleanup func(stop func()), backend string, slots int) *bench {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	policy := config.Policy{ClockSkewMs: 1, KeyWindowSeconds: 60}.WithDefaults()
@@ -55,7 +60,7 @@
 	a.recorded(nil)
 	a.Configure(Configuration{Policy: policy, MaxConcurrency: slots, Homes: config.HomesChange{TimeMs: 1}})
 	server := httptest.NewServer(a)
-	DeferCleanup(server.Close)
+	cleanup(server.Close)
 	return &bench{agent: a, server: server}
 }
 
--- a/standins/hosted/hosted_test.go
+++ b/standins/hosted/hosted_test.go
@@ -369,10 +369,16 @@
 
 // listen serves a handler at an address until the spec ends.
 func listen(address string, handler http.Handler) string {
+	at, stop := serveAt(address, handler)
+	DeferCleanup(stop)
+	return at
+}
+
+// serveAt serves a handler at an address until stop is called.
+func serveAt(address string, handler http.Handler) (at string, stop func()) {
 	listener, err := net.Listen("tcp", address)
 	Expect(err).NotTo(HaveOccurred())
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(listener) }()
-	DeferCleanup(server.Close)
-	return listener.Addr().String()
+	return listener.Addr().String(), func() { _ = server.Close() }
 }
