--- a/cmd/crowbridged/agent.go
+++ b/cmd/crowbridged/agent.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/agent"
+	"github.com/crowbridge/crowbridge/internal/clock"
 	"github.com/crowbridge/crowbridge/internal/config"
 	"github.com/crowbridge/crowbridge/internal/daemon"
 	"github.com/crowbridge/crowbridge/internal/peerrpc"
@@ -86,7 +87,7 @@
 		Protocol: config.Protocol(cmd.String("protocol")),
 		MaxBody:  int64(cmd.Int("max-body")), MaxAnswer: int64(cmd.Int("max-answer")),
 		MaxQueued: cmd.Int("max-queued"), MaxConcurrency: concurrency(cmd, rep.View()),
-		Key: cmd.String("daemon-key"),
+		Key: cmd.String("daemon-key"), Elapsed: clock.New(p.log).Now,
 	}, rep.View().Policy(), time.Now, p.log)
 	daemon.ExportLedger(a.Ledger)
 	p.loop(func(ctx context.Context) { followConfiguration(ctx, cmd, a, rep) })
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -9,6 +9,7 @@
 
 	"github.com/crowbridge/crowbridge/internal/admission"
 	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/eligibility"
 	"github.com/crowbridge/crowbridge/internal/failure"
 	"github.com/crowbridge/crowbridge/internal/outcome"
 	"github.com/crowbridge/crowbridge/internal/wire"
@@ -33,6 +34,9 @@
 	MaxConcurrency int
 	// Key authenticates daemons to each other.
 	Key string
+	// Elapsed gives times that count suspensions of the VM, for comparing with each other
+	// only; nil for those of the agent's own clock.
+	Elapsed func() time.Time
 }
 
 const (
@@ -52,6 +56,7 @@
 	log         *logrus.Entry
 	incarnation string
 	now         func() time.Time
+	elapsed     func() time.Time
 
 	mu      sync.Mutex
 	queue   *admission.Queue
@@ -62,6 +67,10 @@
 	draining bool
 	homes    int64 // offset of the last change of where the service's keys live
 	timer    *time.Timer
+	// notice is what the server has said of itself, lookedAt when it was last looked
+	// whether it has ended.
+	notice   eligibility.Notice
+	lookedAt time.Time
 	active   int // handlers between arrival and the last byte of the answer
 
 	ledger outcome.Ledger
@@ -82,10 +91,14 @@
 		log:         log,
 		incarnation: uuid.NewString(),
 		now:         now,
+		elapsed:     options.Elapsed,
 		waiters:     map[string]*waiter{},
 		idle:        make(chan struct{}),
 		homes:       config.NoOffset,
 	}
+	if a.elapsed == nil {
+		a.elapsed = now
+	}
 	a.queue = admission.NewQueue(admission.Options{
 		Limit: admission.LimitOptions{
 			Min: 1, Max: options.MaxConcurrency,
@@ -184,6 +197,9 @@
 	if a.leaving {
 		return nil, failure.NotRun(failure.StepQueue, a.options.Server, failure.CodeLeaving, "the server is leaving").After(comeBack)
 	}
+	if bar := a.bar(); bar != nil {
+		return nil, a.barred(bar)
+	}
 	if f := a.queue.Offer(a.now(), request); f != nil {
 		f.Peer = a.options.Server
 		return nil, f
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -89,7 +89,15 @@
 	ctx                     context.Context
 }
 
+// do sends a request. It returns nil without an answer.
 func (b *bench) do(q ask) (*http.Response, string) {
+	response, body, err := b.try(q)
+	Expect(err).NotTo(HaveOccurred())
+	return response, body
+}
+
+// try is do for any test.
+func (b *bench) try(q ask) (*http.Response, string, error) {
 	if q.ctx == nil {
 		q.ctx = context.Background()
 	}
@@ -100,7 +108,9 @@
 		q.id = uuid.NewString()
 	}
 	request, err := http.NewRequestWithContext(q.ctx, http.MethodPost, b.server.URL+"/dispatch/x", bytes.NewBufferString(q.body))
-	Expect(err).NotTo(HaveOccurred())
+	if err != nil {
+		return nil, "", err
+	}
 	(&wire.Envelope{
 		RequestID: q.id, Customer: q.customer, Weight: 1, Class: config.ClassNormal,
 		Budget: q.budget, Idempotent: q.idempotent, Key: q.key, Cost: 1, Server: "s1",
@@ -108,12 +118,11 @@
 	request.Header.Set(wire.HeaderAuth, "daemon")
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return nil, ""
+		return nil, "", nil // the caller left, or the connection was cut
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	Expect(err).NotTo(HaveOccurred())
-	return response, string(body)
+	return response, string(body), err
 }
 
 func newKey() string { return uuid.Must(uuid.NewV7()).String() }
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -12,8 +12,10 @@
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/eligibility"
 	"github.com/crowbridge/crowbridge/internal/failure"
 	"github.com/crowbridge/crowbridge/internal/outcome"
+	"github.com/crowbridge/crowbridge/internal/upstream"
 	"github.com/crowbridge/crowbridge/internal/wire"
 	"github.com/pkg/errors"
 )
@@ -27,10 +29,16 @@
 // transport to the backend server: no retries of its own. Go's transport
 // repeats a request on a reused connection that proved dead, unless the request
 // has a body without GetBody; start takes care of that.
-var transport = &http.Transport{
-	MaxIdleConnsPerHost: 256,
-	DisableCompression:  true,
-	DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+var transport = newTransport()
+
+func newTransport() *http.Transport {
+	t := &http.Transport{
+		MaxIdleConnsPerHost: 256,
+		DisableCompression:  true,
+		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+	}
+	upstream.AskPermits(t)
+	return t
 }
 
 // start sends the request to the server. From here on a failure is unknown,
@@ -42,6 +50,7 @@
 		a.done(j.envelope.RequestID, 0, true)
 		return nil, failure.NotRun(failure.StepRun, a.options.Server, failure.CodeCanceled, "the caller left, or the deadline passed, before the start")
 	}
+	ctx, permission := upstream.WithPermit(ctx, a.permit)
 	request, err := http.NewRequestWithContext(ctx, j.request.Method, a.options.Backend+j.request.URL.RequestURI(), a.once(j.body))
 	if err != nil {
 		cancel()
@@ -53,12 +62,19 @@
 	request.Header.Set(wire.HeaderPriority, strconv.Itoa(enginePriority(j.envelope.Class)))
 	request.Header.Set(wire.HeaderRequestID, j.envelope.RequestID)
 	response, err := transport.RoundTrip(request)
+	var barred *eligibility.BarredError
+	if errors.As(permission.Refused(), &barred) {
+		cancel()
+		a.done(j.envelope.RequestID, 0, true)
+		return nil, a.barred(barred.Bar)
+	}
 	if err != nil {
 		f := a.callFailure(ctx, err)
 		cancel()
 		a.done(j.envelope.RequestID, 0, false)
 		return nil, f
 	}
+	a.hear(response)
 	return &call{response: response, cancel: cancel}, nil
 }
 
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -39,6 +39,9 @@
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
 	reply := &rpc.EngineReply{Server: c.Agent.options.Server}
+	if c.Agent.permit() != nil {
+		return reply, nil // it wants nothing, also no look: whether it has ended is unknown
+	}
 	switch upstream.ProbeAddress(ctx, backend.Host) {
 	case crashwatch.Listening:
 		reply.State = rpc.EngineState_ENGINE_STATE_LISTENING
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -68,6 +68,7 @@
 	h.Set(wire.HeaderServer, a.options.Server)
 	h.Set(wire.HeaderIncarnation, a.incarnation)
 	h.Set(wire.HeaderLoad, a.Load().String())
+	wire.WriteRest(h, a.restLeft())
 }
 
 func (a *Agent) run(j *job) *failure.Error {
--- a/internal/agent/rest_test.go
+++ b/internal/agent/rest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -33,7 +34,7 @@
 }
 
 func TestAgentLetsItsServerRest(t *testing.T) {
-	RegisterTestingT(t)
+	g := NewWithT(t) // specs that have ended may still be asking
 	var runs atomic.Int64
 	release := make(chan struct{})
 	backend := httptest.NewServer(restingBackend(&runs, release))
@@ -45,29 +46,72 @@
 	replies := make(chan *http.Response, 3)
 	send := func(q ask) {
 		waiting.Go(func() {
-			response, _ := b.do(q)
+			response, _, err := b.try(q)
+			if err != nil {
+				t.Error(err)
+			}
 			replies <- response
 		})
 	}
 	send(ask{})
-	Eventually(runs.Load).Should(Equal(int64(1)))
+	g.Eventually(runs.Load).Should(Equal(int64(1)))
 	send(ask{idempotent: true})
 	send(ask{key: newKey()})
-	Eventually(func() int { return b.agent.Load().Queued }).Should(Equal(2))
+	g.Eventually(func() int { return b.agent.Load().Queued }).Should(Equal(2))
 	close(release)
 	waiting.Wait()
 	for range 3 {
 		response := <-replies
-		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
 	}
 
 	// Those that come later are refused at once, and told when.
 	for _, q := range []ask{{}, {idempotent: true}, {key: newKey()}} {
-		response, _ := b.do(q)
-		Expect(outcomeOf(response)).To(Equal("not-run"))
+		response, _, err := b.try(q)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(outcomeOf(response)).To(Equal("not-run"))
 		hint, err := time.ParseDuration(response.Header.Get(wire.HeaderRetryAfterMs) + "ms")
-		Expect(err).NotTo(HaveOccurred())
-		Expect(hint).To(BeNumerically(">", 30*time.Second))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(hint).To(BeNumerically(">", 30*time.Second))
 	}
-	Expect(runs.Load()).To(Equal(int64(1)), "requests that reached the server while it rests")
+	g.Expect(runs.Load()).To(Equal(int64(1)), "requests that reached the server while it rests")
+}
+
+func TestAgentSendsNothingToAServerThatLeaves(t *testing.T) {
+	g := NewWithT(t)
+	var runs atomic.Int64
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		w.Header().Set(wire.HeaderServerLeaving, "1")
+		fmt.Fprint(w, "done")
+	}))
+	address := backend.Listener.Addr().String()
+	b := benchUntil(t.Cleanup, backend.URL, 1)
+	status := func() int {
+		response, _, err := b.try(ask{idempotent: true})
+		g.Expect(err).NotTo(HaveOccurred())
+		return response.StatusCode
+	}
+	g.Expect(status()).To(Equal(http.StatusOK), "the answer that says so is the caller's")
+	for range 5 {
+		g.Expect(status()).To(Equal(http.StatusServiceUnavailable))
+	}
+	g.Expect(runs.Load()).To(Equal(int64(1)))
+
+	// Its next start has said nothing.
+	backend.Close()
+	g.Eventually(func() bool {
+		status() // the agent looks while it's asked
+		b.agent.mu.Lock()
+		defer b.agent.mu.Unlock()
+		return b.agent.bar() == nil
+	}, "10s").Should(BeTrue())
+	listener, err := net.Listen("tcp", address)
+	g.Expect(err).NotTo(HaveOccurred())
+	next := &httptest.Server{Listener: listener, Config: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, "done")
+	})}}
+	next.Start()
+	t.Cleanup(next.Close)
+	g.Expect(status()).To(Equal(http.StatusOK))
 }
--- a/internal/crashwatch/watch.go
+++ b/internal/crashwatch/watch.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/crowbridge/crowbridge/internal/eligibility"
 	"github.com/crowbridge/crowbridge/internal/fleet"
 	"github.com/crowbridge/crowbridge/internal/quarantine"
 	"github.com/sirupsen/logrus"
@@ -65,6 +66,8 @@
 	tableID uint64
 	// changed gets a value when the quarantines may have changed.
 	changed chan struct{}
+	// bars tells why a server gets no requests by its own word, or nil.
+	bars func(server string) *eligibility.Bar
 
 	mu sync.Mutex // taken before the table's
 	// servers is the registry as last seen.
@@ -81,9 +84,23 @@
 		table: quarantine.NewTable(), prober: prober, now: now, after: after, log: log,
 		news: make(chan []quarantine.Evidence, newsQueue), tableID: rand.Uint64() | 1, changed: make(chan struct{}, 1),
 		lastCuts: map[string]time.Time{}, peers: map[string]peerTable{},
+		bars: func(string) *eligibility.Bar { return nil },
 	}
 }
 
+// SetBars makes the watch heed what servers say of themselves. Call it before the first
+// request.
+func (w *Watch) SetBars(bars func(server string) *eligibility.Bar) { w.bars = bars }
+
+// leaves tells whether a server is to leave, by its registration or its own word.
+func (w *Watch) leaves(server *fleet.Server) bool {
+	if server.Leaving {
+		return true
+	}
+	bar := w.bars(server.Key())
+	return bar != nil && bar.Reason == eligibility.Leaving
+}
+
 // Empty implements dispatch.Quarantine.
 func (w *Watch) Empty() bool { return w.table.Empty() }
 
@@ -105,7 +122,7 @@
 // CutOff implements dispatch.Quarantine. What a server that is to leave cuts off says
 // nothing against the request.
 func (w *Watch) CutOff(d quarantine.Digest, about quarantine.About, server *fleet.Server) {
-	if registered := w.registered(server.Key()); registered == nil || registered.Leaving {
+	if registered := w.registered(server.Key()); registered == nil || w.leaves(registered) {
 		return
 	}
 	now := w.now()
@@ -136,6 +153,12 @@
 		return
 	}
 	began := w.now()
+	if bar := w.bars(server.Key()); bar != nil {
+		w.log.WithFields(logrus.Fields{"server": server.ID, "reason": bar.Reason}).
+			Info("server cut requests off and isn't probed, by its own word: taken for alive until it's known to have ended")
+		w.table.Alive(server.Key(), began)
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	switch w.prober.Probe(ctx, server) {
@@ -226,7 +249,7 @@
 	for id, old := range before.All() {
 		current := servers.Server(id)
 		switch {
-		case current == nil && !old.Leaving:
+		case current == nil && !w.leaves(old):
 			w.Ended(old.Key(), "its registration is gone")
 		case current != nil && current.Key() != old.Key():
 			w.Ended(old.Key(), "it has started again")
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -18,7 +18,7 @@
 		return f
 	}
 	if a.Info.NotRun {
-		return p.refused(server, a)
+		return p.refused(x, server, a)
 	}
 	x.mayHaveRun = true
 	if a.Info.Vouched {
@@ -57,7 +57,7 @@
 }
 
 // refused explains an answer that says the request didn't run.
-func (p *Pipeline) refused(server *fleet.Server, a *Answer) *failure.Error {
+func (p *Pipeline) refused(x *exchange, server *fleet.Server, a *Answer) *failure.Error {
 	now := p.now()
 	if a.Status == http.StatusMisdirectedRequest {
 		p.chooser.Failed(server.Key(), now)
@@ -72,5 +72,5 @@
 			"the server's group is broken at "+a.Info.FaultyServer).After(groupRetry)
 	}
 	p.chooser.Failed(server.Key(), now)
-	return failure.NotRun(failure.StepQueue, server.ID, failure.CodeOverloaded, "the server refused the request").After(max(a.Info.RetryAfter, noServerRetry))
+	return failure.NotRun(failure.StepQueue, server.ID, failure.CodeOverloaded, "the server refused the request").After(p.comeBack(x))
 }
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/crowbridge/crowbridge/internal/eligibility"
 	"github.com/crowbridge/crowbridge/internal/failure"
 	"github.com/crowbridge/crowbridge/internal/fleet"
 	"github.com/pkg/errors"
@@ -14,7 +15,7 @@
 func (p *Pipeline) attempt(ctx context.Context, x *exchange, server *fleet.Server, caller Caller) *failure.Error {
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	ctx, cancel := p.attemptContext(ctx, x)
+	ctx, cancel := p.attemptContext(ctx, x, server)
 	defer cancel()
 	watch := p.newStallWatch(x, server, end)
 	defer watch.stop()
@@ -30,7 +31,7 @@
 	defer func() { _ = answer.Body.Close() }() // read, or given up
 	x.sent++
 	x.movesOn = answer.Info.MovesOn
-	p.hear(x, server, answer)
+	p.hear(x, server, answer.Info)
 	if answer.Info.HasLoad && server.Rank == nil {
 		p.board.ReportLoad(server.Key(), answer.Info.Load, p.now())
 	}
@@ -65,9 +66,9 @@
 const firstTryPart = 0.8
 
 // attemptContext bounds an attempt that can be followed by another.
-func (p *Pipeline) attemptContext(ctx context.Context, x *exchange) (context.Context, context.CancelFunc) {
+func (p *Pipeline) attemptContext(ctx context.Context, x *exchange, server *fleet.Server) (context.Context, context.CancelFunc) {
 	another := x.sent+1 < x.route.MaxAttempts
-	if x.route.Kind != fleet.KindIdempotent || !another || x.route.Objective <= 0 {
+	if x.route.Kind != fleet.KindIdempotent || !another || x.route.Objective <= 0 || !p.anotherTakes(x, server) {
 		return context.WithCancel(ctx)
 	}
 	return context.WithTimeout(ctx, time.Duration(firstTryPart*float64(x.route.Objective)))
@@ -81,11 +82,18 @@
 	if x.lastEvent >= 0 {
 		a.Resume, a.ResumeAfter = true, x.lastEvent
 	}
+	if x.Homes == nil { // a home's agent has recorded answers to give, and keeps its server's word
+		a.Permit = func() error { return p.permit(server) }
+	}
 	return a
 }
 
 // unanswered explains an attempt without any answer.
 func (p *Pipeline) unanswered(ctx context.Context, x *exchange, server *fleet.Server, e *SendError) *failure.Error {
+	var barred *eligibility.BarredError
+	if errors.As(e, &barred) {
+		return p.barred(x, server, barred.Bar)
+	}
 	step, code, outcome := failure.StepSend, failure.CodeServerLost, failure.OutcomeNotRun
 	detail := e.Error()
 	if x.Homes != nil {
--- a/internal/dispatch/board.go
+++ b/internal/dispatch/board.go
@@ -109,9 +109,14 @@
 	return r
 }
 
+// keepNotice is how long what a server has said is kept although its start is no longer
+// registered: a registration may come back as somebody tells an older state, seconds later;
+// the longest outages of the store take minutes.
+const keepNotice = 10 * time.Minute
+
 // Keep forgets servers that are no longer registered and that no request is at, and
 // groups of which no rank is registered.
-func (b *Board) Keep(servers *fleet.Servers) {
+func (b *Board) Keep(servers *fleet.Servers, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	registered := map[string]bool{}
@@ -123,7 +128,7 @@
 	maps.DeleteFunc(b.groups, func(group string, _ *groupState) bool { return !registered[group] })
 	maps.DeleteFunc(b.eventAt, func(group string, _ time.Time) bool { return !registered[group] })
 	for key, r := range b.rows {
-		if servers.Started(key) == nil && r.inFlight == 0 {
+		if servers.Started(key) == nil && r.inFlight == 0 && now.Sub(r.notice.SaidAt()) > keepNotice {
 			delete(b.rows, key)
 		}
 	}
@@ -137,6 +142,8 @@
 	ReportedAt time.Time
 	// Avoided is set while the server is passed over because it failed.
 	Avoided bool
+	// Bar is why it gets no requests by its own word, or nil.
+	Bar *eligibility.Bar
 }
 
 // Seen returns what is known of a server.
@@ -149,7 +156,7 @@
 	}
 	return Seen{
 		InFlight: r.inFlight, Running: r.reported.Running, Waiting: r.reported.Waiting,
-		ReportedAt: r.reportedAt, Avoided: now.Before(r.avoidUntil),
+		ReportedAt: r.reportedAt, Avoided: now.Before(r.avoidUntil), Bar: r.notice.Bar(now),
 	}
 }
 
--- a/internal/dispatch/notice.go
+++ b/internal/dispatch/notice.go
@@ -1,40 +1,151 @@
 package dispatch
 
 import (
-	"net/http"
+	"fmt"
 	"time"
 
-	"github.com/crowbridge/crowbridge/internal/fleet"
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
+
+	"github.com/crowbridge/crowbridge/internal/eligibility"
+	"github.com/crowbridge/crowbridge/internal/failure"
+	"github.com/crowbridge/crowbridge/internal/fleet"
 )
 
 // hear takes in what a server says of itself in an answer, whoever's request it answers.
-func (p *Pipeline) hear(x *exchange, server *fleet.Server, a *Answer) {
-	if a.Status == http.StatusMisdirectedRequest {
-		return // another server speaks
-	}
-	now := p.now()
+// Passed on as a hint to that one caller only, the word is forgotten, and the next request
+// goes where none is wanted.
+func (p *Pipeline) hear(x *exchange, server *fleet.Server, info AnswerInfo) {
 	log := p.log.WithFields(logrus.Fields{"server": server.ID, "start": server.Key(), "request": x.request.ID})
-	if a.Info.Leaving && p.board.leaves(server.Key(), now) {
+	if info.OddRetryAfter != "" {
+		log.WithField("said", info.OddRetryAfter).Warn("server asks for rest in words that can't be read: it isn't kept")
+	}
+	left, leaves := p.chooser.Heard(server.Key(), info, p.now())
+	if leaves {
+		countWord(x.Service, eligibility.Leaving)
 		log.Info("server says that it leaves")
 	}
-	if a.Status == http.StatusServiceUnavailable && a.Info.RetryAfter > 0 {
-		left := p.board.asksForRest(server.Key(), a.Info.RetryAfter, now)
-		log.WithFields(logrus.Fields{"asked_ms": a.Info.RetryAfter.Milliseconds(), "left_ms": left.Milliseconds()}).Info("server asks for rest")
+	if info.RetryAfter > 0 {
+		countWord(x.Service, eligibility.Resting)
+		log.WithFields(logrus.Fields{"asked_ms": info.RetryAfter.Milliseconds(), "left_ms": left.Milliseconds()}).Info("server asks for rest")
+	}
+}
+
+// countWord enters a word of a server.
+func countWord(service string, reason eligibility.Reason) {
+	metrics.GetOrCreateCounter(`crowbridge_server_words_total{service="` + service + `",word="` + string(reason) + `"}`).Inc()
+}
+
+// permit returns why nothing may be sent to a server now, or nil.
+func (p *Pipeline) permit(server *fleet.Server) error {
+	if bar := p.chooser.Bar(server.Key(), p.now()); bar != nil {
+		return &eligibility.BarredError{Bar: bar}
+	}
+	return nil
+}
+
+// barred explains an attempt that ended before anything was sent, because its server had
+// spoken since it was chosen. What was taken from the retry budget for it is used by the next.
+func (p *Pipeline) barred(x *exchange, server *fleet.Server, bar *eligibility.Bar) *failure.Error {
+	x.paid = x.sent > 0
+	code := failure.CodeResting
+	if bar.Reason == eligibility.Leaving {
+		code = failure.CodeLeaving
+	}
+	return failure.NotRun(failure.StepSend, server.ID, code, bar.String()).After(p.comeBack(x))
+}
+
+// noneTakes refuses a request that no server may get. If all rest, it's refused at once and
+// told when the first of them takes requests again: it would only wait here, and the
+// time that its caller has is better spent elsewhere.
+func (p *Pipeline) noneTakes(x *exchange, picked Choice) *failure.Error {
+	if picked.RestLeft > 0 {
+		return failure.NotRun(failure.StepQueue, x.Service, failure.CodeResting,
+			fmt.Sprintf("no server of the service takes requests: %d rest or leave, the first rest ends in %s",
+				picked.Barred, picked.RestLeft.Round(time.Millisecond))).After(p.afterRest(picked.RestLeft))
+	}
+	return failure.NotRun(failure.StepRoute, x.Service, failure.CodeNoServer,
+		"no server of the service can take the request").After(noServerRetry)
+}
+
+// restSpread is over how long callers come back after a rest that all waited for: as long
+// as those that are refused because places are full.
+const restSpread = comeBackMost - comeBackLeast
+
+// comeBack is the hint for a request that servers refused: soon, if any server of the
+// service takes requests, or else after the first rest, not all callers at once.
+func (p *Pipeline) comeBack(x *exchange) time.Duration {
+	if x.Homes != nil {
+		return noServerRetry
+	}
+	servers, _ := p.fleet.Allowed(x.Service, x.request.Customer)
+	if first := p.board.firstRest(servers, p.now()); first > 0 {
+		return p.afterRest(first)
+	}
+	return noServerRetry
+}
+
+// afterRest is the hint while all servers rest, the first of them for a time still.
+func (p *Pipeline) afterRest(first time.Duration) time.Duration {
+	spread := time.Duration(p.board.random(int(restSpread.Milliseconds()))) * time.Millisecond
+	return max(first+spread, noServerRetry)
+}
+
+// anotherTakes tells whether another server than one that has the request may get it: an
+// attempt isn't given up for one that doesn't exist.
+func (p *Pipeline) anotherTakes(x *exchange, server *fleet.Server) bool {
+	now := p.now()
+	servers, _ := p.fleet.Allowed(x.Service, x.request.Customer)
+	open, _ := p.board.open(servers, now)
+	return p.board.anyTakes(open, append([]string{server.Key()}, x.tried...), now)
+}
+
+// Heard implements Chooser.
+func (b *Board) Heard(server string, info AnswerInfo, now time.Time) (rest time.Duration, leaves bool) {
+	if info.RetryAfter <= 0 && !info.Leaving {
+		return 0, false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	notice := &b.row(server).notice
+	if info.Leaving {
+		leaves = notice.Leave(now)
+	}
+	return notice.AskForRest(info.RetryAfter, now), leaves
+}
+
+// Bar implements Chooser.
+func (b *Board) Bar(server string, now time.Time) *eligibility.Bar {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.rows[server]; r != nil {
+		return r.notice.Bar(now)
 	}
+	return nil
 }
 
-// asksForRest takes in that a server wants no requests for a time. It returns for how
-// long it gets none.
-func (b *Board) asksForRest(key string, rest time.Duration, now time.Time) time.Duration {
+// firstRest returns when the first of some servers takes requests again, 0 if one takes
+// them now or none rests.
+func (b *Board) firstRest(servers []*fleet.Server, now time.Time) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.row(key).notice.AskForRest(rest, now)
+	var bars eligibility.Bars
+	for _, server := range servers {
+		if !server.Leaving {
+			bars.Add(b.row(server.Key()).notice.Bar(now))
+		}
+	}
+	return bars.FirstLeft()
 }
 
-// leaves takes in that a server says that it leaves. It returns whether that is news.
-func (b *Board) leaves(key string, now time.Time) bool {
+// anyTakes tells whether one of some servers may get requests, but for those in tried.
+func (b *Board) anyTakes(servers []*fleet.Server, tried []string, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.row(key).notice.Leave(now)
+	for _, server := range servers {
+		if !server.Leaving && !contains(tried, server.Key()) && b.row(server.Key()).notice.Bar(now) == nil {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/crowbridge/crowbridge/internal/eligibility"
 	"github.com/crowbridge/crowbridge/internal/fleet"
 )
 
@@ -23,7 +24,10 @@
 	// passed over for them, because there is no other.
 	Failures int
 	Avoided  bool
-	// RestLeft is how much is left of the rest that the server has asked for.
+	// Barred is how many servers were left out by their own word. RestLeft is when the first
+	// of the service's servers, also one that was tried, takes requests again; 0 when one
+	// does already, or none of them rests.
+	Barred   int
 	RestLeft time.Duration
 	// score is what the choice is made by; the lowest wins.
 	score float64
@@ -34,7 +38,10 @@
 const freshLoad = time.Second
 
 // Choose picks the server with the least estimated load among those of a
-// service that may get a request, but for those in tried. Those that failed
+// service that may get a request, but for those in tried. Servers that rest or leave by
+// their own word get none, also if there is no other: five ranks of sixteen that asked for
+// 3 s of rest got three to seven requests each from every entry in 6 s, as long as that only
+// made them the last choice. Those that failed
 // lately, hold their group back or have fallen silent come only if there is no other,
 // and for a suspect request so do those where another suspect one is: if a server ends
 // under both of them again, the sound one is taken for the other.
@@ -44,11 +51,15 @@
 	var candidates []Choice
 	total, places := 0.0, 0
 	silent := b.silentOnes(now, servers)
+	var bars eligibility.Bars
 	for _, server := range servers {
-		if server.Leaving || contains(tried, server.Key()) {
+		if server.Leaving {
 			continue
 		}
 		r := b.row(server.Key())
+		if bars.Add(r.notice.Bar(now)) || contains(tried, server.Key()) {
+			continue
+		}
 		load := r.estimate(now)
 		total += load
 		places += server.Capacity
@@ -58,11 +69,11 @@
 		}
 		candidates = append(candidates, Choice{
 			Server: server, Load: load, LoadAge: now.Sub(r.reportedAt), score: score,
-			Failures: r.failures, Avoided: now.Before(r.avoidUntil), RestLeft: r.notice.AskForRest(0, now),
+			Failures: r.failures, Avoided: now.Before(r.avoidUntil),
 		})
 	}
 	best := b.bestOfZones(unpenalized(candidates))
-	best.Silent = len(silent)
+	best.Silent, best.Barred, best.RestLeft = len(silent), bars.Count(), bars.FirstLeft()
 	if places > 0 {
 		best.Occupied = total / float64(places)
 	}
--- a/internal/dispatch/pick_test.go
+++ b/internal/dispatch/pick_test.go
@@ -133,7 +133,7 @@
 		b.board.Failed(former.Key(), b.now)
 		b.board.ReportLoad(former.Key(), Load{Running: 6, Waiting: 9, Pace: 4}, b.now)
 		b.board.ReportLoad(other.Key(), Load{Running: 1}, b.now)
-		b.board.Keep(fleet.NewServers([]*fleet.Server{again, other}))
+		b.board.Keep(fleet.NewServers([]*fleet.Server{again, other}), b.now)
 		b.board.ReportLoad(former.Key(), Load{Running: 6, Waiting: 9, Pace: 4}, b.now)
 		choice := b.board.Choose(b.now, []*fleet.Server{again, other}, &Request{}, nil)
 		Expect(choice.Server).To(BeIdenticalTo(again))
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -232,8 +232,8 @@
 	}
 	picked := p.chooser.Choose(p.now(), servers, x.request, x.tried)
 	if picked.Server == nil {
-		return nil, failure.NotRun(failure.StepRoute, x.Service, failure.CodeNoServer,
-			"no server of the service can take the request").After(noServerRetry)
+		x.picked.Barred = picked.Barred
+		return nil, p.noneTakes(x, picked)
 	}
 	if f := p.admit(x, picked); f != nil {
 		return nil, f
@@ -285,6 +285,7 @@
 var elsewhere = map[failure.Code]bool{
 	failure.CodeServerLost: true, failure.CodeWrongServer: true, failure.CodeOverloaded: true,
 	failure.CodeNoServer: true, failure.CodeLeaving: true, failure.CodeSlow: true,
+	failure.CodeResting: true,
 }
 
 // ErrLeaving is the cause of a request's context that ended because this process
@@ -307,13 +308,17 @@
 	if x.mayHaveRun && f.Outcome == failure.OutcomeNotRun {
 		f.Outcome = failure.OutcomeUnknown
 	}
-	if f.RetryAfter > 0 && f.Code != failure.CodeQuarantined { // sooner than that makes no sense
+	if f.RetryAfter > 0 && !untilThen[f.Code] {
 		left := x.Limit.Sub(p.now())
 		f.RetryAfter = max(min(f.RetryAfter, left/retryAfterPart), 0)
 	}
 	return f
 }
 
+// untilThen are the causes that last until the time of their hint: coming back sooner makes
+// no sense, however little time the caller has left.
+var untilThen = map[failure.Code]bool{failure.CodeQuarantined: true, failure.CodeResting: true}
+
 // retryAfterPart is the part of the time left up to which callers follow a hint
 // to come back.
 const retryAfterPart = 3
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -52,6 +52,9 @@
 			fields["silent_servers"] = x.picked.Silent
 		}
 	}
+	if x.picked.Barred > 0 {
+		fields["barred"] = x.picked.Barred
+	}
 	if x.Version != 0 {
 		fields["config"] = x.Version
 	}
@@ -98,6 +101,6 @@
 		"step": f.Step, "outcome": f.Outcome, "cut_off": x.cutOff,
 		"code": f.Code, "cause": f.Detail, "sent": x.sent, "begun": x.begun, "last_event": x.lastEvent,
 		"left_ms": x.Limit.Sub(p.now()).Milliseconds(), "again": again, "load": x.picked.Load, "load_age_ms": loadAge(x.picked),
-		"failures": x.picked.Failures, "avoided": x.picked.Avoided, "rest_left_ms": x.picked.RestLeft.Milliseconds(),
+		"failures": x.picked.Failures, "avoided": x.picked.Avoided, "barred": x.picked.Barred,
 	}).Info("attempt failed")
 }
--- a/internal/dispatch/rest_story_test.go
+++ b/internal/dispatch/rest_story_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,7 +60,7 @@
 	left      map[string]bool
 	// against counts the requests that reached a server against its word, reached all.
 	against, reached map[string]int
-	// hold keeps the answers of a server back until it's closed.
+	// hold keeps the next answer of a server back until it's closed.
 	hold map[string]chan struct{}
 }
 
@@ -99,6 +100,7 @@
 		answer.Body = io.NopCloser(breaking{strings.NewReader(first)})
 	default:
 		answer.Body = io.NopCloser(&heldBody{Reader: strings.NewReader(first + second), until: s.hold[id]})
+		delete(s.hold, id)
 	}
 	return answer, nil
 }
@@ -130,18 +132,26 @@
 	pipeline *Pipeline
 	board    *Board
 	logs     *logrustest.Hook
-	now      time.Time
+	clock    storyClock
 	count    int
 }
 
+// storyClock tells the time that a story has come to.
+type storyClock struct{ passed atomic.Int64 }
+
+// storyStart is when stories begin.
+var storyStart = time.Unix(1000, 0)
+
+func (c *storyClock) now() time.Time          { return storyStart.Add(time.Duration(c.passed.Load())) }
+func (c *storyClock) advance(d time.Duration) { c.passed.Add(int64(d)) }
+
 func newStory(fleetServers ...*fleet.Server) *story {
 	logger, logs := logrustest.NewNullLogger()
-	s := &story{world: &world{config: testConfig()}, logs: logs, now: time.Unix(1000, 0)}
-	clock := func() time.Time { return s.now }
-	s.servers = newWordyServers(clock)
+	s := &story{world: &world{config: testConfig()}, logs: logs}
+	s.servers = newWordyServers(s.clock.now)
 	s.world.setServers(fleetServers...)
 	s.board = NewBoard(testPolicy, "z0", rand.New(rand.NewPCG(1, 1)).IntN)
-	s.pipeline = NewPipeline(s.world, s.board, s.servers, clock, logrus.NewEntry(logger))
+	s.pipeline = NewPipeline(s.world, s.board, s.servers, s.clock.now, logrus.NewEntry(logger))
 	return s
 }
 
@@ -162,7 +172,7 @@
 	s.count++
 	return &Request{
 		ID: fmt.Sprint("id-", s.count), Method: http.MethodPost, Host: "h.example", Path: "/" + route + "/x", URI: "/" + route + "/x",
-		Header: http.Header{}, APIKey: "secret", Arrived: s.now, Patience: 8 * time.Second, HasDeadline: true, LastEventID: -1,
+		Header: http.Header{}, APIKey: "secret", Arrived: s.clock.now(), Patience: 8 * time.Second, HasDeadline: true, LastEventID: -1,
 	}
 }
 
@@ -181,6 +191,13 @@
 	return n
 }
 
+// allow sets which servers the operators allow; nil for all.
+func (s *story) allow(f func(service, customer string) ([]*fleet.Server, string)) {
+	s.world.mu.Lock()
+	defer s.world.mu.Unlock()
+	s.world.allow = f
+}
+
 // holdOneEach begins a stream at each of some servers, which ends when release is called.
 func (s *story) holdOneEach(servers []*fleet.Server) (release func()) {
 	held := make(chan struct{})
@@ -190,13 +207,12 @@
 	}
 	for _, server := range servers {
 		only := []*fleet.Server{server}
-		s.world.allow = func(string, string) ([]*fleet.Server, string) { return only, "" }
+		s.allow(func(string, string) ([]*fleet.Server, string) { return only, "" })
 		request := s.request("stream")
 		streams.Go(func() { s.pipeline.Serve(context.Background(), request, &recorder{}) })
 		Eventually(func() int { return s.servers.count(server.Key()) }).Should(Equal(1))
 	}
-	s.world.allow = nil
-	clear(s.servers.hold)
+	s.allow(nil)
 	return func() {
 		close(held)
 		streams.Wait()
@@ -207,9 +223,9 @@
 	RegisterTestingT(t)
 	group := ranks(storyRanks)
 	s := newStory(group...)
-	start := s.now
+	start := s.clock.now()
 	s.servers.rest = func(id string) time.Duration {
-		at := s.now.Sub(start)
+		at := s.clock.now().Sub(start)
 		if at < refusingFrom || at >= refusingTo || !slices.ContainsFunc(group[:storyRefusing], func(r *fleet.Server) bool { return r.ID == id }) {
 			return 0
 		}
@@ -219,7 +235,7 @@
 	release := s.holdOneEach(group)
 	resting := func() int { return len(s.servers.restUntil) }
 	refused := 0
-	for released := false; s.now.Sub(start) < refusingTo; s.now = s.now.Add(storyPace) {
+	for released := false; s.clock.now().Sub(start) < refusingTo; s.clock.advance(storyPace) {
 		if s.serve("stream").Failure != nil {
 			refused++
 		}
@@ -229,12 +245,13 @@
 		}
 	}
 	Expect(resting()).To(Equal(storyRefusing))
+	Expect(s.lines("server asks for rest")).To(BeNumerically(">=", storyRefusing))
 	Expect(s.servers.against).To(BeEmpty(), "requests that reached a rank while it rested")
 	// Each rank refuses once at its first request and once after its first rest; two refusals
 	// end a request.
 	Expect(refused).To(BeNumerically("<=", 2*storyRefusing/2), "callers that were refused although eleven ranks had places")
 
-	s.now = s.now.Add(storyRest)
+	s.clock.advance(storyRest)
 	before := s.servers.count("r0")
 	for range 5 * storyRanks {
 		s.serve("stream")
@@ -252,7 +269,7 @@
 	for range 50 {
 		Expect(s.serve("again").Failure).To(BeNil())
 		Expect(s.serve("once").Failure).To(BeNil())
-		s.now = s.now.Add(100 * time.Millisecond)
+		s.clock.advance(100 * time.Millisecond)
 	}
 	Expect(s.servers.reached["a-1"]).To(Equal(1), "the answer that says so was a request's")
 	Expect(s.servers.against).To(BeEmpty())
@@ -260,9 +277,9 @@
 	// Its registration goes and comes back, as entries read it late or elsewhere: the word holds.
 	gone := s.world.Servers()
 	s.world.setServers(gone.Server("b"))
-	s.board.Keep(s.world.Servers())
+	s.board.Keep(s.world.Servers(), s.clock.now())
 	s.world.setServers(gone.Server("a"), gone.Server("b"))
-	s.board.Keep(s.world.Servers())
+	s.board.Keep(s.world.Servers(), s.clock.now())
 	for range 20 {
 		s.serve("again")
 	}
@@ -272,7 +289,7 @@
 	next := *gone.Server("a")
 	next.Incarnation = "a-2"
 	s.world.setServers(&next, gone.Server("b"))
-	s.board.Keep(s.world.Servers())
+	s.board.Keep(s.world.Servers(), s.clock.now())
 	for range 20 {
 		s.serve("again")
 	}
@@ -288,15 +305,15 @@
 	rests := map[string]time.Duration{"a": 1500 * time.Millisecond, "b": 4 * time.Second}
 	s.servers.rest = func(id string) time.Duration { return rests[id] }
 	Expect(s.serve("again").Failure).NotTo(BeNil()) // asks both
-	start, hints := s.now, map[time.Duration]bool{}
+	start, hints := s.clock.now(), map[time.Duration]bool{}
 	for range 40 {
 		f := s.serve("once").Failure
 		Expect(f).NotTo(BeNil())
 		Expect(f.Outcome).To(Equal(failure.OutcomeNotRun))
-		back := s.now.Add(f.RetryAfter).Sub(start)
+		back := s.clock.now().Add(f.RetryAfter).Sub(start)
 		Expect(back).To(BeNumerically(">=", rests["a"]), "no caller is told to come while all rest")
 		hints[back.Round(50*time.Millisecond)] = true
-		s.now = s.now.Add(25 * time.Millisecond)
+		s.clock.advance(25 * time.Millisecond)
 	}
 	Expect(len(hints)).To(BeNumerically(">=", 5), "they aren't told to come all at once")
 	Expect(s.servers.against).To(BeEmpty())
--- a/internal/dispatch/slowrank.go
+++ b/internal/dispatch/slowrank.go
@@ -47,7 +47,7 @@
 func (p *Pipeline) moveAway(x *exchange, server *fleet.Server) *failure.Error {
 	now := p.now()
 	if !x.route.Idempotent() || x.lastEvent < 0 || x.sent >= x.route.MaxAttempts ||
-		!p.board.holdsBack(now, server, p.candidates(x)) || !p.chooser.MayRepeat(x.Service, x.request.Customer, now) {
+		!p.board.holdsBack(now, server, p.candidates(x)) || !p.anotherTakes(x, server) || !p.chooser.MayRepeat(x.Service, x.request.Customer, now) {
 		return nil
 	}
 	x.paid = true
--- a/internal/dispatch/stalledstream.go
+++ b/internal/dispatch/stalledstream.go
@@ -33,6 +33,7 @@
 // fallen silent, too. A nil watch does nothing.
 type stallWatch struct {
 	pipeline *Pipeline
+	exchange *exchange // isn't changed while the attempt lasts, as far as the watch reads it
 	server   *fleet.Server
 	end      context.CancelCauseFunc
 
@@ -49,7 +50,7 @@
 	if server.Rank == nil || !x.route.Idempotent() || x.sent+1 >= x.route.MaxAttempts {
 		return nil
 	}
-	w := &stallWatch{pipeline: p, server: server, end: end, lastEvent: time.Now()}
+	w := &stallWatch{pipeline: p, exchange: x, server: server, end: end, lastEvent: time.Now()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(p.streamStall, w.check)
@@ -101,7 +102,7 @@
 func (w *stallWatch) cause(now time.Time) error {
 	board := w.pipeline.board
 	switch {
-	case !board.flowing(w.server.Rank.Group, now):
+	case !board.flowing(w.server.Rank.Group, now) || !w.pipeline.anotherTakes(w.exchange, w.server):
 		return nil
 	case w.begun:
 		return errStalled
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/crowbridge/crowbridge/internal/eligibility"
 	"github.com/crowbridge/crowbridge/internal/failure"
 	"github.com/crowbridge/crowbridge/internal/fleet"
 	"github.com/crowbridge/crowbridge/internal/quarantine"
@@ -68,6 +69,10 @@
 	// Resume asks for the stream's events after ResumeAfter.
 	Resume      bool
 	ResumeAfter int64
+	// Permit is asked last, just before bytes go out: with an error, nothing may be sent.
+	// What a server has said meanwhile counts, however long a connection took to be made.
+	// It may be nil.
+	Permit func() error
 }
 
 // Load is what a server says of itself.
@@ -91,8 +96,10 @@
 	HasLoad bool
 	// FaultyServer is the server on whose account a group refused the request.
 	FaultyServer string
-	// RetryAfter is how long the server wants no requests.
-	RetryAfter time.Duration
+	// RetryAfter is how long the server wants no requests. OddRetryAfter is what it said
+	// instead when that can't be read.
+	RetryAfter    time.Duration
+	OddRetryAfter string
 	// Leaving is set when the server says that it leaves.
 	Leaving bool
 	// Vouched is set when an agent of ours answers for the server: the answer is whole
@@ -161,6 +168,11 @@
 	// Failed and Succeeded tell how it went.
 	Failed(server string, now time.Time)
 	Succeeded(server string, took time.Duration)
+	// Heard takes in what a server says of itself in an answer. It returns for how long it
+	// gets no requests now, and whether that it leaves is news.
+	Heard(server string, info AnswerInfo, now time.Time) (rest time.Duration, leaves bool)
+	// Bar returns why a server may get no requests now by its own word, or nil.
+	Bar(server string, now time.Time) *eligibility.Bar
 	// MayRepeat takes one retry from the budget.
 	MayRepeat(service, customer string, now time.Time) bool
 }
--- a/internal/eligibility/eligibility.go
+++ b/internal/eligibility/eligibility.go
@@ -32,14 +32,20 @@
 	Left time.Duration
 }
 
-// Error implements error.
-func (b *Bar) Error() string {
+// String says it for people.
+func (b *Bar) String() string {
 	if b.Reason == Leaving {
 		return "the server has said that it leaves"
 	}
 	return fmt.Sprintf("the server has asked for rest, %s of it left", b.Left.Round(time.Millisecond))
 }
 
+// BarredError says that nothing was sent to a server because of its word.
+type BarredError struct{ Bar *Bar }
+
+// Error implements error.
+func (e *BarredError) Error() string { return e.Bar.String() }
+
 // Notice is what one start of a server has said of itself. The zero value is that of one
 // that has said nothing. Not safe for concurrent use.
 //
--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 
 	"github.com/crowbridge/crowbridge/internal/dispatch"
+	"github.com/crowbridge/crowbridge/internal/upstream"
 	"github.com/crowbridge/crowbridge/internal/wire"
 	"github.com/pkg/errors"
 )
@@ -25,6 +26,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
+	ctx, permission := upstream.WithPermit(ctx, a.Permit)
 	out, err := http.NewRequestWithContext(ctx, r.Method, "http://"+a.Server.Address+r.URI, onceBody(r.Body))
 	if err != nil {
 		return nil, &dispatch.SendError{Err: err}
@@ -40,6 +42,9 @@
 		out.Header.Set(wire.HeaderLastEventID, strconv.FormatInt(a.ResumeAfter, 10))
 	}
 	response, err := e.client.Do(out)
+	if refused := permission.Refused(); err != nil && refused != nil {
+		return nil, &dispatch.SendError{Err: errors.Wrap(refused, a.Server.ID)}
+	}
 	if err != nil {
 		return nil, &dispatch.SendError{Sent: connected.Load() && !isDialError(err), Err: errors.Wrap(err, a.Server.ID)}
 	}
@@ -58,6 +63,7 @@
 		Status: response.StatusCode, Header: header, Length: response.ContentLength, Body: response.Body,
 		Info: dispatch.AnswerInfo{
 			RequestID: requestID, Signed: true, Vouched: true, Failure: f, Events: isEventStream(header), MovesOn: header.Get(wire.HeaderKeyClosed) != "",
+			RetryAfter: wire.ReadRest(header),
 		},
 	}
 }
--- a/internal/entry/chooser.go
+++ b/internal/entry/chooser.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/dispatch"
+	"github.com/crowbridge/crowbridge/internal/eligibility"
 	"github.com/crowbridge/crowbridge/internal/failure"
 	"github.com/crowbridge/crowbridge/internal/fleet"
 	"github.com/crowbridge/crowbridge/internal/routing"
+	"github.com/crowbridge/crowbridge/internal/selector"
 	"github.com/crowbridge/crowbridge/internal/wire"
 	"github.com/pkg/errors"
 )
@@ -24,7 +26,7 @@
 	name := e.picker.Pick(now, e.random, routing.Query{Candidates: x.route.Servers, Prefix: x.prefix, Tried: tried})
 	row := e.table.Row(name)
 	if row == nil {
-		return dispatch.Choice{}
+		return noneOf(now, e.table, x.route.Servers)
 	}
 	return dispatch.Choice{
 		Server: x.compiled.servers[name], Load: float64(row.Reported.InFlight + row.Reported.Queued + row.Sent),
@@ -32,6 +34,38 @@
 	}
 }
 
+// noneOf tells for how long none of some servers takes requests by its own word.
+func noneOf(now time.Time, table *routing.Table, servers []*selector.Server) dispatch.Choice {
+	var bars eligibility.Bars
+	for _, server := range servers {
+		if row := table.Row(server.Name); row != nil {
+			bars.Add(row.Notice.Bar(now))
+		}
+	}
+	return dispatch.Choice{Barred: bars.Count(), RestLeft: bars.FirstLeft()}
+}
+
+// Heard implements dispatch.Chooser.
+func (c tableChooser) Heard(server string, info dispatch.AnswerInfo, now time.Time) (time.Duration, bool) {
+	c.entry.mu.Lock()
+	defer c.entry.mu.Unlock()
+	row := c.entry.table.Row(server)
+	if row == nil {
+		return 0, false
+	}
+	return row.Notice.AskForRest(info.RetryAfter, now), false // agents tell that they leave in their load
+}
+
+// Bar implements dispatch.Chooser.
+func (c tableChooser) Bar(server string, now time.Time) *eligibility.Bar {
+	c.entry.mu.Lock()
+	defer c.entry.mu.Unlock()
+	if row := c.entry.table.Row(server); row != nil {
+		return row.Notice.Bar(now)
+	}
+	return nil
+}
+
 // Sent implements dispatch.Chooser.
 func (c tableChooser) Sent(server string, _ *dispatch.Request, _ time.Time) {
 	c.entry.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,10 +15,12 @@
 	"github.com/crowbridge/crowbridge/internal/crashwatch"
 	"github.com/crowbridge/crowbridge/internal/daemon"
 	"github.com/crowbridge/crowbridge/internal/dispatch"
+	"github.com/crowbridge/crowbridge/internal/eligibility"
 	"github.com/crowbridge/crowbridge/internal/outcome"
 	"github.com/crowbridge/crowbridge/internal/replica"
 	"github.com/crowbridge/crowbridge/internal/routing"
 	"github.com/crowbridge/crowbridge/internal/selector"
+	"github.com/crowbridge/crowbridge/internal/upstream"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
@@ -88,17 +90,19 @@
 // New returns an entry that routes by the replica's configuration.
 func New(options Options, rep *replica.Replica, now func() time.Time, log *logrus.Entry) *Entry {
 	table := routing.NewTable(options.Zone)
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: idleConns,
+		IdleConnTimeout:     idleConnTime,
+		DisableCompression:  true,
+	}
+	upstream.AskPermits(transport)
 	e := &Entry{
-		options: options,
-		log:     log,
-		replica: rep,
-		now:     now,
-		client: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: idleConns,
-			IdleConnTimeout:     idleConnTime,
-			DisableCompression:  true,
-		}},
+		options:  options,
+		log:      log,
+		replica:  rep,
+		now:      now,
+		client:   &http.Client{Transport: transport},
 		control:  daemon.NewControlClient(options.DaemonKey),
 		table:    table,
 		picker:   routing.NewPicker(table),
@@ -108,6 +112,7 @@
 		cancels:  map[requestRef]context.CancelCauseFunc{},
 	}
 	e.crashes = crashwatch.New(agentProber{e}, now, func(d time.Duration, f func()) { time.AfterFunc(d, f) }, log)
+	e.crashes.SetBars(func(server string) *eligibility.Bar { return tableChooser{e}.Bar(server, e.now()) })
 	e.rebuild()
 	e.pipeline = dispatch.NewTargetPipeline(noFleet{}, tableChooser{e}, agentBackend{e}, now, log)
 	e.pipeline.SetQuarantine(e.crashes)
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -61,6 +61,7 @@
 	CodeCanceled       Code = "canceled"
 	CodeWrongServer    Code = "wrong-server"
 	CodeStaleHomes     Code = "stale-configuration"
+	CodeResting        Code = "servers-rest"
 	CodeQuarantined    Code = "quarantined"
 	CodeSuspect        Code = "suspect-request"
 )
@@ -150,6 +151,7 @@
 	CodeCanceled:       statusClientClosed,
 	CodeWrongServer:    statusUnavailable,
 	CodeStaleHomes:     statusUnavailable,
+	CodeResting:        statusUnavailable,
 	CodeQuarantined:    statusUnavailable,
 	CodeSuspect:        statusUnavailable,
 }
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -14,6 +14,7 @@
 	"github.com/crowbridge/crowbridge/internal/crashwatch"
 	"github.com/crowbridge/crowbridge/internal/daemon"
 	"github.com/crowbridge/crowbridge/internal/dispatch"
+	"github.com/crowbridge/crowbridge/internal/eligibility"
 	"github.com/crowbridge/crowbridge/internal/fleet"
 	"github.com/crowbridge/crowbridge/internal/frontend"
 	"github.com/crowbridge/crowbridge/internal/loadfeed"
@@ -78,10 +79,11 @@
 	e.exchange = membership.NewExchange(members, membership.Peer{Control: s.Control, Zone: s.Zone}, s.Seeds, control, log)
 	e.follower = membership.NewFollower(members, store, e.exchange, s.StopRouting, log)
 	backend := upstream.New(platform.Wire{})
-	members.OnServers(e.board.Keep)
+	members.OnServers(func(servers *fleet.Servers) { e.board.Keep(servers, clk.Now()) })
 	members.OnServers(backend.Keep)
 	members.OnServers(e.crashes.Keep)
 	e.exchange.SetCrashes(e.crashes)
+	e.crashes.SetBars(func(server string) *eligibility.Bar { return e.board.Bar(server, clk.Now()) })
 	view := steeredFleet{Membership: members, steering: e.steering}
 	e.pipeline = dispatch.NewPipeline(view, e.board, backend, clk.Now, log)
 	e.pipeline.SetQuarantine(e.crashes)
--- a/internal/hosted/host.go
+++ b/internal/hosted/host.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 
+	"github.com/crowbridge/crowbridge/internal/dispatch"
 	"github.com/crowbridge/crowbridge/internal/fleet"
 	"github.com/crowbridge/crowbridge/internal/outcome"
 	"github.com/crowbridge/crowbridge/internal/rpc"
@@ -33,20 +34,22 @@
 			age = now.Sub(seen.ReportedAt).Milliseconds()
 		}
 		list = append(list, &rpc.ServerStatus{
-			Name: id, Zone: server.Zone, State: serverState(server, seen.Avoided), ReportAgeMs: age,
+			Name: id, Zone: server.Zone, State: serverState(server, seen), ReportAgeMs: age,
 			InFlight: int64(seen.InFlight), Queued: int64(seen.Waiting),
 		})
 	}
 	return list
 }
 
-func serverState(server *fleet.Server, avoided bool) string {
+func serverState(server *fleet.Server, seen dispatch.Seen) string {
 	switch {
 	case server.Leaving:
 		return "leaving"
+	case seen.Bar != nil:
+		return string(seen.Bar.Reason)
 	case server.Rank != nil && !server.Rank.Open:
 		return "group broken"
-	case avoided:
+	case seen.Avoided:
 		return "failing"
 	default:
 		return "up"
@@ -74,10 +77,22 @@
 		}
 		for id, reason := range ofTarget {
 			reasons[id] = reason
-			if server := registry.Server(id); reason == "" && server != nil && server.Leaving {
-				reasons[id] = "leaving"
+			if server := registry.Server(id); reason == "" && server != nil {
+				reasons[id] = e.ownWord(server)
 			}
 		}
 	}
 	return rules, reasons, nil
 }
+
+// ownWord is why a server gets no requests by what it says of itself, registered or in
+// answers, or "".
+func (e *EntryDaemon) ownWord(server *fleet.Server) string {
+	if server.Leaving {
+		return "leaving"
+	}
+	if bar := e.board.Bar(server.Key(), e.clock.Now()); bar != nil {
+		return bar.String()
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/httpapi/retryafter.go
@@ -0,0 +1,55 @@
+package httpapi
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// ReadRetryAfter returns for how long an answer asks for no more requests: in seconds, with
+// a fraction too, or until a date (RFC 9110, section 10.2.3). A date counts from the
+// answer's own, because the clocks of two VMs needn't agree. The longest of several values
+// counts. odd is a value that can't be read, for the log; it asks for nothing.
+func ReadRetryAfter(h http.Header) (rest time.Duration, odd string) {
+	for _, value := range h.Values("Retry-After") {
+		value = strings.TrimSpace(value)
+		asked, ok := readSeconds(value)
+		if !ok {
+			asked, ok = untilDate(value, h.Get("Date"))
+		}
+		if !ok {
+			odd = value
+			continue
+		}
+		rest = max(rest, asked)
+	}
+	return rest, odd
+}
+
+// readSeconds reads a number of seconds, 0 or more.
+func readSeconds(value string) (time.Duration, bool) {
+	s, err := strconv.ParseFloat(value, 64)
+	if err != nil || math.IsNaN(s) || math.IsInf(s, 0) || s < 0 {
+		return 0, false
+	}
+	const most = float64(math.MaxInt64 / time.Second)
+	if s >= most {
+		return math.MaxInt64, true
+	}
+	return time.Duration(s * float64(time.Second)), true
+}
+
+// untilDate reads a date as the time from another one until then, 0 if it's over.
+func untilDate(value, from string) (time.Duration, bool) {
+	until, err := http.ParseTime(value)
+	if err != nil {
+		return 0, false
+	}
+	now, err := http.ParseTime(from)
+	if err != nil {
+		return 0, false
+	}
+	return max(until.Sub(now), 0), true
+}
--- /dev/null
+++ b/internal/httpapi/retryafter_test.go
@@ -0,0 +1,37 @@
+package httpapi
+
+import (
+	"math"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = DescribeTable("what an answer's Retry-After asks for", func(values []string, date string, rest time.Duration, odd string) {
+	h := http.Header{"Retry-After": values}
+	if date != "" {
+		h.Set("Date", date)
+	}
+	gotRest, gotOdd := ReadRetryAfter(h)
+	Expect(gotRest).To(Equal(rest))
+	Expect(gotOdd).To(Equal(odd))
+},
+	Entry("nothing", nil, "", time.Duration(0), ""),
+	Entry("seconds", []string{"3"}, "", 3*time.Second, ""),
+	Entry("a fraction of a second", []string{" 0.25 "}, "", 250*time.Millisecond, ""),
+	Entry("no time at all", []string{"0"}, "", time.Duration(0), ""),
+	Entry("a year", []string{"31536000"}, "", 365*24*time.Hour, ""),
+	Entry("more than a time can hold", []string{"1e300"}, "", time.Duration(math.MaxInt64), ""),
+	Entry("the longest of several", []string{"1", "4", "2"}, "", 4*time.Second, ""),
+	Entry("what can be read of several", []string{"soon", "2"}, "", 2*time.Second, "soon"),
+	Entry("a date, by the answer's own", []string{"Fri, 04 Dec 2026 10:00:07 GMT"}, "Fri, 04 Dec 2026 10:00:00 GMT", 7*time.Second, ""),
+	Entry("a date that is over", []string{"Fri, 04 Dec 2026 10:00:00 GMT"}, "Fri, 04 Dec 2026 10:00:07 GMT", time.Duration(0), ""),
+	Entry("a date without the answer's own", []string{"Fri, 04 Dec 2026 10:00:07 GMT"}, "", time.Duration(0), "Fri, 04 Dec 2026 10:00:07 GMT"),
+	Entry("no number", []string{"NaN"}, "", time.Duration(0), "NaN"),
+	Entry("for ever", []string{"Inf"}, "", time.Duration(0), "Inf"),
+	Entry("the past", []string{"-3"}, "", time.Duration(0), "-3"),
+	Entry("an empty value", []string{""}, "", time.Duration(0), ""),
+	Entry("words", []string{"in a while"}, "", time.Duration(0), "in a while"),
+)
--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -30,6 +30,12 @@
 	return !row.Server.Spec.Draining && !row.ListedLeaving
 }
 
+// NoticeFilter leaves out servers that want no requests by their own word.
+type NoticeFilter struct{}
+
+// Allow implements Filter.
+func (NoticeFilter) Allow(now time.Time, row *ServerState) bool { return row.Notice.Bar(now) == nil }
+
 // OutlierFilter leaves out servers that are ejected for their errors. It's not
 // applied when it would leave out all.
 type OutlierFilter struct{}
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -49,7 +49,7 @@
 func NewPicker(table *Table) *Picker {
 	return &Picker{
 		table:   table,
-		filters: []Filter{HealthFilter{}, DrainFilter{}, GroupFilter{Table: table}},
+		filters: []Filter{HealthFilter{}, DrainFilter{}, NoticeFilter{}, GroupFilter{Table: table}},
 		outlier: OutlierFilter{},
 		scorers: []Scorer{LoadScorer{}, ZoneScorer{Zone: table.zone}},
 	}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/crowbridge/crowbridge/internal/eligibility"
 	"github.com/crowbridge/crowbridge/internal/selector"
 	"github.com/crowbridge/crowbridge/internal/wire"
 )
@@ -60,6 +61,8 @@
 	// Errors that the server gave in a row, and until when it's ejected for them.
 	Errors       int
 	EjectedUntil time.Time
+	// Notice is what the server has said of itself through its agent's present run.
+	Notice eligibility.Notice
 	// slow is the smoothed ratio of the server's service time to its peers'.
 	slow float64
 }
@@ -158,6 +161,9 @@
 	if row == nil {
 		return
 	}
+	if row.Incarnation != incarnation {
+		row.Notice = eligibility.Notice{}
+	}
 	sameLeaving := row.Health == HealthLeaving && row.Incarnation == incarnation
 	row.Incarnation = incarnation
 	row.Reported = load
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -106,6 +106,7 @@
 	pool := b.pools[key]
 	if pool == nil {
 		pool = NewTransport()
+		AskPermits(pool)
 		b.pools[key] = pool
 	}
 	return pool
@@ -121,6 +122,7 @@
 func (b *Backend) Send(ctx context.Context, r *dispatch.Request, a dispatch.Attempt) (*dispatch.Answer, *dispatch.SendError) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	ctx, permission := WithPermit(httptrace.WithClientTrace(ctx, trace), a.Permit)
 	request := (&http.Request{
 		Method: r.Method,
 		URL:    &url.URL{Scheme: "http", Host: a.Server.Address, Opaque: r.URI},
@@ -129,8 +131,11 @@
 		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		ContentLength: int64(len(r.Body)),
 		Body:          unrepeatableBody{bytes.NewReader(r.Body)},
-	}).WithContext(httptrace.WithClientTrace(ctx, trace))
+	}).WithContext(ctx)
 	response, err := b.pool(a.Server.Key()).RoundTrip(request)
+	if refused := permission.Refused(); err != nil && refused != nil {
+		return nil, &dispatch.SendError{Err: errors.Wrap(refused, a.Server.Address)}
+	}
 	if err != nil {
 		return nil, &dispatch.SendError{Sent: connected.Load(), Err: errors.Wrap(err, a.Server.Address)}
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -3,6 +3,7 @@
 package wire
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -44,10 +45,16 @@
 	HeaderKeyClosed    = "X-Crowbridge-Key-Closed"
 	HeaderWantServer   = "X-Crowbridge-Want-Server"
 	HeaderHomes        = "X-Crowbridge-Homes"
+	// HeaderRest is for how many milliseconds the agent starts nothing at its server, by
+	// the server's word.
+	HeaderRest = "X-Crowbridge-Rest-Ms"
 )
 
 // Headers between agent and engine.
 const (
+	// HeaderServerLeaving in a server's answer says that it leaves: it gets nothing more
+	// before its next start.
+	HeaderServerLeaving = "X-Engine-Leaving"
 	// HeaderPriority is the engine's scheduling priority; lower runs earlier.
 	HeaderPriority = "X-Engine-Priority"
 	// HeaderLastEventID resumes a stream after that token offset; it is the
@@ -158,6 +165,22 @@
 	}
 }
 
+// WriteRest sets for how long an agent's server rests still, if it does.
+func WriteRest(h http.Header, left time.Duration) {
+	if left > 0 {
+		h.Set(HeaderRest, strconv.FormatInt(int64(math.Ceil(float64(left)/float64(time.Millisecond))), 10))
+	}
+}
+
+// ReadRest reads what WriteRest set; 0 without it.
+func ReadRest(h http.Header) time.Duration {
+	ms, err := strconv.ParseInt(h.Get(HeaderRest), 10, 64)
+	if err != nil || ms < 0 || ms > math.MaxInt64/int64(time.Millisecond) {
+		return 0 // not set, by an agent that doesn't rest or an earlier release
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // Load is an agent's load report, piggybacked on each of its answers.
 type Load struct {
 	InFlight, Queued, Limit int
