--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -293,7 +293,9 @@
 	if homes != a.homes && !a.keys.Knows(key) {
 		return verdictStale, outcome.Answer{}, nil
 	}
-	return a.keys.Begin(a.now(), key, bodyHash, a.leaving || a.draining)
+	bar := a.bar()
+	serverLeaves := bar != nil && bar.Reason == eligibility.Leaving
+	return a.keys.Begin(a.now(), key, bodyHash, a.leaving || a.draining || serverLeaves)
 }
 
 // endKey records how a keyed request that was permitted to run ended.
--- a/internal/agent/rest_test.go
+++ b/internal/agent/rest_test.go
@@ -96,6 +96,9 @@
 	for range 5 {
 		g.Expect(status()).To(Equal(http.StatusServiceUnavailable))
 	}
+	response, _, err := b.try(ask{key: newKey()})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(response.Header.Get(wire.HeaderKeyClosed)).NotTo(BeEmpty(), "a key moves on to its next home")
 	g.Expect(runs.Load()).To(Equal(int64(1)))
 
 	// Its next start has said nothing.
--- a/internal/crashwatch/watch_test.go
+++ b/internal/crashwatch/watch_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/eligibility"
 	"github.com/crowbridge/crowbridge/internal/fleet"
 	"github.com/crowbridge/crowbridge/internal/peerrpc"
 	"github.com/crowbridge/crowbridge/internal/quarantine"
@@ -134,6 +135,21 @@
 		Expect(told()).To(HaveLen(1))
 	})
 
+	It("isn't probed while it wants nothing by its own word, and says nothing against the request once it leaves by it", func() {
+		bars := map[string]*eligibility.Bar{"a": {Reason: eligibility.Resting}}
+		watch.SetBars(func(server string) *eligibility.Bar { return bars[server] })
+		watch.CutOff(d, quarantine.About{Customer: "c", Path: "/"}, plainA)
+		w.pass(probeDelay)
+		Expect(w.probed).To(BeEmpty())
+		Expect(held()).To(Equal(quarantine.Sound))
+		Expect(w.logs.LastEntry().Message).To(ContainSubstring("isn't probed"))
+		bars["b"] = &eligibility.Bar{Reason: eligibility.Leaving}
+		watch.CutOff(d, quarantine.About{Customer: "c", Path: "/"}, plainB)
+		watch.Keep(registry(plainB))
+		Expect(held()).To(Equal(quarantine.Sound))
+		Expect(told()).To(BeEmpty())
+	})
+
 	It("says nothing against the request when it was to leave, or has left", func() {
 		watch.CutOff(d, quarantine.About{Customer: "c", Path: "/"}, leaves)
 		watch.Keep(registry(plainB))
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -12,6 +12,9 @@
 func (p *Pipeline) judge(ctx context.Context, x *exchange, server *fleet.Server, a *Answer) *failure.Error {
 	if f := a.Info.Failure; f != nil {
 		x.mayHaveRun = x.mayHaveRun || f.Outcome != failure.OutcomeNotRun
+		if f.Code == failure.CodeResting && x.Homes == nil {
+			f.RetryAfter = p.comeBack(x)
+		}
 		if f.Code == failure.CodeServerLost && f.Outcome == failure.OutcomeUnknown {
 			p.noteCutOff(ctx, x, server, f)
 		}
--- a/internal/dispatch/notice.go
+++ b/internal/dispatch/notice.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -58,11 +57,10 @@
 // noneTakes refuses a request that no server may get. If all rest, it's refused at once and
 // told when the first of them takes requests again: it would only wait here, and the
 // time that its caller has is better spent elsewhere.
-func (p *Pipeline) noneTakes(x *exchange, picked Choice) *failure.Error {
-	if picked.RestLeft > 0 {
+func (p *Pipeline) noneTakes(x *exchange) *failure.Error {
+	if first := p.firstRest(x); first > 0 {
 		return failure.NotRun(failure.StepQueue, x.Service, failure.CodeResting,
-			fmt.Sprintf("no server of the service takes requests: %d rest or leave, the first rest ends in %s",
-				picked.Barred, picked.RestLeft.Round(time.Millisecond))).After(p.afterRest(picked.RestLeft))
+			"all servers that may run it want no requests, the first for "+first.Round(time.Millisecond).String()).After(p.afterRest(first))
 	}
 	return failure.NotRun(failure.StepRoute, x.Service, failure.CodeNoServer,
 		"no server of the service can take the request").After(noServerRetry)
@@ -75,16 +73,19 @@
 // comeBack is the hint for a request that servers refused: soon, if any server of the
 // service takes requests, or else after the first rest, not all callers at once.
 func (p *Pipeline) comeBack(x *exchange) time.Duration {
-	if x.Homes != nil {
-		return noServerRetry
-	}
-	servers, _ := p.fleet.Allowed(x.Service, x.request.Customer)
-	if first := p.board.firstRest(servers, p.now()); first > 0 {
+	if first := p.firstRest(x); first > 0 {
 		return p.afterRest(first)
 	}
 	return noServerRetry
 }
 
+// firstRest returns when the first server that may run a request takes requests again; 0
+// if one does now, or none rests.
+func (p *Pipeline) firstRest(x *exchange) time.Duration {
+	servers, _ := p.fleet.Allowed(x.Service, x.request.Customer)
+	return p.chooser.FirstRest(p.now(), servers, x.request)
+}
+
 // afterRest is the hint while all servers rest, the first of them for a time still.
 func (p *Pipeline) afterRest(first time.Duration) time.Duration {
 	spread := time.Duration(p.board.random(int(restSpread.Milliseconds()))) * time.Millisecond
@@ -124,9 +125,8 @@
 	return nil
 }
 
-// firstRest returns when the first of some servers takes requests again, 0 if one takes
-// them now or none rests.
-func (b *Board) firstRest(servers []*fleet.Server, now time.Time) time.Duration {
+// FirstRest implements Chooser.
+func (b *Board) FirstRest(now time.Time, servers []*fleet.Server, _ *Request) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var bars eligibility.Bars
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/crowbridge/crowbridge/internal/eligibility"
 	"github.com/crowbridge/crowbridge/internal/fleet"
 )
 
@@ -24,11 +23,8 @@
 	// passed over for them, because there is no other.
 	Failures int
 	Avoided  bool
-	// Barred is how many servers were left out by their own word. RestLeft is when the first
-	// of the service's servers, also one that was tried, takes requests again; 0 when one
-	// does already, or none of them rests.
-	Barred   int
-	RestLeft time.Duration
+	// Barred is how many servers were left out by their own word.
+	Barred int
 	// score is what the choice is made by; the lowest wins.
 	score float64
 }
@@ -51,13 +47,17 @@
 	var candidates []Choice
 	total, places := 0.0, 0
 	silent := b.silentOnes(now, servers)
-	var bars eligibility.Bars
+	barred := 0
 	for _, server := range servers {
 		if server.Leaving {
 			continue
 		}
 		r := b.row(server.Key())
-		if bars.Add(r.notice.Bar(now)) || contains(tried, server.Key()) {
+		if r.notice.Bar(now) != nil {
+			barred++
+			continue
+		}
+		if contains(tried, server.Key()) {
 			continue
 		}
 		load := r.estimate(now)
@@ -73,7 +73,7 @@
 		})
 	}
 	best := b.bestOfZones(unpenalized(candidates))
-	best.Silent, best.Barred, best.RestLeft = len(silent), bars.Count(), bars.FirstLeft()
+	best.Silent, best.Barred = len(silent), barred
 	if places > 0 {
 		best.Occupied = total / float64(places)
 	}
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -233,7 +233,7 @@
 	picked := p.chooser.Choose(p.now(), servers, x.request, x.tried)
 	if picked.Server == nil {
 		x.picked.Barred = picked.Barred
-		return nil, p.noneTakes(x, picked)
+		return nil, p.noneTakes(x)
 	}
 	if f := p.admit(x, picked); f != nil {
 		return nil, f
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -173,6 +173,9 @@
 	Heard(server string, info AnswerInfo, now time.Time) (rest time.Duration, leaves bool)
 	// Bar returns why a server may get no requests now by its own word, or nil.
 	Bar(server string, now time.Time) *eligibility.Bar
+	// FirstRest returns when the first of the candidates that rest takes requests again: 0
+	// if one takes them now, or none rests.
+	FirstRest(now time.Time, candidates []*fleet.Server, r *Request) time.Duration
 	// MayRepeat takes one retry from the budget.
 	MayRepeat(service, customer string, now time.Time) bool
 }
--- a/internal/eligibility/eligibility_test.go
+++ b/internal/eligibility/eligibility_test.go
@@ -75,20 +75,18 @@
 	for _, c := range []struct {
 		name  string
 		bars  []*Bar
-		count int
 		first time.Duration
 	}{
 		{name: "of none"},
-		{"of several", []*Bar{rest(4), rest(2), rest(3)}, 3, 2 * time.Second},
-		{"beside one that leaves", []*Bar{{Reason: Leaving}, rest(3)}, 2, 3 * time.Second},
-		{"of servers that all leave", []*Bar{{Reason: Leaving}}, 1, 0},
-		{"beside a free one", []*Bar{rest(4), nil}, 1, 0},
+		{"of several", []*Bar{rest(4), rest(2), rest(3)}, 2 * time.Second},
+		{"beside one that leaves", []*Bar{{Reason: Leaving}, rest(3)}, 3 * time.Second},
+		{"of servers that all leave", []*Bar{{Reason: Leaving}}, 0},
+		{"beside a free one", []*Bar{rest(4), nil}, 0},
 	} {
 		var bars Bars
 		for _, bar := range c.bars {
-			Expect(bars.Add(bar)).To(Equal(bar != nil))
+			bars.Add(bar)
 		}
-		Expect(bars.Count()).To(Equal(c.count), c.name)
 		Expect(bars.FirstLeft()).To(Equal(c.first), c.name)
 	}
 }
--- a/internal/entry/chooser.go
+++ b/internal/entry/chooser.go
@@ -10,7 +10,6 @@
 	"github.com/crowbridge/crowbridge/internal/failure"
 	"github.com/crowbridge/crowbridge/internal/fleet"
 	"github.com/crowbridge/crowbridge/internal/routing"
-	"github.com/crowbridge/crowbridge/internal/selector"
 	"github.com/crowbridge/crowbridge/internal/wire"
 	"github.com/pkg/errors"
 )
@@ -26,7 +25,7 @@
 	name := e.picker.Pick(now, e.random, routing.Query{Candidates: x.route.Servers, Prefix: x.prefix, Tried: tried})
 	row := e.table.Row(name)
 	if row == nil {
-		return noneOf(now, e.table, x.route.Servers)
+		return dispatch.Choice{}
 	}
 	return dispatch.Choice{
 		Server: x.compiled.servers[name], Load: float64(row.Reported.InFlight + row.Reported.Queued + row.Sent),
@@ -34,15 +33,17 @@
 	}
 }
 
-// noneOf tells for how long none of some servers takes requests by its own word.
-func noneOf(now time.Time, table *routing.Table, servers []*selector.Server) dispatch.Choice {
+// FirstRest implements dispatch.Chooser.
+func (c tableChooser) FirstRest(now time.Time, _ []*fleet.Server, r *dispatch.Request) time.Duration {
+	c.entry.mu.Lock()
+	defer c.entry.mu.Unlock()
 	var bars eligibility.Bars
-	for _, server := range servers {
-		if row := table.Row(server.Name); row != nil {
+	for _, server := range exchangeOf(r).route.Servers {
+		if row := c.entry.table.Row(server.Name); row != nil {
 			bars.Add(row.Notice.Bar(now))
 		}
 	}
-	return dispatch.Choice{Barred: bars.Count(), RestLeft: bars.FirstLeft()}
+	return bars.FirstLeft()
 }
 
 // Heard implements dispatch.Chooser.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -92,6 +92,27 @@
 		}
 	})
 
+	It("sends nothing to servers that rest, and refuses at once when all do", func() {
+		var asked atomic.Int64
+		resting := func(seconds int) http.HandlerFunc {
+			return func(w http.ResponseWriter, _ *http.Request) {
+				asked.Add(1)
+				wire.WriteRest(w.Header(), time.Duration(seconds)*time.Second)
+				wire.WriteFailure(w.Header(), failure.NotRun(failure.StepQueue, "", failure.CodeResting, "the server rests"))
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		}
+		f := newFixture(nil, []string{fakeAgent(resting(60)), fakeAgent(resting(120))})
+		for range 8 {
+			response, body := f.post(keyOfTulipan, "/dispatch/x", "slot", nil)
+			Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+			Expect(failureIn(body).Outcome).To(Equal("not-run"))
+			Expect(failureIn(body).Code).To(Equal(string(failure.CodeResting)))
+			Expect(failureIn(body).RetryAfterMs).To(BeNumerically("~", 45000, 17000), "until the first rest ends")
+		}
+		Expect(asked.Load()).To(Equal(int64(2)))
+	})
+
 	It("keeps the ledger balanced over every kind of end", func() {
 		f := newFixture([]string{fakeAgent(cutConnection), deadAddress(), fakeAgent(answerWith("ok"))}, nil)
 		for range 20 {
