--- /dev/null
+++ b/standins/hosted/resting_random_test.go
@@ -0,0 +1,219 @@
+package hosted_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/hosted"
+	"github.com/crowbridge/crowbridge/platform"
+	standin "github.com/crowbridge/crowbridge/standins/platform"
+	. "github.com/onsi/gomega"
+)
+
+// Servers that rest, leave and start again at random, under callers of an entry, in the
+// real time of its connections. The same seed draws the same words at the same times.
+
+const (
+	moodyServers = 5
+	moodyCallers = 16
+	// moodyTime is for how long servers speak, moodyEach the most time between two words.
+	moodyTime = 6 * time.Second
+	moodyEach = 250 * time.Millisecond
+	// moodyWork is how long a request runs, so that some are under way as a server speaks.
+	moodyWork = 15 * time.Millisecond
+	// onItsWay is for how long after a word requests may come that were sent before it:
+	// half a second is what servers allow.
+	onItsWay = 500 * time.Millisecond
+)
+
+// moodyServer refuses in spells and asks for rest each time, or says that it leaves and starts
+// again under its ID.
+type moodyServer struct {
+	fleet   *moodyFleet
+	id      string
+	address string
+
+	mu   sync.Mutex
+	born int64
+	// refusesUntil is the end of a spell, rest what it asks for in it.
+	refusesUntil time.Time
+	rest         time.Duration
+	// askedAt and restUntil are of the first word of a rest, leftAt of the word that it leaves.
+	askedAt, restUntil, leftAt time.Time
+	leaves                     bool
+}
+
+// moodyFleet is what all servers count into.
+type moodyFleet struct {
+	store *standin.Store
+	mu    sync.Mutex
+	runs  map[string]int
+	// against are requests that came against a server's word.
+	against []string
+	rests   int
+	left    int
+}
+
+// register writes the server's entry. The lock is held.
+func (s *moodyServer) register() {
+	s.fleet.store.Put("keyed.servers", s.id, fmt.Sprintf(
+		`{"service":"s","address":%q,"zone":"z","capacity":6,"state":"ready","born":%d}`, s.address, s.born))
+}
+
+// ServeHTTP implements http.Handler.
+func (s *moodyServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Attempt-Id")
+	w.Header().Set("X-Attempt-Id", id)
+	if s.turnsAway(w, id) {
+		return
+	}
+	s.fleet.mu.Lock()
+	s.fleet.runs[id]++
+	s.fleet.mu.Unlock()
+	time.Sleep(moodyWork)
+	w.Header().Set("X-Server-Stamp", "s")
+	fmt.Fprint(w, "an answer")
+}
+
+// turnsAway notes a request against the server's word, speaks, and refuses if it's to.
+func (s *moodyServer) turnsAway(w http.ResponseWriter, id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if now.Before(s.restUntil) && now.Sub(s.askedAt) > onItsWay {
+		s.fleet.note(fmt.Sprintf("%s of %s, %s into a rest", id, s.id, now.Sub(s.askedAt)))
+	}
+	if !s.leftAt.IsZero() && now.Sub(s.leftAt) > onItsWay {
+		s.fleet.note(fmt.Sprintf("%s of %s, %s after it said that it leaves", id, s.id, now.Sub(s.leftAt)))
+	}
+	if s.leaves {
+		if s.leftAt.IsZero() {
+			s.leftAt = now
+		}
+		w.Header().Set("Server-Leaving", "1")
+	}
+	if !now.Before(s.refusesUntil) {
+		return false
+	}
+	if !now.Before(s.restUntil) {
+		s.askedAt = now
+	}
+	if until := now.Add(s.rest); until.After(s.restUntil) {
+		s.restUntil = until
+	}
+	w.Header().Set("X-Not-Executed", "1")
+	w.Header().Set("Retry-After", strconv.FormatFloat(s.rest.Seconds(), 'f', 3, 64))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+func (f *moodyFleet) note(against string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.against = append(f.against, against)
+}
+
+// speak draws what a server says next.
+func (s *moodyServer) speak(random *rand.Rand) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	switch random.IntN(4) {
+	case 0: // it's to be replaced, or has been and starts again
+		if s.leaves {
+			s.leaves, s.leftAt, s.restUntil = false, time.Time{}, time.Time{}
+			s.born++
+			s.register()
+			return
+		}
+		s.leaves = true
+		s.fleet.left++
+	default:
+		s.rest = time.Duration(200+random.IntN(2300)) * time.Millisecond
+		s.refusesUntil = now.Add(time.Duration(random.IntN(1500)) * time.Millisecond)
+		s.fleet.rests++
+	}
+}
+
+func TestServersRestAndLeaveAtRandom(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { soakMoodyServers(t, seed) })
+	}
+}
+
+func soakMoodyServers(t *testing.T, seed uint64) {
+	RegisterTestingT(t)
+	random := rand.New(rand.NewPCG(seed, 1))
+	f := &moodyFleet{store: standin.NewStore(), runs: map[string]int{}}
+	f.store.Put(platform.TopicOperators, "config", endingConfig)
+	var servers []*moodyServer
+	for i := range moodyServers {
+		s := &moodyServer{fleet: f, id: fmt.Sprint("i-", i), born: 1}
+		address, stop := serveAt("127.0.0.1:0", s)
+		t.Cleanup(stop)
+		s.address = address
+		s.register()
+		servers = append(servers, s)
+	}
+	address, stop := serveAt("127.0.0.1:0", f.store)
+	t.Cleanup(stop)
+	entry := entrySettings("127.0.0.1", address)
+	t.Cleanup(start(hosted.NewEntryDaemon(entry, nil, quietLog())))
+	Eventually(ready(entry), patience).Should(Equal(http.StatusOK))
+
+	var callers sync.WaitGroup
+	var over atomic.Bool
+	var served, refused atomic.Int64
+	for c := range moodyCallers {
+		callers.Go(func() {
+			for n := 0; !over.Load(); n++ {
+				id, route := fmt.Sprintf("r%d-%d", c, n), []string{"again", "once"}[n%2]
+				status := askAs(entry, "/"+route+"/x", id)
+				f.mu.Lock()
+				runs := f.runs[id]
+				f.mu.Unlock()
+				switch {
+				case status == http.StatusOK && runs == 1:
+					served.Add(1)
+				case status == http.StatusServiceUnavailable && runs == 0:
+					refused.Add(1)
+					time.Sleep(moodyWork)
+				default:
+					t.Errorf("request %s: status %d, ran %d times", id, status, runs)
+				}
+			}
+		})
+	}
+	for began := time.Now(); time.Since(began) < moodyTime; {
+		servers[random.IntN(len(servers))].speak(random)
+		time.Sleep(time.Duration(random.Int64N(int64(moodyEach))))
+	}
+	over.Store(true)
+	callers.Wait()
+	t.Logf("%d served, %d refused, %d spells, %d servers left", served.Load(), refused.Load(), f.rests, f.left)
+	Expect(f.against).To(BeEmpty(), "requests that came against a server's word")
+	Expect(served.Load()).To(BeNumerically(">", 0))
+}
+
+// askAs sends a request under an ID and returns the status, or 0 without an answer.
+func askAs(s *platform.Settings, path, id string) int {
+	request, err := http.NewRequest(http.MethodPost, "http://"+s.Callers+path, http.NoBody)
+	if err != nil {
+		return 0
+	}
+	request.Host = "h.example"
+	request.Header.Set("X-Attempt-Id", id)
+	request.Header.Set("X-Api-Key", "k1")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close() // the status tells
+	return response.StatusCode
+}
