--- a/internal/agent/rest.go
+++ b/internal/agent/rest.go
@@ -30,12 +30,9 @@
 // server, so that its word is kept here, for all entries.
 func (a *Agent) hear(response *http.Response) {
 	leaving := response.Header.Get(wire.HeaderServerLeaving) != ""
-	var rest time.Duration
-	if response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests {
-		var odd string
-		if rest, odd = httpapi.ReadRetryAfter(response.Header); odd != "" {
-			a.log.WithField("said", odd).Warn("server asks for rest in words that can't be read: it isn't kept")
-		}
+	rest, odd := httpapi.ReadRest(response.StatusCode, response.Header)
+	if odd != "" {
+		a.log.WithField("said", odd).Warn("server asks for rest in words that can't be read: it isn't kept")
 	}
 	if !leaving && rest == 0 {
 		return
--- a/internal/experts/agent.go
+++ b/internal/experts/agent.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/crowbridge/crowbridge/internal/eligibility"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 )
@@ -37,6 +38,8 @@
 	countedFor int64
 	// openedAt is when the group was seen to open last.
 	openedAt time.Time
+	// notice is what the engine has said of itself in answers to orders.
+	notice eligibility.Notice
 	// inherited is the fence of a lease that an earlier process of this daemon had.
 	inherited int64
 	// orders keeps orders one after the other, so that none with an old fence is on
@@ -192,6 +195,10 @@
 	if highest, current := a.hear(order.Fence); !current {
 		return Fenced, errors.Errorf("the order's fence is %d, the highest known %d", order.Fence, highest)
 	}
+	if err := a.permit(order.Operation); err != nil {
+		a.log.WithError(err).WithField("operation", order.Operation.String()).Info("order not given")
+		return Refused, err
+	}
 	verdict, err := Repeat(ctx, localTry, func(ctx context.Context) (Verdict, error) {
 		return a.engine.Order(ctx, a.address, order)
 	})
@@ -199,9 +206,42 @@
 		"operation": order.Operation.String(), "version": order.Version, "pass": order.Pass, "epoch": order.Epoch,
 		"fence": order.Fence, "verdict": verdict.String(), "error": errorText(err),
 	}).Info("order given")
+	var rest *RestError
+	if errors.As(err, &rest) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.notice.AskForRest(rest.Rest, a.now())
+	}
 	return verdict, err
 }
 
+// RestError says that an engine refused an order and wants no more for a time.
+type RestError struct {
+	Rest time.Duration
+	Err  error
+}
+
+// Error implements error.
+func (e *RestError) Error() string { return e.Err.Error() }
+
+// Unwrap returns what the engine answered.
+func (e *RestError) Unwrap() error { return e.Err }
+
+// permit returns why an engine may get no order now, or nil. Orders that begin something
+// wait for its rest to end. Those that undo or go on with what all ranks have begun don't:
+// without them ranks would hold each other up, or begin a pass with different maps.
+func (a *Agent) permit(operation Operation) error {
+	if operation != Prepare && operation != Arm && operation != Hold {
+		return nil
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if bar := a.notice.Bar(a.now()); bar != nil {
+		return &eligibility.BarredError{Bar: bar}
+	}
+	return nil
+}
+
 // localTry bounds one try of an order to the engine on the same VM, which
 // answers in well under a millisecond.
 const localTry = 12 * time.Millisecond
--- a/internal/experts/agent_test.go
+++ b/internal/experts/agent_test.go
@@ -25,6 +25,8 @@
 	report RankReport
 	counts Counts
 	orders []Order
+	// rest is what each order is refused with, if it's set.
+	rest time.Duration
 	// unanswered orders come before the first that is answered.
 	unanswered int
 }
@@ -37,6 +39,9 @@
 
 func (e *fakeEngine) Order(_ context.Context, _ string, o Order) (Verdict, error) {
 	e.orders = append(e.orders, o)
+	if e.rest > 0 {
+		return Refused, &RestError{Rest: e.rest, Err: errors.New("status 503")}
+	}
 	if len(e.orders) <= e.unanswered {
 		return Unanswered, errors.New("no answer")
 	}
@@ -96,6 +101,25 @@
 		Expect(silent).To(BeZero(), "a group that can't run needs no holder")
 	})
 
+	It("lets its engine rest from orders that begin something, and never holds one back that others wait for", func() {
+		engine.rest = 3 * time.Second
+		give := func(operation Operation) Verdict {
+			verdict, _ := agent.Command(ctx, Order{Operation: operation, Fence: 1})
+			return verdict
+		}
+		Expect(give(Prepare)).To(Equal(Refused))
+		engine.rest = 0
+		for _, operation := range []Operation{Prepare, Arm, Hold} {
+			Expect(give(operation)).To(Equal(Refused))
+		}
+		Expect(engine.orders).To(HaveLen(1))
+		for _, operation := range []Operation{Disarm, Release} {
+			Expect(give(operation)).To(Equal(Accepted))
+		}
+		now = now.Add(3 * time.Second)
+		Expect(give(Prepare)).To(Equal(Accepted))
+	})
+
 	It("counts nothing from one start of its engine to the next", func() {
 		chosen := func(born int64, counts ...float64) []float64 {
 			engine.counts = Counts{Born: born, Chosen: counts}
--- a/internal/httpapi/retryafter.go
+++ b/internal/httpapi/retryafter.go
@@ -8,11 +8,15 @@
 	"time"
 )
 
-// ReadRetryAfter returns for how long an answer asks for no more requests: in seconds, with
-// a fraction too, or until a date (RFC 9110, section 10.2.3). A date counts from the
-// answer's own, because the clocks of two VMs needn't agree. The longest of several values
-// counts. odd is a value that can't be read, for the log; it asks for nothing.
-func ReadRetryAfter(h http.Header) (rest time.Duration, odd string) {
+// ReadRest returns for how long a server that turned a request away wants no more: what the
+// Retry-After of a 503 or 429 says, in seconds, with a fraction too, or as a date (RFC 9110,
+// section 10.2.3). A date counts from the answer's own, because the clocks of two VMs needn't
+// agree. The longest of several values counts. odd is a value that can't be read, for the
+// log; it asks for nothing.
+func ReadRest(status int, h http.Header) (rest time.Duration, odd string) {
+	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
+		return 0, ""
+	}
 	for _, value := range h.Values("Retry-After") {
 		value = strings.TrimSpace(value)
 		asked, ok := readSeconds(value)
--- a/internal/httpapi/retryafter_test.go
+++ b/internal/httpapi/retryafter_test.go
@@ -14,7 +14,7 @@
 	if date != "" {
 		h.Set("Date", date)
 	}
-	gotRest, gotOdd := ReadRetryAfter(h)
+	gotRest, gotOdd := ReadRest(http.StatusServiceUnavailable, h)
 	Expect(gotRest).To(Equal(rest))
 	Expect(gotOdd).To(Equal(odd))
 },
@@ -35,3 +35,14 @@
 	Entry("an empty value", []string{""}, "", time.Duration(0), ""),
 	Entry("words", []string{"in a while"}, "", time.Duration(0), "in a while"),
 )
+
+var _ = DescribeTable("the statuses with which a server turns requests away", func(status int, rest time.Duration) {
+	got, odd := ReadRest(status, http.Header{"Retry-After": {"2"}})
+	Expect(got).To(Equal(rest))
+	Expect(odd).To(BeEmpty())
+},
+	Entry("unavailable", http.StatusServiceUnavailable, 2*time.Second),
+	Entry("too many requests", http.StatusTooManyRequests, 2*time.Second),
+	Entry("moved", http.StatusMovedPermanently, time.Duration(0)),
+	Entry("accepted", http.StatusAccepted, time.Duration(0)),
+)
