--- a/standins/platform/store.go
+++ b/standins/platform/store.go
@@ -54,6 +54,8 @@
 	DelayMs int64 `json:"delayMs"`
 	// Keep bounds the records that a topic keeps; 0 keeps all.
 	Keep int `json:"keep"`
+	// Deaf makes reads that begin while it's set hear of nothing until their wait is over.
+	Deaf bool `json:"deaf"`
 }
 
 // NewStore returns an empty store.
@@ -78,6 +80,17 @@
 	s.add(name, append([]byte{byte(len(key))}, key+value...))
 }
 
+// Compact drops all records of a topic but the newest of each key, as the platform does at
+// any time: reads from an offset before that are told so, also those that wait.
+func (s *Store) Compact(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.first, t.records = t.end(), nil
+	close(s.grown)
+	s.grown = make(chan struct{})
+}
+
 // Records returns the records that a topic keeps.
 func (s *Store) Records(name string) [][]byte {
 	s.mu.Lock()
@@ -200,11 +213,15 @@
 	}
 	waitMs, _ := strconv.ParseInt(query.Get("wait_ms"), 10, 64) // missing: don't wait
 	timeout := time.After(time.Duration(waitMs) * time.Millisecond)
+	deaf := s.deaf()
 	for {
 		grown, answered := s.readNow(w, query.Get("topic"), from, waitMs <= 0)
 		if answered {
 			return
 		}
+		if deaf {
+			grown = nil
+		}
 		select {
 		case <-grown:
 		case <-timeout:
@@ -215,6 +232,12 @@
 	}
 }
 
+func (s *Store) deaf() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Deaf
+}
+
 // readNow answers a read if there is a record, or at any rate.
 func (s *Store) readNow(w http.ResponseWriter, name string, from int64, atAnyRate bool) (<-chan struct{}, bool) {
 	s.mu.Lock()
