--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -155,6 +155,7 @@
 	knownOperators, knownServers := e.members.offsets()
 	if operators.GetNext() > knownOperators {
 		e.members.takeOperators(decode(operators), operators.GetNext(), operators.GetWhole(), source)
+		e.members.onPeerConfig(operators.GetNext())
 	}
 	if servers.GetNext() < knownServers || servers.GetNext() == unknown {
 		return
--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -40,12 +40,14 @@
 	Refresh(ctx context.Context, maxAge time.Duration) bool
 	// ReadsForZone tells whether this daemon is the reader and has others to read for.
 	ReadsForZone() bool
+	// ReadsItself tells whether this daemon is the reader, or has nobody who reads for it.
+	ReadsItself() bool
 }
 
 const (
 	// configWait is how long one read waits for a new configuration. Each read is
 	// paid for, so it is long (the store allows 30 s); a broken connection is noticed by
-	// keep-alive probes.
+	// keep-alive probes, and what such a read misses is told by the zone's reader.
 	configWait = 28 * time.Second
 	// serversPart is the time between reads of registrations, as a part of the time
 	// within which requests must stop going to a leaving server; serversPace replaces
@@ -86,6 +88,8 @@
 	rereads chan struct{}
 	// lost gets a value when the store can no longer be reached.
 	lost chan struct{}
+	// silence judges the reads that wait for a configuration.
+	silence configSilence
 }
 
 // NewFollower returns a follower. zone may be nil: then it reads everything itself.
@@ -96,7 +100,9 @@
 	if pace <= 0 {
 		pace = serversPace
 	}
-	return &Follower{members: members, store: store, zone: zone, log: log, pace: pace, refreshes: make(chan struct{}, 1), rereads: make(chan struct{}, 1), lost: make(chan struct{}, 1)}
+	f := &Follower{members: members, store: store, zone: zone, log: log, pace: pace, refreshes: make(chan struct{}, 1), rereads: make(chan struct{}, 1), lost: make(chan struct{}, 1)}
+	members.onPeerConfig = f.peerKnewMore
+	return f
 }
 
 // Healthy tells whether the store answered last time.
@@ -115,6 +121,7 @@
 			continue
 		}
 		failures++
+		f.doubt(err)
 		wait.For(ctx, pause(failures))
 	}
 }
@@ -124,7 +131,9 @@
 	if from == unknown {
 		return f.readNewest(ctx, TopicOperators)
 	}
-	ctx, cancel := context.WithTimeout(ctx, configWait+callTimeout)
+	patience := f.configPatience()
+	f.silence.reading.Store(from)
+	ctx, cancel := context.WithTimeout(ctx, patience+callTimeout)
 	defer cancel()
 	go func() {
 		select {
@@ -133,8 +142,9 @@
 		case <-ctx.Done():
 		}
 	}()
-	records, next, err := f.store.Read(ctx, TopicOperators, from, configWait)
+	records, next, err := f.store.Read(ctx, TopicOperators, from, patience)
 	if errors.Is(err, ErrGone) {
+		f.doubt(err)
 		return f.readNewest(ctx, TopicOperators)
 	}
 	if err == nil {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -43,6 +43,9 @@
 	// meanwhile: then the store was away for this daemon only, and nothing lapsed.
 	away, peerNews bool
 	onServers      []func(*fleet.Servers)
+	// onPeerConfig is called with the offset up to which another daemon knew the
+	// operators' topic, when that is more than was known here.
+	onPeerConfig func(next int64)
 	// serversAsOf is a time at which nothing newer had been registered.
 	serversAsOf time.Time
 
@@ -55,7 +58,8 @@
 	return &Membership{
 		decoder: decoder, now: now, log: log,
 		operators: newTopic(), servers: newTopic(),
-		decoded: map[string]*fleet.Server{}, lapsed: map[string]time.Time{}, refused: map[string]bool{},
+		onPeerConfig: func(int64) {},
+		decoded:      map[string]*fleet.Server{}, lapsed: map[string]time.Time{}, refused: map[string]bool{},
 	}
 }
 
--- a/internal/membership/reader.go
+++ b/internal/membership/reader.go
@@ -45,6 +45,12 @@
 	return reader == "" && shared
 }
 
+// ReadsItself implements ZoneReader.
+func (e *Exchange) ReadsItself() bool {
+	reader, _ := e.reader()
+	return reader == ""
+}
+
 // Refresh implements ZoneReader.
 func (e *Exchange) Refresh(ctx context.Context, maxAge time.Duration) bool {
 	reader, _ := e.reader()
