--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -68,6 +68,9 @@
 	retryMost  = 600 * time.Millisecond
 )
 
+// errReread ends a long read that was woken.
+var errReread = errors.New("read anew")
+
 // fromStore names the store as a source of records in logs.
 const fromStore = "store"
 
@@ -121,7 +124,9 @@
 			continue
 		}
 		failures++
-		f.doubt(err)
+		if !errors.Is(err, errReread) {
+			f.doubt(err)
+		}
 		wait.For(ctx, pause(failures))
 	}
 }
@@ -135,14 +140,19 @@
 	f.silence.reading.Store(from)
 	ctx, cancel := context.WithTimeout(ctx, patience+callTimeout)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
 	go func() {
 		select {
 		case <-f.rereads:
-			cancel()
+			end(errReread)
 		case <-ctx.Done():
 		}
 	}()
 	records, next, err := f.store.Read(ctx, TopicOperators, from, patience)
+	if err != nil && errors.Is(context.Cause(ctx), errReread) {
+		return errReread
+	}
 	if errors.Is(err, ErrGone) {
 		f.doubt(err)
 		return f.readNewest(ctx, TopicOperators)
--- a/internal/membership/silence.go
+++ b/internal/membership/silence.go
@@ -10,8 +10,8 @@
 const (
 	// readerConfigWait replaces configWait at the daemon that reads for its zone: a read may
 	// stay silent although configurations come, as after a compaction of the topic, and
-	// nothing else shows it. In three zones it costs 0.6 calls a second more.
-	readerConfigWait = 4 * time.Second
+	// nothing else shows it. In three zones it costs 0.5 calls a second more.
+	readerConfigWait = 5 * time.Second
 	// doubtWait replaces it for doubtTime after anything that may have left a read silent:
 	// one that failed, was cut or told that its records are gone, or that missed what a peer
 	// knows. Stale answers of the store are some seconds old.
