--- a/standins/plain/plain.go
+++ b/standins/plain/plain.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"sync"
 	"time"
 
 	"github.com/crowbridge/crowbridge/standins/engine"
@@ -24,17 +26,62 @@
 	Exit func()
 }
 
-// EndsOn in a call's body ends the server that runs it.
-const EndsOn = "ends-its-server"
+// EndsOn in a call's body ends the server that runs it, RestsOn makes it refuse that call and
+// want no other for RestTime.
+const (
+	EndsOn   = "ends-its-server"
+	RestsOn  = "makes-its-server-rest"
+	RestTime = time.Second
+)
+
+// AgainstRest begins the names of calls that came while their server rested, as Recorder gets
+// them; the server's name and the rest's beginning, in milliseconds since 1970, follow.
+const AgainstRest = "against-rest"
+
+// onItsWay is for how long calls may come that were sent before a server asked for rest.
+const onItsWay = 200 * time.Millisecond
+
+// rest is what a server keeps of the rest that it has asked for.
+type rest struct {
+	mu    sync.Mutex
+	began time.Time
+}
+
+// begin starts a rest.
+func (r *rest) begin() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.began = time.Now()
+}
+
+// broken returns when the rest began that a call at this moment breaks; zero when none.
+func (r *rest) broken() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if since := time.Since(r.began); since <= onItsWay || since >= RestTime {
+		return time.Time{}
+	}
+	return r.began
+}
 
 // Handler returns the service's API: it echoes what it was asked.
 func Handler(options Options) http.Handler {
+	var resting rest
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
+		if began := resting.broken(); !began.IsZero() {
+			options.Recorder.Record(fmt.Sprintf("%s-%s-%d", AgainstRest, options.Name, began.UnixMilli()))
+		}
+		if bytes.Contains(body, []byte(RestsOn)) {
+			w.Header().Set("Retry-After", strconv.FormatFloat(RestTime.Seconds(), 'f', -1, 64))
+			resting.begin()
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if options.Exit != nil && bytes.Contains(body, []byte(EndsOn)) {
 			time.Sleep(options.Work)
 			options.Exit()
--- a/standins/soak/ending.go
+++ b/standins/soak/ending.go
@@ -75,19 +75,22 @@
 }
 
 // ask sends the request to an entry that runs. How it ends doesn't matter.
-func (c *endingCaller) ask(ctx context.Context) {
-	entries := c.cluster.Callers()
+func (c *endingCaller) ask(ctx context.Context) { askOnce(ctx, c.cluster, c.random, plain.EndsOn) }
+
+// askOnce sends a plain call with a body to an entry that runs, if there is one.
+func askOnce(ctx context.Context, cluster *harness.Cluster, random *rand.Rand, body string) {
+	entries := cluster.Callers()
 	if len(entries) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, endingPatience)
 	defer cancel()
-	url := "http://" + entries[c.random.IntN(len(entries))] + "/dispatch/slots"
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(plain.EndsOn))
+	url := "http://" + entries[random.IntN(len(entries))] + "/dispatch/slots"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
 		return // the context ended
 	}
-	request.Header.Set("Authorization", "Bearer "+c.cluster.Keys[0])
+	request.Header.Set("Authorization", "Bearer "+cluster.Keys[0])
 	if response, err := http.DefaultClient.Do(request); err == nil {
 		_ = response.Body.Close() // it earns nothing
 	}
--- a/standins/soak/soak.go
+++ b/standins/soak/soak.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/crowbridge/crowbridge/standins/harness"
@@ -56,6 +57,8 @@
 	// the weight that must be in force.
 	changed map[string]int
 	weight  int
+	// resting makes servers rest.
+	resting *restingCaller
 }
 
 // Run soaks one seed. An error says which promise was broken, or that the run
@@ -91,15 +94,14 @@
 		done <- loaded{report, err}
 	}()
 	ending := newEndingCaller(cluster, o.Seed)
+	r.resting = newRestingCaller(cluster, o.Seed)
 	ctx, stop := context.WithCancel(context.Background())
-	stopped := make(chan struct{})
-	go func() {
-		defer close(stopped)
-		ending.run(ctx)
-	}()
+	var others sync.WaitGroup
+	others.Go(func() { ending.run(ctx) })
+	others.Go(func() { r.resting.run(ctx) })
 	err = r.inject()
 	stop()
-	<-stopped
+	others.Wait()
 	if err != nil {
 		return err
 	}
@@ -116,6 +118,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "seed %d", o.Seed)
 	}
+	if err := r.resting.check(); err != nil {
+		return errors.Wrapf(err, "seed %d", o.Seed)
+	}
 	if !l.report.OK() || l.report.Answered == 0 {
 		return errors.Errorf("seed %d: the counts don't add up: %s", o.Seed, l.report)
 	}
@@ -148,6 +153,7 @@
 			if err := e.end(); err != nil {
 				return errors.Wrap(err, e.name)
 			}
+			r.resting.ends(e.name)
 		}
 		under = kept
 		if now >= next && now < r.options.Length && len(under) < faultsAtOnce {
@@ -176,6 +182,7 @@
 		}
 	}
 	r.say("%s", name)
+	r.resting.begins(name)
 	if err := begin(); err != nil {
 		return nil, errors.Wrap(err, name)
 	}
@@ -184,9 +191,9 @@
 
 // sameThing tells whether two faults are about one process or service, which is
 // the last word of their names.
-func sameThing(a, b string) bool {
-	return a[strings.LastIndex(a, " "):] == b[strings.LastIndex(b, " "):]
-}
+func sameThing(a, b string) bool { return lastWord(a) == lastWord(b) }
+
+func lastWord(name string) string { return name[strings.LastIndex(name, " ")+1:] }
 
 // settle checks what must hold once all faults are over.
 func (r *run) settle() error {
