--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -45,6 +45,7 @@
 	case crashwatch.Listening:
 		reply.State = rpc.EngineState_ENGINE_STATE_LISTENING
 	case crashwatch.Ended:
+		c.Agent.serverEnded()
 		reply.State = rpc.EngineState_ENGINE_STATE_ENDED
 	case crashwatch.Unknown:
 	}
--- a/internal/agent/rest.go
+++ b/internal/agent/rest.go
@@ -126,11 +126,18 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), engineTimeout)
 	defer cancel()
-	if upstream.ProbeAddress(ctx, backend.Host) != crashwatch.Ended {
-		return
+	if upstream.ProbeAddress(ctx, backend.Host) == crashwatch.Ended {
+		a.serverEnded()
 	}
+}
+
+// serverEnded notes that nobody listens where the server did: what it said doesn't bind its
+// next start.
+func (a *Agent) serverEnded() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.notice = eligibility.Notice{}
-	a.log.Info("server that left has ended")
+	if bar := a.notice.Bar(a.elapsed()); bar != nil {
+		a.notice = eligibility.Notice{}
+		a.log.WithField("said", bar.String()).Info("server has ended: its word doesn't bind its next start")
+	}
 }
--- a/internal/agent/rest_test.go
+++ b/internal/agent/rest_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/crowbridge/crowbridge/internal/rpc"
 	"github.com/crowbridge/crowbridge/internal/wire"
 	. "github.com/onsi/gomega"
 )
@@ -118,3 +120,28 @@
 	t.Cleanup(next.Close)
 	g.Expect(status()).To(Equal(http.StatusOK))
 }
+
+func TestARestDoesNotBindTheNextStart(t *testing.T) {
+	g := NewWithT(t)
+	var runs atomic.Int64
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		w.Header().Set("Retry-After", longRest)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	b := benchUntil(t.Cleanup, backend.URL, 1)
+	_, _, err := b.try(ask{})
+	g.Expect(err).NotTo(HaveOccurred())
+	control := &Control{Agent: b.agent}
+	look := func() rpc.EngineState {
+		reply, err := control.Engine(context.Background(), &rpc.EngineRequest{})
+		g.Expect(err).NotTo(HaveOccurred())
+		return reply.GetState()
+	}
+	g.Expect(look()).To(Equal(rpc.EngineState_ENGINE_STATE_LISTENING), "it's looked at while it rests")
+	g.Expect(b.agent.permit()).To(HaveOccurred())
+	backend.Close()
+	g.Expect(look()).To(Equal(rpc.EngineState_ENGINE_STATE_ENDED))
+	g.Expect(b.agent.permit()).To(Succeed())
+	g.Expect(runs.Load()).To(Equal(int64(1)))
+}
