--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -111,6 +111,12 @@
 			Expect(failureIn(body).RetryAfterMs).To(BeNumerically("~", 45000, 17000), "until the first rest ends")
 		}
 		Expect(asked.Load()).To(Equal(int64(2)))
+		for _, server := range f.entry.Servers() {
+			Expect(server.State).To(Equal("resting"))
+		}
+		_, reasons, err := f.entry.Explain("tulipan", "", "/dispatch/x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reasons["dispatch-1"]).To(ContainSubstring("has asked for rest"))
 	})
 
 	It("keeps the ledger balanced over every kind of end", func() {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -19,8 +19,11 @@
 	var list []*rpc.ServerStatus
 	for name, row := range e.table.Rows() {
 		state := row.Health.String()
-		if row.Server.Spec.Draining {
+		switch bar := row.Notice.Bar(now); {
+		case row.Server.Spec.Draining:
 			state = "draining"
+		case bar != nil:
+			state = string(bar.Reason)
 		}
 		age := int64(-1)
 		if !row.ReportedAt.IsZero() {
@@ -62,11 +65,15 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	row := e.table.Row(name)
-	switch {
-	case row == nil:
+	if row == nil {
 		return "not known here yet"
+	}
+	bar := row.Notice.Bar(e.now())
+	switch {
 	case e.picker.Allowed(e.now(), row):
 		return ""
+	case bar != nil:
+		return bar.String()
 	case row.ListedLeaving:
 		return "the platform's list calls its VM leaving"
 	default:
