--- a/internal/agent/rest.go
+++ b/internal/agent/rest.go
@@ -29,7 +29,7 @@
 // refused then, because other servers may take it: only what this agent starts reaches the
 // server, so that its word is kept here, for all entries.
 func (a *Agent) hear(response *http.Response) {
-	leaving := response.Header.Get(wire.HeaderServerLeaving) != ""
+	leaving := httpapi.ReadFlag(response.Header, wire.HeaderServerLeaving)
 	rest, odd := httpapi.ReadRest(response.StatusCode, response.Header)
 	if odd != "" {
 		a.log.WithField("said", odd).Warn("server asks for rest in words that can't be read: it isn't kept")
@@ -92,11 +92,7 @@
 
 // barred is the refusal of a request that may not be started.
 func (a *Agent) barred(bar *eligibility.Bar) *failure.Error {
-	code := failure.CodeResting
-	if bar.Reason == eligibility.Leaving {
-		code = failure.CodeLeaving
-	}
-	return failure.NotRun(failure.StepQueue, a.options.Server, code, bar.String()).After(restLeft(bar))
+	return failure.NotRun(failure.StepQueue, a.options.Server, bar.Code(), bar.String()).After(restLeft(bar))
 }
 
 // restLeft is for how long entries needn't ask an agent whose server is barred.
--- a/internal/dispatch/notice.go
+++ b/internal/dispatch/notice.go
@@ -47,11 +47,7 @@
 // spoken since it was chosen. What was taken from the retry budget for it is used by the next.
 func (p *Pipeline) barred(x *exchange, server *fleet.Server, bar *eligibility.Bar) *failure.Error {
 	x.paid = x.sent > 0
-	code := failure.CodeResting
-	if bar.Reason == eligibility.Leaving {
-		code = failure.CodeLeaving
-	}
-	return failure.NotRun(failure.StepSend, server.ID, code, bar.String()).After(p.comeBack(x))
+	return failure.NotRun(failure.StepSend, server.ID, bar.Code(), bar.String()).After(p.comeBack(x))
 }
 
 // noneTakes refuses a request that no server may get. If all rest, it's refused at once and
--- a/internal/eligibility/eligibility.go
+++ b/internal/eligibility/eligibility.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/crowbridge/crowbridge/internal/failure"
 )
 
 // MaxRest is the longest rest that a server is believed to want, so that a wrong unit
@@ -32,6 +34,14 @@
 	Left time.Duration
 }
 
+// Code is what callers of a request are told that was held back.
+func (b *Bar) Code() failure.Code {
+	if b.Reason == Leaving {
+		return failure.CodeLeaving
+	}
+	return failure.CodeResting
+}
+
 // String says it for people.
 func (b *Bar) String() string {
 	if b.Reason == Leaving {
--- a/internal/httpapi/retryafter.go
+++ b/internal/httpapi/serverwords.go
@@ -57,3 +57,10 @@
 	}
 	return max(until.Sub(now), 0), true
 }
+
+// ReadFlag tells whether a header is set to 1 or true. Without it, or with a value that
+// isn't known, the flag isn't set.
+func ReadFlag(h http.Header, name string) bool {
+	set, err := strconv.ParseBool(h.Get(name))
+	return err == nil && set
+}
--- a/internal/httpapi/retryafter_test.go
+++ b/internal/httpapi/serverwords_test.go
@@ -46,3 +46,13 @@
 	Entry("moved", http.StatusMovedPermanently, time.Duration(0)),
 	Entry("accepted", http.StatusAccepted, time.Duration(0)),
 )
+
+var _ = DescribeTable("a flag in a header", func(value string, set bool) {
+	h := http.Header{}
+	if value != "" {
+		h.Set("X-Flag", value)
+	}
+	Expect(ReadFlag(h, "X-Flag")).To(Equal(set))
+},
+	Entry("none", "", false), Entry("1", "1", true), Entry("true", "true", true), Entry("0", "0", false), Entry("another word", "soon", false),
+)
