--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/crowbridge/crowbridge/internal/admin"
 	"github.com/crowbridge/crowbridge/internal/buildinfo"
 	"github.com/crowbridge/crowbridge/internal/clock"
@@ -83,6 +85,7 @@
 	members.OnServers(backend.Keep)
 	members.OnServers(e.crashes.Keep)
 	e.exchange.SetCrashes(e.crashes)
+	e.exchange.SetConfiguration(rep)
 	e.crashes.SetBars(func(server string) *eligibility.Bar { return e.board.Bar(server, clk.Now()) })
 	view := steeredFleet{Membership: members, steering: e.steering}
 	e.pipeline = dispatch.NewPipeline(view, e.board, backend, clk.Now, log)
@@ -196,7 +199,9 @@
 		if !e.ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
+		fmt.Fprintf(w, `{"configuration_confirmed_ms":%d}`, e.members.ConfigAge().Milliseconds())
 	})
+	metrics.GetOrCreateGauge(`crowbridge_configuration_confirmed_age_seconds`, func() float64 { return e.members.ConfigAge().Seconds() })
 	control := http.NewServeMux()
 	peers := peerrpc.NewMembershipServer(e.exchange)
 	control.Handle(peers.PathPrefix(), peers)
--- a/internal/longread/longread.go
+++ b/internal/longread/longread.go
@@ -11,6 +11,9 @@
 	// DoubtWait is how long such a read may wait while its silence is in doubt: it bounds
 	// how late news is then, at two calls a second.
 	DoubtWait = 500 * time.Millisecond
+	// PeerAheadGrace is how long a read may still be silent about what a peer has told: reads
+	// of several daemons end some milliseconds apart.
+	PeerAheadGrace = 150 * time.Millisecond
 	// doubtTime is for how long silence is in doubt after anything that may have left a read
 	// deaf. After a compaction, reads of the store are stale by some seconds.
 	doubtTime = 10 * time.Second
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -17,8 +17,9 @@
 	seeds   []string
 	client  *http.Client
 	log     *logrus.Entry
-	// crashes may be nil.
-	crashes Crashes
+	// crashes and configuration may be nil.
+	crashes       Crashes
+	configuration Configuration
 
 	mu    sync.Mutex
 	peers map[string]heardPeer
@@ -33,6 +34,14 @@
 	Told(peer string, news *peerrpc.CrashNews)
 }
 
+// Configuration is the product's own, which a daemon follows by itself.
+type Configuration interface {
+	// Next is the offset after the last record that is known.
+	Next() int64
+	// PeerKnows takes in the same of another daemon.
+	PeerKnows(next int64)
+}
+
 // Peer is a daemon: its control address, empty when it takes no calls, and its
 // availability zone.
 type Peer struct{ Control, Zone string }
@@ -61,6 +70,10 @@
 // before the first exchange.
 func (e *Exchange) SetCrashes(crashes Crashes) { e.crashes = crashes }
 
+// SetConfiguration makes the exchange tell how far the product's own configuration is known.
+// Call it before the first exchange.
+func (e *Exchange) SetConfiguration(c Configuration) { e.configuration = c }
+
 // SetSeeds changes the daemons that are asked first.
 func (e *Exchange) SetSeeds(seeds []string) {
 	e.mu.Lock()
@@ -74,7 +87,13 @@
 	if r.GetControl() != "" {
 		e.heardOf(Peer{Control: r.GetControl(), Zone: r.GetZone()})
 	}
-	reply := &peerrpc.ExchangeReply{Peers: e.Peers(), Zone: e.self.Zone, ServersAgeMs: ageMs(e.members.now(), e.members.asOf())}
+	now := e.members.now()
+	reply := &peerrpc.ExchangeReply{
+		Peers: e.Peers(), Zone: e.self.Zone, ServersAgeMs: ageMs(now, e.members.asOf()), OperatorsAgeMs: ageMs(now, e.members.confirmed()),
+	}
+	if e.configuration != nil {
+		reply.ConfigurationNext = e.configuration.Next()
+	}
 	operators, servers := e.changes(offsets{r.GetOperatorsNext(), r.GetServersNext()})
 	reply.Servers = servers
 	if !r.GetServersOnly() {
@@ -120,6 +139,9 @@
 	if e.crashes != nil {
 		e.crashes.Told(peer, reply.GetCrashes())
 	}
+	if e.configuration != nil {
+		e.configuration.PeerKnows(reply.GetConfigurationNext())
+	}
 	e.takeIn(reply, asked, "peer "+peer)
 	e.heardOf(Peer{Control: peer, Zone: reply.GetZone()})
 	for _, other := range reply.GetPeers() {
@@ -157,6 +179,9 @@
 		e.members.takeOperators(decode(operators), operators.GetNext(), operators.GetWhole(), source)
 		e.members.onPeerConfig(operators.GetNext())
 	}
+	if age := reply.GetOperatorsAgeMs(); age > 0 && operators.GetNext() >= knownOperators {
+		e.members.confirmOperators(asked.Add(-time.Duration(age) * time.Millisecond))
+	}
 	if servers.GetNext() < knownServers || servers.GetNext() == unknown {
 		return
 	}
--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -152,6 +152,7 @@
 		case <-ctx.Done():
 		}
 	}()
+	asked := f.members.now()
 	records, next, err := f.store.Read(ctx, TopicOperators, from, patience)
 	if err != nil && errors.Is(context.Cause(ctx), errReread) {
 		return errReread
@@ -162,6 +163,7 @@
 	}
 	if err == nil {
 		f.members.takeOperators(records, next, false, fromStore)
+		f.members.confirmOperators(asked)
 	}
 	return err
 }
@@ -236,6 +238,7 @@
 	switch topic {
 	case TopicOperators:
 		f.members.takeOperators(records, next, true, fromStore)
+		f.members.confirmOperators(asked)
 	case TopicServers:
 		f.members.takeServers(registrations{records: records, next: next, whole: true, asOf: asked, source: fromStore})
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -48,6 +48,8 @@
 	onPeerConfig func(next int64)
 	// serversAsOf is a time at which nothing newer had been registered.
 	serversAsOf time.Time
+	// operatorsAsOf is the same for the operators' topic, as far as reads can be believed.
+	operatorsAsOf time.Time
 
 	config  atomic.Pointer[fleet.Config]
 	present atomic.Pointer[fleet.Servers]
@@ -101,6 +103,36 @@
 	}
 }
 
+// confirmOperators notes a time at which nothing newer than what is known had been written
+// to the operators' topic.
+func (m *Membership) confirmOperators(asOf time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if asOf.After(m.operatorsAsOf) {
+		m.operatorsAsOf = asOf
+	}
+}
+
+// neverConfirmed is the age of a configuration of which nothing has been heard.
+const neverConfirmed = 365 * 24 * time.Hour
+
+// ConfigAge is how long ago it was last confirmed that there is no newer configuration.
+func (m *Membership) ConfigAge() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.operatorsAsOf.IsZero() {
+		return neverConfirmed
+	}
+	return m.now().Sub(m.operatorsAsOf)
+}
+
+// confirmed returns a time at which the operators' topic was as it is known; zero when none is.
+func (m *Membership) confirmed() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.operatorsAsOf
+}
+
 // readable leaves out records that can't be read, with a line for each: records are read
 // once, but for the newest of each key.
 func (m *Membership) readable(records []Record, source string) []Record {
--- a/internal/membership/silence.go
+++ b/internal/membership/silence.go
@@ -3,25 +3,22 @@
 import (
 	"errors"
 	"time"
-)
 
-const (
-	// readerConfigWait replaces configWait at the daemon that reads for its zone: a read may
-	// be deaf without anything that shows it. In three zones it costs 0.5 calls a second
-	// more, a tenth of what 8 entries and 16 agents made on a quiet day (286 to 315).
-	readerConfigWait = 5 * time.Second
-	// peerAheadGrace is how long an own read may still be silent about what a peer has
-	// told: reads of several daemons end some milliseconds apart.
-	peerAheadGrace = 150 * time.Millisecond
+	"github.com/crowbridge/crowbridge/internal/longread"
 )
 
+// readerConfigWait replaces configWait at the daemon that reads for its zone: a read may
+// be deaf without anything that shows it. In three zones it costs 0.5 calls a second
+// more, a tenth of what 8 entries and 16 agents made on a quiet day (286 to 315).
+const readerConfigWait = 5 * time.Second
+
 // errMissed ends a read that is silent about what a peer knows.
 var errMissed = errors.New("another daemon knows a newer configuration")
 
 // doubt makes reads for configurations short for a while.
 func (f *Follower) doubt(cause error) {
 	if f.silence.Raise(f.members.now()) {
-		f.log.WithError(cause).Info("the store's silence about configurations isn't believed for a while")
+		f.log.WithError(cause).WithField("confirmed_ms", f.members.ConfigAge().Milliseconds()).Info("the store's silence about configurations isn't believed for a while")
 	}
 }
 
@@ -36,7 +33,7 @@
 
 // peerKnewMore ends the present read, unless it hears by itself of what a peer has just told.
 func (f *Follower) peerKnewMore(next int64) {
-	time.AfterFunc(peerAheadGrace, func() {
+	time.AfterFunc(longread.PeerAheadGrace, func() {
 		if f.reading.Load() < next {
 			f.doubt(errMissed)
 			wake(f.rereads)
--- a/internal/membership/silence_test.go
+++ b/internal/membership/silence_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/longread"
+	"github.com/crowbridge/crowbridge/internal/peerrpc"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -48,12 +49,28 @@
 	It("is broken by another daemon that knows more, unless the own read hears of it too", func() {
 		b.follower.reading.Store(1)
 		b.follower.peerKnewMore(1)
-		Consistently(b.follower.rereads, 2*peerAheadGrace).ShouldNot(Receive())
+		Consistently(b.follower.rereads, 2*longread.PeerAheadGrace).ShouldNot(Receive())
 		b.members.onPeerConfig(2)
 		Eventually(b.follower.rereads, "5s").Should(Receive())
 		Expect(b.follower.configPatience()).To(Equal(longread.DoubtWait))
 	})
 
+	It("is as old as the read that was answered last, or as a peer's that knows as much", func() {
+		b.now = b.now.Add(4 * time.Second)
+		Expect(b.members.ConfigAge()).To(Equal(4 * time.Second))
+		other := newBench()
+		other.store = b.store
+		other.follower.store = b.store
+		other.now = b.now
+		Expect(other.read()).To(Succeed())
+		other.now = other.now.Add(time.Second)
+		reply, err := NewExchange(other.members, Peer{}, nil, nil, other.follower.log).Exchange(context.Background(), &peerrpc.ExchangeRequest{OperatorsNext: 1})
+		Expect(err).NotTo(HaveOccurred())
+		b.now = other.now
+		NewExchange(b.members, Peer{}, nil, nil, b.follower.log).takeIn(reply, b.now, "peer")
+		Expect(b.members.ConfigAge()).To(BeNumerically("~", time.Second, 2*time.Millisecond))
+	})
+
 	It("isn't taken for a failure by a read that is woken", func() {
 		blocked := &blockingStore{fakeStore: b.store}
 		b.follower.store = blocked
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -89,6 +89,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	go func() {
+		select {
+		case <-r.behind:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	batch, err := source.Records(ctx, r.Offset(), wait)
 	if err != nil {
 		r.silence.Raise(r.now())
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -47,13 +47,14 @@
 	now       func() time.Time
 	wait      time.Duration // of one read for new records
 	silence   longread.Doubt
+	behind    chan struct{} // ends a read that is silent about what a peer knows
 
 	view atomic.Pointer[config.View]
 }
 
 // New returns a replica that has folded nothing.
 func New(now func() time.Time) *Replica {
-	r := &Replica{state: config.NewState(), changed: make(chan struct{}), now: now, wait: defaultWait}
+	r := &Replica{state: config.NewState(), changed: make(chan struct{}), now: now, wait: defaultWait, behind: make(chan struct{}, 1)}
 	r.view.Store(r.state.View())
 	return r
 }
@@ -129,6 +130,27 @@
 	}
 }
 
+// Next is the offset after the last record that is folded.
+func (r *Replica) Next() int64 { return r.Offset() + 1 }
+
+// PeerKnows takes in the offset up to which a peer knows the log. A read that is still
+// silent about it after a while is ended: the log may have left it deaf.
+func (r *Replica) PeerKnows(next int64) {
+	if next <= r.Next() {
+		return
+	}
+	time.AfterFunc(longread.PeerAheadGrace, func() {
+		if next <= r.Next() {
+			return
+		}
+		r.silence.Raise(r.now())
+		select {
+		case r.behind <- struct{}{}:
+		default: // it's about to end
+		}
+	})
+}
+
 // Offset is the offset folded up to.
 func (r *Replica) Offset() int64 { return r.View().Offset }
 
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -71,6 +71,18 @@
 	return config.DecodeSnapshot(data)
 }
 
+// deafSource hears of nothing while a read waits.
+type deafSource struct{ *fakeSource }
+
+func (s *deafSource) Records(ctx context.Context, _ int64, wait time.Duration) (Batch, error) {
+	select {
+	case <-ctx.Done():
+		return Batch{}, ctx.Err()
+	case <-time.After(wait):
+		return Batch{}, nil
+	}
+}
+
 func follow(r *Replica, sources ...Source) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -104,6 +116,17 @@
 		}
 	})
 
+	It("ends a read that is silent about what a peer knows", func() {
+		r := upTo(1)
+		r.SetWait(28 * time.Second)
+		deaf := &deafSource{&fakeSource{name: "log", from: upTo(1)}}
+		follow(r, deaf, &fakeSource{name: "peer", from: upTo(4)})
+		r.PeerKnows(2)
+		Consistently(r.Offset, 2*longread.PeerAheadGrace).Should(Equal(int64(1)), "it's known here too")
+		r.PeerKnows(5)
+		Eventually(r.Offset, "5s").Should(Equal(int64(4)))
+	})
+
 	It("never adopts an older state", func() {
 		r := upTo(5)
 		older, _, err := upTo(3).Snapshot()
