--- a/internal/experts/agent.go
+++ b/internal/experts/agent.go
@@ -177,6 +177,9 @@
 	if report.Open && !a.last.Open {
 		a.openedAt = a.now()
 	}
+	if report.Born != a.last.Born {
+		a.notice = eligibility.Notice{} // this start has said nothing
+	}
 	a.last = report
 	return report, nil
 }
--- a/internal/experts/agent_test.go
+++ b/internal/experts/agent_test.go
@@ -116,8 +116,12 @@
 		for _, operation := range []Operation{Disarm, Release} {
 			Expect(give(operation)).To(Equal(Accepted))
 		}
-		now = now.Add(3 * time.Second)
-		Expect(give(Prepare)).To(Equal(Accepted))
+		engine.rest, now = 3*time.Second, now.Add(3*time.Second)
+		Expect(give(Prepare)).To(Equal(Refused))
+		engine.rest, engine.report.Born = 0, 2
+		_, err := agent.Report(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(give(Prepare)).To(Equal(Accepted), "its next start has said nothing")
 	})
 
 	It("counts nothing from one start of its engine to the next", func() {
