--- a/standins/harness/process.go
+++ b/standins/harness/process.go
@@ -155,8 +155,8 @@
 func init() { nextPort.Store(int64(firstPort + os.Getpid()*portSpread%(lastPort-firstPort))) }
 
 // ownLoopback is an address of this process's own: of two deployments side by side, neither
-// takes a port of the other's while a process there is down. Callers met another deployment's
-// entry at the port of one that was to start again (soak seed 424).
+// takes a port of the other's while a process there is down. An entry that was to start again
+// once found its port in use, and its callers got wrong answers (soak seed 424).
 func ownLoopback() string {
 	pid := os.Getpid()
 	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>16&63, pid>>8&255, pid&255)
--- a/standins/soak/soak_test.go
+++ b/standins/soak/soak_test.go
@@ -12,7 +12,7 @@
 	seed  uint64
 	cause string
 }{
-	{424, "a soak beside it took the port of an entry that was to start again, and answered its callers"},
+	{424, "the port of an entry that was to start again was in use, by whom wasn't seen; another soak and tests shared its range"},
 	{10, "a planned stop's bound was shorter than the requests' deadline: four requests whose answers were lost were cut off"},
 }
 
