dispatch, platform: a limit that a server names goes into the log; nothing is decided by it yet

A line at each change of what a server says, with what it said before, and the server's limit in the line of each request that it got. Odd values: a negative number, NaN, words are told and not taken; 1e400 is a number that bounds nothing; 0 is one.

--- a/internal/dispatch/board.go
+++ b/internal/dispatch/board.go
@@ -46,6 +46,8 @@
 	took       float64 // smoothed time of own plain answers, in seconds
 	// notice is what the server has said of itself.
 	notice eligibility.Notice
+	// limit is what it has said last of the requests that it takes a second.
+	limit LimitWord
 }
 
 const (
--- a/internal/dispatch/notice.go
+++ b/internal/dispatch/notice.go
@@ -19,6 +19,7 @@
 	if info.OddRetryAfter != "" {
 		log.WithField("said", info.OddRetryAfter).Warn("server asks for rest in words that can't be read: it isn't kept")
 	}
+	p.hearLimit(x, server, info)
 	left, leaves := p.chooser.Heard(server.Key(), info, p.now())
 	if leaves {
 		countWord(x.Service, eligibility.Leaving)
@@ -30,6 +31,36 @@
 	}
 }
 
+// hearLimit takes in what a server says of the requests that it takes a second.
+func (p *Pipeline) hearLimit(x *exchange, server *fleet.Server, info AnswerInfo) {
+	log := p.log.WithFields(logrus.Fields{"server": server.ID, "start": server.Key(), "request": x.request.ID})
+	if info.Limit.Odd != "" {
+		log.WithField("said", info.Limit.Odd).Warn("server names a limit that can't be read: what it said before holds")
+	}
+	before, changed := p.board.HeardLimit(server.Key(), info.Limit)
+	if !changed {
+		return
+	}
+	countWord(x.Service, "limited")
+	log.WithFields(logrus.Fields{
+		"limit": info.Limit.PerSecond, "named": info.Limit.Named, "before": before.PerSecond, "before_named": before.Named,
+	}).Info("server names another limit")
+}
+
+// HeardLimit takes in what a server says of its limit. It returns what it said before, and
+// whether this is another.
+func (b *Board) HeardLimit(server string, word LimitWord) (before LimitWord, changed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.row(server)
+	before = r.limit
+	if !word.Own || word.Odd != "" || (word.Named == before.Named && word.PerSecond == before.PerSecond) {
+		return before, false
+	}
+	r.limit = word
+	return before, true
+}
+
 // countWord enters a word of a server.
 func countWord(service string, reason eligibility.Reason) {
 	metrics.GetOrCreateCounter(`crowbridge_server_words_total{service="` + service + `",word="` + string(reason) + `"}`).Inc()
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -25,6 +25,8 @@
 	Avoided  bool
 	// Barred is how many servers were left out by their own word.
 	Barred int
+	// Limit is what the server has said last of the requests that it takes a second.
+	Limit LimitWord
 }
 
 // freshLoad is how long a reported load is trusted; after that only own
@@ -90,7 +92,7 @@
 	}
 	return Choice{
 		Server: c.server, Load: c.load, LoadAge: now.Sub(c.row.reportedAt),
-		Failures: c.row.failures, Avoided: now.Before(c.row.avoidUntil),
+		Failures: c.row.failures, Avoided: now.Before(c.row.avoidUntil), Limit: c.row.limit,
 	}
 }
 
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -52,6 +52,9 @@
 			fields["silent_servers"] = x.picked.Silent
 		}
 	}
+	if x.picked.Limit.Named {
+		fields["limit"] = x.picked.Limit.PerSecond
+	}
 	if x.picked.Barred > 0 {
 		fields["barred"] = x.picked.Barred
 	}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -102,6 +102,8 @@
 	OddRetryAfter string
 	// Leaving is set when the server says that it leaves.
 	Leaving bool
+	// Limit is what the server says of the requests that it takes a second.
+	Limit LimitWord
 	// Vouched is set when an agent of ours answers for the server: the answer is whole
 	// and the request's, whatever its status.
 	Vouched bool
@@ -113,6 +115,18 @@
 	MovesOn bool
 }
 
+// LimitWord is what an answer says of its server's limit.
+type LimitWord struct {
+	// Own is set when the answer is the server's own, so that it says there is no limit
+	// when it names none.
+	Own bool
+	// Named is set when it names a limit: requests a second, from all VMs together.
+	Named     bool
+	PerSecond float64
+	// Odd is what it says that can't be read.
+	Odd string
+}
+
 // Answer is a server's answer whose body has not been read yet.
 type Answer struct {
 	Status int
--- a/internal/httpapi/serverwords.go
+++ b/internal/httpapi/serverwords.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // ReadRest returns for how long a server that turned a request away wants no more: what the
@@ -32,6 +34,36 @@
 	return rest, odd
 }
 
+// ReadLimit returns the limit that a server names in a header: how many requests a second it
+// takes from all VMs together. The lowest of several counts. A number too large for a float64
+// bounds nothing, as the largest does. odd is a value that isn't a decimal number of 0 or more,
+// for the log; named is false when there is no other.
+func ReadLimit(h http.Header, name string) (perSecond float64, named bool, odd string) {
+	for _, value := range h.Values(name) {
+		value = strings.TrimSpace(value)
+		limit, ok := readDecimal(value)
+		switch {
+		case !ok:
+			odd = value
+		case !named || limit < perSecond:
+			perSecond, named = limit, true
+		}
+	}
+	return perSecond, named, odd
+}
+
+// readDecimal reads a decimal number, 0 or more; math.MaxFloat64 if it's larger.
+func readDecimal(value string) (float64, bool) {
+	if value == "" || strings.Trim(value, "+0123456789.eE-") != "" {
+		return 0, false // words, and what else the library takes for numbers
+	}
+	number, err := strconv.ParseFloat(value, 64)
+	if errors.Is(err, strconv.ErrRange) && number > 0 {
+		return math.MaxFloat64, true
+	}
+	return number, err == nil && number >= 0
+}
+
 // readSeconds reads a number of seconds, 0 or more.
 func readSeconds(value string) (time.Duration, bool) {
 	s, err := strconv.ParseFloat(value, 64)
--- a/internal/httpapi/serverwords_test.go
+++ b/internal/httpapi/serverwords_test.go
@@ -56,3 +56,28 @@
 },
 	Entry("none", "", false), Entry("1", "1", true), Entry("true", "true", true), Entry("0", "0", false), Entry("another word", "soon", false),
 )
+
+var _ = DescribeTable("a limit in a header", func(values []string, limit float64, named bool, odd string) {
+	gotLimit, gotNamed, gotOdd := ReadLimit(http.Header{"X-Limit": values}, "X-Limit")
+	Expect(gotLimit).To(Equal(limit))
+	Expect(gotNamed).To(Equal(named))
+	Expect(gotOdd).To(Equal(odd))
+},
+	Entry("none", nil, 0.0, false, ""),
+	Entry("a whole number", []string{"3"}, 3.0, true, ""),
+	Entry("a fraction", []string{" 0.2 "}, 0.2, true, ""),
+	Entry("a small one in powers of ten", []string{"2e-1"}, 0.2, true, ""),
+	Entry("none at all", []string{"0"}, 0.0, true, ""),
+	Entry("a negative zero", []string{"-0"}, math.Copysign(0, -1), true, ""),
+	Entry("more than a number holds", []string{"1e400"}, math.MaxFloat64, true, ""),
+	Entry("less than a number tells from 0", []string{"1e-400"}, 0.0, true, ""),
+	Entry("the lowest of several", []string{"2", "1", "3"}, 1.0, true, ""),
+	Entry("what can be read of several", []string{"some", "2"}, 2.0, true, "some"),
+	Entry("a negative number", []string{"-3"}, 0.0, false, "-3"),
+	Entry("less than any", []string{"-1e400"}, 0.0, false, "-1e400"),
+	Entry("no number", []string{"NaN"}, 0.0, false, "NaN"),
+	Entry("no end", []string{"Inf"}, 0.0, false, "Inf"),
+	Entry("hexadecimal", []string{"0x1p2"}, 0.0, false, "0x1p2"),
+	Entry("nothing", []string{""}, 0.0, false, ""),
+	Entry("a list", []string{"1, 2"}, 0.0, false, "1, 2"),
+)
