--- a/internal/ratelimit/turns.go
+++ b/internal/ratelimit/turns.go
@@ -15,6 +15,8 @@
 	// aheadBy is how many requests more than the others have got on average puts a
 	// customer behind them.
 	aheadBy = 0.5
+	// countPace is how often it's counted who asks: each choice wants to know.
+	countPace = 100 * time.Millisecond
 	// mostTurns bounds the customers that are remembered.
 	mostTurns = 10_000
 )
@@ -22,6 +24,10 @@
 // turns remember which customers got a server's last requests, at whichever daemon.
 type turns struct {
 	customers map[uint64]*turn
+	// active is the number of customers that asked lately, sum what they got, as of countedAt.
+	active    int
+	sum       float64
+	countedAt time.Time
 }
 
 type turn struct {
@@ -51,6 +57,7 @@
 	known := t.of(customer)
 	known.got = known.now(rate, now) + 1
 	known.at = now
+	t.countedAt = time.Time{}
 }
 
 // now is how many requests a customer has got, the older the less.
@@ -62,14 +69,26 @@
 func (t *turns) ahead(customer uint64, rate float64, now time.Time) bool {
 	own := t.of(customer)
 	own.asked = now
-	others, sum := 0, 0.0
-	for id, other := range t.customers {
-		if id != customer && now.Sub(other.asked) <= askedLately {
-			others++
-			sum += other.now(rate, now)
+	t.count(rate, now)
+	if t.active < 2 {
+		return false
+	}
+	got := own.now(rate, now)
+	return got > (t.sum-got)/float64(t.active-1)+aheadBy
+}
+
+// count counts the customers that asked lately, and what they got, if that was long ago.
+func (t *turns) count(rate float64, now time.Time) {
+	if !t.countedAt.IsZero() && now.Sub(t.countedAt) < countPace {
+		return
+	}
+	t.countedAt, t.active, t.sum = now, 0, 0
+	for _, known := range t.customers {
+		if now.Sub(known.asked) <= askedLately {
+			t.active++
+			t.sum += known.now(rate, now)
 		}
 	}
-	return others > 0 && own.now(rate, now) > sum/float64(others)+aheadBy
 }
 
 // forget drops customers whose turns no longer count.
