--- a/standins/hosted/limit_test.go
+++ b/standins/hosted/limit_test.go
@@ -74,12 +74,10 @@
 
 // entriesBefore starts entries that know each other before servers, and callers of each until
 // the test ends.
-func entriesBefore(t *testing.T, servers []*limitedServer) []*platform.Settings {
+func entriesBefore(t *testing.T, addresses []string, config string) []*platform.Settings {
 	store := standin.NewStore()
-	store.Put(platform.TopicOperators, "config", configVersion(1, `"k1"`))
-	for i, server := range servers {
-		address, stop := serveAt("127.0.0.1:0", server)
-		t.Cleanup(stop)
+	store.Put(platform.TopicOperators, "config", config)
+	for i, address := range addresses {
 		store.Put("keyed.servers", fmt.Sprint("i-", i), fmt.Sprintf(
 			`{"service":"s","address":%q,"zone":"z","capacity":6,"state":"ready"}`, address))
 	}
@@ -107,15 +105,16 @@
 	return entries
 }
 
-// callUntilEnd keeps callers asking some entries; the function ends them.
-func callUntilEnd(entries []*platform.Settings) (stop func()) {
+// callUntilEnd keeps some callers asking each entry, and tells the answers' statuses; the
+// function ends them.
+func callUntilEnd(entries []*platform.Settings, each int, told func(status int)) (stop func()) {
 	var callers sync.WaitGroup
 	var over atomic.Bool
 	for _, entry := range entries {
-		for range callersEach {
+		for range each {
 			callers.Go(func() {
 				for !over.Load() {
-					askAs(entry, "/a/x", "a1")
+					told(askAs(entry, "/a/x", "a1"))
 					time.Sleep(callerPause)
 				}
 			})
@@ -130,11 +129,15 @@
 func TestAServersLimitOverHTTP(t *testing.T) {
 	RegisterTestingT(t)
 	var servers []*limitedServer
+	var addresses []string
 	for range limitedServers {
 		servers = append(servers, &limitedServer{})
+		address, stop := serveAt("127.0.0.1:0", servers[len(servers)-1])
+		t.Cleanup(stop)
+		addresses = append(addresses, address)
 	}
-	entries := entriesBefore(t, servers)
-	t.Cleanup(callUntilEnd(entries))
+	entries := entriesBefore(t, addresses, configVersion(1, `"k1"`))
+	t.Cleanup(callUntilEnd(entries, callersEach, func(int) {}))
 	Eventually(func() int { all, _ := servers[0].since(time.Time{}); return all }, patience).Should(BeNumerically(">", 0))
 	servers[0].limit.Store(fmt.Sprint(wireLimit))
 	time.Sleep(wireSettles)
