dispatch, upstream: servers' connections are divided among entries; beyond its part an entry opens none

What callers would see: requests cut off by resets at a server that has more connections from all VMs together than it takes. Cause: max_conns was read nowhere; each entry opened what it wanted and kept up to 16 idle ones. The class of the limits that nobody kept. Ruled out: waiting for a connection (a request that could run elsewhere waits); counting what all have open (a word to all for each connection, for a bound far above use). Equal parts by known entries and a quarter more (internal/parts, which the retry budget's extra part uses too); where there isn't one connection for each entry, those get one that come first by a hash, on which all agree. The choice leaves out servers of which this entry has its part, and the dial refuses what would be more.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -82,6 +82,7 @@
 	if x.lastEvent >= 0 {
 		a.Resume, a.ResumeAfter = true, x.lastEvent
 	}
+	a.Connections = p.board.Connections(server.Key(), x.request)
 	if x.Homes == nil { // a home's agent has recorded answers to give, and keeps its server's word
 		a.Permit = func() error { return p.permit(x, server) }
 	}
--- a/internal/dispatch/board.go
+++ b/internal/dispatch/board.go
@@ -8,6 +8,7 @@
 
 	"github.com/crowbridge/crowbridge/internal/eligibility"
 	"github.com/crowbridge/crowbridge/internal/fleet"
+	"github.com/crowbridge/crowbridge/internal/parts"
 	"github.com/crowbridge/crowbridge/internal/ratelimit"
 )
 
@@ -29,6 +30,8 @@
 	random   func(n int) int
 	// limits are those that servers name to all VMs together.
 	limits *ratelimit.Table
+	// daemons are the entries among which servers' connections are divided.
+	daemons parts.Daemons
 }
 
 // row is one server.
@@ -50,6 +53,9 @@
 	took       float64 // smoothed time of own plain answers, in seconds
 	// notice is what the server has said of itself.
 	notice eligibility.Notice
+	// connections is one more than this entry's part of the connectionsOf connections that the
+	// server takes; 0 when that hasn't been worked out.
+	connections, connectionsOf int
 }
 
 const (
@@ -95,15 +101,51 @@
 	b.setPolicy(policy)
 }
 
-// SetEntries tells among how many entries the retry budget is divided.
-func (b *Board) SetEntries(known int) {
+// SetEntries tells among which entries the retry budget and servers' connections are divided,
+// by their control addresses, which the others know too.
+func (b *Board) SetEntries(self string, others []string) {
+	daemons := parts.NewDaemons(self, others)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.daemons.Same(daemons) {
+		return
+	}
+	b.daemons = daemons
+	for _, r := range b.rows {
+		r.connections = 0
+	}
 	policy := b.policy
-	policy.Entries = known
+	policy.Entries = len(others) + 1
 	b.setPolicy(policy)
 }
 
+// part is how many connections this entry may have to a server which takes so many from all
+// entries together; 0 when that isn't bound. The lock is held.
+func (b *Board) part(key string, r *row, bound int) (part int, bounded bool) {
+	if bound <= 0 {
+		return 0, false
+	}
+	if r.connections == 0 || r.connectionsOf != bound {
+		r.connections, r.connectionsOf = b.daemons.Whole(bound, key)+1, bound
+	}
+	return r.connections - 1, true
+}
+
+// hasConnection tells whether this entry may have one connection more to a server. Beyond what a
+// server takes from all together it resets them, whoever's. The lock is held.
+func (b *Board) hasConnection(key string, r *row, bound int) bool {
+	part, bounded := b.part(key, r, bound)
+	return !bounded || r.inFlight < part
+}
+
+// Connections returns how many connections this entry may have to a server; 0 for any number.
+func (b *Board) Connections(server string, r *Request) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	part, _ := b.part(server, b.row(server), r.connections)
+	return part
+}
+
 func (b *Board) setPolicy(policy BudgetPolicy) {
 	b.policy = policy
 	for _, budget := range b.budgets {
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/parts"
+)
 
 // BudgetPolicy bounds the sendings beyond each request's first.
 type BudgetPolicy struct {
@@ -23,13 +27,11 @@
 	// extraShares is among how many entries Extra is divided at least: the most
 	// entries of a small deployment (8) and its spare ones (3), rounded up.
 	extraShares = 12
-	// spareShare is the part by which there may be more entries than are known.
-	spareShare = 0.25
 )
 
 // extra is this entry's share of Extra.
 func (p BudgetPolicy) extra() float64 {
-	return p.Extra / max(extraShares, float64(p.Entries)*(1+spareShare))
+	return min(p.Extra/extraShares, parts.Equal(p.Extra, p.Entries))
 }
 
 // retryBudget counts one service's requests and repeats at this entry. It needs
--- a/internal/dispatch/notice.go
+++ b/internal/dispatch/notice.go
@@ -70,6 +70,10 @@
 	case hint > 0:
 		return failure.NotRun(failure.StepQueue, x.Service, failure.CodeResting,
 			"all servers that may run it want no requests, or have a limit").After(hint)
+	case x.picked.Full > 0:
+		spread := time.Duration(p.board.random(int(restSpread.Milliseconds()))) * time.Millisecond
+		return failure.NotRun(failure.StepQueue, x.Service, failure.CodeOverloaded,
+			"this entry has its part of all servers' connections in use").After(comeBackLeast + spread)
 	default:
 		return failure.NotRun(failure.StepRoute, x.Service, failure.CodeNoServer,
 			"no server of the service can take the request").After(noServerRetry)
@@ -168,12 +172,17 @@
 	return nil
 }
 
+// takes tells whether a server may get a request now. The lock is held.
+func (b *Board) takes(server *fleet.Server, r *Request, now time.Time) bool {
+	return b.barOrLimit(server, r, now) == nil && b.hasConnection(server.Key(), b.row(server.Key()), r.connections)
+}
+
 // anyTakes tells whether one of some servers may get a request, but for those in tried.
 func (b *Board) anyTakes(servers []*fleet.Server, tried []string, r *Request, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, server := range servers {
-		if !server.Leaving && !contains(tried, server.Key()) && b.barOrLimit(server, r, now) == nil {
+		if !server.Leaving && !contains(tried, server.Key()) && b.takes(server, r, now) {
 			return true
 		}
 	}
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -27,6 +27,8 @@
 	Barred int
 	// Limited is how many were left out because their limit allows none now.
 	Limited int
+	// Full is how many were left out because this entry has its part of their connections.
+	Full int
 }
 
 // freshLoad is how long a reported load is trusted; after that only own
@@ -45,7 +47,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	candidates := make([]candidate, 0, len(servers))
-	total, places, barred, limited := 0.0, 0, 0, 0
+	total, places, barred, limited, full := 0.0, 0, 0, 0, 0
 	silent := b.silentOnes(now, servers)
 	for _, server := range servers {
 		if server.Leaving {
@@ -63,6 +65,10 @@
 			limited++
 			continue
 		}
+		if !b.hasConnection(server.Key(), r, request.connections) {
+			full++
+			continue
+		}
 		load := r.estimate(now)
 		total += load
 		places += server.Capacity
@@ -73,7 +79,7 @@
 		candidates = append(candidates, candidate{server: server, row: r, load: load, score: score})
 	}
 	best := b.bestOfZones(unpenalized(candidates)).choice(now)
-	best.Silent, best.Barred, best.Limited = len(silent), barred, limited
+	best.Silent, best.Barred, best.Limited, best.Full = len(silent), barred, limited, full
 	if places > 0 {
 		best.Occupied = total / float64(places)
 	}
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -110,7 +110,7 @@
 // ServeTarget takes a request to its end whose target is known.
 func (p *Pipeline) ServeTarget(ctx context.Context, r *Request, target Target, caller Caller) Result {
 	x := &exchange{Target: target, request: r, route: target.Route, lastEvent: -1}
-	r.behind, r.repeated = target.behind, target.repeated
+	r.behind, r.repeated, r.connections = target.behind, target.repeated, target.connections
 	ticket := p.ledger.Accept()
 	limited, cancel := context.WithTimeout(ctx, x.Limit.Sub(p.now()))
 	f := p.execute(limited, x, caller)
@@ -162,6 +162,7 @@
 		return target, failure.NotRun(failure.StepRoute, route.Name, failure.CodeNoServer, "the route's service isn't configured").After(noServerRetry)
 	}
 	target.Service, target.Limit = service.Name, r.Arrived.Add(route.Timeout)
+	target.connections = service.MaxConns
 	target.behind = config.Behind(service.Name, r.Priority)
 	if deadline := r.Arrived.Add(r.Patience); r.HasDeadline && deadline.Before(target.Limit) {
 		target.Limit = deadline
@@ -238,7 +239,7 @@
 	}
 	picked := p.chooser.Choose(p.now(), servers, x.request, x.tried)
 	if picked.Server == nil {
-		x.picked.Barred, x.picked.Limited = picked.Barred, picked.Limited
+		x.picked.Barred, x.picked.Limited, x.picked.Full = picked.Barred, picked.Limited, picked.Full
 		return nil, p.noneTakes(x)
 	}
 	if f := p.admit(x, picked); f != nil {
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -59,6 +59,9 @@
 	if x.picked.Limited > 0 {
 		fields["limited"] = x.picked.Limited
 	}
+	if x.picked.Full > 0 {
+		fields["full"] = x.picked.Full
+	}
 	if x.picked.Barred > 0 {
 		fields["barred"] = x.picked.Barred
 	}
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -50,6 +50,9 @@
 	// its caller was refused before.
 	behind   int
 	repeated bool
+	// connections is how many each server of the request's service takes from all VMs; 0 when
+	// that isn't bound.
+	connections int
 	// sum is the digest once it has been worked out.
 	sum *quarantine.Digest
 }
@@ -73,6 +76,8 @@
 	// Resume asks for the stream's events after ResumeAfter.
 	Resume      bool
 	ResumeAfter int64
+	// Connections is how many this entry may have to the server; 0 for any number.
+	Connections int
 	// Permit is asked last, just before bytes go out: with an error, nothing may be sent.
 	// What a server has said meanwhile counts, however long a connection took to be made.
 	// It may be nil.
@@ -171,6 +176,8 @@
 	// urgent than others the request is.
 	repeated bool
 	behind   int
+	// connections is how many each server of the service takes from all VMs together.
+	connections int
 }
 
 // Chooser decides which server gets a request, learns how that went, and keeps the
--- a/internal/eligibility/bars.go
+++ b/internal/eligibility/bars.go
@@ -17,7 +17,7 @@
 		b.free = true
 		return
 	}
-	if bar.Reason != Leaving && (b.first == 0 || bar.Left < b.first) {
+	if bar.Left > 0 && (b.first == 0 || bar.Left < b.first) {
 		b.first = bar.Left
 	}
 }
--- a/internal/eligibility/eligibility.go
+++ b/internal/eligibility/eligibility.go
@@ -27,6 +27,8 @@
 	Leaving Reason = "leaving"
 	// Limited servers have named a limit, of which nothing is left now.
 	Limited Reason = "limited"
+	// Full servers have as many connections of this daemon as are its part.
+	Full Reason = "full"
 )
 
 // Bar says that a server may get no requests now.
@@ -43,6 +45,8 @@
 		return failure.CodeLeaving
 	case Limited:
 		return failure.CodeLimited
+	case Full:
+		return failure.CodeOverloaded
 	case Resting:
 	}
 	return failure.CodeResting
@@ -55,6 +59,8 @@
 		return "the server has said that it leaves"
 	case Limited:
 		return fmt.Sprintf("the server's limit allows no request for %s", b.Left.Round(time.Millisecond))
+	case Full:
+		return "this daemon has its part of the server's connections"
 	case Resting:
 	}
 	return fmt.Sprintf("the server has asked for rest, %s of it left", b.Left.Round(time.Millisecond))
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -82,6 +82,9 @@
 // Service is a set of interchangeable backend servers.
 type Service struct {
 	Name string
+	// MaxConns is how many connections a server takes from all VMs together; 0 when that
+	// isn't bound.
+	MaxConns int
 	// Engine is nil for plain services.
 	Engine *EngineModel
 }
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -268,7 +268,7 @@
 func (e *EntryDaemon) askPeers(ctx context.Context) {
 	for ctx.Err() == nil {
 		peers := e.exchange.Peers()
-		e.board.SetEntries(len(peers) + 1)
+		e.board.SetEntries(e.settings.Control, peers)
 		e.crashes.Forget(peers)
 		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 		pace, most := peersPace, peersAtOnce
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/dispatch"
+	"github.com/crowbridge/crowbridge/internal/eligibility"
 	"github.com/crowbridge/crowbridge/internal/fleet"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
@@ -53,12 +54,19 @@
 	dialect Dialect
 
 	mu    sync.Mutex // a leaf
-	pools map[string]*http.Transport
+	pools map[string]*pool
+}
+
+// pool has the connections to one start of a server.
+type pool struct {
+	*http.Transport
+	// open counts them, most is how many there may be; 0 for any number.
+	open, most atomic.Int64
 }
 
 // New returns a backend that speaks a dialect.
 func New(dialect Dialect) *Backend {
-	return &Backend{dialect: dialect, pools: map[string]*http.Transport{}}
+	return &Backend{dialect: dialect, pools: map[string]*pool{}}
 }
 
 // NewTransport returns a transport for calls whose peers may fall silent: it
@@ -100,16 +108,50 @@
 	}
 }
 
-func (b *Backend) pool(key string) *http.Transport {
+func (b *Backend) pool(key string) *pool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	pool := b.pools[key]
-	if pool == nil {
-		pool = NewTransport()
-		AskPermits(pool)
-		b.pools[key] = pool
+	p := b.pools[key]
+	if p == nil {
+		p = &pool{Transport: NewTransport()}
+		p.bound()
+		AskPermits(p.Transport)
+		b.pools[key] = p
+	}
+	return p
+}
+
+// bound makes the pool open no more connections than it may have. The request is another
+// server's then, nothing of it was sent.
+func (p *pool) bound() {
+	dial := p.DialContext
+	p.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if most := p.most.Load(); p.open.Add(1) > most && most > 0 {
+			p.open.Add(-1)
+			return nil, &eligibility.BarredError{Bar: &eligibility.Bar{Reason: eligibility.Full}}
+		}
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			p.open.Add(-1)
+			return nil, err
+		}
+		return &countedConn{Conn: conn, open: &p.open}, nil
+	}
+}
+
+// countedConn is one of a pool's connections.
+type countedConn struct {
+	net.Conn
+	open   *atomic.Int64
+	closed atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	if !c.closed.Swap(true) {
+		c.open.Add(-1)
 	}
-	return pool
+	return c.Conn.Close()
 }
 
 // unrepeatableBody keeps the HTTP library from sending a request again by
@@ -132,7 +174,9 @@
 		ContentLength: int64(len(r.Body)),
 		Body:          unrepeatableBody{bytes.NewReader(r.Body)},
 	}).WithContext(ctx)
-	response, err := b.pool(a.Server.Key()).RoundTrip(request)
+	to := b.pool(a.Server.Key())
+	to.most.Store(int64(a.Connections))
+	response, err := to.RoundTrip(request)
 	if refused := permission.Refused(); err != nil && refused != nil {
 		return nil, &dispatch.SendError{Err: errors.Wrap(refused, a.Server.Address)}
 	}
