--- a/standins/plain/plain.go
+++ b/standins/plain/plain.go
@@ -27,16 +27,20 @@
 }
 
 // EndsOn in a call's body ends the server that runs it, RestsOn makes it refuse that call and
-// want no other for RestTime.
+// want no other for RestTime, LimitsOn makes it name LimitRate calls a second for LimitTime.
 const (
-	EndsOn   = "ends-its-server"
-	RestsOn  = "makes-its-server-rest"
-	RestTime = time.Second
+	EndsOn    = "ends-its-server"
+	RestsOn   = "makes-its-server-rest"
+	RestTime  = time.Second
+	LimitsOn  = "limits-its-server"
+	LimitRate = 2
+	LimitTime = 2500 * time.Millisecond
 )
 
-// AgainstRest begins the names of calls that came while their server rested, as Recorder gets
-// them; the server's name and the rest's beginning, in milliseconds since 1970, follow.
-const AgainstRest = "against-rest"
+// AgainstWord begins the names of calls that came while their server rested, or over its limit,
+// as Recorder gets them; the server's name and the word's beginning, in milliseconds since 1970,
+// follow.
+const AgainstWord = "against-word"
 
 // onItsWay is for how long calls may come that were sent before a server asked for rest.
 const onItsWay = 200 * time.Millisecond
@@ -64,17 +68,64 @@
 	return r.began
 }
 
+// limit is what a server keeps of a limit that it names.
+type limit struct {
+	mu    sync.Mutex
+	began time.Time
+	calls int
+}
+
+// begin starts a limit, unless one is in force.
+func (l *limit) begin() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if time.Since(l.began) >= LimitTime {
+		l.began, l.calls = time.Now(), 0
+	}
+}
+
+// named tells whether a limit is in force.
+func (l *limit) named() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Since(l.began) < LimitTime
+}
+
+// broken counts a call and returns when the limit began that it breaks; zero when none.
+func (l *limit) broken() time.Time {
+	const slack, atOnce = 1.5, 5 // half as much again, and what was on its way
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	since := time.Since(l.began)
+	if since <= onItsWay || since >= LimitTime {
+		return time.Time{}
+	}
+	if l.calls++; float64(l.calls) <= slack*LimitRate*since.Seconds()+atOnce {
+		return time.Time{}
+	}
+	return l.began
+}
+
 // Handler returns the service's API: it echoes what it was asked.
 func Handler(options Options) http.Handler {
 	var resting rest
+	var limited limit
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		if began := resting.broken(); !began.IsZero() {
-			options.Recorder.Record(fmt.Sprintf("%s-%s-%d", AgainstRest, options.Name, began.UnixMilli()))
+		for _, began := range []time.Time{resting.broken(), limited.broken()} {
+			if !began.IsZero() {
+				options.Recorder.Record(fmt.Sprintf("%s-%s-%d", AgainstWord, options.Name, began.UnixMilli()))
+			}
+		}
+		if bytes.Contains(body, []byte(LimitsOn)) {
+			limited.begin()
+		}
+		if limited.named() {
+			w.Header().Set("X-Engine-Limit", strconv.Itoa(LimitRate))
 		}
 		if bytes.Contains(body, []byte(RestsOn)) {
 			w.Header().Set("Retry-After", strconv.FormatFloat(RestTime.Seconds(), 'f', -1, 64))
--- a/standins/soak/resting.go
+++ b/standins/soak/resting.go
@@ -15,10 +15,10 @@
 	"github.com/pkg/errors"
 )
 
-// restEach is the time between calls that make their server rest.
+// restEach is the time between calls that make their server rest, or name a limit.
 const restEach = 1500 * time.Millisecond
 
-// restingCaller makes servers rest, and finds out which calls came nevertheless.
+// restingCaller makes servers rest or name limits, and finds out which calls came nevertheless.
 type restingCaller struct {
 	cluster *harness.Cluster
 	random  *rand.Rand
@@ -40,8 +40,9 @@
 
 // run asks until the context ends.
 func (c *restingCaller) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		askOnce(ctx, c.cluster, c.random, plain.RestsOn)
+	words := []string{plain.RestsOn, plain.LimitsOn}
+	for n := 0; ctx.Err() == nil; n++ {
+		askOnce(ctx, c.cluster, c.random, words[n%len(words)])
 		time.Sleep(restEach)
 	}
 }
@@ -63,7 +64,7 @@
 	}
 }
 
-// check returns an error when calls reached a server while it rested, unless its agent was
+// check returns an error when calls reached a server against its word, unless its agent was
 // harmed meanwhile. Call it when all faults are over.
 func (c *restingCaller) check() error {
 	response, err := http.Get(c.cluster.PlatformURL + "/runs")
@@ -76,7 +77,7 @@
 		return errors.Wrap(err, "runs")
 	}
 	for name, count := range runs {
-		rest, against := strings.CutPrefix(name, plain.AgainstRest+"-")
+		rest, against := strings.CutPrefix(name, plain.AgainstWord+"-")
 		if !against {
 			continue
 		}
@@ -86,18 +87,18 @@
 			return errors.Wrapf(err, "run %s", name)
 		}
 		if server := rest[:at]; !c.excused(server, time.UnixMilli(ms)) {
-			return errors.Errorf("%d calls reached %s while it rested", count, server)
+			return errors.Errorf("%d calls reached %s while it rested or over its limit", count, server)
 		}
 	}
 	return nil
 }
 
-// excused tells whether a server's agent was harmed in a rest that began at a time.
+// excused tells whether a server's agent was harmed while a word held that began at a time.
 func (c *restingCaller) excused(server string, began time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range c.harmed["agent-"+server] {
-		if s.from.Before(began.Add(plain.RestTime)) && (s.to.IsZero() || s.to.After(began)) {
+		if s.from.Before(began.Add(max(plain.RestTime, plain.LimitTime))) && (s.to.IsZero() || s.to.After(began)) {
 			return true
 		}
 	}
