--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -83,9 +83,16 @@
 	return s
 }
 
+// join adds a daemon, where another one is: one that comes cut off from all others can't know of
+// them, and sends by the whole limit.
 func (s *sim) join() *simDaemon {
 	s.id++
 	d := &simDaemon{table: New(s.id, s.random.Float64), demand: 10}
+	for _, other := range s.daemons {
+		if !other.gone {
+			d.side = other.side
+		}
+	}
 	s.daemons = append(s.daemons, d)
 	return d
 }
