dispatch: a repeat that no server could get goes back into the retry budget

Of the budget's bound nothing changes: what reaches servers counts. Spec: 'takes nothing from the retry budget of requests that can go nowhere' (fails without the mend).

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -20,7 +20,7 @@
 	watch := p.newStallWatch(x, server, end)
 	defer watch.stop()
 	began := p.now()
-	x.server, x.cutOff, x.askedAt = server.ID, false, began
+	x.server, x.cutOff, x.askedAt, x.spent = server.ID, false, began, false
 	p.chooser.Sent(server.Key(), x.request, began)
 	defer p.chooser.Ended(server.Key(), x.request)
 	answer, sendErr := p.backend.Send(ctx, x.request, p.newAttempt(x, server))
--- a/internal/dispatch/board.go
+++ b/internal/dispatch/board.go
@@ -250,6 +250,13 @@
 	return b.budget(service).spend(now)
 }
 
+// GiveBack implements Chooser.
+func (b *Board) GiveBack(service, _ string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget(service).giveBack(now)
+}
+
 func (b *Board) budget(service string) *retryBudget {
 	budget := b.budgets[service]
 	if budget == nil {
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -74,3 +74,14 @@
 	b.repeats[b.slot%budgetSlots]++
 	return true
 }
+
+// giveBack gives one repeat back that was spent and not made.
+func (b *retryBudget) giveBack(now time.Time) {
+	b.advance(now)
+	for age := range int64(budgetSlots) {
+		if at := (b.slot - age + budgetSlots) % budgetSlots; b.repeats[at] > 0 {
+			b.repeats[at]--
+			return
+		}
+	}
+}
--- a/internal/dispatch/group_test.go
+++ b/internal/dispatch/group_test.go
@@ -32,6 +32,21 @@
 		Expect(b.script.attempts).To(HaveLen(1))
 	})
 
+	It("takes nothing from the retry budget of requests that can go nowhere", func() {
+		const cutOff = 200 // many times what an entry may repeat
+		var replies []reply
+		for range cutOff {
+			replies = append(replies, refuses(AnswerInfo{FaultyServer: "r1"}))
+		}
+		b := newBench(replies...)
+		for range cutOff {
+			b.world.setServers(b.world.Servers().Server("r0"), b.world.Servers().Server("r1"))
+			b.board.groups = map[string]*groupState{} // it has opened, and breaks again
+			Expect(b.serve("stream").Failure.Outcome).To(Equal(failure.OutcomeNotRun))
+		}
+		Expect(b.board.MayRepeat("model", "florist", b.now)).To(BeTrue())
+	})
+
 	It("is waited for by a request that was refused before", func() {
 		b := newBench(signed(http.StatusOK, "id: 1\ndata: a\n\n"))
 		b.board.countRequest("model", "stream", b.request("stream", 8*time.Second), b.now)
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -71,8 +71,9 @@
 	// mayHaveRun is set once a server that got the request hasn't said that it didn't run it.
 	mayHaveRun bool
 	begun      bool
-	// paid is set when the next attempt has been taken from the retry budget.
-	paid bool
+	// paid is set when the next attempt has been taken from the retry budget, spent while it
+	// hasn't begun.
+	paid, spent bool
 	// hasPlace is set once the request counts as its customer's in progress.
 	hasPlace bool
 	// movesOn is set when the last home has let the request go to the next.
@@ -115,6 +116,7 @@
 	limited, cancel := context.WithTimeout(ctx, x.Limit.Sub(p.now()))
 	f := p.execute(limited, x, caller)
 	cancel()
+	p.giveBack(x)
 	p.leave(x)
 	if x.hasPlace {
 		p.board.leftPlace(x.Service, x.request.Customer)
@@ -280,11 +282,23 @@
 	if x.begun && x.lastEvent < 0 {
 		return false
 	}
-	if x.paid {
+	if x.sent == 0 {
 		x.paid = false
 		return true
 	}
-	return x.sent == 0 || p.chooser.MayRepeat(x.Service, x.request.Customer, p.now())
+	x.spent = x.paid || p.chooser.MayRepeat(x.Service, x.request.Customer, p.now())
+	x.paid = false
+	return x.spent
+}
+
+// giveBack gives back what was taken from the retry budget for an attempt that nobody gets: of
+// all streams that a broken group cuts off, none can go on before it's back, and other requests
+// would lack what theirs had taken.
+func (p *Pipeline) giveBack(x *exchange) {
+	if x.spent {
+		x.spent = false
+		p.chooser.GiveBack(x.Service, x.request.Customer, p.now())
+	}
 }
 
 // elsewhere are the causes after which another server may do better.
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -206,6 +206,8 @@
 	FirstRest(now time.Time, candidates []*fleet.Server, r *Request) time.Duration
 	// MayRepeat takes one retry from the budget.
 	MayRepeat(service, customer string, now time.Time) bool
+	// GiveBack gives one back that was taken and not used.
+	GiveBack(service, customer string, now time.Time)
 }
 
 // Backend carries attempts to servers.
--- a/internal/entry/chooser.go
+++ b/internal/entry/chooser.go
@@ -109,6 +109,13 @@
 	return c.entry.budget.Retry(customer)
 }
 
+// GiveBack implements dispatch.Chooser.
+func (c tableChooser) GiveBack(_, customer string, _ time.Time) {
+	c.entry.mu.Lock()
+	defer c.entry.mu.Unlock()
+	c.entry.budget.GiveBack(customer)
+}
+
 // noteFailure counts what the server behind an agent did wrong.
 func (e *Entry) noteFailure(server string, f *failure.Error) {
 	if f.Code != failure.CodeServerLost {
--- a/internal/routing/budget.go
+++ b/internal/routing/budget.go
@@ -41,3 +41,10 @@
 	b.tokens[customer]--
 	return true
 }
+
+// GiveBack gives a retry back that was spent and not made.
+func (b *RetryBudget) GiveBack(customer string) {
+	if _, known := b.tokens[customer]; known {
+		b.tokens[customer] = min(b.tokens[customer]+1, burstRetries)
+	}
+}
