--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -13,10 +13,7 @@
 	// fullFirst is the part of all places from which on a new request is refused: it
 	// would wait longer for a place than its objective allows, and all others with it.
 	// fullRepeat is the same for a request that was refused before: its caller may not
-	// come a third time. Where demand jumps each 4 s, callers got 0.562 of worth with 0.9 for
-	// fullFirst, 0.567 with 1.05 and 0.569 with 1.3 (mean of five kinds of trouble, six seeds
-	// each; the same code differs by 0.005 from time to time); with 1.1 for fullRepeat and
-	// with 1.5 it was 0.547.
+	// come a third time.
 	fullFirst  = 1.05
 	fullRepeat = 1.5
 	// behindStep is by how much earlier a request is refused for each rank of priority
@@ -25,9 +22,8 @@
 	behindStep = 0.1
 	mostBehind = 3
 	// fullOverShare replaces both for a customer that has more than its share of the
-	// places in use already, so that the others find one. In a model in which one
-	// customer sends fifty times as much, 0.05 below fullFirst is enough; under the
-	// load of ten customers, larger steps cost up to 0.01 of worth and this one none.
+	// places in use already, so that the others find one. A little below fullFirst is
+	// enough, and takes little from customers that are just busy.
 	fullOverShare = 1.0
 	// fullPlain is the part of a plain service's places from which on a request is
 	// refused whose customer has more than its share: as many wait as run then. Nobody
@@ -73,9 +69,7 @@
 
 // fullAt is the part of a group's places from which on a stream is refused. Long passes
 // are no reason to refuse: maps mend what makes them long in less than a second, while who
-// is refused is late for certain. Refusing at 0.4 of the places while passes were too long
-// cost 0.008 of worth where demand jumps each 4 s (mean of five kinds of trouble, six seeds
-// each), and gained nothing where it doesn't.
+// is refused is late for certain.
 func fullAt(x *exchange, overShare bool) float64 {
 	full := fullFirst
 	switch {
--- a/internal/dispatch/fairness.go
+++ b/internal/dispatch/fairness.go
@@ -5,8 +5,7 @@
 const (
 	// shareSlack is how many times as many requests in progress as the others have on
 	// average a customer may have, and leastShare how many it may always have: one entry
-	// sees few requests, whose numbers vary. 1.5 cost 0.004 of worth
-	// under the load of ten customers, 2 none.
+	// sees few requests, whose numbers vary.
 	shareSlack = 2
 	leastShare = 2
 	// askedLately is how long a customer counts after its last request, also a refused
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -108,8 +108,7 @@
 
 // drawn is among how many candidates, drawn at random, the best is taken. Loads
 // are known with a lag of some hundred milliseconds: if all entries took the best
-// of all, they would all take the same one until its load shows. 3 was as good as 4
-// at 16 ranks and better than 7 and 18 at 72, by the worth that callers got.
+// of all, they would all take the same one until its load shows.
 const drawn = 3
 
 // unpenalized leaves out the candidates that failed lately, are slow or have fallen
@@ -167,11 +166,9 @@
 	// room for what is read by the time that the choice matters.
 	tokensPerRequest = 300
 	// otherZone is what another zone costs, in requests: so much busier must the own
-	// zone's servers be before requests go there. 2 saves a third of the bytes between
-	// zones that 0.25, with candidates drawn from all zones, cost (0.009 of
-	// worth to 0.006 where these are dear), and gives away nothing: ranks of a group
-	// run each pass together, so that a part of a request more or less at one of them
-	// hardly shows.
+	// zone's servers be before requests go there. It saves bytes between zones and gives
+	// away little: ranks of a group run each pass together, so that a part of a request
+	// more or less at one of them hardly shows.
 	otherZone = 2.0
 )
 
--- a/internal/experts/demand.go
+++ b/internal/experts/demand.go
@@ -16,8 +16,7 @@
 // jumps: other experts are liked from one pass to the next. An average across a
 // jump fits neither side, and a map that is planned by it has to be planned again. So
 // a look that differs from the estimate by much more than looks usually do
-// replaces it. Without that, callers got 0.514 of worth instead of 0.560 where demand jumps
-// each 4 s and a copy takes 0.4 s (mean of five kinds of trouble, three seeds each).
+// replaces it.
 type Demand struct {
 	shape    rebalance.Shape
 	halfLife time.Duration
--- a/internal/experts/planning.go
+++ b/internal/experts/planning.go
@@ -67,9 +67,7 @@
 
 // outrun tells whether demand has jumped since the present switch was planned, while
 // nothing of it is armed or held: its copies are for what was liked before, and the
-// engines take a newer map at any time. Waiting for them instead cost 0.006 of worth
-// where demand jumps each 4 s and a copy takes 0.4 s (mean of five kinds of trouble, six
-// seeds each), 0.009 under the highest load.
+// engines take a newer map at any time.
 func (h *Holder) outrun() bool {
 	return h.state.Stage() == StagePrepare && h.planned != nil && h.demand.Settled() && h.demand.JumpedAt().After(h.begun)
 }
--- a/internal/experts/policy.go
+++ b/internal/experts/policy.go
@@ -8,9 +8,7 @@
 type Policy struct {
 	// ObservePace is the time between two looks at all ranks. Passes of loaded groups took
 	// 50 to 110 ms: looks each 75 ms see a jump of demand in the first or second pass after
-	// it. 150 ms cost 0.019 of worth where demand jumps each 4 s and a copy takes 0.4 s (mean
-	// of five kinds of trouble, six seeds each); 45 ms, with single passes in a look, gained
-	// nothing.
+	// it.
 	ObservePace time.Duration
 	// HalfLife is the time in which the estimate of demand forgets half.
 	HalfLife time.Duration
@@ -28,8 +26,7 @@
 	Pinned bool
 }
 
-// DefaultPolicy was chosen by the worth that callers got in several ways of load and
-// trouble; the ways tried and their figures are in docs/decisions, 0007 and 0008.
+// DefaultPolicy is what holders go by; docs/decisions, 0007 and 0008, say why.
 var DefaultPolicy = Policy{
 	ObservePace:  75 * time.Millisecond,
 	HalfLife:     500 * time.Millisecond,
--- a/internal/rebalance/layer.go
+++ b/internal/rebalance/layer.go
@@ -228,9 +228,7 @@
 
 // tryDrops tries to drop each of the slowest rank's experts that others hold too. A
 // rank that is many times slower than the others gets rid of its work only so: with a
-// replica elsewhere alone, half of it stays. With one of 12 ranks twelve times
-// slower for 8 of 20 s, callers got 0.394 of worth without drops and 0.664 with them (mean
-// of six seeds).
+// replica elsewhere alone, half of it stays.
 func (l *layer) tryDrops(n, hot int, best *step, bestPeak *float64) {
 	for slot, expert := range l.held(hot) {
 		if expert == Empty || len(l.hosts[expert]) < 2 {
