--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -31,8 +31,8 @@
 const engineTimeout = 200 * time.Millisecond
 
 // Engine implements rpc.Agents. It looks also while the server rests: a connection on the
-// same VM that is closed at once is no request, and without it one request ended three
-// servers in 8 of 12 soak seeds instead of 5.
+// same VM that is closed at once is no request, and without it more servers may end under
+// one request before anybody knows.
 func (c *Control) Engine(ctx context.Context, _ *rpc.EngineRequest) (*rpc.EngineReply, error) {
 	backend, err := url.Parse(c.Agent.options.Backend)
 	if err != nil {
--- a/internal/longread/longread.go
+++ b/internal/longread/longread.go
@@ -21,9 +21,8 @@
 
 // Doubt is whether the silence of a source can be believed. After a compaction of the
 // operators' topic all reads that had begun in its wake heard of nothing, without an error:
-// entries stayed on an old configuration for good in 5 of 35 runs in which configurations
-// came quickly then; with it, for 1.4 s at most, in 5 of 30. The zero value believes.
-// Safe for concurrent use.
+// entries that believed them stayed on an old configuration for good. The zero value
+// believes. Safe for concurrent use.
 type Doubt struct {
 	until atomic.Int64 // nanoseconds since 1970
 }
--- a/internal/rebalance/plan.go
+++ b/internal/rebalance/plan.go
@@ -36,10 +36,7 @@
 // rate is what a plan wins in a second until it is in force: its gain in skew.
 //
 // Plans follow each other, so that which gains most a second goes first: that order
-// leaves the least skew over time. A long plan makes everybody wait for its last copy:
-// where a copy takes 0.4 s and demand jumps each 4 s, callers got 0.404 of worth by plans
-// that didn't count it and 0.560 by these (mean of five kinds of trouble, three seeds
-// each); where a copy takes 0.04 s, 0.438 and 0.443 (two seeds).
+// leaves the least skew over time. A long plan makes everybody wait for its last copy.
 func (t Times) rate(before, after float64, loads int) float64 {
 	took := t.Switch + time.Duration(loads)*t.Copy
 	if took <= 0 {
