tests: servers name limits at random among rests, leaves and new starts; no datagram shuts a limited server off

TestServersRestAndLeaveAtRandom: limits of 0.2 to 10 a second that change, end, and go with the next start, for plain servers and ranks whose streams break off and are resumed. Gauges for limited servers and the part in use.

--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -212,6 +212,11 @@
 		fmt.Fprintf(w, `{"configuration_confirmed_ms":%d}`, e.members.ConfigAge().Milliseconds())
 	})
 	metrics.GetOrCreateGauge(`crowbridge_configuration_confirmed_age_seconds`, func() float64 { return e.members.ConfigAge().Seconds() })
+	metrics.GetOrCreateGauge(`crowbridge_limited_servers`, func() float64 { return float64(e.board.Limits().Limited()) })
+	metrics.GetOrCreateGauge(`crowbridge_limits_part`, func() float64 {
+		part, _ := e.board.Limits().Part(e.clock.Now())
+		return part
+	})
 	control := http.NewServeMux()
 	peers := peerrpc.NewMembershipServer(e.exchange)
 	control.Handle(peers.PathPrefix(), peers)
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -18,6 +18,10 @@
 	// for, burstTime the time for which it fills: requests don't come evenly.
 	leastBurst = 2.6
 	burstTime  = 100 * time.Millisecond
+	// mostDebt and mostDebtTime bound what a bucket owes: a count that can't be true, in a
+	// damaged message, shouldn't shut a server off for good.
+	mostDebt     = 30.0
+	mostDebtTime = 10 * time.Second
 	// onTheirWay is the debt with which a limit begins, for requests that were sent before
 	// its word was heard.
 	onTheirWay = 1
@@ -41,6 +45,7 @@
 		b.at = now
 	}
 	b.tokens = min(b.tokens, leastBurst+spread+rate*burstTime.Seconds())
+	b.tokens = max(b.tokens, -max(mostDebt, rate*mostDebtTime.Seconds()))
 }
 
 // untilHolds is how long it takes until the bucket holds some tokens; 0 if it does.
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -102,8 +102,11 @@
 	}
 }
 
+// Limited is how many servers have a limit.
+func (t *Table) Limited() int { return int(t.limited.Load()) }
+
 // Any tells whether a server has a limit.
-func (t *Table) Any() bool { return t.limited.Load() > 0 }
+func (t *Table) Any() bool { return t.Limited() > 0 }
 
 // Heard takes in what a server said. It returns what it had said, and whether this is
 // another limit.
--- a/standins/hosted/resting_random_test.go
+++ b/standins/hosted/resting_random_test.go
@@ -53,6 +53,11 @@
 	// askedAt and restUntil are of the first word of a rest, leftAt of the word that it leaves.
 	askedAt, restUntil, leftAt time.Time
 	leaves                     bool
+	// limit is how many requests a second it takes, 0 for any number; limitedAt is when it
+	// named that first, limitedCount those that came since then.
+	limit        float64
+	limitedAt    time.Time
+	limitedCount int
 }
 
 // moodyFleet is what all servers count into.
@@ -66,6 +71,7 @@
 	against []string
 	rests   int
 	left    int
+	limits  int
 }
 
 // register writes the server's entry. The lock is held.
@@ -129,6 +135,7 @@
 	if !s.leftAt.IsZero() && now.Sub(s.leftAt) > onItsWay {
 		s.fleet.note(fmt.Sprintf("%s of %s, %s after it said that it leaves", id, s.id, now.Sub(s.leftAt)))
 	}
+	s.countLimited(w, id, now)
 	if s.leaves {
 		if s.leftAt.IsZero() {
 			s.leftAt = now
@@ -150,6 +157,26 @@
 	return true
 }
 
+// countLimited names the server's limit, and notes a request beyond it: half as much again may
+// come, and 5 that were on their way. The lock is held.
+func (s *moodyServer) countLimited(w http.ResponseWriter, id string, now time.Time) {
+	if s.limit == 0 {
+		return
+	}
+	w.Header().Set("Server-Limit", strconv.FormatFloat(s.limit, 'f', -1, 64))
+	if s.limitedAt.IsZero() {
+		s.limitedAt = now // nobody could know before
+	}
+	since := now.Sub(s.limitedAt)
+	if since <= onItsWay {
+		return
+	}
+	const slack, atOnce = 1.5, 5
+	if s.limitedCount++; float64(s.limitedCount) > slack*s.limit*since.Seconds()+atOnce {
+		s.fleet.note(fmt.Sprintf("%s of %s, the %dth in %s since it named %g a second", id, s.id, s.limitedCount, since, s.limit))
+	}
+}
+
 func (f *moodyFleet) note(against string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -161,12 +188,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	switch random.IntN(5) {
+	switch random.IntN(7) {
+	case 2: // it has room again
+		s.limit = 0
+	case 3:
+		s.limit, s.limitedAt, s.limitedCount = []float64{0.2, 1, 4, 10}[random.IntN(4)], time.Time{}, 0
+		s.fleet.limits++
 	case 1: // ranks break off for a while
 		s.breaksOff = s.fleet.ranks && !s.breaksOff
 	case 0: // it's to be replaced, or has been and starts again
 		if s.leaves {
-			s.leaves, s.leftAt, s.restUntil = false, time.Time{}, time.Time{}
+			s.leaves, s.leftAt, s.restUntil, s.limit = false, time.Time{}, time.Time{}, 0
 			s.born++
 			s.register()
 			return
@@ -241,7 +273,7 @@
 	}
 	over.Store(true)
 	callers.Wait()
-	t.Logf("%d served, %d refused, %d broken off, %d spells, %d servers left", served.Load(), refused.Load(), broken.Load(), f.rests, f.left)
+	t.Logf("%d served, %d refused, %d broken off, %d spells, %d servers left, %d limits", served.Load(), refused.Load(), broken.Load(), f.rests, f.left, f.limits)
 	Expect(f.against).To(BeEmpty(), "requests that came against a server's word")
 	Expect(served.Load()).To(BeNumerically(">", 0))
 }
