ratelimit, hosted: read again before the landing: who is known, what is told of refusals, who asks

- A daemon that can't be heard any more counted for up to a minute longer than two: the exchange's list was taken for heard now.
Each is told with its own time.
- Each refusal was told at once (100 messages a second to each other entry where all servers are limited); it goes with what is told again.
- An agent's question when its server takes the next request counted as a customer that asks, so that real ones were behind it.
- No looks four times a second, and no locks at each answer, while no server has a limit.
- A limit that falls keeps one saved token: a request is one at any rate.

--- a/internal/agent/rest.go
+++ b/internal/agent/rest.go
@@ -10,7 +10,6 @@
 	"github.com/crowbridge/crowbridge/internal/eligibility"
 	"github.com/crowbridge/crowbridge/internal/failure"
 	"github.com/crowbridge/crowbridge/internal/httpapi"
-	"github.com/crowbridge/crowbridge/internal/ratelimit"
 	"github.com/crowbridge/crowbridge/internal/upstream"
 	"github.com/crowbridge/crowbridge/internal/wire"
 	"github.com/sirupsen/logrus"
@@ -118,7 +117,7 @@
 	if bar := a.bar(); bar != nil {
 		return restLeft(bar)
 	}
-	return a.limits.Left(a.options.Server, ratelimit.Want{}, a.elapsed())
+	return a.limits.Next(a.options.Server, a.elapsed())
 }
 
 // lookForEnd looks whether a server that leaves has ended: its next start has said nothing.
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -22,9 +22,9 @@
 func (p *Pipeline) hearLimit(x *exchange, server *fleet.Server, answer *Answer) {
 	word := answer.Info.Limit
 	x.limit = p.board.limits.Limit(server.Key(), p.now())
-	log := p.log.WithFields(logrus.Fields{"server": server.ID, "start": server.Key(), "request": x.request.ID})
+	about := logrus.Fields{"server": server.ID, "start": server.Key(), "request": x.request.ID}
 	if word.Odd != "" {
-		log.WithField("said", word.Odd).Warn("server names a limit that can't be read: what it said before holds")
+		p.log.WithFields(about).WithField("said", word.Odd).Warn("server names a limit that can't be read: what it said before holds")
 	}
 	if !word.Named && !saysNoLimit(x, answer) {
 		return
@@ -36,7 +36,7 @@
 		return
 	}
 	countWord(x.Service, "limited")
-	log.WithFields(logrus.Fields{
+	p.log.WithFields(about).WithFields(logrus.Fields{
 		"limit": word.PerSecond, "named": word.Named, "before": before.PerSecond, "before_named": before.Named,
 	}).Info("server names another limit")
 }
--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -18,6 +18,9 @@
 	// limitsPace is the least time between messages of what has changed: what is sent to
 	// servers meanwhile is told together.
 	limitsPace = 10 * time.Millisecond
+	// idleLimitsPace is the time between looks at which entries there are while no server has
+	// a limit.
+	idleLimitsPace = time.Second
 	// limitDatagram bounds a datagram that is read, in bytes.
 	limitDatagram = 4096
 )
@@ -25,19 +28,26 @@
 // tellLimits tells the other entries of servers' limits and what this one sends, as datagrams.
 func (e *EntryDaemon) tellLimits(ctx context.Context, conn net.PacketConn) {
 	limits := e.board.Limits()
-	refresh := time.NewTimer(limits.Refresh())
+	refresh := time.NewTimer(idleLimitsPace)
 	defer refresh.Stop()
+	idle := true // others take who tells nothing for silent, once a server has a limit
 	for {
 		var news []*peerrpc.LimitNews
 		select {
 		case <-limits.Changed():
 			news = limits.News(e.clock.Now())
-		case <-refresh.C:
-			limits.Met(addressesOf(e.exchange.Met()), e.clock.Now())
-			if limits.Any() {
-				e.logPart()
+			if idle {
+				refresh.Reset(limits.Refresh())
 			}
+			idle = false
+		case <-refresh.C:
+			e.meet()
 			news = limits.State(e.clock.Now())
+			if idle = !limits.Any(); idle {
+				refresh.Reset(idleLimitsPace)
+				break
+			}
+			e.logPart()
 			refresh.Reset(limits.Refresh())
 		case <-ctx.Done():
 			return
@@ -77,15 +87,13 @@
 	}
 }
 
-// addressesOf are the addresses alone of some control addresses.
-func addressesOf(controls []string) []string {
-	addresses := make([]string, 0, len(controls))
-	for _, control := range controls {
+// meet takes in which other entries there are.
+func (e *EntryDaemon) meet() {
+	for control, at := range e.exchange.Met() {
 		if address, err := netip.ParseAddrPort(control); err == nil {
-			addresses = append(addresses, address.Addr().String())
+			e.board.Limits().Met(address.Addr().String(), at)
 		}
 	}
-	return addresses
 }
 
 // hearLimits takes in what other entries tell, until the context ends.
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -230,15 +230,15 @@
 	}
 }
 
-// Met returns the control addresses of daemons that have been heard themselves lately.
-func (e *Exchange) Met() []string {
+// Met returns the control addresses of daemons that have been heard themselves lately, and
+// when they were heard last.
+func (e *Exchange) Met() map[string]time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var met []string
-	now := e.members.now()
+	met := make(map[string]time.Time, len(e.peers))
 	for peer, known := range e.peers {
-		if known.zone != "" && now.Sub(known.heard) <= peerForget {
-			met = append(met, peer)
+		if known.zone != "" {
+			met[peer] = known.heard
 		}
 	}
 	return met
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -57,8 +57,8 @@
 }
 
 // fell takes in that the rate has fallen: what was saved up, or owed, at a higher one would count
-// for much longer now.
-func (b *bucket) fell() { b.tokens = 0 }
+// for much longer now. One token is a request at any rate.
+func (b *bucket) fell() { b.tokens = min(max(b.tokens, 0), 1) }
 
 // nearer takes in what another daemon's bucket of the same server holds. They drift apart as
 // messages come late and daemons join; a daemon whose bucket held less than all others' would
--- a/internal/ratelimit/news.go
+++ b/internal/ratelimit/news.go
@@ -89,14 +89,13 @@
 	}
 }
 
-// Met takes in which other daemons have been heard of in another way than by their messages:
-// they may send to servers.
-func (t *Table) Met(addresses []string, now time.Time) {
+// Met takes in when another daemon was heard in another way than by its messages: it may send
+// to servers.
+func (t *Table) Met(address string, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, address := range addresses {
-		t.peers.at(address).met = now
-	}
+	known := t.peers.at(address)
+	known.met = latest(known.met, at)
 }
 
 // News of a limit.
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -218,6 +218,24 @@
 	return t.left(s, want, now)
 }
 
+// Next returns how long it is until a server takes a request, whoever's; 0 if it does now or
+// has no limit.
+func (t *Table) Next(key string, now time.Time) time.Duration {
+	if !t.Any() {
+		return 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.limitedServer(key)
+	if s == nil {
+		return 0
+	}
+	part, heard := t.peers.part(now)
+	rate := s.rate(part)
+	s.bucket.fill(rate, spread(heard), now)
+	return s.bucket.untilHolds(1+s.wait, rate)
+}
+
 // Take is asked just before a request's first bytes go to a server. It returns 0 when they
 // may, and the request counts, or else for how long they may not.
 func (t *Table) Take(key string, want Want, now time.Time) time.Duration {
@@ -268,7 +286,6 @@
 	part, _ := t.peers.part(now)
 	first, rate, waiting := time.Duration(math.MaxInt64), 0.0, 0.0
 	var soonest *server
-	key := ""
 	for _, k := range keys {
 		s := t.limitedServer(k)
 		if s == nil {
@@ -277,7 +294,7 @@
 		rate += s.rate(part)
 		waiting += s.waitingNow(s.rate(part), now)
 		if left := t.left(s, want, now); left < first {
-			first, soonest, key = left, s, k
+			first, soonest = left, s
 		}
 	}
 	if soonest == nil {
@@ -285,8 +302,8 @@
 	}
 	hint := first + time.Duration((waiting+t.random())/rate*float64(time.Second))
 	soonest.own.refused++
+	soonest.toldOnce = true // with what is told again: there may be many of these
 	soonest.waiting = min(soonest.waiting+1, rate*longestHint.Seconds())
-	t.tell(key)
 	if hint > longestHint { // more wait than will be served by then: they don't come together
 		hint = longestHint - time.Duration(t.random()*float64(longestHint/2))
 	}
@@ -306,6 +323,9 @@
 
 // Limit returns what is known of a server's limit, or nil.
 func (t *Table) Limit(key string, now time.Time) *Limit {
+	if !t.Any() {
+		return nil
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.limitedServer(key)
