--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,8 +25,6 @@
 	behindMargin = 0.1
 	mostBehind   = 3
 	freshMargin  = 0.2
-	// longestHint bounds the time to come back that callers are told: few wait longer.
-	longestHint = 30 * time.Second
 	// keepWord is how long a word is kept of a start of a server that is no longer
 	// registered: registrations may come back.
 	keepWord = 10 * time.Minute
@@ -268,83 +265,6 @@
 	s.waiting = max(s.waiting-sent, 0)
 }
 
-// waitingNow is how many callers are waiting to come back.
-func (s *server) waitingNow(rate float64, now time.Time) float64 {
-	if elapsed := now.Sub(s.waitingAt).Seconds(); elapsed > 0 {
-		s.waiting = max(s.waiting-rate*elapsed, 0)
-		s.waitingAt = now
-	}
-	return s.waiting
-}
-
-// Refuse notes that a caller is refused because none of some servers may get its request,
-// and returns when it should come back: when the first of them may, after those that were
-// told before it. 0 when none of them has a limit.
-func (t *Table) Refuse(keys []string, want Want, now time.Time) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	part, _ := t.peers.part(now)
-	first, rate, waiting := time.Duration(math.MaxInt64), 0.0, 0.0
-	var soonest *server
-	for _, k := range keys {
-		s := t.limitedServer(k)
-		if s == nil {
-			continue
-		}
-		rate += s.rate(part)
-		waiting += s.waitingNow(s.rate(part), now)
-		if left := t.left(s, want, now); left < first {
-			first, soonest = left, s
-		}
-	}
-	if soonest == nil {
-		return 0
-	}
-	hint := first + time.Duration((waiting+t.random())/rate*float64(time.Second))
-	soonest.own.refused++
-	soonest.toldOnce = true // with what is told again: there may be many of these
-	soonest.waiting = min(soonest.waiting+1, rate*longestHint.Seconds())
-	if hint > longestHint { // more wait than will be served by then: they don't come together
-		hint = longestHint - time.Duration(t.random()*float64(longestHint/2))
-	}
-	return hint
-}
-
-// Limit is what is known of a server's limit.
-type Limit struct {
-	// PerSecond is what the server named, Age how long ago.
-	PerSecond float64
-	Age       time.Duration
-	// Rate is what daemons send it now, Tokens what this one's bucket holds.
-	Rate, Tokens float64
-	// Part is the part of limits that the daemons in touch use.
-	Part float64
-}
-
-// Limit returns what is known of a server's limit, or nil.
-func (t *Table) Limit(key string, now time.Time) *Limit {
-	if !t.Any() {
-		return nil
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.limitedServer(key)
-	if s == nil {
-		return nil
-	}
-	part, heard := t.peers.part(now)
-	s.bucket.fill(s.rate(part), spread(heard), now)
-	return &Limit{PerSecond: s.word.PerSecond, Age: now.Sub(s.word.Heard), Rate: s.rate(part), Tokens: s.bucket.tokens, Part: part}
-}
-
-// Part returns which part of limits this daemon and those that it hears use, and how many they
-// are.
-func (t *Table) Part(now time.Time) (part float64, heard int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.peers.part(now)
-}
-
 // Woke is called after the VM was suspended: what was sent meanwhile isn't known.
 func (t *Table) Woke(now time.Time) {
 	t.mu.Lock()
