entry: connections to agents are kept unused for 0.9 s, not 30 s

On a busy machine more connections are open when they fall silent; those not used meanwhile lay in the pool for up to 30 s, and the next burst took them. Only the product's own API is concerned.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -81,9 +81,11 @@
 }
 
 const (
-	dialTimeout  = time.Second
-	idleConns    = 512
-	idleConnTime = 30 * time.Second
+	dialTimeout = time.Second
+	idleConns   = 512
+	// idleConnTime is how long a connection to an agent is kept unused: one that has fallen
+	// silent meanwhile shows it only in a request, which it holds until its deadline.
+	idleConnTime = 900 * time.Millisecond
 )
 
 // New returns an entry that routes by the replica's configuration.
