hosted, loadfeed: a daemon that ends closes its datagram sockets for certain

Cause: a read that returned a datagram just as the context ended went out by the look at the context, and its deferred stop kept the function that closes the socket from running. Entries say farewell to each other at just that moment. The same lines stood in the crash news and the load feed. Processes of their own weren't concerned: their sockets end with them.

--- a/internal/hosted/crashes.go
+++ b/internal/hosted/crashes.go
@@ -58,6 +58,7 @@
 func (e *EntryDaemon) hearCrashes(ctx context.Context, conn net.PacketConn) error {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // ends the read
 	defer stop()
+	defer func() { _ = conn.Close() }() // a read that brought something as the context ended stops the other
 	buffer := make([]byte, crashDatagram)
 	for {
 		n, from, err := conn.ReadFrom(buffer)
--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -100,6 +100,7 @@
 func (e *EntryDaemon) hearLimits(ctx context.Context, conn net.PacketConn) error {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // ends the read
 	defer stop()
+	defer func() { _ = conn.Close() }() // a read that brought something as the context ended stops the other
 	buffer := make([]byte, limitDatagram)
 	for {
 		n, from, err := conn.ReadFrom(buffer)
--- a/internal/loadfeed/loadfeed.go
+++ b/internal/loadfeed/loadfeed.go
@@ -141,6 +141,7 @@
 func (r *Receiver) Listen(ctx context.Context, conn net.PacketConn) error {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // ends the read
 	defer stop()
+	defer func() { _ = conn.Close() }() // a read that brought something as the context ended stops the other
 	buffer := make([]byte, maxDatagram)
 	for {
 		n, _, err := conn.ReadFrom(buffer)
