--- a/internal/ranks/listen.go
+++ b/internal/ranks/listen.go
@@ -49,6 +49,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // ends the read
 	defer stop()
+	defer func() { _ = conn.Close() }() // a read that brought something as the context ended stops the other
 	buffer := make([]byte, maxSealed)
 	for {
 		n, from, err := conn.ReadFrom(buffer)
