membership, platform: the store's era, reads that it refuses and configurations left out by their offset are logged

To tell the hypotheses apart: which era the store's answers name (header Store-Era, line and gauge crowbridge_store_era), reads from an offset that it doesn't have (a line for each offset, crowbridge_store_reads_gone_total), and configurations that are left out since their offset isn't after the known one's. Nothing is decided by any of it yet.

--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -81,6 +81,7 @@
 		crashes:   crashwatch.New(upstream.Prober{}, clk.Now, func(d time.Duration, f func()) { time.AfterFunc(d, f) }, log),
 	}
 	e.exchange = membership.NewExchange(members, membership.Peer{Control: s.Control, Zone: s.Zone}, s.Seeds, control, log)
+	watchEra(store, log)
 	e.follower = membership.NewFollower(members, store, e.exchange, s.StopRouting, log)
 	backend := upstream.New(platform.Wire{})
 	members.OnServers(func(servers *fleet.Servers) { e.board.Keep(servers, clk.Now()) })
--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/crowbridge/crowbridge/internal/longread"
 	"github.com/crowbridge/crowbridge/internal/wait"
 	"github.com/sirupsen/logrus"
@@ -22,8 +23,19 @@
 const (
 	TopicOperators Topic = iota
 	TopicServers
+	topicCount
 )
 
+// String names the topic in logs.
+func (t Topic) String() string {
+	if t == TopicOperators {
+		return "operators"
+	}
+	return "servers"
+}
+
+var readsGone = metrics.NewCounter("crowbridge_store_reads_gone_total")
+
 // Store reads the platform's store.
 type Store interface {
 	// Read returns the records of a topic from an offset on and the offset after
@@ -96,6 +108,9 @@
 	// present one waits for.
 	silence longread.Doubt
 	reading atomic.Int64
+	// gone is the offset of each topic that the store didn't have last. Each topic is
+	// followed by one goroutine.
+	gone [topicCount]int64
 }
 
 // NewFollower returns a follower. zone may be nil: then it reads everything itself.
@@ -159,6 +174,7 @@
 	}
 	if errors.Is(err, ErrGone) {
 		f.doubt(err)
+		f.noteGone(TopicOperators, from)
 		return f.readNewest(ctx, TopicOperators)
 	}
 	if err == nil {
@@ -219,6 +235,7 @@
 	asked := f.members.now()
 	records, next, err := f.store.Read(ctx, TopicServers, from, 0)
 	if errors.Is(err, ErrGone) {
+		f.noteGone(TopicServers, from)
 		return f.readNewest(ctx, TopicServers)
 	}
 	if err == nil {
@@ -227,6 +244,16 @@
 	return err
 }
 
+// noteGone counts reads from an offset that the store doesn't have, with a line for the
+// first from there.
+func (f *Follower) noteGone(topic Topic, from int64) {
+	readsGone.Inc()
+	if f.gone[topic] != from {
+		f.gone[topic] = from
+		f.log.WithFields(logrus.Fields{"topic": topic.String(), "offset": from}).Info("the store doesn't have this offset: the newest record of each key is read")
+	}
+}
+
 func (f *Follower) readNewest(ctx context.Context, topic Topic) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -94,9 +94,15 @@
 	}
 	known, met := m.operators.records[m.decoder.ConfigKey()]
 	for _, r := range records {
-		if r.Key == m.decoder.ConfigKey() && (!met || r.Offset > known.Offset) {
-			m.adopt(r, source)
+		if r.Key != m.decoder.ConfigKey() {
+			continue
 		}
+		if met && r.Offset <= known.Offset {
+			m.log.WithFields(logrus.Fields{"offset": r.Offset, "known": known.Offset, "bytes": len(r.Value), "source": source}).
+				Info("configuration left out: its offset isn't after that of the known one")
+			continue
+		}
+		m.adopt(r, source)
 	}
 	for _, key := range take(records, next) {
 		m.operators.markChanged(key)
--- /dev/null
+++ b/internal/storelog/eras.go
@@ -0,0 +1,45 @@
+// Package storelog orders what lies in the platform's store, whose log may come back from
+// an older copy.
+package storelog
+
+import "sync"
+
+// NoEra is the era of a store that names none.
+const NoEra int64 = 0
+
+// Eras is the newest era that a daemon has heard of. A store's era rises each time that it
+// comes back from an older copy: records that it had acknowledged may be gone then, and
+// their offsets are given out again. The zero value has heard of none. Safe for concurrent
+// use; its lock is a leaf.
+type Eras struct {
+	mu     sync.Mutex
+	newest int64
+	heard  bool
+	onNew  []func(before, now int64)
+}
+
+// OnNew calls f whenever the store turns out to have come back. Call it before the first Note.
+func (e *Eras) OnNew(f func(before, now int64)) { e.onNew = append(e.onNew, f) }
+
+// Note takes in an era that the store or another daemon has named.
+func (e *Eras) Note(era int64) {
+	e.mu.Lock()
+	before, risen := e.newest, e.heard && era > e.newest
+	if era >= e.newest {
+		e.newest, e.heard = era, true
+	}
+	e.mu.Unlock()
+	if !risen {
+		return
+	}
+	for _, f := range e.onNew {
+		f(before, era)
+	}
+}
+
+// Newest returns the newest era heard of.
+func (e *Eras) Newest() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.newest
+}
