--- a/standins/platform/store.go
+++ b/standins/platform/store.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -25,6 +26,9 @@
 	topics map[string]*topic
 	grown  chan struct{}
 	faults Faults
+	// era rises with each return from copied, which has the topics as they were then.
+	era    int64
+	copied map[string]*topic
 }
 
 // topic is a log whose oldest records may have been dropped.
@@ -54,13 +58,50 @@
 	DelayMs int64 `json:"delayMs"`
 	// Keep bounds the records that a topic keeps; 0 keeps all.
 	Keep int `json:"keep"`
+	// NoEra leaves the era out of the answers, as stores without one do.
+	NoEra bool `json:"noEra"`
 	// Deaf makes reads that begin while it's set hear of nothing until their wait is over.
 	Deaf bool `json:"deaf"`
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{topics: map[string]*topic{}, grown: make(chan struct{})}
+	return &Store{topics: map[string]*topic{}, grown: make(chan struct{}), era: firstEra}
+}
+
+const firstEra = 1
+
+// Copy notes the topics as they are, for Return.
+func (s *Store) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied = cloneTopics(s.topics)
+}
+
+// Return makes the store come back as it was at Copy, in the next era. Reads that wait
+// hang: they are never answered.
+func (s *Store) Return() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics = cloneTopics(s.copied)
+	s.era++
+}
+
+func cloneTopics(topics map[string]*topic) map[string]*topic {
+	clone := make(map[string]*topic, len(topics))
+	for name, t := range topics {
+		clone[name] = &topic{first: t.first, records: slices.Clone(t.records), newest: maps.Clone(t.newest)}
+	}
+	return clone
+}
+
+// lock takes the lock and names the era in an answer that is given under it.
+func (s *Store) lock(w http.ResponseWriter) (era int64) {
+	s.mu.Lock()
+	if !s.faults.NoEra {
+		w.Header().Set(platform.HeaderEra, strconv.FormatInt(s.era, 10))
+	}
+	return s.era
 }
 
 // SetFaults changes what is wrong.
@@ -140,7 +181,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
+	s.lock(w)
 	faults := s.faults
 	s.mu.Unlock()
 	time.Sleep(time.Duration(faults.DelayMs) * time.Millisecond)
@@ -185,7 +226,7 @@
 		http.Error(w, "records with their lengths, within the bounds of size", http.StatusBadRequest)
 		return
 	}
-	s.mu.Lock()
+	s.lock(w)
 	defer s.mu.Unlock()
 	name := r.URL.Query().Get("topic")
 	end := s.topic(name).end()
@@ -213,18 +254,21 @@
 	}
 	waitMs, _ := strconv.ParseInt(query.Get("wait_ms"), 10, 64) // missing: don't wait
 	timeout := time.After(time.Duration(waitMs) * time.Millisecond)
-	deaf := s.deaf()
+	deaf, begun := s.state()
 	for {
-		grown, answered := s.readNow(w, query.Get("topic"), from, waitMs <= 0)
+		grown, era, answered := s.readNow(w, query.Get("topic"), from, waitMs <= 0, begun)
 		if answered {
 			return
 		}
-		if deaf {
+		if deaf || era != begun {
 			grown = nil
 		}
 		select {
 		case <-grown:
 		case <-timeout:
+			if era != begun {
+				panic(http.ErrAbortHandler)
+			}
 			waitMs = 0
 		case <-r.Context().Done():
 			return
@@ -232,29 +276,34 @@
 	}
 }
 
-func (s *Store) deaf() bool {
+// state returns what a read that begins goes by.
+func (s *Store) state() (deaf bool, era int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.faults.Deaf
+	return s.faults.Deaf, s.era
 }
 
-// readNow answers a read if there is a record, or at any rate.
-func (s *Store) readNow(w http.ResponseWriter, name string, from int64, atAnyRate bool) (<-chan struct{}, bool) {
-	s.mu.Lock()
+// readNow answers a read if there is a record, or at any rate; never one that began in
+// another era.
+func (s *Store) readNow(w http.ResponseWriter, name string, from int64, atAnyRate bool, begun int64) (<-chan struct{}, int64, bool) {
+	era := s.lock(w)
 	defer s.mu.Unlock()
+	if era != begun {
+		return nil, era, false
+	}
 	t := s.topic(name)
 	switch {
 	case s.faults.Down:
 		w.WriteHeader(http.StatusServiceUnavailable)
-	case from < t.first:
+	case from < t.first || from > t.end():
 		w.WriteHeader(http.StatusGone)
 		writeJSON(w, map[string]int64{"first": t.first})
 	case from >= t.end() && !atAnyRate:
-		return s.grown, false
+		return s.grown, era, false
 	default:
 		_, _ = w.Write(t.encode(from)) // the reader is gone
 	}
-	return nil, true
+	return nil, era, true
 }
 
 // maxRead bounds the records in one answer.
@@ -276,7 +325,7 @@
 
 // serveNewest answers with the newest record of each key, in one page.
 func (s *Store) serveNewest(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
+	s.lock(w)
 	defer s.mu.Unlock()
 	t := s.topic(r.URL.Query().Get("topic"))
 	items := []item{}
