experts: fencing tokens carry the store's era, so that they never fall

What callers would have seen: after the store has come back from an older copy the next lease's token is lower than what the ranks have seen. They refuse each order (412) until the history of leases has grown past it; no expert map changes till then. Change: the token is the whole position of the lease's record.

--- a/internal/experts/lease.go
+++ b/internal/experts/lease.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 )
 
-// LeaseRecord is one line of a group's history of holders. Its offset is the
+// LeaseRecord is one line of a group's history of holders. Its position is the
 // lease's fencing number: an append under a condition decides between two that
 // claim at once.
 type LeaseRecord struct {
@@ -129,8 +129,9 @@
 	return Claimed{Fence: fenceOf(end), Newest: fenceOf(end), FormerRank: newest.Rank, Unreadable: newest.Unreadable}, nil
 }
 
-// fenceOf returns the fencing number of an offset: offsets begin at 0, numbers at 1.
-func fenceOf(at storelog.Position) int64 { return at.Offset() + 1 }
+// fenceOf returns the fencing number of a position: positions begin at 0, numbers at 1. With
+// the era in it, it rises when the store comes back from an older copy, too.
+func fenceOf(at storelog.Position) int64 { return int64(at) + 1 }
 
 const (
 	// silenceBase is how long the agents hear from no holder before one claims the
