--- a/cmd/crowbridged/agent.go
+++ b/cmd/crowbridged/agent.go
@@ -109,7 +109,7 @@
 func awaitConfiguration(ctx context.Context, cmd *cli.Command, rep *replica.Replica, log *logrus.Entry) {
 	ctx, cancel := context.WithTimeout(ctx, cmd.Duration("config-timeout"))
 	defer cancel()
-	if err := rep.Wait(ctx, func() bool { return rep.Offset() > config.NoOffset }); err != nil {
+	if err := rep.Wait(ctx, func() bool { return rep.View().Position.HasRecord() }); err != nil {
 		log.WithError(err).Warn("no configuration yet; going on with defaults")
 	}
 }
--- a/cmd/crowbridged/entry.go
+++ b/cmd/crowbridged/entry.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/admin"
-	"github.com/crowbridge/crowbridge/internal/config"
 	"github.com/crowbridge/crowbridge/internal/crashwatch"
 	"github.com/crowbridge/crowbridge/internal/daemon"
 	"github.com/crowbridge/crowbridge/internal/entry"
@@ -133,6 +132,8 @@
 func serveEntry(p *process, s *entrySettings, e *entry.Entry, rep *replica.Replica) error {
 	key := p.cmd.String("daemon-key")
 	store := platform.NewStore(p.cmd.String("store"), upstream.NewTransport())
+	daemon.WatchEra(store.Eras(), p.log)
+	store.Eras().OnNew(func(int64, int64) { rep.Reread() })
 	log := platform.ConfigLog{Store: store, Now: time.Now}
 	api := admin.New(e, rep, log, store, s.operators, p.log)
 	if err := p.serve("control", controlHandler(key, api, rep, log, e.Crashes())); err != nil {
@@ -170,7 +171,7 @@
 	defer cancel()
 	ticker := time.NewTicker(poll)
 	defer ticker.Stop()
-	for rep.Offset() == config.NoOffset && !rep.Heard() {
+	for !rep.View().Position.HasRecord() && !rep.Heard() {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/cmd/crowbridged/rank.go
+++ b/cmd/crowbridged/rank.go
@@ -40,6 +40,7 @@
 		return nil, errors.Wrap(err, "backend")
 	}
 	store := platform.NewStore(address, upstream.NewTransport())
+	daemon.WatchEra(store.Eras(), p.log)
 	engines := platform.NewEngines(upstream.NewTransport())
 	rank := experts.NewAgent(engines, backend.Host, time.Now, p.log)
 	trail := group.NewTrail(p.cmd.String("server"), platform.ConfigLog{Store: store, Now: time.Now}, p.log)
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -191,7 +191,7 @@
 // Get implements rpc.Operators.
 func (a *Admin) Get(_ context.Context, request *rpc.GetRequest) (*rpc.GetReply, error) {
 	view := a.replica.View()
-	reply := &rpc.GetReply{Offset: view.Offset}
+	reply := &rpc.GetReply{Offset: int64(view.Position)}
 	for _, kind := range config.Kinds {
 		if request.Kind != "" && !strings.EqualFold(request.Kind, string(kind)) {
 			continue
@@ -236,9 +236,9 @@
 
 // Status implements rpc.Operators.
 func (a *Admin) Status(ctx context.Context, _ *rpc.StatusRequest) (*rpc.StatusReply, error) {
-	offset, hash := a.replica.Hash()
+	at, hash := a.replica.Hash()
 	reply := &rpc.StatusReply{
-		Daemon: a.host.Name(), Zone: a.host.Zone(), Offset: offset, StateHash: hash,
+		Daemon: a.host.Name(), Zone: a.host.Zone(), Offset: int64(at), StateHash: hash,
 		LogAgeMs: a.replica.LogAge().Milliseconds(),
 		Servers:  a.host.Servers(),
 		Ledgers:  []*rpc.Ledger{rpc.LedgerFrom(a.host.Name(), a.host.Ledger())},
--- a/internal/agent/record.go
+++ b/internal/agent/record.go
@@ -40,7 +40,7 @@
 // Run records the beginning, as soon as the log can be reached, and returns.
 func (r *Recorder) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if r.replica.Offset() > config.NoOffset && r.begin(ctx) {
+		if r.replica.View().Position.HasRecord() && r.begin(ctx) {
 			return nil
 		}
 		timer := time.NewTimer(recordAgain)
--- a/internal/config/agents.go
+++ b/internal/config/agents.go
@@ -70,7 +70,7 @@
 	if known {
 		last = current.Offset
 	}
-	next := AgentRun{Incarnation: event.Incarnation, Offset: entry.Offset}
+	next := AgentRun{Incarnation: event.Incarnation, Offset: entry.number()}
 	switch {
 	case event.Handover == nil && event.Previous == last:
 		next.Inherited = current.Handover
--- a/internal/config/audit.go
+++ b/internal/config/audit.go
@@ -16,6 +16,8 @@
 	AuditChange AuditAction = "change"
 	AuditLease  AuditAction = "lease"
 	AuditMap    AuditAction = "map"
+	// AuditRestore is a state carried over when the store came back from an older copy.
+	AuditRestore AuditAction = "restore"
 )
 
 // AuditEntry tells who changed what, when, why, and what became of it. Each
@@ -44,7 +46,7 @@
 
 func (s *State) foldEvent(event *Event, entry LogEntry) {
 	s.appendAudit(AuditEntry{
-		Offset: entry.Offset, TimeMs: entry.TimeMs, Actor: event.Actor, Action: event.Action,
+		Offset: entry.number(), TimeMs: entry.TimeMs, Actor: event.Actor, Action: event.Action,
 		Reason: event.Detail, Objects: []string{event.Object}, Accepted: true,
 	})
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -42,7 +42,7 @@
 func foldBundle(s *State, bundle *Bundle) Result {
 	data, err := (&Record{Format: FormatVersion, Kind: RecordChange, Bundle: bundle}).Encode()
 	Expect(err).NotTo(HaveOccurred())
-	Expect(s.Fold(LogEntry{Offset: s.Offset + 1, TimeMs: 1, Data: data})).To(Succeed())
+	Expect(s.Fold(LogEntry{Position: s.Position + 1, TimeMs: 1, Data: data})).To(Succeed())
 	return s.Results[bundle.CommandID]
 }
 
@@ -195,7 +195,7 @@
 	f.Add([]byte(`{"format":1,"kind":"snapshot","snapshot":{"count":-1}}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		s := NewState()
-		if err := s.Fold(LogEntry{Offset: 0, Data: data}); err != nil {
+		if err := s.Fold(LogEntry{Position: 0, Data: data}); err != nil {
 			t.Fatal(err)
 		}
 	})
--- a/internal/config/fold.go
+++ b/internal/config/fold.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 
+	"github.com/crowbridge/crowbridge/internal/storelog"
 	"github.com/pkg/errors"
 )
 
@@ -22,11 +23,15 @@
 // At 8,600 changes a day that is more than two days.
 const maxCommands = 20000
 
-// State is the fold of the log up to Offset. Every process that folded to the
-// same offset has the same State, byte for byte. Not safe for concurrent use;
-// View gives an immutable copy.
+// State is the fold of the log up to Position. Every process that folded to the
+// same position has the same State, byte for byte, once what may have been lost with an
+// older copy of the log has been carried over. Not safe for concurrent use;
+// View gives an immutable copy. The offsets in it are positions as numbers: they never fall.
 type State struct {
-	Offset int64 `json:"offset"`
+	Position storelog.Position `json:"offset"`
+	// Last is a digest of the record at Position: it tells whether another era of the log
+	// has the same record there. Empty in states of releases that don't know eras.
+	Last string `json:"last,omitempty"`
 	// Configured is the offset of the last accepted change.
 	Configured int64 `json:"configured"`
 
@@ -38,6 +43,8 @@
 	Audit   []AuditEntry            `json:"audit"`
 	Chain   string                  `json:"chain"`
 	Unread  map[RecordKind]UnreadAt `json:"unread,omitempty"`
+	// Restoring are the parts so far of a state that is being restored.
+	Restoring []byte `json:"restoring,omitempty"`
 
 	shared bool // Objects is shared with a View and must be cloned before a write
 }
@@ -54,7 +61,7 @@
 // NewState returns the state before the first record.
 func NewState() *State {
 	return &State{
-		Offset:     NoOffset,
+		Position:   storelog.Unknown,
 		Configured: NoOffset,
 		Objects:    map[string]*Object{},
 		Agents:     map[string]AgentRun{},
@@ -66,24 +73,24 @@
 // ErrGap is returned by Fold when a record is missing before the given one.
 var ErrGap = errors.New("log record out of order: a record before it is missing")
 
-// Fold applies the next record. A record at or below Offset was folded before
+// Fold applies the next record. A record at or below Position was folded before
 // and changes nothing, so duplicate delivery is harmless. A record that leaves
 // a gap is refused. Bytes that are no record are skipped the same way everywhere.
 func (s *State) Fold(entry LogEntry) error {
-	if entry.Offset <= s.Offset {
+	if entry.Position <= s.Position {
 		return nil
 	}
-	if entry.Offset != s.Offset+1 {
-		return errors.Wrapf(ErrGap, "have %d, got %d", s.Offset, entry.Offset)
+	if entry.Position != s.Position+1 {
+		return errors.Wrapf(ErrGap, "have %s, got %s", s.Position, entry.Position)
 	}
-	s.Offset = entry.Offset
+	s.Position, s.Last = entry.Position, entry.Digest()
 	record, err := DecodeRecord(entry.Data)
 	if err != nil || record.Format < 1 {
-		s.markUnread("undecodable", entry.Offset)
+		s.markUnread("undecodable", entry.number())
 		return nil
 	}
 	if record.Format > newestFormat {
-		s.markUnread(record.Kind, entry.Offset)
+		s.markUnread(record.Kind, entry.number())
 		return nil
 	}
 	s.foldRecord(record, entry)
@@ -98,8 +105,10 @@
 		s.foldAgent(record.Agent, entry)
 	case record.Kind == RecordEvent && record.Event != nil:
 		s.foldEvent(record.Event, entry)
+	case record.Kind == RecordRestore && record.Restore != nil:
+		s.foldRestore(record.Restore, entry)
 	default:
-		s.markUnread(record.Kind, entry.Offset)
+		s.markUnread(record.Kind, entry.number())
 	}
 }
 
@@ -122,16 +131,16 @@
 	reason := s.Check(bundle)
 	if reason == nil {
 		s.noteHomes(bundle, entry)
-		s.commit(bundle, entry.Offset)
-		s.Configured = entry.Offset
+		s.commit(bundle, entry.number())
+		s.Configured = entry.number()
 	}
-	result := Result{Offset: entry.Offset, Accepted: reason == nil}
+	result := Result{Offset: entry.number(), Accepted: reason == nil}
 	if reason != nil {
 		result.Reason = reason.Error()
 	}
 	s.remember(bundle.CommandID, result)
 	s.appendAudit(AuditEntry{
-		Offset: entry.Offset, TimeMs: entry.TimeMs, Actor: bundle.Actor,
+		Offset: entry.number(), TimeMs: entry.TimeMs, Actor: bundle.Actor,
 		Action: AuditChange, Reason: bundle.Reason, CommandID: bundle.CommandID,
 		Objects: bundle.objectIDs(), Accepted: result.Accepted, Verdict: result.Reason,
 	})
--- a/internal/config/fold_property_test.go
+++ b/internal/config/fold_property_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/crowbridge/crowbridge/internal/storelog"
 	"pgregory.net/rapid"
 )
 
@@ -20,16 +21,15 @@
 // only the newest.
 type fakeLog struct {
 	entries []LogEntry
-	first   int64
+	first   storelog.Position
 }
 
-func (l *fakeLog) append(data []byte) int64 {
-	offset := int64(len(l.entries))
-	l.entries = append(l.entries, LogEntry{Offset: offset, TimeMs: offset, Data: data})
-	return offset
+func (l *fakeLog) append(data []byte) {
+	at := len(l.entries)
+	l.entries = append(l.entries, LogEntry{Position: storelog.Position(at), TimeMs: int64(at), Data: data})
 }
 
-func (l *fakeLog) read(after int64) []LogEntry {
+func (l *fakeLog) read(after storelog.Position) []LogEntry {
 	if after+1 < l.first {
 		return nil
 	}
@@ -42,13 +42,13 @@
 	log     *fakeLog
 	folders []*State
 	// hashes is the state's hash at each offset, from whoever folded it first.
-	hashes map[int64]string
+	hashes map[storelog.Position]string
 	// accepted is the verdict of each command, from whoever folded it first.
 	accepted map[string]bool
 	commands int
 	// kept is the newest state on the store, as of an offset.
 	kept       []byte
-	keptOffset int64
+	keptOffset storelog.Position
 }
 
 func mustEncode(t *rapid.T, r *Record) []byte {
@@ -93,7 +93,7 @@
 
 func (w *world) fold(t *rapid.T) {
 	folder := rapid.SampledFrom(w.folders).Draw(t, "folder")
-	entries := w.log.read(folder.Offset)
+	entries := w.log.read(folder.Position)
 	n := rapid.IntRange(0, len(entries)).Draw(t, "records")
 	for _, entry := range entries[:n] {
 		w.foldOne(t, folder, entry)
@@ -104,12 +104,12 @@
 }
 
 func (w *world) foldOne(t *rapid.T, folder *State, entry LogEntry) {
-	before := folder.Offset
+	before := folder.Position
 	if err := folder.Fold(entry); err != nil {
 		t.Fatalf("fold: %v", err)
 	}
-	if folder.Offset < before {
-		t.Fatalf("offset fell from %d to %d", before, folder.Offset)
+	if folder.Position < before {
+		t.Fatalf("position fell from %s to %s", before, folder.Position)
 	}
 	w.observe(t, folder)
 }
@@ -118,10 +118,10 @@
 // ever changes.
 func (w *world) observe(t *rapid.T, folder *State) {
 	hash := folder.Hash()
-	if known, ok := w.hashes[folder.Offset]; ok && known != hash {
-		t.Fatalf("offset %d has two states", folder.Offset)
+	if known, ok := w.hashes[folder.Position]; ok && known != hash {
+		t.Fatalf("position %s has two states", folder.Position)
 	}
-	w.hashes[folder.Offset] = hash
+	w.hashes[folder.Position] = hash
 	for command, result := range folder.Results {
 		if known, ok := w.accepted[command]; ok && known != result.Accepted {
 			t.Fatalf("%s was accepted=%t and is accepted=%t", command, known, result.Accepted)
@@ -136,13 +136,13 @@
 	if err != nil {
 		t.Fatalf("snapshot: %v", err)
 	}
-	if folder.Offset > w.keptOffset {
-		w.kept, w.keptOffset = data, folder.Offset
+	if folder.Position > w.keptOffset {
+		w.kept, w.keptOffset = data, folder.Position
 	}
 }
 
 func (w *world) forget(t *rapid.T) {
-	w.log.first = min(w.log.first+int64(rapid.IntRange(0, 8).Draw(t, "forgotten")), int64(len(w.log.entries)))
+	w.log.first = min(w.log.first+storelog.Position(rapid.IntRange(0, 8).Draw(t, "forgotten")), storelog.Position(len(w.log.entries)))
 }
 
 // replace gives a folder's place to a fresh VM, which starts from the kept state
@@ -168,7 +168,7 @@
 		}
 	}
 	w.folders[i] = fresh
-	if fresh.Offset != NoOffset {
+	if fresh.Position != storelog.Unknown {
 		w.observe(t, fresh)
 	}
 }
@@ -177,7 +177,7 @@
 func (w *world) heal(t *rapid.T) {
 	i := rapid.IntRange(0, len(w.folders)-1).Draw(t, "heals")
 	peer := w.folders[rapid.IntRange(0, len(w.folders)-1).Draw(t, "from")]
-	if peer.Offset <= w.folders[i].Offset {
+	if peer.Position <= w.folders[i].Position {
 		return
 	}
 	data, err := peer.EncodeSnapshot()
@@ -193,7 +193,7 @@
 // process, however it got there; no verdict changes; each command has one effect.
 func TestFoldAgreesEverywhere(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &world{log: &fakeLog{}, hashes: map[int64]string{}, accepted: map[string]bool{}, keptOffset: NoOffset}
+		w := &world{log: &fakeLog{}, hashes: map[storelog.Position]string{}, accepted: map[string]bool{}, keptOffset: storelog.Unknown}
 		for range 4 {
 			w.folders = append(w.folders, NewState())
 		}
--- a/internal/config/homes.go
+++ b/internal/config/homes.go
@@ -30,7 +30,7 @@
 	}
 	homes := maps.Clone(s.Homes) // views share the old one
 	for service := range changed {
-		homes[service] = HomesChange{Offset: entry.Offset, TimeMs: entry.TimeMs}
+		homes[service] = HomesChange{Offset: entry.number(), TimeMs: entry.TimeMs}
 	}
 	s.Homes = homes
 }
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"github.com/crowbridge/crowbridge/internal/storelog"
 	"github.com/pkg/errors"
 )
 
@@ -13,8 +14,10 @@
 	// them would reject the change, and its state would differ from the others'; as a newer
 	// format, it's skipped there and counted.
 	quarantineFormat = 2
+	// restoreFormat is that of restored states, which releases without eras skip.
+	restoreFormat = 3
 	// newestFormat is the newest that this release folds.
-	newestFormat = quarantineFormat
+	newestFormat = restoreFormat
 )
 
 // NewChange returns the record of a bundle, in the oldest format that has its kinds.
@@ -36,6 +39,8 @@
 	RecordChange RecordKind = "change"
 	RecordAgent  RecordKind = "agent"
 	RecordEvent  RecordKind = "event"
+	// RecordRestore carries the state over into another era of the log.
+	RecordRestore RecordKind = "restore"
 )
 
 // Record is one entry of the platform's log as crowbridge writes it.
@@ -45,6 +50,8 @@
 	Bundle *Bundle     `json:"bundle,omitempty"`
 	Agent  *AgentEvent `json:"agent,omitempty"`
 	Event  *Event      `json:"event,omitempty"`
+	// Restore is a part of a whole state.
+	Restore *Restore `json:"restore,omitempty"`
 }
 
 // Event tells the audit trail of something that a daemon did. It changes nothing
@@ -81,11 +88,11 @@
 	ExpectedRevision int64 `json:"expectedRevision"`
 }
 
-// LogEntry is a record's bytes with the offset and time the log gave it.
+// LogEntry is a record's bytes with its position and the time that its writer gave it.
 type LogEntry struct {
-	Offset int64
-	TimeMs int64
-	Data   []byte
+	Position storelog.Position
+	TimeMs   int64
+	Data     []byte
 }
 
 // Encode returns the bytes that go onto the log.
--- /dev/null
+++ b/internal/config/restore.go
@@ -0,0 +1,116 @@
+package config
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/crowbridge/crowbridge/internal/storelog"
+	"github.com/pkg/errors"
+)
+
+// Restore is a part of a state that was known in a former era of the log. Whoever folds the
+// last part goes on from that state, so that all have the same again.
+type Restore struct {
+	// Era is the one into which the state is carried over.
+	Era int64 `json:"era"`
+	// Part counts the parts from 0, Parts is how many there are.
+	Part  int `json:"part"`
+	Parts int `json:"parts"`
+	// Known is up to where the state was known in the former era.
+	Known storelog.Position `json:"known"`
+	// Data is the part's piece of the state, as EncodeSnapshot returns it.
+	Data []byte `json:"data"`
+}
+
+// restoreActor stands in the audit trail where no operator acted.
+const restoreActor = "crowbridged"
+
+// restorePart bounds a part: in base64 it fits into a record of 256 KiB.
+const restorePart = 180 << 10
+
+// NewRestore returns the records that carry a state over.
+func NewRestore(s *State, era int64, known storelog.Position) ([][]byte, error) {
+	snapshot, err := s.EncodeSnapshot()
+	if err != nil {
+		return nil, err
+	}
+	parts := (len(snapshot) + restorePart - 1) / restorePart
+	records := make([][]byte, 0, parts)
+	for part := range parts {
+		data := snapshot[part*restorePart : min((part+1)*restorePart, len(snapshot))]
+		record, err := (&Record{Format: restoreFormat, Kind: RecordRestore, Restore: &Restore{
+			Era: era, Part: part, Parts: parts, Known: known, Data: data,
+		}}).Encode()
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, record)
+	}
+	return records, nil
+}
+
+// Restores tells whether an entry is the first part of a state that is carried over into its
+// own era.
+func (e LogEntry) Restores() bool {
+	record, err := DecodeRecord(e.Data)
+	return err == nil && record.Kind == RecordRestore && record.Restore != nil &&
+		record.Restore.Part == 0 && record.Restore.Era == e.Position.Era()
+}
+
+// Command returns the ID of the command in an entry that changes something, or "".
+func (e LogEntry) Command() string {
+	record, err := DecodeRecord(e.Data)
+	if err != nil || record.Kind != RecordChange || record.Bundle == nil {
+		return ""
+	}
+	return record.Bundle.CommandID
+}
+
+// Digest tells records apart, wherever they lie.
+func (e LogEntry) Digest() string {
+	digest := xxhash.New()
+	_, _ = digest.Write(binary.BigEndian.AppendUint64(nil, uint64(e.TimeMs))) // it never fails
+	_, _ = digest.Write(e.Data)
+	return hex.EncodeToString(digest.Sum(nil))
+}
+
+// number is the entry's position where the state keeps it.
+func (e LogEntry) number() int64 { return int64(e.Position) }
+
+// Enter goes on in another era of the log, whose records up to a position are known.
+func (s *State) Enter(known storelog.Position) { s.Position = known }
+
+// Clone returns a copy that shares nothing.
+func (s *State) Clone() (*State, error) {
+	snapshot, err := s.EncodeSnapshot()
+	if err != nil {
+		return nil, err
+	}
+	clone, err := DecodeSnapshot(snapshot)
+	return clone, errors.Wrap(err, "clone")
+}
+
+// foldRestore goes on from a state of a former era once its last part is there.
+func (s *State) foldRestore(restore *Restore, entry LogEntry) {
+	if restore.Part == 0 {
+		s.Restoring = nil
+	}
+	s.Restoring = append(s.Restoring, restore.Data...)
+	if restore.Part+1 < restore.Parts {
+		return
+	}
+	restored, err := DecodeSnapshot(s.Restoring)
+	s.Restoring = nil
+	if err != nil {
+		s.markUnread(RecordRestore, entry.number())
+		return
+	}
+	restored.Position, restored.Last, restored.Restoring = s.Position, s.Last, nil
+	*s = *restored
+	s.appendAudit(AuditEntry{
+		Offset: entry.number(), TimeMs: entry.TimeMs, Actor: restoreActor, Action: AuditRestore, Accepted: true,
+		Reason: fmt.Sprintf("the store came back from an older copy: carried over what was known up to %s", restore.Known),
+	})
+}
--- a/internal/config/view.go
+++ b/internal/config/view.go
@@ -3,13 +3,15 @@
 import (
 	"slices"
 	"strings"
+
+	"github.com/crowbridge/crowbridge/internal/storelog"
 )
 
 // View is an immutable look at the configuration at one offset. It shares its
 // objects with the State it came from; nobody may change them.
 type View struct {
-	// Offset up to which the log was folded.
-	Offset int64
+	// Position up to which the log was folded.
+	Position storelog.Position
 	// Configured is the offset of the last accepted change: two views with the same
 	// have the same objects.
 	Configured int64
@@ -24,7 +26,7 @@
 func (s *State) View() *View {
 	s.shared = true
 	return &View{
-		Offset: s.Offset, Configured: s.Configured,
+		Position: s.Position, Configured: s.Configured,
 		objects: s.Objects,
 		agents:  s.Agents,
 		homes:   s.Homes,
--- a/internal/crashwatch/watch_test.go
+++ b/internal/crashwatch/watch_test.go
@@ -16,6 +16,7 @@
 	"github.com/crowbridge/crowbridge/internal/peerrpc"
 	"github.com/crowbridge/crowbridge/internal/quarantine"
 	"github.com/crowbridge/crowbridge/internal/replica"
+	"github.com/crowbridge/crowbridge/internal/storelog"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
@@ -244,16 +245,16 @@
 	records  [][]byte
 }
 
-func (l *fakeLog) Append(_ context.Context, data []byte) (int64, error) {
+func (l *fakeLog) Append(_ context.Context, data []byte) (storelog.Position, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
 		return 0, errors.New("down")
 	}
-	offset := int64(len(l.records))
+	offset := storelog.Position(len(l.records))
 	l.records = append(l.records, data)
 	for _, rep := range l.replicas {
-		Expect(rep.Fold(replica.Batch{Entries: []config.LogEntry{{Offset: offset, Data: data}}})).To(Succeed())
+		Expect(rep.Fold(replica.Batch{Entries: []config.LogEntry{{Position: storelog.Position(offset), Data: data}}})).To(Succeed())
 	}
 	return offset, nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -175,7 +175,7 @@
 
 // Ready tells whether the balancer should send requests here.
 func (e *Entry) Ready() bool {
-	return !e.stopping.Load() && e.replica.Offset() > config.NoOffset
+	return !e.stopping.Load() && e.replica.View().Position.HasRecord()
 }
 
 // Crashes is what the entry knows of requests that end servers.
--- a/internal/entry/entry_suite_test.go
+++ b/internal/entry/entry_suite_test.go
@@ -114,7 +114,7 @@
 	}
 	data, err := (&config.Record{Format: config.FormatVersion, Kind: config.RecordChange, Bundle: bundle}).Encode()
 	Expect(err).NotTo(HaveOccurred())
-	return config.LogEntry{Offset: 0, Data: data}
+	return config.LogEntry{Position: 0, Data: data}
 }
 
 // fakeAgent starts an agent that answers with the handler.
--- a/internal/entry/rebuild_test.go
+++ b/internal/entry/rebuild_test.go
@@ -17,7 +17,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	entry := config.LogEntry{Offset: rep.Offset() + 1, Data: data}
+	entry := config.LogEntry{Position: rep.Next(), Data: data}
 	if err := rep.Fold(replica.Batch{Entries: []config.LogEntry{entry}}); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -78,7 +78,7 @@
 const bearer = "Bearer "
 
 func (e *Entry) authenticate(x *exchange) *failure.Error {
-	if e.replica.Offset() == config.NoOffset {
+	if !e.replica.View().Position.HasRecord() {
 		return failure.NotRun(failure.StepAuthenticate, e.options.Name, failure.CodeNoServer,
 			"this entry has no configuration yet").After(noServerRetry)
 	}
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -63,7 +63,7 @@
 	agent := experts.NewAgent(engines, s.LocalServer, time.Now, log)
 	options := ranks.Options{Daemon: s.Daemon, IP: s.IP, Room: countRoom(s.LinkMbps)}
 	store := platform.NewStore(s.Store, upstream.NewTransport())
-	watchEra(store, log)
+	daemon.WatchEra(store.Eras(), log)
 	exchange := membership.NewExchange(members, membership.Peer{Zone: s.Zone}, s.Seeds, client, log)
 	exchange.SetEras(store.Eras())
 	return &AgentDaemon{
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -81,14 +81,17 @@
 		crashes:   crashwatch.New(upstream.Prober{}, clk.Now, func(d time.Duration, f func()) { time.AfterFunc(d, f) }, log),
 	}
 	e.exchange = membership.NewExchange(members, membership.Peer{Control: s.Control, Zone: s.Zone}, s.Seeds, control, log)
-	watchEra(store, log)
+	daemon.WatchEra(store.Eras(), log)
 	e.follower = membership.NewFollower(members, store, e.exchange, s.StopRouting, log)
 	backend := upstream.New(platform.Wire{})
 	members.OnServers(func(servers *fleet.Servers) { e.board.Keep(servers, clk.Now()) })
 	members.OnServers(backend.Keep)
 	members.OnServers(e.crashes.Keep)
 	e.exchange.SetEras(store.Eras())
-	store.Eras().OnNew(func(int64, int64) { e.follower.Wake() })
+	store.Eras().OnNew(func(int64, int64) {
+		e.follower.Wake()
+		rep.Reread()
+	})
 	e.exchange.SetCrashes(e.crashes)
 	e.exchange.SetConfiguration(rep)
 	e.crashes.SetBars(func(server string) *eligibility.Bar { return e.board.Bar(server, clk.Now()) })
--- a/internal/hosted/log.go
+++ b/internal/hosted/log.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/crowbridge/crowbridge/platform"
 	"github.com/sirupsen/logrus"
 )
 
@@ -70,15 +69,6 @@
 	return logger.WithFields(logrus.Fields{"daemon": daemon, "zone": zone})
 }
 
-// watchEra logs each return of the store from an older copy.
-func watchEra(store *platform.Store, log *logrus.Entry) {
-	metrics.GetOrCreateGauge(`crowbridge_store_era`, func() float64 { return float64(store.Eras().Newest()) })
-	store.Eras().OnNew(func(before, now int64) {
-		log.WithFields(logrus.Fields{"era": now, "before": before}).
-			Warn("the store has come back from an older copy: its offsets are given out again")
-	})
-}
-
 // limitMemory keeps the Go runtime below the process's limit.
 func limitMemory(megabytes int64) {
 	if megabytes > 0 {
--- a/internal/hosted/steer.go
+++ b/internal/hosted/steer.go
@@ -11,6 +11,7 @@
 	"github.com/crowbridge/crowbridge/internal/membership"
 	"github.com/crowbridge/crowbridge/internal/replica"
 	"github.com/crowbridge/crowbridge/internal/steering"
+	"github.com/crowbridge/crowbridge/internal/storelog"
 	"github.com/pkg/errors"
 )
 
@@ -59,7 +60,7 @@
 }
 
 // Records implements replica.Source.
-func (s peersSource) Records(ctx context.Context, after int64, wait time.Duration) (replica.Batch, error) {
+func (s peersSource) Records(ctx context.Context, after storelog.Position, wait time.Duration) (replica.Batch, error) {
 	source, err := s.any()
 	if err != nil {
 		return replica.Batch{}, err
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/storelog"
 	"github.com/crowbridge/crowbridge/internal/wait"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -67,7 +68,11 @@
 	turn := rotation{sources: len(sources)}
 	for ctx.Err() == nil {
 		source := sources[turn.at]
-		age, err := r.followOnce(ctx, source)
+		age, err := r.followOnce(ctx, source, log)
+		if errors.Is(err, errReread) {
+			turn.at = 0
+			continue
+		}
 		if err == nil && age < r.wait+staleMargin {
 			turn.good(r.now())
 			continue
@@ -81,35 +86,55 @@
 	}
 }
 
-func (r *Replica) followOnce(ctx context.Context, source Source) (time.Duration, error) {
+// errReread ends a read whose source is to be the first one again.
+var errReread = errors.New("the first source is read again")
+
+func (r *Replica) followOnce(ctx context.Context, source Source, log *logrus.Entry) (time.Duration, error) {
 	wait := r.silence.Bound(r.wait, r.now())
 	timeout := wait + readTimeout
-	if r.Offset() == config.NoOffset && !r.Heard() {
+	if !r.Heard() {
 		wait, timeout = firstWait, firstTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
 	go func() {
 		select {
 		case <-r.behind:
-			cancel()
+			end(nil)
+		case <-r.reread:
+			end(errReread)
 		case <-ctx.Done():
 		}
 	}()
-	batch, err := source.Records(ctx, r.Offset(), wait)
+	if err := r.writeAgain(ctx, source); err != nil {
+		return 0, err
+	}
+	batch, err := source.Records(ctx, r.Position(), wait)
+	if err != nil && errors.Is(context.Cause(ctx), errReread) {
+		return 0, errReread
+	}
 	if err != nil {
 		r.silence.Raise(r.now())
 		return 0, err
 	}
 	if batch.Gone {
 		r.silence.Raise(r.now())
-		return batch.LogAge, r.heal(ctx, source)
+		return batch.LogAge, r.heal(ctx, source, log)
 	}
 	return batch.LogAge, r.Fold(batch)
 }
 
-// heal takes a snapshot from a source that no longer has the records we need.
-func (r *Replica) heal(ctx context.Context, source Source) error {
+// heal takes a snapshot from a source that no longer has the records we need, unless that is
+// the log and it has come back in another era.
+func (r *Replica) heal(ctx context.Context, source Source, log *logrus.Entry) error {
+	if s, ok := source.(LogSource); ok {
+		entered, err := r.carryOver(ctx, s.Log, log)
+		if entered || err != nil {
+			return err
+		}
+	}
 	state, err := source.State(ctx)
 	if err != nil {
 		return err
@@ -140,7 +165,7 @@
 func (LogSource) Name() string { return "log" }
 
 // Records implements Source.
-func (s LogSource) Records(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
+func (s LogSource) Records(ctx context.Context, after storelog.Position, wait time.Duration) (Batch, error) {
 	entries, err := s.Log.Read(ctx, after, wait)
 	if errors.Is(err, ErrGone) {
 		return Batch{Gone: true}, nil
--- a/internal/replica/keep.go
+++ b/internal/replica/keep.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/storelog"
 	"github.com/crowbridge/crowbridge/internal/wait"
 	"github.com/sirupsen/logrus"
 )
@@ -23,47 +24,51 @@
 
 // keeper decides when a replica's state has to be kept.
 type keeper struct {
-	offset, configured int64
-	at                 time.Time
+	position   storelog.Position
+	configured int64
+	at         time.Time
 }
 
-// due tells whether a view is to be kept now: soon after a change, and from time to
-// time after other records.
+// due tells whether a view is to be kept now: soon after a change and in another era of the
+// log, whose copy of the kept state is older, and from time to time after other records.
 func (k *keeper) due(now time.Time, view *config.View) bool {
-	if view.Configured > k.configured {
-		return true
+	if view.Position.Offset() < 0 {
+		return false
 	}
-	return view.Offset > k.offset && now.Sub(k.at) >= keepAtLeast
+	if view.Configured > k.configured || view.Position.Era() > k.position.Era() {
+		return view.Position > k.position
+	}
+	return view.Position > k.position && now.Sub(k.at) >= keepAtLeast
 }
 
 func (k *keeper) done(now time.Time, view *config.View) {
-	k.offset, k.configured, k.at = view.Offset, view.Configured, now
+	k.position, k.configured, k.at = view.Position, view.Configured, now
 }
 
 // Keep puts the replica's state where it lasts whenever it has changed, until the
 // context ends. Several daemons may do so: an older state never replaces a newer one.
 func (r *Replica) Keep(ctx context.Context, log Log, logger *logrus.Entry) {
-	k := keeper{offset: config.NoOffset, configured: config.NoOffset, at: r.now()}
+	k := keeper{position: storelog.Unknown, configured: config.NoOffset, at: r.now()}
 	for wait.For(ctx, keepPace+rand.N(keepPace)) {
 		view := r.View()
 		if !k.due(r.now(), view) {
 			continue
 		}
 		if err := r.keepOnce(ctx, log); err != nil {
-			logger.WithError(err).WithField("offset", view.Offset).Warn("state not kept on the store; trying again")
+			logger.WithError(err).WithField("position", view.Position.String()).Warn("state not kept on the store; trying again")
 			continue
 		}
 		k.done(r.now(), view)
-		logger.WithField("offset", view.Offset).Info("state kept on the store")
+		logger.WithField("position", view.Position.String()).Info("state kept on the store")
 	}
 }
 
 func (r *Replica) keepOnce(ctx context.Context, log Log) error {
 	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
 	defer cancel()
-	snapshot, offset, err := r.Snapshot()
+	snapshot, at, err := r.Snapshot()
 	if err != nil {
 		return err
 	}
-	return log.Keep(ctx, offset, snapshot)
+	return log.Keep(ctx, at, snapshot)
 }
--- a/internal/replica/keep_test.go
+++ b/internal/replica/keep_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/storelog"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -11,18 +12,18 @@
 var _ = Describe("keeping the state", func() {
 	It("follows a change at once, and other records from time to time", func() {
 		now := time.Unix(1000, 0)
-		k := keeper{offset: config.NoOffset, configured: config.NoOffset, at: now}
-		view := &config.View{Offset: config.NoOffset, Configured: config.NoOffset}
+		k := keeper{position: storelog.Unknown, configured: config.NoOffset, at: now}
+		view := &config.View{Position: storelog.Unknown, Configured: config.NoOffset}
 		Expect(k.due(now.Add(time.Hour), view)).To(BeFalse(), "nothing to keep")
-		view = &config.View{Offset: 0, Configured: 0}
+		view = &config.View{Position: 0, Configured: 0}
 		Expect(k.due(now, view)).To(BeTrue())
 		k.done(now, view)
 		Expect(k.due(now.Add(time.Hour), view)).To(BeFalse())
-		view = &config.View{Offset: 4, Configured: 0}
+		view = &config.View{Position: 4, Configured: 0}
 		Expect(k.due(now.Add(keepAtLeast-time.Second), view)).To(BeFalse())
 		Expect(k.due(now.Add(keepAtLeast), view)).To(BeTrue())
 		k.done(now.Add(keepAtLeast), view)
-		view = &config.View{Offset: 5, Configured: 5}
+		view = &config.View{Position: 5, Configured: 5}
 		Expect(k.due(now.Add(keepAtLeast), view)).To(BeTrue())
 	})
 })
--- a/internal/replica/peer.go
+++ b/internal/replica/peer.go
@@ -7,6 +7,7 @@
 
 	"github.com/crowbridge/crowbridge/internal/config"
 	"github.com/crowbridge/crowbridge/internal/rpc"
+	"github.com/crowbridge/crowbridge/internal/storelog"
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
 )
@@ -31,14 +32,17 @@
 func (p *PeerSource) Name() string { return "peer " + p.address }
 
 // Records implements Source.
-func (p *PeerSource) Records(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
-	reply, err := p.client.Records(ctx, &rpc.RecordsRequest{After: after, WaitMs: wait.Milliseconds(), Daemon: p.daemon})
+func (p *PeerSource) Records(ctx context.Context, after storelog.Position, wait time.Duration) (Batch, error) {
+	reply, err := p.client.Records(ctx, &rpc.RecordsRequest{After: int64(after), WaitMs: wait.Milliseconds(), Daemon: p.daemon})
 	if err != nil {
 		return Batch{}, errors.Wrap(err, p.Name())
 	}
+	if known := storelog.Position(reply.Offset); known.Era() < after.Era() {
+		return Batch{}, errors.Errorf("%s: it knows the log up to %s, in a former era than %s", p.Name(), known, after)
+	}
 	batch := Batch{Gone: reply.Gone, LogAge: time.Duration(reply.LogAgeMs) * time.Millisecond}
 	for _, r := range reply.Records {
-		batch.Entries = append(batch.Entries, config.LogEntry{Offset: r.Offset, TimeMs: r.TimeMs, Data: r.Data})
+		batch.Entries = append(batch.Entries, config.LogEntry{Position: storelog.Position(r.Offset), TimeMs: r.TimeMs, Data: r.Data})
 	}
 	return batch, nil
 }
@@ -71,18 +75,19 @@
 	if s.Seen != nil && request.Daemon != "" {
 		s.Seen(request.Daemon, request.After)
 	}
+	after := storelog.Position(request.After)
 	wait := min(time.Duration(request.WaitMs)*time.Millisecond, maxPeerWait)
 	waitCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	// A timeout is a normal answer without records.
-	_ = s.Replica.Wait(waitCtx, func() bool { return s.Replica.Offset() > request.After })
-	return toReply(s.Replica.After(request.After), s.Replica.Offset()), nil
+	_ = s.Replica.Wait(waitCtx, func() bool { return s.Replica.Position() > after })
+	return toReply(s.Replica.After(after), s.Replica.Position()), nil
 }
 
-func toReply(batch Batch, offset int64) *rpc.RecordsReply {
-	reply := &rpc.RecordsReply{Gone: batch.Gone, Offset: offset, LogAgeMs: batch.LogAge.Milliseconds()}
+func toReply(batch Batch, known storelog.Position) *rpc.RecordsReply {
+	reply := &rpc.RecordsReply{Gone: batch.Gone, Offset: int64(known), LogAgeMs: batch.LogAge.Milliseconds()}
 	for _, e := range batch.Entries {
-		reply.Records = append(reply.Records, &rpc.LogRecord{Offset: e.Offset, TimeMs: e.TimeMs, Data: e.Data})
+		reply.Records = append(reply.Records, &rpc.LogRecord{Offset: int64(e.Position), TimeMs: e.TimeMs, Data: e.Data})
 	}
 	return reply
 }
@@ -105,9 +110,9 @@
 
 // State implements rpc.Peers.
 func (s *PeerServer) State(context.Context, *rpc.StateRequest) (*rpc.StateReply, error) {
-	data, offset, err := s.Replica.Snapshot()
+	data, at, err := s.Replica.Snapshot()
 	if err != nil {
 		return nil, err
 	}
-	return &rpc.StateReply{Snapshot: data, Offset: offset}, nil
+	return &rpc.StateReply{Snapshot: data, Offset: int64(at)}, nil
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -17,7 +17,8 @@
 // Batch is what a Source returned.
 type Batch struct {
 	Entries []config.LogEntry
-	// Gone is set when the source no longer has the record after the asked offset.
+	// Gone is set when the source no longer has the record after the asked position, or is in
+	// another era of the log.
 	Gone bool
 	// LogAge is how long ago the source, or whoever it reads from, last heard
 	// from the log itself. Ages add up along the way; no clocks are compared.
@@ -28,8 +29,8 @@
 type Source interface {
 	// Name identifies the source in logs.
 	Name() string
-	// Records returns the records after an offset, waiting for the first.
-	Records(ctx context.Context, after int64, wait time.Duration) (Batch, error)
+	// Records returns the records after a position, waiting for the first.
+	Records(ctx context.Context, after storelog.Position, wait time.Duration) (Batch, error)
 	// State returns a snapshot, for a process whose history fell off the log.
 	State(ctx context.Context) (*config.State, error)
 }
@@ -37,25 +38,32 @@
 // recentRecords is how many records a replica keeps for its peers.
 const recentRecords = 4096
 
-// Replica is the process's copy. Invariant: its offset never falls. It is safe
-// for concurrent use; its lock is a leaf: no other lock is taken under it.
+// Replica is the process's copy. Invariants: its position never falls, and its view loses
+// no change that was in it. It is safe for concurrent use; its lock is a leaf: no other lock
+// is taken under it.
 type Replica struct {
-	mu        sync.Mutex
-	state     *config.State
-	recent    []config.LogEntry
+	mu    sync.Mutex
+	state *config.State
+	// recent are records of the state's era, up to its position.
+	recent []config.LogEntry
+	// former are changes that were known in former eras of the log.
+	former []config.LogEntry
+	// heldUntil is until when the view isn't replaced by one that lacks them.
+	heldUntil time.Time
 	changed   chan struct{}
 	confirmed time.Time // when the end of the log was last heard of
 	now       func() time.Time
 	wait      time.Duration // of one read for new records
 	silence   longread.Doubt
 	behind    chan struct{} // ends a read that is silent about what a peer knows
+	reread    chan struct{} // ends a read that may hang, and goes back to the first source
 
 	view atomic.Pointer[config.View]
 }
 
 // New returns a replica that has folded nothing.
 func New(now func() time.Time) *Replica {
-	r := &Replica{state: config.NewState(), changed: make(chan struct{}), now: now, wait: defaultWait, behind: make(chan struct{}, 1)}
+	r := &Replica{state: config.NewState(), changed: make(chan struct{}), now: now, wait: defaultWait, behind: make(chan struct{}, 1), reread: make(chan struct{}, 1)}
 	r.view.Store(r.state.View())
 	return r
 }
@@ -79,14 +87,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.confirm(batch.LogAge)
-	before := r.state.Offset
+	before := r.state.Position
 	defer func() {
-		if r.state.Offset != before {
+		if r.state.Position != before {
 			r.publish()
 		}
 	}()
-	for _, entry := range batch.Entries {
-		if entry.Offset <= r.state.Offset {
+	return r.fold(batch.Entries)
+}
+
+func (r *Replica) fold(entries []config.LogEntry) error {
+	for _, entry := range entries {
+		if entry.Position <= r.state.Position {
 			continue
 		}
 		if err := r.state.Fold(entry); err != nil {
@@ -102,11 +114,11 @@
 func (r *Replica) Adopt(state *config.State) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if state.Offset <= r.state.Offset {
+	if state.Position <= r.state.Position {
 		return false
 	}
+	r.leave()
 	r.state = state
-	r.recent = nil
 	r.publish()
 	return true
 }
@@ -119,7 +131,10 @@
 }
 
 func (r *Replica) publish() {
-	r.view.Store(r.state.View())
+	if len(r.lost()) == 0 || !r.now().Before(r.heldUntil) {
+		r.former = nil
+		r.view.Store(r.state.View())
+	}
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
@@ -132,9 +147,9 @@
 }
 
 // Next is the position after the last record that is folded.
-func (r *Replica) Next() storelog.Position { return storelog.Position(r.Offset() + 1) }
+func (r *Replica) Next() storelog.Position { return r.Position() + 1 }
 
-// PeerKnows takes in the offset up to which a peer knows the log. A read that is still
+// PeerKnows takes in the position up to which a peer knows the log. A read that is still
 // silent about it after a while is ended: the log may have left it deaf.
 func (r *Replica) PeerKnows(next storelog.Position) {
 	if next <= r.Next() {
@@ -152,8 +167,12 @@
 	})
 }
 
-// Offset is the offset folded up to.
-func (r *Replica) Offset() int64 { return r.View().Offset }
+// Position is up to where the log has been folded.
+func (r *Replica) Position() storelog.Position {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Position
+}
 
 // neverConfirmed is the age reported before the log was first heard of.
 const neverConfirmed = 365 * 24 * time.Hour
@@ -175,20 +194,20 @@
 // Heard tells whether the log has been heard of since the start.
 func (r *Replica) Heard() bool { return r.LogAge() < neverConfirmed }
 
-// After returns the records kept after an offset, for a peer.
-func (r *Replica) After(offset int64) Batch {
+// After returns the records kept after a position, for a peer.
+func (r *Replica) After(known storelog.Position) Batch {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	batch := Batch{LogAge: r.logAge()}
-	if offset >= r.state.Offset {
+	if known >= r.state.Position {
 		return batch
 	}
-	first := r.state.Offset - int64(len(r.recent)) + 1
-	if offset+1 < first {
+	first := r.state.Position - storelog.Position(len(r.recent)) + 1
+	if known+1 < first {
 		batch.Gone = true
 		return batch
 	}
-	batch.Entries = append(batch.Entries, r.recent[offset+1-first:]...)
+	batch.Entries = append(batch.Entries, r.recent[known+1-first:]...)
 	return batch
 }
 
@@ -224,18 +243,18 @@
 }
 
 // Hash returns the hash of the folded state.
-func (r *Replica) Hash() (int64, string) {
+func (r *Replica) Hash() (storelog.Position, string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.state.Offset, r.state.Hash()
+	return r.state.Position, r.state.Hash()
 }
 
-// Snapshot returns the encoded state and its offset.
-func (r *Replica) Snapshot() ([]byte, int64, error) {
+// Snapshot returns the encoded state and its position.
+func (r *Replica) Snapshot() ([]byte, storelog.Position, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	data, err := r.state.EncodeSnapshot()
-	return data, r.state.Offset, err
+	return data, r.state.Position, err
 }
 
 // Wait blocks until the condition holds or the context ends. The condition is
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/crowbridge/crowbridge/internal/config"
 	"github.com/crowbridge/crowbridge/internal/longread"
+	"github.com/crowbridge/crowbridge/internal/storelog"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
@@ -25,7 +26,7 @@
 func entryAt(offset int64) config.LogEntry {
 	data, err := json.Marshal(config.Record{Format: 1, Kind: config.RecordEvent, Event: &config.Event{Actor: "h", Action: config.AuditMap, Object: "Group/g", Detail: fmt.Sprint(offset)}})
 	Expect(err).NotTo(HaveOccurred())
-	return config.LogEntry{Offset: offset, Data: data}
+	return config.LogEntry{Position: storelog.Position(offset), Data: data}
 }
 
 func upTo(offset int64) *Replica {
@@ -49,7 +50,7 @@
 
 func (f *fakeSource) Name() string { return f.name }
 
-func (f *fakeSource) Records(_ context.Context, after int64, wait time.Duration) (Batch, error) {
+func (f *fakeSource) Records(_ context.Context, after storelog.Position, wait time.Duration) (Batch, error) {
 	f.asked.Add(1)
 	f.waited.Store(int64(wait))
 	if f.down.Load() {
@@ -57,7 +58,7 @@
 	}
 	batch := f.from.After(after)
 	batch.LogAge = time.Duration(f.age.Load()) * time.Millisecond
-	if f.absent && after < f.from.Offset() {
+	if f.absent && after < f.from.Position() {
 		return Batch{Gone: true}, nil
 	}
 	return batch, nil
@@ -74,7 +75,7 @@
 // deafSource hears of nothing while a read waits.
 type deafSource struct{ *fakeSource }
 
-func (s *deafSource) Records(ctx context.Context, _ int64, wait time.Duration) (Batch, error) {
+func (s *deafSource) Records(ctx context.Context, _ storelog.Position, wait time.Duration) (Batch, error) {
 	select {
 	case <-ctx.Done():
 		return Batch{}, ctx.Err()
@@ -103,7 +104,7 @@
 			r.SetWait(28 * time.Second)
 			source := &fakeSource{name: "log", from: upTo(2)}
 			step := func() time.Duration {
-				_, _ = r.followOnce(context.Background(), source) // how long it waited counts
+				_, _ = r.followOnce(context.Background(), source, logrus.NewEntry(logrus.New())) // how long it waited counts
 				return time.Duration(source.waited.Load())
 			}
 			trouble(source)
@@ -122,9 +123,9 @@
 		deaf := &deafSource{&fakeSource{name: "log", from: upTo(1)}}
 		follow(r, deaf, &fakeSource{name: "peer", from: upTo(4)})
 		r.PeerKnows(2)
-		Consistently(r.Offset, 2*longread.PeerAheadGrace).Should(Equal(int64(1)), "it's known here too")
+		Consistently(r.Position, 2*longread.PeerAheadGrace).Should(Equal(storelog.Position(1)), "it's known here too")
 		r.PeerKnows(5)
-		Eventually(r.Offset, "5s").Should(Equal(int64(4)))
+		Eventually(r.Position, "5s").Should(Equal(storelog.Position(4)))
 	})
 
 	It("never adopts an older state", func() {
@@ -134,13 +135,13 @@
 		state, err := config.DecodeSnapshot(older)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(r.Adopt(state)).To(BeFalse())
-		Expect(r.Offset()).To(Equal(int64(5)))
+		Expect(r.Position()).To(Equal(storelog.Position(5)))
 	})
 
 	It("refuses records that leave a gap, and ignores those it has", func() {
 		r := upTo(3)
 		Expect(r.Fold(Batch{Entries: []config.LogEntry{entryAt(2), entryAt(5)}})).To(MatchError(config.ErrGap))
-		Expect(r.Offset()).To(Equal(int64(3)))
+		Expect(r.Position()).To(Equal(storelog.Position(3)))
 	})
 
 	It("goes to the next source when one is down or stale, and back", func() {
@@ -149,19 +150,19 @@
 		first.age.Store((defaultWait + staleMargin).Milliseconds() + 1)
 		r := New(time.Now)
 		follow(r, first, second)
-		Eventually(r.Offset, "5s").Should(Equal(int64(9)))
+		Eventually(r.Position, "5s").Should(Equal(storelog.Position(9)))
 		second.down.Store(true)
 		first.age.Store(0)
 		asked := first.asked.Load()
 		Eventually(first.asked.Load, "5s").Should(BeNumerically(">", asked))
-		Expect(r.Offset()).To(Equal(int64(9)))
+		Expect(r.Position()).To(Equal(storelog.Position(9)))
 	})
 
 	It("heals from a snapshot when its history is gone", func() {
 		source := &fakeSource{name: "peer", from: upTo(9), absent: true}
 		r := upTo(2)
 		follow(r, source)
-		Eventually(r.Offset, "5s").Should(Equal(int64(9)))
+		Eventually(r.Position, "5s").Should(Equal(storelog.Position(9)))
 		_, mine := r.Hash()
 		_, theirs := source.from.Hash()
 		Expect(mine).To(Equal(theirs))
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -83,7 +83,7 @@
 		record := &config.Record{Format: config.FormatVersion, Kind: config.RecordChange, Bundle: bundle}
 		data, err := record.Encode()
 		Expect(err).NotTo(HaveOccurred())
-		Expect(rep.Fold(replica.Batch{Entries: []config.LogEntry{{Offset: rep.Offset() + 1, Data: data}}})).To(Succeed())
+		Expect(rep.Fold(replica.Batch{Entries: []config.LogEntry{{Position: rep.Next(), Data: data}}})).To(Succeed())
 		result, _ := rep.Result(text)
 		Expect(result.Reason).To(BeEmpty())
 		s.compile(rep.View())
--- a/internal/storelog/position.go
+++ b/internal/storelog/position.go
@@ -22,5 +22,13 @@
 // Offset returns the offset within the era.
 func (p Position) Offset() int64 { return int64(p) - p.Era()<<offsetBits }
 
-// String returns the position as ERA/OFFSET.
-func (p Position) String() string { return fmt.Sprintf("%d/%d", p.Era(), p.Offset()) }
+// HasRecord tells whether there is a record at the position: not before the first.
+func (p Position) HasRecord() bool { return p.Offset() >= 0 }
+
+// String returns the position as ERA/OFFSET, or the offset of a store that names no era.
+func (p Position) String() string {
+	if p.Era() == NoEra {
+		return fmt.Sprint(p.Offset())
+	}
+	return fmt.Sprintf("%d/%d", p.Era(), p.Offset())
+}
--- a/standins/bench/config.go
+++ b/standins/bench/config.go
@@ -7,6 +7,7 @@
 
 	"github.com/crowbridge/crowbridge/internal/config"
 	"github.com/crowbridge/crowbridge/internal/selector"
+	"github.com/crowbridge/crowbridge/internal/storelog"
 	"github.com/pkg/errors"
 )
 
@@ -63,7 +64,7 @@
 		bundle.Changes = append(bundle.Changes, config.Change{Kind: o.Kind, Name: o.Name, Object: o, ExpectedRevision: config.AnyRevision})
 	}
 	data, err := (&config.Record{Format: config.FormatVersion, Kind: config.RecordChange, Bundle: bundle}).Encode()
-	return config.LogEntry{Offset: offset, TimeMs: benchStart.UnixMilli(), Data: data}, err
+	return config.LogEntry{Position: storelog.Position(offset), TimeMs: benchStart.UnixMilli(), Data: data}, err
 }
 
 func customer(i, weight int) *config.Object {
@@ -122,7 +123,7 @@
 func changes(state *config.State) ([]config.LogEntry, error) {
 	entries := make([]config.LogEntry, 0, sizeChanges)
 	for i := range sizeChanges {
-		e, err := bundleEntry(state.Offset+1+int64(i), fmt.Sprint("change-", i), []*config.Object{customer(i*7%sizeCustomers, 1+i%9)})
+		e, err := bundleEntry(int64(state.Position)+1+int64(i), fmt.Sprint("change-", i), []*config.Object{customer(i*7%sizeCustomers, 1+i%9)})
 		if err != nil {
 			return nil, err
 		}
--- a/standins/bench/control.go
+++ b/standins/bench/control.go
@@ -13,6 +13,7 @@
 	"github.com/crowbridge/crowbridge/internal/config"
 	"github.com/crowbridge/crowbridge/internal/daemon"
 	"github.com/crowbridge/crowbridge/internal/replica"
+	"github.com/crowbridge/crowbridge/internal/storelog"
 	"github.com/crowbridge/crowbridge/platform"
 	"github.com/crowbridge/crowbridge/standins/harness"
 	"github.com/pkg/errors"
@@ -143,7 +144,7 @@
 	client := daemon.NewControlClient(harness.DaemonKey)
 	var times []float64
 	for i := range inForceChanges {
-		offset, err := appendChange(cluster, fmt.Sprint(name, i))
+		at, err := appendChange(cluster, fmt.Sprint(name, i))
 		if err != nil {
 			return err
 		}
@@ -152,7 +153,7 @@
 		var mu sync.Mutex
 		for _, e := range cluster.Entries {
 			group.Go(func() {
-				awaitOffset(client, e.Control, offset)
+				awaitPosition(client, e.Control, at)
 				mu.Lock()
 				defer mu.Unlock()
 				times = append(times, time.Since(start).Seconds()*1000)
@@ -171,17 +172,17 @@
 	return cluster.Fault("/fault/log", "{}")
 }
 
-func awaitOffset(client *http.Client, control string, offset int64) {
+func awaitPosition(client *http.Client, control string, at storelog.Position) {
 	source := replica.NewPeerSource(control, "", client)
 	for {
-		batch, err := source.Records(context.Background(), offset-1, 5*time.Second)
+		batch, err := source.Records(context.Background(), at-1, 5*time.Second)
 		if err == nil && len(batch.Entries) > 0 {
 			return
 		}
 	}
 }
 
-func appendChange(cluster *harness.Cluster, command string) (int64, error) {
+func appendChange(cluster *harness.Cluster, command string) (storelog.Position, error) {
 	entry, err := bundleEntry(0, command, []*config.Object{customer(1, 1)})
 	if err != nil {
 		return 0, err
--- a/standins/platform/kept_test.go
+++ b/standins/platform/kept_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/crowbridge/crowbridge/internal/storelog"
 	"github.com/crowbridge/crowbridge/platform"
 )
 
@@ -50,7 +51,7 @@
 	wantKept(t, log, nil)
 	large, small := snapshotOf(700<<10), snapshotOf(10)
 	for _, step := range []struct {
-		offset   int64
+		offset   storelog.Position
 		snapshot []byte
 		want     []byte
 	}{{5, large, large}, {9, small, small}, {7, large, small}, {9, large, small}, {12, large, large}} {
--- a/standins/platform/oldercopy_test.go
+++ b/standins/platform/oldercopy_test.go
@@ -1,11 +1,14 @@
 package platform
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,13 +21,26 @@
 )
 
 // clientOf returns a daemon's client of a store.
-func clientOf(t *testing.T, store *Store) *platform.Store {
+func clientOf(t *testing.T, store http.Handler) *platform.Store {
 	t.Helper()
 	server := httptest.NewServer(store)
 	t.Cleanup(server.CloseClientConnections)
 	return platform.NewStore(strings.TrimPrefix(server.URL, "http://"), http.DefaultTransport)
 }
 
+// cuttable is a store that a daemon can be cut off from.
+type cuttable struct {
+	*Store
+	cut atomic.Bool
+}
+
+func (c *cuttable) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c.cut.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	c.Store.ServeHTTP(w, r)
+}
+
 func TestFencingTokensRiseAfterTheStoreCameBackOlder(t *testing.T) {
 	store := NewStore()
 	client, ctx := clientOf(t, store), context.Background()
@@ -61,7 +77,7 @@
 }
 
 // followed returns a replica that follows the product's configuration on a store.
-func followed(t *testing.T, store *Store) (*replica.Replica, platform.ConfigLog) {
+func followed(t *testing.T, store http.Handler) (*replica.Replica, platform.ConfigLog) {
 	t.Helper()
 	log := platform.ConfigLog{Store: clientOf(t, store), Now: time.Now}
 	r := replica.New(time.Now)
@@ -102,7 +118,7 @@
 		return true
 	})
 	if err != nil {
-		t.Fatalf("%v: want customers %v, got %d at %d", err, names, len(r.View().List(config.KindCustomer)), r.View().Offset)
+		t.Fatalf("%v: want customers %v, got %d at %s", err, names, len(r.View().List(config.KindCustomer)), r.View().Position)
 	}
 }
 
@@ -138,6 +154,75 @@
 			}
 			fresh, _ := followed(t, store)
 			awaitCustomers(t, fresh, names...)
+			awaitSame(t, first, second, fresh)
 		})
 	}
 }
+
+// awaitSame waits until replicas have the same state.
+func awaitSame(t *testing.T, replicas ...*replica.Replica) {
+	t.Helper()
+	var seen []string
+	for range 100 {
+		seen = nil
+		for _, r := range replicas {
+			at, hash := r.Hash()
+			seen = append(seen, at.String()+" "+hash)
+		}
+		if len(slices.Compact(slices.Clone(seen))) == 1 {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("the replicas differ: %v", seen)
+}
+
+func TestChangeThatOneDaemonAloneKnewIsWrittenAgain(t *testing.T) {
+	store := NewStore()
+	reach := []*cuttable{{Store: store}, {Store: store}}
+	knowing, log := followed(t, reach[0])
+	other, _ := followed(t, reach[1])
+	addCustomer(t, log, "a")
+	awaitCustomers(t, other, "a")
+	store.Copy()
+	addCustomer(t, log, "b")
+	awaitCustomers(t, other, "b")
+	reach[1].cut.Store(true)
+	time.Sleep(1100 * time.Millisecond) // a read that waits is over
+	addCustomer(t, log, "c")
+	awaitCustomers(t, knowing, "c")
+
+	reach[0].cut.Store(true)
+	store.Return()
+	reach[1].cut.Store(false)
+	awaitRestored(t, store)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 400 {
+			if knowing.View().Get(config.KindCustomer, "c") == nil {
+				t.Error("a change that was in force is no longer")
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}()
+	reach[0].cut.Store(false)
+	awaitCustomers(t, other, "a", "b", "c")
+	<-done
+	awaitSame(t, knowing, other)
+}
+
+// awaitRestored waits until a state has been carried over.
+func awaitRestored(t *testing.T, store *Store) {
+	t.Helper()
+	for range 500 {
+		for _, record := range store.Records(platform.TopicConfiguration) {
+			if bytes.Contains(record, []byte(`"kind":"restore"`)) {
+				return
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatal("no state was carried over")
+}
