membership: a server that is known to leave isn't kept when its registration goes, and what a copy lacks isn't told as deleted

What callers would have seen: requests at a server that had said it leaves, after its registration had been deleted, kept by another daemon's lapse, and listed as up again by a second copy; and a living server left out for a moment, since a daemon that never knew it passed on as deleted what the copy merely lacked.

--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -24,9 +24,11 @@
 const (
 	TopicOperators Topic = iota
 	TopicServers
-	topicCount
 )
 
+// topicCount is how many topics there are.
+const topicCount = 2
+
 // String names the topic in logs.
 func (t Topic) String() string {
 	if t == TopicOperators {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -228,12 +228,16 @@
 	first := m.present.Load() == nil
 	changed := false
 	r.records = m.readable(r.records, r.source)
-	if r.whole && r.next.Era() > m.servers.next.Era() {
+	returned := r.whole && r.next.Era() > m.servers.next.Era()
+	if returned {
 		m.outlive(&r)
 	}
 	for _, id := range take(r.records, r.next) {
 		changed = m.applyServer(id, r) || changed
 	}
+	if returned {
+		m.servers.tellOnly(r.records)
+	}
 	if changed = m.expire() || changed; changed || first {
 		m.publish()
 	}
@@ -310,9 +314,12 @@
 	if old == nil {
 		return false
 	}
-	if kept == 0 && m.away && !m.peerNews && !old.Leaving {
+	if kept == 0 && m.away && !m.peerNews {
 		kept = outageGrace
 	}
+	if old.Leaving {
+		kept = 0
+	}
 	if kept > 0 {
 		m.lapsed[id] = m.now().Add(kept)
 		log.Info("registration lapsed while the store was away: kept for now")
--- /dev/null
+++ b/internal/membership/oldercopy_property_test.go
@@ -0,0 +1,174 @@
+package membership
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"maps"
+	"strconv"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// The seed is fixed, so that CI gives the same verdict every time; -rapid.seed=0
+// draws another one.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+// stage is how far a server's life has gone. It never goes back.
+type stage int
+
+const (
+	unheard stage = iota
+	up
+	leaving
+	gone
+)
+
+// eraWorld has daemons that read a store, which comes back from copies of itself, and ask
+// each other.
+type eraWorld struct {
+	store   *fakeStore
+	daemons []*bench
+	version int64
+	// truth is the stage of each server's life, believed what each daemon knew of it last.
+	truth    map[string]stage
+	believed []map[string]stage
+	versions []int64
+	// copied is how many records of each topic the newest copy has.
+	copied [topicCount]int
+}
+
+func (w *eraWorld) start(i int) {
+	b := newBench()
+	b.store, b.follower.store = w.store, w.store
+	w.daemons[i], w.believed[i], w.versions[i] = b, map[string]stage{}, 0
+}
+
+func (w *eraWorld) configure() {
+	w.version++
+	w.store.append(TopicOperators, "config", strconv.FormatInt(w.version, 10))
+}
+
+// register writes what is true of a server.
+func (w *eraWorld) register(id string) {
+	address := "1.1.1.1:" + id[1:]
+	w.store.append(TopicServers, id, map[stage]string{up: address, leaving: address + " leaving"}[w.truth[id]])
+}
+
+// live takes a server on in its life.
+func (w *eraWorld) live(t *rapid.T) {
+	id := fmt.Sprint("s", rapid.IntRange(1, 4).Draw(t, "server"))
+	if w.truth[id] < gone {
+		w.truth[id]++
+		w.register(id)
+	}
+}
+
+// read lets a daemon read both topics once; a read that was woken begins again.
+func (w *eraWorld) read(t *rapid.T, i int) {
+	err := w.daemons[i].read()
+	for errors.Is(err, errReread) {
+		err = w.daemons[i].read()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// look notes what a daemon believes, and checks that it hasn't gone back.
+func (w *eraWorld) look(t *rapid.T, i int) {
+	config, servers := w.daemons[i].members.Config(), w.daemons[i].members.Servers()
+	if config != nil {
+		if config.Version < w.versions[i] {
+			t.Fatalf("daemon %d went from configuration %d back to %d", i, w.versions[i], config.Version)
+		}
+		w.versions[i] = config.Version
+	}
+	if servers == nil {
+		return
+	}
+	for id, truth := range w.truth {
+		now := unheard
+		if server := servers.Server(id); server != nil {
+			now = up
+			if server.Leaving {
+				now = leaving
+			}
+		} else if w.believed[i][id] > unheard && truth == gone {
+			now = gone
+		}
+		if now != unheard && now < w.believed[i][id] {
+			t.Fatalf("daemon %d believed server %s at stage %d, now at %d", i, id, w.believed[i][id], now)
+		}
+		w.believed[i][id] = max(now, w.believed[i][id])
+	}
+}
+
+// settle writes again what was lost, as operators and servers do, and lets all read it.
+func (w *eraWorld) settle(t *rapid.T) {
+	w.store.append(TopicOperators, "config", strconv.FormatInt(w.version, 10))
+	for id := range w.truth {
+		w.register(id)
+	}
+	want := map[string]bool{}
+	for id, stage := range w.truth {
+		if stage < gone {
+			want[id] = stage == leaving
+		}
+	}
+	for i, b := range w.daemons {
+		for range 2 {
+			w.read(t, i)
+			b.now = b.now.Add(outageGrace + departureHold)
+		}
+		got := map[string]bool{}
+		for id, server := range b.members.Servers().All() {
+			got[id] = server.Leaving
+		}
+		if !maps.Equal(got, want) || b.members.Config().Version != w.version {
+			t.Fatalf("daemon %d has configuration %d and servers %v, want %d and %v", i, b.members.Config().Version, got, w.version, want)
+		}
+	}
+}
+
+func TestNothingGetsOlderHoweverOftenTheStoreDoes(t *testing.T) {
+	RegisterTestingT(t)
+	rapid.Check(t, func(t *rapid.T) {
+		const daemons = 3
+		w := &eraWorld{
+			store: newFakeStore(), daemons: make([]*bench, daemons), versions: make([]int64, daemons),
+			truth: map[string]stage{}, believed: make([]map[string]stage, daemons),
+		}
+		for i := range daemons {
+			w.start(i)
+		}
+		w.configure()
+		one := func(t *rapid.T) int { return rapid.IntRange(0, daemons-1).Draw(t, "daemon") }
+		read := func(t *rapid.T) {
+			i := one(t)
+			w.read(t, i)
+			w.look(t, i)
+		}
+		ask := func(t *rapid.T) {
+			i := one(t)
+			askOf(w.daemons[i], w.daemons[(i+1)%daemons])
+			w.look(t, i)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"configure": func(*rapid.T) { w.configure() }, "live": w.live, "live on": w.live,
+			"read": read, "read again": read, "ask": ask, "ask again": ask,
+			"copy": func(*rapid.T) {
+				w.copied = [topicCount]int{len(w.store.records[TopicOperators]), len(w.store.records[TopicServers])}
+			},
+			"come back": func(*rapid.T) { w.store.comeBack(w.copied[TopicOperators], w.copied[TopicServers]) },
+			"start":     func(t *rapid.T) { w.start(one(t)) },
+		})
+		w.settle(t)
+	})
+}
--- a/internal/membership/topic.go
+++ b/internal/membership/topic.go
@@ -3,7 +3,11 @@
 // asks other daemons when the store can't be reached.
 package membership
 
-import "github.com/crowbridge/crowbridge/internal/storelog"
+import (
+	"maps"
+
+	"github.com/crowbridge/crowbridge/internal/storelog"
+)
 
 // Record is the newest record of a key. An empty value says that the key was
 // deleted.
@@ -71,6 +75,16 @@
 // markChanged notes that a key's newest record is more than a heartbeat.
 func (t *topic) markChanged(key string) { t.changed[key] = t.records[key].Position }
 
+// tellOnly makes the topic propagate the keys of some records only. What an older copy of
+// the store lacks isn't known to have been deleted: each daemon judges that by itself.
+func (t *topic) tellOnly(records []Record) {
+	listed := make(map[string]bool, len(records))
+	for _, r := range records {
+		listed[r.Key] = true
+	}
+	maps.DeleteFunc(t.changed, func(key string, _ storelog.Position) bool { return !listed[key] })
+}
+
 // since returns the newest records of the keys that changed from a position on.
 func (t *topic) since(from storelog.Position) []Record {
 	var found []Record
