entry: the platform's list of VMs that comes from an older copy brings back no server that leaves

What callers of the product's own API would have seen: requests sent to a server that is leaving, for up to two seconds after the store came back. The list is read whole each time, so it isn't ordered by offsets: this is the one place where an older state is taken as it is. Change: for 2.3 s after a return the list only takes servers out. TestOlderListDoesNotBringBackALeavingServer fails without it (the list is taken in at once).

--- a/cmd/crowbridged/entry.go
+++ b/cmd/crowbridged/entry.go
@@ -133,7 +133,10 @@
 	key := p.cmd.String("daemon-key")
 	store := platform.NewStore(p.cmd.String("store"), upstream.NewTransport())
 	daemon.WatchEra(store.Eras(), p.log)
-	store.Eras().OnNew(func(int64, int64) { rep.Reread() })
+	store.Eras().OnNew(func(int64, int64) {
+		rep.Reread()
+		e.ListCameBack()
+	})
 	log := platform.ConfigLog{Store: store, Now: time.Now}
 	api := admin.New(e, rep, log, store, s.operators, p.log)
 	if err := p.serve("control", controlHandler(key, api, rep, log, e.Crashes())); err != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -70,6 +70,8 @@
 	random   *rand.Rand
 	inFlight map[string]int // requests in flight by customer
 	cancels  map[requestRef]context.CancelCauseFunc
+	// listOlderUntil is until when the platform's list may be older than what is known.
+	listOlderUntil time.Time
 
 	stopping atomic.Bool
 }
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -142,6 +142,20 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for name, leaving := range listed {
-		e.table.Listed(name, leaving)
+		if leaving || !e.now().Before(e.listOlderUntil) {
+			e.table.Listed(name, leaving)
+		}
 	}
 }
+
+// relistTime is how long the platform's list may be older than what is known, after it has
+// come back from a copy: what its writers wrote meanwhile is back within about two seconds.
+const relistTime = 2300 * time.Millisecond
+
+// ListCameBack notes that the platform's list has come back from an older copy, which may
+// list leaving servers as up.
+func (e *Entry) ListCameBack() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.listOlderUntil = e.now().Add(relistTime)
+}
