replica: a read that is ended by the store's return goes back to the log, and an overtaken restore looks again

Cause: the return is heard of in the answer to the very read that it ends, so that the log's source counted as failed and the daemon followed a peer for up to 30 s; so did all but one of those that put the state onto the log at the same moment. Found by reading. Change: what fails after the return was heard of is no failure of the source; who carried the state over is seen by the next read. The state carried over counts as a change of the configuration, so that what is compiled from it is compiled anew.

--- a/internal/config/restore.go
+++ b/internal/config/restore.go
@@ -125,6 +125,7 @@
 		return
 	}
 	restored.Position, restored.Last, restored.Restoring = s.Position, s.Last, nil
+	restored.Configured = entry.number()
 	*s = *restored
 	s.appendAudit(AuditEntry{
 		Offset: entry.number(), TimeMs: entry.TimeMs, Actor: restoreActor, Action: AuditRestore, Accepted: true,
--- a/internal/replica/carry.go
+++ b/internal/replica/carry.go
@@ -6,7 +6,6 @@
 
 	"github.com/crowbridge/crowbridge/internal/config"
 	"github.com/crowbridge/crowbridge/internal/storelog"
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 )
 
@@ -138,10 +137,7 @@
 	if err != nil {
 		return err
 	}
-	appended, err := log.AppendAt(ctx, end, records)
-	if err == nil && !appended {
-		return errors.New("the log has grown since it was read: it's looked at again")
-	}
+	_, err = log.AppendAt(ctx, end, records) // the next read shows who has carried the state over
 	return err
 }
 
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -89,6 +89,7 @@
 // errReread ends a read whose source is to be the first one again.
 var errReread = errors.New("the first source is read again")
 
+// followOnce reads once from a source. It returns how long ago the log was heard of there.
 func (r *Replica) followOnce(ctx context.Context, source Source, log *logrus.Entry) (time.Duration, error) {
 	wait := r.silence.Bound(r.wait, r.now())
 	timeout := wait + readTimeout
@@ -108,13 +109,18 @@
 		case <-ctx.Done():
 		}
 	}()
+	age, err := r.readOnce(ctx, source, wait, log)
+	if err != nil && errors.Is(context.Cause(ctx), errReread) {
+		return 0, errReread
+	}
+	return age, err
+}
+
+func (r *Replica) readOnce(ctx context.Context, source Source, wait time.Duration, log *logrus.Entry) (time.Duration, error) {
 	if err := r.writeAgain(ctx, source); err != nil {
 		return 0, err
 	}
 	batch, err := source.Records(ctx, r.Position(), wait)
-	if err != nil && errors.Is(context.Cause(ctx), errReread) {
-		return 0, errReread
-	}
 	if err != nil {
 		r.silence.Raise(r.now())
 		return 0, err
