--- a/internal/membership/oldercopy_property_test.go
+++ b/internal/membership/oldercopy_property_test.go
@@ -83,6 +83,13 @@
 
 // look notes what a daemon believes, and checks that it hasn't gone back.
 func (w *eraWorld) look(t *rapid.T, i int) {
+	for _, topic := range []*topic{w.daemons[i].members.operators, w.daemons[i].members.servers} {
+		for key, r := range topic.records {
+			if r.Position.Era() != topic.next.Era() {
+				t.Fatalf("daemon %d has %s at %s in a topic up to %s", i, key, r.Position, topic.next)
+			}
+		}
+	}
 	config, servers := w.daemons[i].members.Config(), w.daemons[i].members.Servers()
 	if config != nil {
 		if config.Version < w.versions[i] {
--- a/internal/replica/carry_property_test.go
+++ b/internal/replica/carry_property_test.go
@@ -29,6 +29,8 @@
 	era     int64
 	entries []config.LogEntry
 	copied  int
+	// afterWhole is done once, as soon as the log has been read whole.
+	afterWhole func()
 }
 
 func (l *eraLog) end() storelog.Position { return storelog.At(l.era, int64(len(l.entries))) }
@@ -59,7 +61,13 @@
 }
 
 func (l *eraLog) Whole(context.Context) ([]config.LogEntry, storelog.Position, error) {
-	return slices.Clone(l.entries), l.end(), nil
+	entries, end := slices.Clone(l.entries), l.end()
+	if l.afterWhole != nil {
+		meanwhile := l.afterWhole
+		l.afterWhole = nil
+		meanwhile()
+	}
+	return entries, end, nil
 }
 
 func (l *eraLog) comeBack() {
@@ -94,8 +102,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	write := func() { _, _ = w.log.Append(context.Background(), data) } // it never fails
+	if rapid.Bool().Draw(t, "while the log is looked at") {
+		w.log.afterWhole = write
+		return
+	}
 	for range rapid.IntRange(1, 2).Draw(t, "appends") {
-		_, _ = w.log.Append(context.Background(), data) // it never fails
+		write()
 	}
 }
 
