--- /dev/null
+++ b/standins/bench/recovery.go
@@ -0,0 +1,175 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/crowbridge/crowbridge/internal/hosted"
+	"github.com/crowbridge/crowbridge/platform"
+	standin "github.com/crowbridge/crowbridge/standins/platform"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// recoveryZones is over how many availability zones the entries are spread.
+	recoveryZones = 4
+	// recoveryPort is the first port of each entry, on a loopback address of its own.
+	recoveryPort = 31000
+	// recoveryAway is how long the store is away before it comes back.
+	recoveryAway = 1500 * time.Millisecond
+	// recoveryPatience bounds the wait for a version at all entries.
+	recoveryPatience = 30 * time.Second
+	// recoveryRounds is how often the store comes back.
+	recoveryRounds = 3
+)
+
+// recovery is a fleet of entries on a store that comes back from older copies.
+type recovery struct {
+	store   *standin.Store
+	calls   atomic.Int64
+	version int64
+
+	mu sync.Mutex
+	// seen is when each entry put a version in force.
+	seen map[int64][]time.Time
+}
+
+// Recovery measures how long after the store's return from an older copy the newest
+// configuration is in force at each entry, and what that costs the store.
+func (r *Reporter) Recovery() error {
+	for _, entries := range []int{8, 32, 128} {
+		if err := r.recover(entries); err != nil {
+			return errors.Wrapf(err, "%d entries", entries)
+		}
+	}
+	return nil
+}
+
+func (r *Reporter) recover(entries int) error {
+	f := &recovery{store: standin.NewStore(), seen: map[int64][]time.Time{}}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		f.calls.Add(1)
+		f.store.ServeHTTP(w, q)
+	}))
+	defer server.CloseClientConnections()
+	f.configure()
+	ctx, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer stop()
+	for i := range entries {
+		daemon := hosted.NewEntryDaemon(recoverySettings(i, server.Listener.Addr().String()), nil, f.log())
+		running.Go(func() { _ = daemon.Run(ctx) }) // an entry that ends is missed below
+	}
+	var times []float64
+	calls := 0.0
+	for range recoveryRounds {
+		took, err := f.round(entries)
+		if err != nil {
+			return err
+		}
+		times = append(times, took...)
+		calls = max(calls, float64(f.calls.Load()))
+	}
+	name := fmt.Sprint("recovery/entries-", entries)
+	r.Figure(name+"/in-force-p50", Quantile(times, 0.5), "ms")
+	r.Figure(name+"/in-force-worst", Quantile(times, 1), "ms")
+	r.Figure(name+"/calls-until-then", calls, "calls")
+	return nil
+}
+
+// round takes the store away and back from an older copy, and changes the configuration
+// at once. It returns how many milliseconds later the change was in force at each entry.
+func (f *recovery) round(entries int) ([]float64, error) {
+	if err := f.await(entries); err != nil {
+		return nil, err
+	}
+	f.store.Copy()
+	f.configure()
+	f.configure()
+	if err := f.await(entries); err != nil {
+		return nil, err
+	}
+	f.store.SetFaults(standin.Faults{Down: true})
+	time.Sleep(recoveryAway)
+	f.store.Return()
+	f.store.SetFaults(standin.Faults{})
+	back := time.Now()
+	f.calls.Store(0)
+	f.configure()
+	if err := f.await(entries); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var took []float64
+	for _, at := range f.seen[f.version] {
+		took = append(took, at.Sub(back).Seconds()*1000)
+	}
+	return took, nil
+}
+
+// configure writes the next version of the configuration.
+func (f *recovery) configure() {
+	f.version++
+	f.store.Put(platform.TopicOperators, platform.Records{}.ConfigKey(), fmt.Sprintf(`{"version":%d}`, f.version))
+}
+
+// await waits until all entries have the newest version in force.
+func (f *recovery) await(entries int) error {
+	for end := time.Now().Add(recoveryPatience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		f.mu.Lock()
+		seen := len(f.seen[f.version])
+		f.mu.Unlock()
+		if seen == entries {
+			return nil
+		}
+	}
+	return errors.Errorf("version %d isn't in force at all entries", f.version)
+}
+
+// log returns the log of an entry, which tells what it puts in force.
+func (f *recovery) log() *logrus.Entry {
+	log := discardLog()
+	log.Logger.AddHook(f)
+	return log
+}
+
+// Levels implements logrus.Hook.
+func (*recovery) Levels() []logrus.Level { return []logrus.Level{logrus.InfoLevel} }
+
+// Fire implements logrus.Hook.
+func (f *recovery) Fire(line *logrus.Entry) error {
+	version, ok := line.Data["version"].(int64)
+	if !ok || line.Message != "configuration in force" {
+		return nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seen[version] = append(f.seen[version], line.Time)
+	return nil
+}
+
+// recoverySettings are those of one of several entries.
+func recoverySettings(i int, store string) *platform.Settings {
+	ip := recoveryIP(i)
+	at := func(n int) string { return fmt.Sprintf("%s:%d", ip, recoveryPort+n) }
+	var seeds []string
+	for seed := range 3 {
+		seeds = append(seeds, fmt.Sprintf("%s:%d", recoveryIP(seed), recoveryPort+7))
+	}
+	return &platform.Settings{
+		Daemon: "entry-" + ip, IP: ip, Zone: fmt.Sprint("z", i%recoveryZones), Store: store, Path: "none",
+		Callers: at(5), Readiness: at(6), Control: at(7), FirstPort: recoveryPort, Seeds: slices.Clone(seeds),
+		Grace: time.Second, RetryRatio: 1, RetryExtra: 1, RetryWindow: time.Second,
+	}
+}
+
+func recoveryIP(i int) string { return fmt.Sprintf("127.0.9.%d", i+1) }
--- a/standins/cmd/bench/main.go
+++ b/standins/cmd/bench/main.go
@@ -36,6 +36,7 @@
 		{"group", func() error { return r.Group(args[0]) }},
 		{"quarantine", func() error { r.Quarantine(); return nil }},
 		{"limits", func() error { r.Limits(); return nil }},
+		{"recovery", r.Recovery},
 		{"rebalance", func() error { r.Rebalance(); return nil }},
 	}
 	failed := 0
