hosted: after an outage of the store, entries read the product's own configuration from the log again at once

What operators would have seen: a change that is applied within 30 s after an outage is told as unknown, and is in force nowhere until then. Cause: when the log's read fails, each entry follows another entry, which is good as long as it answers, and tries the log again after 30 s; so nobody reads it. Ruled out: the store's silence (both entries' reads of the operators' topic go on at once). Change: the first call that reaches the store again sends the follower back to the log, as the return from a copy does.

--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -88,6 +88,7 @@
 	members.OnServers(backend.Keep)
 	members.OnServers(e.crashes.Keep)
 	e.exchange.SetEras(store.Eras())
+	e.follower.OnReached(rep.Reread)
 	store.Eras().OnNew(func(int64, int64) {
 		e.follower.Wake()
 		rep.Reread()
--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -108,6 +108,8 @@
 	rereads chan struct{}
 	// lost gets a value when the store can no longer be reached.
 	lost chan struct{}
+	// onReached is called when the store is reached again.
+	onReached func()
 	// silence judges the reads that wait for a configuration, reading is the position that
 	// the present one waits for.
 	silence longread.Doubt
@@ -125,7 +127,7 @@
 	if pace <= 0 {
 		pace = serversPace
 	}
-	f := &Follower{members: members, store: store, zone: zone, log: log, pace: pace, refreshes: make(chan struct{}, 1), rereads: make(chan struct{}, 1), lost: make(chan struct{}, 1)}
+	f := &Follower{members: members, store: store, zone: zone, log: log, pace: pace, refreshes: make(chan struct{}, 1), rereads: make(chan struct{}, 1), lost: make(chan struct{}, 1), onReached: func() {}}
 	members.onPeerConfig = f.peerKnewMore
 	return f
 }
@@ -133,6 +135,9 @@
 // Healthy tells whether the store answered last time.
 func (f *Follower) Healthy() bool { return f.healthy.Load() }
 
+// OnReached calls f when the store is reached again. Call it before the follower runs.
+func (f *Follower) OnReached(reached func()) { f.onReached = reached }
+
 // Lost gets a value when the store can no longer be reached.
 func (f *Follower) Lost() <-chan struct{} { return f.lost }
 
@@ -292,6 +297,7 @@
 	case !was:
 		f.log.Info("store reached")
 		wake(f.rereads)
+		f.onReached()
 	}
 }
 
--- a/internal/replica/carry.go
+++ b/internal/replica/carry.go
@@ -13,8 +13,8 @@
 // to be written again.
 const carryHold = 5 * time.Second
 
-// Reread ends the present read and goes back to the first source, since the store has come
-// back from an older copy: the read may hang.
+// Reread ends the present read and goes back to the first source: the store can be reached
+// again, or has come back from an older copy, where reads may hang.
 func (r *Replica) Reread() {
 	select {
 	case r.reread <- struct{}{}:
--- a/standins/platform/store.go
+++ b/standins/platform/store.go
@@ -112,6 +112,8 @@
 	for _, t := range s.topics {
 		s.drop(t)
 	}
+	close(s.grown) // reads that wait are refused if it's down now
+	s.grown = make(chan struct{})
 }
 
 // Put writes a record of a keyed topic, as operators and servers do.
