--- /dev/null
+++ b/internal/experts/lease_eras_test.go
@@ -0,0 +1,80 @@
+package experts
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+
+	"github.com/crowbridge/crowbridge/internal/storelog"
+	"pgregory.net/rapid"
+)
+
+// eraLeases is a history of holders that comes back from copies of itself.
+type eraLeases struct {
+	era     int64
+	records []StoredRecord
+	copied  int
+	// returns makes it come back between the read and the append of the next claim.
+	returns bool
+}
+
+func (s *eraLeases) end() storelog.Position { return storelog.At(s.era, int64(len(s.records))) }
+
+func (s *eraLeases) comeBack() {
+	s.era++
+	s.records = slices.Clone(s.records[:min(s.copied, len(s.records))])
+	for i := range s.records {
+		s.records[i].Position = storelog.At(s.era, int64(i))
+	}
+}
+
+func (s *eraLeases) ReadLeases(_ context.Context, from storelog.Position) (storelog.Position, []StoredRecord, error) {
+	end, first := s.end(), from.Offset()
+	if from.Era() != s.era || from > end {
+		first = 0
+	}
+	records := slices.Clone(s.records[first:])
+	if s.returns {
+		s.returns = false
+		s.comeBack()
+	}
+	return end, records, nil
+}
+
+func (s *eraLeases) AppendLease(_ context.Context, end storelog.Position, data []byte) (bool, error) {
+	if end.Offset() != s.end().Offset() {
+		return false, nil
+	}
+	s.records = append(s.records, StoredRecord{Position: s.end(), Data: data})
+	if end.Era() != s.era {
+		return false, errors.New("in another era")
+	}
+	return true, nil
+}
+
+func TestNoTokenIsGivenTwiceOrFallsHoweverOftenTheHistoryDoes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store, known, highest := &eraLeases{era: rapid.Int64Range(0, 1).Draw(t, "first era")}, map[string]int64{}, int64(0)
+		claim := func(t *rapid.T) {
+			holder := rapid.SampledFrom([]string{"h1", "h2", "h3"}).Draw(t, "holder")
+			claimed, err := Claim(context.Background(), store, LeaseRecord{Group: "g", Holder: holder}, known[holder])
+			switch {
+			case err != nil:
+			case claimed.Fence > 0 && claimed.Fence <= highest:
+				t.Fatalf("%s got token %d after %d", holder, claimed.Fence, highest)
+			case claimed.Fence == 0:
+				known[holder] = max(known[holder], claimed.Newest)
+			default:
+				known[holder], highest = claimed.Fence, claimed.Fence
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"claim":                   claim,
+			"claim again":             claim,
+			"copy":                    func(*rapid.T) { store.copied = len(store.records) },
+			"come back":               func(*rapid.T) { store.comeBack() },
+			"come back while claimed": func(*rapid.T) { store.returns = true },
+		})
+	})
+}
