--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -120,12 +120,12 @@
 	for _, key := range take(records, next) {
 		m.operators.markChanged(key)
 	}
-	m.tellInForce()
+	m.propagateInForce()
 }
 
-// tellInForce puts the configuration in force in the place of an older one, for others to
+// propagateInForce puts the configuration in force in the place of an older one, for others to
 // be told.
-func (m *Membership) tellInForce() {
+func (m *Membership) propagateInForce() {
 	key := m.decoder.ConfigKey()
 	r, listed := m.operators.records[key]
 	if listed && m.inForce != nil {
@@ -230,13 +230,13 @@
 	r.records = m.readable(r.records, r.source)
 	returned := r.whole && r.next.Era() > m.servers.next.Era()
 	if returned {
-		m.outlive(&r)
+		m.reconcile(&r)
 	}
 	for _, id := range take(r.records, r.next) {
 		changed = m.applyServer(id, r) || changed
 	}
 	if returned {
-		m.servers.tellOnly(r.records)
+		m.servers.propagateOnly(r.records)
 	}
 	if changed = m.expire() || changed; changed || first {
 		m.publish()
@@ -325,7 +325,7 @@
 		log.Info("registration lapsed while the store was away: kept for now")
 		return false
 	}
-	m.depart(id, old)
+	m.markGone(id, old)
 	log.Info("server gone")
 	return true
 }
@@ -336,7 +336,7 @@
 	for id, until := range m.lapsed {
 		if m.now().After(until) {
 			delete(m.lapsed, id)
-			m.depart(id, m.decoded[id])
+			m.markGone(id, m.decoded[id])
 			m.log.WithField("server", id).Info("server gone: not registered again after the store's outage")
 			changed = true
 		}
--- a/internal/membership/oldercopy.go
+++ b/internal/membership/reconcile.go
@@ -17,8 +17,8 @@
 	at    time.Time
 }
 
-// depart takes a server as gone.
-func (m *Membership) depart(id string, server *fleet.Server) {
+// markGone takes a server as gone.
+func (m *Membership) markGone(id string, server *fleet.Server) {
 	delete(m.decoded, id)
 	if server != nil {
 		m.departed[id] = departure{start: server.Key(), at: m.now()}
@@ -30,10 +30,10 @@
 	}
 }
 
-// outlive amends registrations that come from an older copy of the store by what is known
+// reconcile amends registrations that come from an older copy of the store by what is known
 // to be newer: who leaves goes on leaving, who has gone stays away for a while, and who is
 // missing has the time to register again.
-func (m *Membership) outlive(r *registrations) {
+func (m *Membership) reconcile(r *registrations) {
 	if r.lapses == nil {
 		r.lapses = map[string]time.Duration{}
 	}
--- a/internal/membership/topic.go
+++ b/internal/membership/topic.go
@@ -75,9 +75,9 @@
 // markChanged notes that a key's newest record is more than a heartbeat.
 func (t *topic) markChanged(key string) { t.changed[key] = t.records[key].Position }
 
-// tellOnly makes the topic propagate the keys of some records only. What an older copy of
+// propagateOnly makes the topic propagate the keys of some records only. What an older copy of
 // the store lacks isn't known to have been deleted: each daemon judges that by itself.
-func (t *topic) tellOnly(records []Record) {
+func (t *topic) propagateOnly(records []Record) {
 	listed := make(map[string]bool, len(records))
 	for _, r := range records {
 		listed[r.Key] = true
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -117,7 +117,7 @@
 }
 
 func (r *Replica) readOnce(ctx context.Context, source Source, wait time.Duration, log *logrus.Entry) (time.Duration, error) {
-	if err := r.writeAgain(ctx, source); err != nil {
+	if err := r.reappendLost(ctx, source); err != nil {
 		return 0, err
 	}
 	batch, err := source.Records(ctx, r.Position(), wait)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -46,8 +46,8 @@
 	state *config.State
 	// recent are records of the state's era, up to its position.
 	recent []config.LogEntry
-	// former are changes that were known in former eras of the log.
-	former []config.RecentChange
+	// formerChanges are changes that were known in former eras of the log.
+	formerChanges []config.RecentChange
 	// heldUntil is until when the view isn't replaced by one that lacks them.
 	heldUntil time.Time
 	changed   chan struct{}
@@ -117,7 +117,7 @@
 	if state.Position <= r.state.Position {
 		return false
 	}
-	r.leave()
+	r.leaveEra()
 	r.state = state
 	r.publish()
 	return true
@@ -132,7 +132,7 @@
 
 func (r *Replica) publish() {
 	if len(r.lost()) == 0 || !r.now().Before(r.heldUntil) {
-		r.former = nil
+		r.formerChanges = nil
 		r.view.Store(r.state.View())
 	}
 	close(r.changed)
--- a/internal/replica/carry.go
+++ b/internal/replica/restore.go
@@ -9,9 +9,9 @@
 	"github.com/sirupsen/logrus"
 )
 
-// carryHold is for how long a view isn't replaced by one that lacks changes which are about
+// viewHold is for how long a view isn't replaced by one that lacks changes which are about
 // to be written again.
-const carryHold = 5 * time.Second
+const viewHold = 5 * time.Second
 
 // Reread ends the present read and goes back to the first source: the store can be reached
 // again, or has come back from an older copy, where reads may hang.
@@ -92,27 +92,27 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.confirm(0)
-	r.leave()
+	r.leaveEra()
 	r.state.Enter(known)
 	err := r.fold(entries)
 	r.publish()
 	return err
 }
 
-// leave notes the changes of the present era, before the replica leaves it. The view keeps
+// leaveEra notes the changes of the present era, before the replica leaves it. The view keeps
 // them for a while, also where the replica can't write them again.
-func (r *Replica) leave() {
-	r.heldUntil = r.now().Add(carryHold)
-	time.AfterFunc(carryHold, r.letGo)
-	r.former = append(r.former, r.state.Recent...)
+func (r *Replica) leaveEra() {
+	r.heldUntil = r.now().Add(viewHold)
+	time.AfterFunc(viewHold, r.releaseView)
+	r.formerChanges = append(r.formerChanges, r.state.Recent...)
 	r.recent = nil
 }
 
-// letGo replaces a view that was held.
-func (r *Replica) letGo() {
+// releaseView replaces a view that was held.
+func (r *Replica) releaseView() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.former) > 0 && !r.now().Before(r.heldUntil) {
+	if len(r.formerChanges) > 0 && !r.now().Before(r.heldUntil) {
 		r.publish()
 	}
 }
@@ -145,7 +145,7 @@
 // less when it carried its state over.
 func (r *Replica) lost() []config.RecentChange {
 	var lost []config.RecentChange
-	for _, change := range r.former {
+	for _, change := range r.formerChanges {
 		if _, has := r.state.Results[change.Command]; !has {
 			lost = append(lost, change)
 		}
@@ -153,9 +153,9 @@
 	return lost
 }
 
-// writeAgain writes lost changes to the log, if that is the source. Each takes effect once
+// reappendLost writes lost changes to the log, if that is the source. Each takes effect once
 // however many daemons write it.
-func (r *Replica) writeAgain(ctx context.Context, source Source) error {
+func (r *Replica) reappendLost(ctx context.Context, source Source) error {
 	s, ok := source.(LogSource)
 	if !ok {
 		return nil
