membership: a store that ends before what is known, without naming another era, is asked again after a pause

Cause: a refused read was followed by the newest records and the next read at once, though nothing had come of it.

--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -88,6 +88,10 @@
 // errReread ends a long read that was woken.
 var errReread = errors.New("read anew")
 
+// errBehind says that the store ends before what is known, in the same era: it's asked again
+// after a pause.
+var errBehind = errors.New("the store ends before what is known, without another era")
+
 // fromStore names the store as a source of records in logs.
 const fromStore = "store"
 
@@ -184,7 +188,11 @@
 	if errors.Is(err, ErrGone) {
 		f.doubt(err)
 		f.noteGone(TopicOperators, from)
-		return f.readNewest(ctx, TopicOperators)
+		err := f.readNewest(ctx, TopicOperators)
+		if err == nil && f.members.positions().operators == from {
+			err = errBehind
+		}
+		return err
 	}
 	if err == nil {
 		f.members.takeOperators(records, next, false, fromStore)
--- a/internal/membership/oldercopy_test.go
+++ b/internal/membership/oldercopy_test.go
@@ -126,6 +126,17 @@
 		Expect(inForce(other)).To(Equal(int64(3)))
 	})
 
+	It("isn't asked without a pause when it names no era", func() {
+		b.store.records[TopicOperators] = b.store.records[TopicOperators][:1]
+		Expect(b.follower.readConfig(context.Background())).To(MatchError(errBehind))
+		Expect(inForce(b)).To(Equal(int64(3)))
+		for _, version := range []string{"4", "5", "6"} {
+			b.store.append(TopicOperators, "config", version)
+		}
+		Expect(b.follower.readConfig(context.Background())).To(Succeed())
+		Expect(inForce(b)).To(Equal(int64(6)))
+	})
+
 	It("isn't mistaken for another by daemons that tell no era", func() {
 		b.store.append(TopicServers, "e", "1.1.1.5:1")
 		Expect(b.read()).To(Succeed())
