--- a/standins/hosted/compaction_test.go
+++ b/standins/hosted/compaction_test.go
@@ -35,13 +35,14 @@
 	t.Cleanup(stopServer)
 	store.Put("keyed.servers", "i-1", `{"service":"s","address":"`+server+`","zone":"z","capacity":6,"state":"ready"}`)
 	var entries []*platform.Settings
+	startEntry := startTogether(t)
 	for _, ip := range []string{"127.0.0.50", "127.0.0.51"} {
 		settings := entrySettings(ip, address)
 		if len(entries) > 0 {
 			settings.Seeds = []string{entries[0].Control}
 		}
 		entries = append(entries, settings)
-		t.Cleanup(start(hosted.NewEntryDaemon(settings, nil, quietLog())))
+		startEntry(hosted.NewEntryDaemon(settings, nil, quietLog()))
 	}
 	statusWith := func(entry *platform.Settings, key string) func() int {
 		return func() int {
--- a/standins/hosted/daemons_test.go
+++ b/standins/hosted/daemons_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -23,6 +25,22 @@
 	}
 }
 
+// startTogether returns what starts daemons that are stopped all at once when the test ends:
+// each takes some seconds.
+func startTogether(t *testing.T) func(daemon runner) {
+	var stops []func()
+	t.Cleanup(func() { stopAll(stops) })
+	return func(daemon runner) { stops = append(stops, start(daemon)) }
+}
+
+func stopAll(stops []func()) {
+	var stopping sync.WaitGroup
+	for _, stop := range stops {
+		stopping.Go(stop)
+	}
+	stopping.Wait()
+}
+
 // run starts a daemon for a spec and returns what stops it.
 func run(daemon runner) func() {
 	stop := start(daemon)
--- a/standins/hosted/ending_test.go
+++ b/standins/hosted/ending_test.go
@@ -191,11 +191,7 @@
 
 // stopEntries stops all entries at once.
 func (f *fleetOfEntries) stopEntries() {
-	var stopping sync.WaitGroup
-	for _, stop := range f.stops {
-		stopping.Go(stop)
-	}
-	stopping.Wait()
+	stopAll(f.stops)
 	f.stops = nil
 }
 
--- a/standins/hosted/limit_test.go
+++ b/standins/hosted/limit_test.go
@@ -84,21 +84,14 @@
 	address, stop := serveAt("127.0.0.1:0", store)
 	t.Cleanup(stop)
 	var entries []*platform.Settings
-	var stops []func()
+	startEntry := startTogether(t)
 	base := freePorts("127.0.0.80") // the same at all entries, as on the platform
 	for i := range limitedEntries {
 		settings := entrySettingsAt(fmt.Sprintf("127.0.0.%d", 80+i), base, address)
 		settings.Seeds = []string{fmt.Sprintf("127.0.0.80:%d", base+7)}
-		stops = append(stops, start(hosted.NewEntryDaemon(settings, nil, quietLog())))
+		startEntry(hosted.NewEntryDaemon(settings, nil, quietLog()))
 		entries = append(entries, settings)
 	}
-	t.Cleanup(func() {
-		var stopping sync.WaitGroup
-		for _, stop := range stops {
-			stopping.Go(stop)
-		}
-		stopping.Wait()
-	})
 	for _, entry := range entries {
 		Eventually(ready(entry), patience).Should(Equal(http.StatusOK))
 	}
--- a/standins/hosted/oldercopy_test.go
+++ b/standins/hosted/oldercopy_test.go
@@ -13,24 +13,25 @@
 	. "github.com/onsi/gomega"
 )
 
-// twoEntries starts two entries on a store that has two configurations, and returns what an
-// entry answers to a key.
-func twoEntries(t *testing.T, store *standin.Store) (entries []*platform.Settings, answer func(entry *platform.Settings, key string) func() int) {
+// twoEntries starts two entries on a store that has two configurations, and returns what
+// starts more and what an entry answers to a key.
+func twoEntries(t *testing.T, store *standin.Store) (entries []*platform.Settings, startEntry func(runner), answer func(entry *platform.Settings, key string) func() int) {
 	t.Helper()
 	RegisterTestingT(t)
 	address, stop := serveAt("127.0.0.1:0", store)
 	t.Cleanup(stop)
 	store.Put(platform.TopicOperators, "config", configVersion(1, `"k1"`))
 	store.Put(platform.TopicOperators, "config", configVersion(2, `"k1"`))
+	startEntry = startTogether(t)
 	for _, ip := range []string{"127.0.0.53", "127.0.0.54"} {
 		settings := entrySettings(ip, address)
 		if len(entries) > 0 {
 			settings.Seeds = []string{entries[0].Control}
 		}
 		entries = append(entries, settings)
-		t.Cleanup(start(hosted.NewEntryDaemon(settings, nil, quietLog())))
+		startEntry(hosted.NewEntryDaemon(settings, nil, quietLog()))
 	}
-	return entries, func(entry *platform.Settings, key string) func() int {
+	return entries, startEntry, func(entry *platform.Settings, key string) func() int {
 		return func() int {
 			status, _ := ask(entry, "/a/x", key)
 			return status
@@ -53,7 +54,7 @@
 
 func TestRevocationIsInForceAfterTheStoreCameBackOlder(t *testing.T) {
 	store := standin.NewStore()
-	entries, answer := twoEntries(t, store)
+	entries, _, answer := twoEntries(t, store)
 	server, stop := serveAt("127.0.0.1:0", &restingServer{})
 	t.Cleanup(stop)
 	register(store, "i-1", server, "ready")
@@ -87,7 +88,7 @@
 
 func TestServersComeAndLeaveAfterTheStoreCameBackOlder(t *testing.T) {
 	store := standin.NewStore()
-	entries, answer := twoEntries(t, store)
+	entries, _, answer := twoEntries(t, store)
 	servers := map[string]*restingServer{}
 	addresses := map[string]string{}
 	for _, id := range []string{"i-1", "i-2", "i-3"} {
@@ -130,7 +131,7 @@
 
 func TestStartedEntryAsksForWhatTheOlderCopyLacks(t *testing.T) {
 	store := standin.NewStore()
-	entries, answer := twoEntries(t, store)
+	entries, startEntry, answer := twoEntries(t, store)
 	server, stop := serveAt("127.0.0.1:0", &restingServer{})
 	t.Cleanup(stop)
 	register(store, "i-1", server, "ready")
@@ -144,7 +145,7 @@
 	ip, _, _ := strings.Cut(entries[0].Control, ":")
 	settings := entrySettings(ip, entries[0].Store)
 	settings.Seeds = []string{entries[1].Control}
-	t.Cleanup(start(hosted.NewEntryDaemon(settings, nil, quietLog())))
+	startEntry(hosted.NewEntryDaemon(settings, nil, quietLog()))
 	Eventually(answer(settings, "k2"), hearsWithin).Should(Equal(http.StatusOK))
 	Expect(answer(settings, "k1")()).To(Equal(http.StatusUnauthorized))
 }
--- a/standins/hosted/outage_test.go
+++ b/standins/hosted/outage_test.go
@@ -23,13 +23,14 @@
 	operator, err := daemon.ParseOperator("ops:change:" + daemon.HashSecret("token"))
 	Expect(err).NotTo(HaveOccurred())
 	var entries []*platform.Settings
+	startEntry := startTogether(t)
 	for _, ip := range []string{"127.0.0.55", "127.0.0.56"} {
 		settings := entrySettings(ip, address)
 		if len(entries) > 0 {
 			settings.Seeds = []string{entries[0].Control}
 		}
 		entries = append(entries, settings)
-		t.Cleanup(start(hosted.NewEntryDaemon(settings, []daemon.Operator{operator}, quietLog())))
+		startEntry(hosted.NewEntryDaemon(settings, []daemon.Operator{operator}, quietLog()))
 	}
 	for _, entry := range entries {
 		Eventually(func() int { status, _ := ask(entry, "/a/x", "k1"); return status }, patience).Should(Equal(http.StatusServiceUnavailable), "no server")
