--- a/standins/bench/bench.go
+++ b/standins/bench/bench.go
@@ -6,7 +6,10 @@
 import (
 	"fmt"
 	"io"
+	"os"
 	"slices"
+
+	"github.com/pkg/errors"
 )
 
 // Reporter prints figures.
@@ -15,6 +18,18 @@
 	Out io.Writer
 }
 
+// inLogs runs an area with a folder for the logs of its processes, which stays if it fails.
+func inLogs(area func(dir string) error) error {
+	dir, err := os.MkdirTemp("", "crowbridge-bench-")
+	if err != nil {
+		return errors.Wrap(err, "logs")
+	}
+	if err := area(dir); err != nil {
+		return errors.Wrapf(err, "logs in %s", dir)
+	}
+	return errors.Wrap(os.RemoveAll(dir), "logs")
+}
+
 // Figure prints a value that has no baseline.
 func (r *Reporter) Figure(name string, value float64, unit string) {
 	fmt.Fprintf(r.Out, "%-58s %12.4g %-10s %12s %8s\n", name, value, unit, "-", "-")
--- a/standins/bench/control.go
+++ b/standins/bench/control.go
@@ -16,7 +16,6 @@
 	"github.com/crowbridge/crowbridge/internal/storelog"
 	"github.com/crowbridge/crowbridge/platform"
 	"github.com/crowbridge/crowbridge/standins/harness"
-	"github.com/pkg/errors"
 )
 
 const controlLength = 10 * time.Second
@@ -25,7 +24,8 @@
 // how soon a change is in force, and how soon a fresh VM serves.
 func (r *Reporter) Control(bin string) error {
 	for _, size := range []struct{ entriesPerZone, serversPerZone int }{{2, 6}, {8, 6}, {32, 6}, {2, 24}, {2, 48}, {8, 24}, {8, 48}} {
-		if err := r.controlAt(bin, size.entriesPerZone, size.serversPerZone); err != nil {
+		err := inLogs(func(dir string) error { return r.controlAt(bin, dir, size.entriesPerZone, size.serversPerZone) })
+		if err != nil {
 			return err
 		}
 	}
@@ -34,11 +34,7 @@
 
 const controlZones = 4
 
-func controlCluster(bin string, entriesPerZone, serversPerZone int) (*harness.Cluster, error) {
-	dir, err := os.MkdirTemp("", "crowbridge-bench-")
-	if err != nil {
-		return nil, errors.Wrap(err, "bench")
-	}
+func controlCluster(bin, dir string, entriesPerZone, serversPerZone int) (*harness.Cluster, error) {
 	var zones []string
 	for i := range controlZones {
 		zones = append(zones, fmt.Sprintf("z%d", i))
@@ -84,8 +80,8 @@
 	return total
 }
 
-func (r *Reporter) controlAt(bin string, entriesPerZone, serversPerZone int) error {
-	cluster, err := controlCluster(bin, entriesPerZone, serversPerZone)
+func (r *Reporter) controlAt(bin, dir string, entriesPerZone, serversPerZone int) error {
+	cluster, err := controlCluster(bin, dir, entriesPerZone, serversPerZone)
 	if err != nil {
 		return err
 	}
--- a/standins/bench/group.go
+++ b/standins/bench/group.go
@@ -1,7 +1,6 @@
 package bench
 
 import (
-	"os"
 	"time"
 
 	"github.com/crowbridge/crowbridge/standins/harness"
@@ -17,10 +16,10 @@
 // Group measures, with four ranks in real processes, how long map switches stall
 // the group, and how soon a new holder orders after one has died.
 func (r *Reporter) Group(bin string) error {
-	dir, err := os.MkdirTemp("", "crowbridge-bench-")
-	if err != nil {
-		return errors.Wrap(err, "bench")
-	}
+	return inLogs(func(dir string) error { return r.groupIn(bin, dir) })
+}
+
+func (r *Reporter) groupIn(bin, dir string) error {
 	cluster, err := harness.New(harness.Layout{
 		Zones: []string{"a", "b"}, EntriesPerZone: 2, RanksPerZone: 2, Step: 6 * time.Millisecond,
 		KeyWindowSeconds: 60, ClockSkewMs: 50, Drain: time.Second,
--- a/standins/bench/path.go
+++ b/standins/bench/path.go
@@ -112,10 +112,10 @@
 
 // Path measures what entry and agent add to a direct call.
 func (r *Reporter) Path(bin string) error {
-	dir, err := os.MkdirTemp("", "crowbridge-bench-")
-	if err != nil {
-		return errors.Wrap(err, "bench")
-	}
+	return inLogs(func(dir string) error { return r.pathIn(bin, dir) })
+}
+
+func (r *Reporter) pathIn(bin, dir string) error {
 	cluster, err := harness.New(harness.Layout{
 		Zones: []string{"a"}, EntriesPerZone: 1, EnginesPerZone: 2, Step: time.Millisecond,
 		KeyWindowSeconds: 60, ClockSkewMs: 50, Drain: 20 * time.Second, Quiet: true,
