--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -88,8 +88,8 @@
 // errReread ends a long read that was woken.
 var errReread = errors.New("read anew")
 
-// errBehind says that the store ends before what is known, in the same era: it's asked again
-// after a pause.
+// errBehind says that the store ends before what is known, in the same era: it's asked
+// again after a pause.
 var errBehind = errors.New("the store ends before what is known, without another era")
 
 // fromStore names the store as a source of records in logs.
@@ -131,7 +131,10 @@
 	if pace <= 0 {
 		pace = serversPace
 	}
-	f := &Follower{members: members, store: store, zone: zone, log: log, pace: pace, refreshes: make(chan struct{}, 1), rereads: make(chan struct{}, 1), lost: make(chan struct{}, 1), onReached: func() {}}
+	f := &Follower{
+		members: members, store: store, zone: zone, log: log, pace: pace, onReached: func() {},
+		refreshes: make(chan struct{}, 1), rereads: make(chan struct{}, 1), lost: make(chan struct{}, 1),
+	}
 	members.onPeerConfig = f.peerKnewMore
 	return f
 }
@@ -139,8 +142,8 @@
 // Healthy tells whether the store answered last time.
 func (f *Follower) Healthy() bool { return f.healthy.Load() }
 
-// OnReached calls f when the store is reached again. Call it before the follower runs.
-func (f *Follower) OnReached(reached func()) { f.onReached = reached }
+// OnReached makes a call when the store is reached again. Call it before the follower runs.
+func (f *Follower) OnReached(call func()) { f.onReached = call }
 
 // Lost gets a value when the store can no longer be reached.
 func (f *Follower) Lost() <-chan struct{} { return f.lost }
