platform: a store that names an era for the first time has come back

What callers would have seen, from a store that names none until its first return: the era is the first that is heard of, so nobody is woken, and reads that hang go on for up to 28 s.

--- a/standins/hosted/oldercopy_test.go
+++ b/standins/hosted/oldercopy_test.go
@@ -46,7 +46,7 @@
 
 // outage takes the store away for a moment, and brings it back from its copy.
 func outage(store *standin.Store) {
-	store.SetFaults(standin.Faults{Down: true})
+	store.SetFaults(standin.Faults{Down: true, NoEra: true})
 	time.Sleep(500 * time.Millisecond)
 	store.Return()
 	store.SetFaults(standin.Faults{})
@@ -88,6 +88,7 @@
 
 func TestServersComeAndLeaveAfterTheStoreCameBackOlder(t *testing.T) {
 	store := standin.NewStore()
+	store.SetFaults(standin.Faults{NoEra: true}) // until it comes back
 	entries, _, answer := twoEntries(t, store)
 	servers := map[string]*restingServer{}
 	addresses := map[string]string{}
