--- a/internal/membership/oldercopy_property_test.go
+++ b/internal/membership/oldercopy_property_test.go
@@ -12,8 +12,7 @@
 	"pgregory.net/rapid"
 )
 
-// The seed is fixed, so that CI gives the same verdict every time; -rapid.seed=0
-// draws another one.
+// The seed is fixed, so that CI gives the same verdict each time; -rapid.seed=0 draws one.
 func init() {
 	if err := flag.Set("rapid.seed", "1"); err != nil {
 		panic(err)
@@ -30,8 +29,7 @@
 	gone
 )
 
-// eraWorld has daemons that read a store, which comes back from copies of itself, and ask
-// each other.
+// eraWorld has daemons that read a store and ask each other; the store comes back from copies.
 type eraWorld struct {
 	store   *fakeStore
 	daemons []*bench
--- a/internal/replica/carry_property_test.go
+++ b/internal/replica/restore_property_test.go
@@ -15,8 +15,7 @@
 	"pgregory.net/rapid"
 )
 
-// The seed is fixed, so that CI gives the same verdict every time; -rapid.seed=0
-// draws another one.
+// The seed is fixed, so that CI gives the same verdict each time; -rapid.seed=0 draws one.
 func init() {
 	if err := flag.Set("rapid.seed", "1"); err != nil {
 		panic(err)
@@ -138,8 +137,7 @@
 	}
 }
 
-// TestNoChangeIsLostWhileADaemonLivesThatHadItInForce also checks that all have one state
-// again once they have read on.
+// All daemons must have one state again, too, once they have read on.
 func TestNoChangeIsLostWhileADaemonLivesThatHadItInForce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const daemons = 3
--- a/standins/hosted/daemons_test.go
+++ b/standins/hosted/daemons_test.go
@@ -25,8 +25,7 @@
 	}
 }
 
-// startTogether returns what starts daemons that are stopped all at once when the test ends:
-// each takes some seconds.
+// startTogether returns what starts daemons that are stopped all at once when the test ends.
 func startTogether(t *testing.T) func(daemon runner) {
 	var stops []func()
 	t.Cleanup(func() { stopAll(stops) })
--- a/standins/hosted/oldercopy_test.go
+++ b/standins/hosted/oldercopy_test.go
@@ -13,8 +13,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// twoEntries starts two entries on a store that has two configurations, and returns what
-// starts more and what an entry answers to a key.
+// twoEntries starts entries on a store, and returns what starts more and what one answers to a key.
 func twoEntries(t *testing.T, store *standin.Store) (entries []*platform.Settings, startEntry func(runner), answer func(entry *platform.Settings, key string) func() int) {
 	t.Helper()
 	RegisterTestingT(t)
@@ -63,8 +62,7 @@
 		version++
 		store.Put(platform.TopicOperators, "config", configVersion(version, keys))
 	}
-	// Two configurations are lost in each round; the log ends one below, level with or one
-	// past what was read.
+	// The log ends one below, level with, one past what was read: two configurations are lost.
 	for round := range 3 {
 		revoked, added := fmt.Sprint("a", round), fmt.Sprint("b", round)
 		store.Copy()
