--- a/internal/agent/limit_test.go
+++ b/internal/agent/limit_test.go
@@ -13,8 +13,7 @@
 	"github.com/crowbridge/crowbridge/internal/wire"
 )
 
-// The story of a server whose limit nobody kept (internal/dispatch/limit_story_test.go) at the
-// door of one server: its agent alone decides what starts there, from whichever entry it comes.
+// A server's agent alone decides what starts there, from whichever entry it comes.
 
 func TestAgentKeepsItsServersLimit(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/dispatch/limit_story_test.go
+++ b/internal/dispatch/limit_story_test.go
@@ -20,22 +20,13 @@
 	"github.com/crowbridge/crowbridge/internal/peerrpc"
 )
 
-// What users saw: a server that had named, in its answers, a limit of 1 request a second from
-// all VMs together got 13 in 4 s. Order of events: a rank of a group names the limit from one
-// moment on, in every answer; three seconds later the entries still send it what they sent before.
-// Cause: nobody read the word. Had each entry kept it, eight of them would have sent eight times as
-// much, and a share for each would have been lost where requests come to few entries: what is
-// bound for all together has to be counted by all together.
-//
-// Evidence: 3 to 4 requests a second before and after the word; here 34 in 4 s with no reader, and
-// with each entry keeping the limit for itself 27 at 1 a second and 10 at 0.2, where 11 and 6 may come.
+// The story is in docs/incidents/2026-12-03-limit-kept-by-nobody.md.
 
 const (
 	// limitEntries send to the servers; each gets a request each limitPace.
 	limitEntries = 8
 	limitPace    = 100 * time.Millisecond
-	// limitSettles is for how long after a server began to name a limit it may get more, and
-	// limitWindow the span over which its requests count then.
+	// limitSettles is how long a newly named limit may be exceeded, limitWindow what it's counted over.
 	limitSettles = 3 * time.Second
 	limitWindow  = 4 * time.Second
 	// limitTime is how long a story lasts from then on.
@@ -44,8 +35,7 @@
 	limitUsed = 0.8
 )
 
-// mostInWindow is what a server with a limit may get in one window: half as much again as
-// what it named, and 5 requests that were on their way.
+// mostInWindow allows half as much again as a limit, and 5 requests that were on their way.
 func mostInWindow(limit float64) int { return int(1.5*limit*limitWindow.Seconds()) + 5 }
 
 // limitedServers are backend servers that name limits and note when requests arrive.
@@ -113,8 +103,7 @@
 	world    *world
 	board    *Board
 	pipeline *Pipeline
-	// told is when the entry told the others last all that it knows, news what is on its
-	// way to them.
+	// told is when the entry last told the others all that it knows, news what is on its way.
 	told time.Time
 	news []*peerrpc.LimitNews
 }
--- a/internal/dispatch/somecandidates_test.go
+++ b/internal/dispatch/somecandidates_test.go
@@ -7,8 +7,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// TestAmongManyServersTheOneThatTakesIsFound: a choice looks at some of many servers, and at
-// all before it refuses.
+// A choice looks at some of many servers, and at all before it refuses.
 func TestAmongManyServersTheOneThatTakesIsFound(t *testing.T) {
 	RegisterTestingT(t)
 	const many = 10 * mostLooked
--- a/internal/parts/parts_test.go
+++ b/internal/parts/parts_test.go
@@ -15,8 +15,7 @@
 	}
 }
 
-// TestPartsStayBelowTheBound: whatever the number of daemons, the parts of all together stay
-// below the bound, also when each knows up to a fifth of them not; and something is used.
+// The sum must hold also when each daemon doesn't know up to a fifth of the others.
 func TestPartsStayBelowTheBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var all []string
--- a/internal/ratelimit/word_test.go
+++ b/internal/ratelimit/word_test.go
@@ -15,8 +15,7 @@
 	}
 }
 
-// TestLaterWordsHold: in whatever order answers come, a word holds until a later one, and never
-// gives way to one that allows more and may be older.
+// A word never gives way to one that allows more and may be older.
 func TestLaterWordsHold(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		type said struct {
--- a/standins/hosted/connections_test.go
+++ b/standins/hosted/connections_test.go
@@ -12,13 +12,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// What users saw: nothing yet; found by looking for the cause of the limits that nobody kept
-// (internal/dispatch/limit_story_test.go). A server takes so many connections from all VMs together and
-// resets those beyond, whoever's they are. Cause: nobody read how many; each entry opened what it wanted
-// and kept up to 16.
-//
-// Evidence: four entries before three servers that take 12 each had up to 18 open at one, which
-// reset 397 in 4 s.
+// Found in docs/incidents/2026-12-03-limit-kept-by-nobody.md, by the same cause.
 
 const (
 	// mostConns is what a server takes from all entries, so that each of limitedEntries may have two.
