--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -77,6 +77,9 @@
 	gauge(`crowbridge_requests_in_flight`, func(c outcome.Counts) int64 { return c.InFlight })
 }
 
+// timestampFormat is RFC 3339 with milliseconds, since lines of several daemons are compared.
+const timestampFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // NewLogger returns a logger of the given level that writes JSON.
 func NewLogger(level string) (*logrus.Logger, error) {
 	parsed, err := logrus.ParseLevel(level)
@@ -85,6 +88,6 @@
 	}
 	logger := logrus.New()
 	logger.SetLevel(parsed)
-	logger.SetFormatter(&logrus.JSONFormatter{})
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timestampFormat})
 	return logger, nil
 }
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -12,6 +12,7 @@
 	"github.com/crowbridge/crowbridge/internal/quarantine"
 	"github.com/crowbridge/crowbridge/internal/wait"
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 )
 
 // Quarantine withholds requests that crash servers from further servers.
@@ -58,6 +59,9 @@
 		switch decision.State {
 		case quarantine.Healthy, quarantine.Suspect:
 			x.admitted, x.request.Suspect = true, decision.State == quarantine.Suspect
+			if x.request.Suspect {
+				p.logSuspect(x, decision)
+			}
 			return nil
 		case quarantine.Quarantined:
 			return refuseUnsent(x, failure.StepQueue, x.Service, failure.CodeQuarantined,
@@ -72,6 +76,15 @@
 	}
 }
 
+// logSuspect logs that a suspect request may run, and the evidence against it.
+func (p *Pipeline) logSuspect(x *exchange, decision quarantine.Decision) {
+	fields := logrus.Fields{"request": x.request.ID, "digest": x.request.digest(), "servers": decision.Servers, "found_here": decision.LocalExits}
+	if !decision.Since.IsZero() {
+		fields["since_ms"] = p.now().Sub(decision.Since).Milliseconds()
+	}
+	p.log.WithFields(fields).Info("suspect request admitted")
+}
+
 // quarantineActive reports whether digests are needed. Computing one hashes the whole body, so
 // it is skipped while the quarantine is empty.
 func (p *Pipeline) quarantineActive() bool { return p.quarantine != nil && !p.quarantine.Empty() }
--- a/standins/cmd/standin/main.go
+++ b/standins/cmd/standin/main.go
@@ -127,7 +127,10 @@
 			return serve(cmd, plainserver.Handler(plainserver.Options{
 				Name: cmd.String("name"), WorkTime: cmd.Duration("step"),
 				Recorder: &engine.Recorder{URL: cmd.String("recorder")},
-				Exit:     func() { os.Exit(exitCrashed) },
+				Exit: func() {
+					fmt.Println(time.Now().UTC().Format(time.RFC3339Nano), "crashes")
+					os.Exit(exitCrashed)
+				},
 			}))
 		},
 	}
