quarantine: two crashes of one server within two seconds count as two

While the two servers were down, nobody's calls of that service were served.

Cause: exits of a server that restarts under its ID were told apart by time alone: two within two seconds passed for two daemons' reports of one. The restart takes 0.7 s, so each crash that the caller's next repeat caused was dropped. Across daemons they were told apart by name: two daemons that each saw another exit of a server, and didn't know the other's, both called it by the server's plain name, and merging dropped one.

Why this works: an attempt that was admitted after an exit can't have lost its connection to that exit. Reports keep when their attempt was admitted; exits are counted from all reports, by that rule, or by the former two seconds where it isn't known. Reports have an ID of their own, so that merging drops none. Daemons of earlier releases send neither and are understood as before; they read the new fields' evidence by its name, as before.

--- a/internal/crash/codec.go
+++ b/internal/crash/codec.go
@@ -5,6 +5,7 @@
 
 	"github.com/crowbridge/crowbridge/internal/peerrpc"
 	"github.com/crowbridge/crowbridge/internal/quarantine"
+	"google.golang.org/protobuf/proto"
 )
 
 // peerPosition is the position up to which a peer's table was received.
@@ -63,9 +64,14 @@
 func Encode(evidence []quarantine.Evidence, now time.Time) []*peerrpc.CrashEvidence {
 	encoded := make([]*peerrpc.CrashEvidence, 0, len(evidence))
 	for _, e := range evidence {
-		encoded = append(encoded, &peerrpc.CrashEvidence{
-			Digest: e.Digest[:], Customer: e.Info.Customer, Path: e.Info.Path, Server: e.Server, AgeMs: now.Sub(e.ExitedAt).Milliseconds(), Cleared: e.Cleared,
-		})
+		message := &peerrpc.CrashEvidence{
+			Digest: e.Digest[:], Customer: e.Info.Customer, Path: e.Info.Path, Server: e.Server, Report: e.ReportID,
+			AgeMs: now.Sub(e.ExitedAt).Milliseconds(), Cleared: e.Cleared,
+		}
+		if !e.StartedAt.IsZero() {
+			message.StartedAgeMs = proto.Int64(now.Sub(e.StartedAt).Milliseconds())
+		}
+		encoded = append(encoded, message)
 	}
 	return encoded
 }
@@ -86,10 +92,14 @@
 		if len(m.GetDigest()) != len(quarantine.Digest{}) || m.GetServer() == "" {
 			continue
 		}
-		evidence = append(evidence, quarantine.Evidence{
-			Digest: quarantine.Digest(m.GetDigest()), Info: quarantine.RequestInfo{Customer: m.GetCustomer(), Path: m.GetPath()}, Server: m.GetServer(), Cleared: m.GetCleared(),
-			ExitedAt: now.Add(-age(m.GetAgeMs())),
-		})
+		e := quarantine.Evidence{
+			Digest: quarantine.Digest(m.GetDigest()), Info: quarantine.RequestInfo{Customer: m.GetCustomer(), Path: m.GetPath()},
+			Server: m.GetServer(), ReportID: m.GetReport(), ExitedAt: now.Add(-age(m.GetAgeMs())), Cleared: m.GetCleared(),
+		}
+		if m.StartedAgeMs != nil {
+			e.StartedAt = now.Add(-age(m.GetStartedAgeMs()))
+		}
+		evidence = append(evidence, e)
 	}
 	return evidence
 }
--- a/internal/quarantine/eviction.go
+++ b/internal/quarantine/eviction.go
@@ -26,12 +26,12 @@
 	for d, r := range t.requests {
 		maps.DeleteFunc(r.losses, func(_ string, loss connectionLoss) bool { return now.Sub(loss.at) > lossRetention })
 		retention := suspectRetention
-		if len(r.exitedServers()) >= exitsToQuarantine {
+		if len(r.countedExits()) >= exitsToQuarantine {
 			retention = longQuarantine
 		}
-		for server, e := range r.exits {
-			if now.Sub(e.at) > retention {
-				t.removeExit(d, r, server)
+		for key, report := range r.reports {
+			if now.Sub(report.at) > retention {
+				t.removeReport(d, r, key)
 			}
 		}
 		if now.After(r.configuredUntil) {
@@ -41,9 +41,9 @@
 	}
 }
 
-func (t *Table) removeExit(d Digest, r *request, server string) {
-	t.hash ^= hashOf(d, server, r.exits[server].cleared)
-	delete(r.exits, server)
+func (t *Table) removeReport(d Digest, r *request, key reportKey) {
+	t.hash ^= hashOf(d, key, r.reports[key].cleared)
+	delete(r.reports, key)
 }
 
 // evictExcess enforces maxRequests. It evicts a batch at a time, so that not every new entry
@@ -57,9 +57,10 @@
 	var candidates []evictionCandidate
 	customers := map[string]int{}
 	for d, r := range t.requests {
-		if len(r.exits) > 0 {
+		if len(r.reports) > 0 {
+			counted := r.countedExits()
 			candidates = append(candidates, evictionCandidate{
-				digest: d, customer: r.info.Customer, lastExit: r.lastExit(), quarantined: len(r.exitedServers()) >= exitsToQuarantine,
+				digest: d, customer: r.info.Customer, lastExit: lastExit(counted), quarantined: len(counted) >= exitsToQuarantine,
 			})
 			customers[r.info.Customer]++
 		}
@@ -73,8 +74,8 @@
 	slices.SortFunc(candidates, evictionCandidate.compare)
 	for _, candidate := range candidates[:len(candidates)-maxRequests+maxRequests/evictionDivisor] {
 		r := t.requests[candidate.digest]
-		for server := range r.exits {
-			t.removeExit(candidate.digest, r, server)
+		for key := range r.reports {
+			t.removeReport(candidate.digest, r, key)
 		}
 		t.dropIfEmpty(candidate.digest, r)
 	}
