crash: an entry that starts or was suspended pulls its peers' evidence before it admits requests

What callers saw: an entry that had been killed or paused sent a request to servers that its peers had quarantined; each such sending crashed another server.

Cause: an entry began to serve as soon as it had a configuration, and learned of exits with its first pull from one random peer, a second later at the earliest; a peer that was paused or cut off cost another second. After a pause it answered the calls that had waited in its sockets before it had pulled anything.

Why this works: evidence that was pulled longer ago than two rounds of pulls counts as outdated, which a start or a suspension alone can cause, since failed pulls count. Peers that didn't answer are asked again each round. The same for the entries of the platform's interface.

The new specs failed before: there was nothing to hold requests.

--- a/cmd/crowbridged/entry.go
+++ b/cmd/crowbridged/entry.go
@@ -147,9 +147,9 @@
 	}
 	p.runLoop(func(ctx context.Context) { rep.Follow(ctx, entrySources(p.cmd, s, log), p.log) })
 	p.runLoop(e.WatchConfiguration)
-	p.runLoop(func(ctx context.Context) {
-		e.CrashDetector().Gossip(ctx, otherEntries(p.cmd, s), daemon.NewControlClient(key))
-	})
+	crashes, others, client := e.CrashDetector(), otherEntries(p.cmd, s), daemon.NewControlClient(key)
+	crashes.SetRefresh(func(ctx context.Context) { crashes.PullFromSeveral(ctx, others, client) })
+	p.runLoop(func(ctx context.Context) { crashes.Gossip(ctx, others, client) })
 	p.runLoop(crash.NewStore(e.CrashDetector(), rep, log, p.cmd.String("name"), time.Now).Run)
 	p.runTask(e.PollAgents)
 	p.runLoop(func(ctx context.Context) { e.PollVMList(ctx, store) })
--- a/internal/crash/detector.go
+++ b/internal/crash/detector.go
@@ -66,14 +66,17 @@
 	changed chan struct{}
 	// exclusion returns why a server may receive no requests by its own report, or nil.
 	exclusion func(server string) *eligibility.Exclusion
+	refresher refresher
 
 	mu sync.Mutex // acquired before the table's lock
 	// servers is the latest state of the registry.
 	servers *fleet.Servers
 	// lastLosses are the times of the last lost connections to ranks, by server.
 	lastLosses map[string]time.Time
-	// peers are the positions in peers' tables, by address.
-	peers map[string]peerPosition
+	// peers are the positions in peers' tables, by address; silent are the peers that didn't
+	// answer the last call.
+	peers  map[string]peerPosition
+	silent map[string]bool
 }
 
 // New returns a detector. afterFunc schedules a function call.
@@ -81,7 +84,7 @@
 	return &Detector{
 		table: quarantine.NewTable(), prober: prober, now: now, afterFunc: afterFunc, log: log,
 		updates: make(chan []quarantine.Evidence, updateQueueSize), tableID: rand.Uint64() | 1, changed: make(chan struct{}, 1),
-		lastLosses: map[string]time.Time{}, peers: map[string]peerPosition{},
+		lastLosses: map[string]time.Time{}, peers: map[string]peerPosition{}, silent: map[string]bool{},
 		exclusion: func(string) *eligibility.Exclusion { return nil },
 	}
 }
@@ -102,10 +105,13 @@
 }
 
 // Empty implements dispatch.Quarantine.
-func (det *Detector) Empty() bool { return det.table.Empty() }
+func (det *Detector) Empty() bool { return !det.outdated() && det.table.Empty() }
 
-// Admit implements dispatch.Quarantine.
+// Admit implements dispatch.Quarantine. Decisions are pending while outdated evidence is refreshed.
 func (det *Detector) Admit(d quarantine.Digest) quarantine.Decision {
+	if det.outdated() {
+		return quarantine.Decision{State: quarantine.Pending}
+	}
 	return det.table.Admit(d, det.now())
 }
 
--- a/internal/crash/detector_test.go
+++ b/internal/crash/detector_test.go
@@ -207,6 +207,49 @@
 	})
 })
 
+// Without its peers' evidence, an entry that has started or was suspended sends a request that crashes
+// servers to another one.
+var _ = Describe("an entry that has started or was suspended", func() {
+	d := quarantine.DigestOf("c", "POST", "h", "/", nil)
+
+	It("admits no request before it has pulled its peers' evidence", func() {
+		env, detector := newTestDetector()
+		crashed := []string{"a"}
+		detector.SetRefresh(func(context.Context) {
+			for _, server := range crashed {
+				detector.Receive([]quarantine.Evidence{{Digest: d, Server: server, ExitedAt: env.now.Add(-time.Minute)}}, "peer")
+			}
+		})
+		Expect(detector.Empty()).To(BeFalse(), "requests need a decision")
+		Expect(detector.Admit(d).State).To(Equal(quarantine.Pending))
+		env.advance(0)
+		Expect(detector.Admit(d).State).To(Equal(quarantine.Suspect))
+		detector.Done(d)
+		crashed = append(crashed, "b")
+		env.now = env.now.Add(maxPullAge)
+		detector.RecordPull(context.Background())
+		Expect(detector.Admit(d).State).To(Equal(quarantine.Suspect), "it was not suspended")
+		detector.Done(d)
+		env.now = env.now.Add(maxPullAge + time.Millisecond)
+		Expect(detector.Admit(d).State).To(Equal(quarantine.Pending))
+		env.advance(quarantine.SettleTime)
+		env.now = env.now.Add(quarantine.SettleTime)
+		Expect(detector.Admit(d).State).To(Equal(quarantine.Quarantined))
+	})
+
+	It("holds requests only briefly if no peer answers", func() {
+		env, detector := newTestDetector()
+		detector.SetRefresh(func(context.Context) {})
+		Expect(detector.Admit(d).State).To(Equal(quarantine.Pending))
+		env.now = env.now.Add(refreshTimeout)
+		Expect(detector.Admit(d).State).To(Equal(quarantine.Healthy), "the refresh hangs")
+		env.advance(0)
+		Expect(detector.Empty()).To(BeFalse())
+		detector.Done(d)
+		Expect(detector.Empty()).To(BeTrue(), "requests need no decision while there is no evidence")
+	})
+})
+
 var _ = Describe("entries with RPC gossip", func() {
 	It("push evidence at once, and pull missed evidence", func() {
 		d := quarantine.DigestOf("c", "POST", "h", "/", nil)
--- a/internal/platformdaemon/entry.go
+++ b/internal/platformdaemon/entry.go
@@ -99,6 +99,7 @@
 	view := filteredFleet{Membership: members, steering: e.steering}
 	e.pipeline = dispatch.NewPipeline(view, e.balancer, backend, clk.Now, log)
 	e.pipeline.SetQuarantine(e.crashes)
+	e.crashes.SetRefresh(e.pullFromSeveral)
 	e.frontend = frontend.New(e.pipeline, platform.Dialect{}, e.limits, clk.Now)
 	clk.OnResume(e.resumed)
 	if len(operators) > 0 {
@@ -280,6 +281,7 @@
 // unreachable.
 func (e *EntryDaemon) pullFromPeers(ctx context.Context) {
 	for ctx.Err() == nil {
+		e.crashes.RecordPull(ctx)
 		peers := e.exchange.Peers()
 		e.balancer.SetEntries(e.settings.Control, peers)
 		e.crashes.RetainPeers(peers)
@@ -289,9 +291,8 @@
 			interval, count = peerPullInterval, 1
 		}
 		for _, peer := range peers[:min(len(peers), count)] {
-			if err := e.exchange.Pull(ctx, peer); err != nil {
-				e.log.WithError(err).WithField("peer", peer).Debug("peer unreachable")
-			}
+			e.pull(ctx, peer)
+			e.crashes.RecordPull(ctx)
 		}
 		timer := time.NewTimer(interval)
 		select {
@@ -302,3 +303,15 @@
 		timer.Stop()
 	}
 }
+
+// pull pulls changes from another entry.
+func (e *EntryDaemon) pull(ctx context.Context, peer string) {
+	if err := e.exchange.Pull(ctx, peer); err != nil {
+		e.log.WithError(err).WithField("peer", peer).Debug("peer unreachable")
+	}
+}
+
+// pullFromSeveral pulls changes from several entries at once.
+func (e *EntryDaemon) pullFromSeveral(ctx context.Context) {
+	crash.RefreshFrom(e.exchange.Peers(), func(peer string) { e.pull(ctx, peer) })
+}
