quarantine: suspects that shared an exit run at servers of their own, at all entries the same

What callers saw: healthy requests were refused as quarantined for up to 24 h since they had been at each crashed rank together with the crashing request (TestOnlyRequestThatCrashesRanksIsQuarantined).

Cause: one entry keeps its suspects on different servers; entries didn't keep theirs apart from each other's, and the entries of the product's own API not at all. Suspects' callers repeat at other entries within 0.1 s, so the crashing request and a healthy one met again by chance, most of all as the first to be chosen is the same for all: the rank with the least load. After a third exit in common both are quarantined.

Ways weighed: a higher threshold (a fourth server crashes each time); shuffle sharding by digest (two of twelve suspects meet at one of 16 ranks with a probability of one half); group testing by an order that all entries compute from the same evidence, which is this one: a suspect's place among the digests at its last exit is its server's place in the sorted list. Nothing more is exchanged. With fewer servers than suspects some still share one; each exit then divides them by the number of servers.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/fleet"
+	"github.com/crowbridge/crowbridge/internal/quarantine"
 )
 
 // Choice is a chosen server and the data behind the decision.
@@ -75,7 +76,13 @@
 		}
 		candidates = append(candidates, candidate{server: server, state: s, load: load, score: score})
 	}
-	best := b.bestByZone(healthyCandidates(candidates)).choice(now)
+	healthy := healthyCandidates(candidates)
+	var best Choice
+	if request.Suspect {
+		best = isolated(healthy, servers, request.Isolation).choice(now)
+	} else {
+		best = b.bestByZone(healthy).choice(now)
+	}
 	best.Unresponsive, best.Excluded, best.Limited, best.Full = len(unresponsive), excluded, limited, full
 	if capacity > 0 {
 		best.Utilization = total / float64(capacity)
@@ -124,6 +131,25 @@
 	return candidates[:healthy]
 }
 
+// isolated returns the candidate that comes first in a suspect's order of all servers, or the zero
+// candidate if there is none.
+func isolated(candidates []candidate, servers []*fleet.Server, isolation quarantine.Isolation) candidate {
+	var keys []string
+	for _, server := range servers {
+		if !server.Leaving {
+			keys = append(keys, server.Key())
+		}
+	}
+	for _, key := range isolation.Order(keys) {
+		for _, c := range candidates {
+			if c.server.Key() == key {
+				return c
+			}
+		}
+	}
+	return candidate{}
+}
+
 // bestByZone returns the best of a few random candidates of the entry's own zone and as many of
 // other zones. It reorders the candidates.
 func (b *Balancer) bestByZone(candidates []candidate) candidate {
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -59,6 +59,7 @@
 		switch decision.State {
 		case quarantine.Healthy, quarantine.Suspect:
 			x.admitted, x.request.Suspect = true, decision.State == quarantine.Suspect
+			x.request.Isolation = decision.Isolation
 			if x.request.Suspect {
 				p.logSuspect(x, decision)
 			}
@@ -78,7 +79,7 @@
 
 // logSuspect logs that a suspect request may run, and the evidence against it.
 func (p *Pipeline) logSuspect(x *exchange, decision quarantine.Decision) {
-	fields := logrus.Fields{"request": x.request.ID, "digest": x.request.digest(), "servers": decision.Servers, "found_here": decision.LocalExits}
+	fields := logrus.Fields{"request": x.request.ID, "digest": x.request.digest(), "servers": decision.Servers, "found_here": decision.LocalExits, "index": decision.Isolation.Index}
 	if !decision.Since.IsZero() {
 		fields["since_ms"] = p.now().Sub(decision.Since).Milliseconds()
 	}
--- a/internal/dispatch/quarantine_test.go
+++ b/internal/dispatch/quarantine_test.go
@@ -155,4 +155,17 @@
 		b.balancer.RequestEnded(second, suspect)
 		Expect(b.balancer.Choose(b.now, servers, suspect, nil).Server.ID).To(Equal(second))
 	})
+
+	It("are sent to the servers that all entries assign to them, while these are eligible", func() {
+		b := newFixture()
+		servers := b.fleet.Servers().OfService("plain")
+		chosen := map[string]bool{}
+		for index := range servers {
+			suspect := &Request{Suspect: true, Isolation: quarantine.Isolation{Index: index}}
+			choice := b.balancer.Choose(b.now, servers, suspect, nil)
+			chosen[choice.Server.ID] = true
+			Expect(b.balancer.Choose(b.now, servers, suspect, []string{choice.Server.Key()}).Server.ID).NotTo(Equal(choice.Server.ID))
+		}
+		Expect(chosen).To(HaveLen(len(servers)))
+	})
 })
--- a/internal/dispatch/sample.go
+++ b/internal/dispatch/sample.go
@@ -29,7 +29,7 @@
 func (p *Pipeline) chooseCandidate(ctx context.Context, x *exchange) (Choice, *failure.Error) {
 	candidates := p.candidates(x)
 	sampled, all := p.balancer.sample(candidates)
-	if !all {
+	if !all && !x.request.Suspect { // entries isolate suspects by the same list of servers
 		if open, _ := p.balancer.openServers(sampled, p.now()); len(open) > 0 {
 			if choice := p.chooser.Choose(p.now(), open, x.request, x.tried); choice.Server != nil {
 				return choice, nil
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -44,8 +44,10 @@
 	Customer string
 	Priority int
 	// Suspect is set when a server crashed while running the request and the request hasn't
-	// succeeded since. Suspects are kept on different servers if possible.
-	Suspect bool
+	// succeeded since. Suspects are kept on different servers if possible: at one entry by what
+	// runs where, at all entries by Isolation.
+	Suspect   bool
+	Isolation quarantine.Isolation
 	// priorityGap is how much less urgent the request is than the most urgent of its service;
 	// isRetry is set when its caller seems to have been refused before.
 	priorityGap int
--- a/internal/entry/chooser.go
+++ b/internal/entry/chooser.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/dispatch"
@@ -11,6 +13,7 @@
 	"github.com/crowbridge/crowbridge/internal/fleet"
 	"github.com/crowbridge/crowbridge/internal/headers"
 	"github.com/crowbridge/crowbridge/internal/routing"
+	"github.com/crowbridge/crowbridge/internal/selector"
 	"github.com/pkg/errors"
 )
 
@@ -23,7 +26,7 @@
 	e, x := c.entry, exchangeOf(r)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	name := e.picker.Pick(now, e.random, routing.Query{Candidates: x.route.Servers, Prefix: x.prefix, Tried: tried})
+	name := c.pick(now, x, r, tried)
 	row := e.table.Row(name)
 	if row == nil {
 		return dispatch.Choice{}
@@ -34,6 +37,26 @@
 	}
 }
 
+// pick returns the name of the chosen server, or "" if none is eligible. For a suspect request, it
+// is the first eligible one in the request's order of servers. The caller holds the entry's mu.
+func (c tableChooser) pick(now time.Time, x *exchange, r *dispatch.Request, tried []string) string {
+	query := routing.Query{Candidates: x.route.Servers, Prefix: x.prefix, Tried: tried}
+	if !r.Suspect {
+		return c.entry.picker.Pick(now, c.entry.random, query)
+	}
+	byName := make(map[string]*selector.Server, len(x.route.Servers))
+	for _, server := range x.route.Servers {
+		byName[server.Name] = server
+	}
+	for _, name := range r.Isolation.Order(slices.Collect(maps.Keys(byName))) {
+		query.Candidates = []*selector.Server{byName[name]}
+		if picked := c.entry.picker.Pick(now, c.entry.random, query); picked != "" {
+			return picked
+		}
+	}
+	return ""
+}
+
 // EarliestEligible implements dispatch.Chooser.
 func (c tableChooser) EarliestEligible(now time.Time, _ []*fleet.Server, r *dispatch.Request) time.Duration {
 	c.entry.mu.Lock()
--- a/internal/quarantine/decision.go
+++ b/internal/quarantine/decision.go
@@ -63,6 +63,8 @@
 	Until time.Time
 	// LocalExits is the number of exits that this daemon observed.
 	LocalExits int
+	// Isolation keeps a suspect request apart from other suspects.
+	Isolation Isolation
 }
 
 func (t *Table) decide(d Digest, r *request, now time.Time) Decision {
@@ -82,6 +84,9 @@
 		return decision
 	}
 	decision.State = t.stateByEvidence(d, r, decision.Servers, now)
+	if decision.State == Suspect {
+		decision.Isolation = t.isolation(d, r, decision.Servers)
+	}
 	return decision
 }
 
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -73,6 +73,28 @@
 		Expect(table.Decision(unrelated, settled).State).To(Equal(quarantine.Suspect))
 	})
 
+	// Otherwise entries send both to one server again, and its exit tells them no more apart.
+	It("that shares an exit with others is assigned a server of its own, at all tables the same", func() {
+		const sharing = 4
+		other := quarantine.NewTable()
+		for n := range sharing {
+			table.RecordConnectionLoss(digest(n), info, "b", start)
+		}
+		other.Merge(table.MarkExited("b", start), start)
+		assigned, ofTwo := map[string]bool{}, map[string]bool{}
+		for n := range sharing {
+			order := table.Decision(digest(n), start).Isolation.Order([]string{"e", "d", "c", "b", "a"})
+			Expect(order).To(HaveLen(5))
+			Expect(order[4]).To(Equal("b"), "it may not be back")
+			Expect(other.Decision(digest(n), start).Isolation.Order([]string{"a", "b", "c", "d", "e"})).To(Equal(order))
+			assigned[order[0]] = true
+			ofTwo[table.Decision(digest(n), start).Isolation.Order([]string{"b", "a"})[0]] = true
+		}
+		Expect(assigned).To(HaveLen(sharing))
+		Expect(ofTwo).To(HaveLen(2))
+		Expect(table.Decision(digest(0), start).Isolation.Order(nil)).To(BeEmpty())
+	})
+
 	It("that shares one exit, or lost its connection to a live server, is not quarantined", func() {
 		concurrent, survivor := digest(2), digest(3)
 		table.RecordConnectionLoss(concurrent, info, "a", start)
