quarantine: connections that a rank survived don't count when it exits later

What callers saw: nothing by itself; a healthy request looked more like the crashing one, as evidence named ranks that never exited under it. With one true exit in common both were held back longer.

Cause: when a group breaks, the connections to all its ranks are lost. An entry kept these losses for eight seconds, also of ranks that were shown to be alive, and counted them when such a rank exited later, as it can in the second break. A rank that answers had not been taken for a proof.

Why this works: on the platform's interface a response comes from the start of the server that the request names, so a rank that begins to respond to an attempt has survived all losses before that attempt. Losses are dropped then. Where agents stand between, a restarted server isn't told from the former one; there nothing changes.

The specs failed before: no such call.

--- a/internal/crash/detector.go
+++ b/internal/crash/detector.go
@@ -71,20 +71,27 @@
 	mu sync.Mutex // acquired before the table's lock
 	// servers is the latest state of the registry.
 	servers *fleet.Servers
-	// lastLosses are the times of the last lost connections to ranks, by server.
-	lastLosses map[string]time.Time
+	// lastLosses are the last lost connections to ranks, by server.
+	lastLosses map[string]rankLoss
 	// peers are the positions in peers' tables, by address; silent are the peers that didn't
 	// answer the last call.
 	peers  map[string]peerPosition
 	silent map[string]bool
 }
 
+// rankLoss is a lost connection to a rank.
+type rankLoss struct {
+	at time.Time
+	// reported is set once the rank's agent has reported that its engine is reachable.
+	reported bool
+}
+
 // New returns a detector. afterFunc schedules a function call.
 func New(prober Prober, now func() time.Time, afterFunc func(time.Duration, func()), log *logrus.Entry) *Detector {
 	return &Detector{
 		table: quarantine.NewTable(), prober: prober, now: now, afterFunc: afterFunc, log: log,
 		updates: make(chan []quarantine.Evidence, updateQueueSize), tableID: rand.Uint64() | 1, changed: make(chan struct{}, 1),
-		lastLosses: map[string]time.Time{}, peers: map[string]peerPosition{}, silent: map[string]bool{},
+		lastLosses: map[string]rankLoss{}, peers: map[string]peerPosition{}, silent: map[string]bool{},
 		exclusion: func(string) *eligibility.Exclusion { return nil },
 	}
 }
@@ -138,7 +145,7 @@
 	if server.Rank != nil {
 		delay = rankProbeDelay
 		det.mu.Lock()
-		det.lastLosses[server.Key()] = now
+		det.lastLosses[server.Key()] = rankLoss{at: now}
 		det.mu.Unlock()
 	}
 	if det.table.RecordConnectionLoss(d, info, server.Key(), now) {
@@ -232,18 +239,30 @@
 		return
 	}
 	det.mu.Lock()
-	lostAt, found := det.lastLosses[server]
+	loss, found := det.lastLosses[server]
+	age := det.now().Sub(loss.at)
+	known := !found || loss.reported || age < reportDelay
+	if !known {
+		loss.reported = true
+		det.lastLosses[server] = loss
+	}
 	det.mu.Unlock()
-	if !found {
-		return
+	if !known && age < minRestartTime {
+		det.table.MarkAlive(server, loss.at)
 	}
-	if age := det.now().Sub(lostAt); age >= reportDelay {
-		if age < minRestartTime {
-			det.table.MarkAlive(server, lostAt)
-		}
-		det.mu.Lock()
-		delete(det.lastLosses, server)
-		det.mu.Unlock()
+}
+
+// RecordResponse implements dispatch.Quarantine.
+func (det *Detector) RecordResponse(server *fleet.Server, sentAt time.Time) {
+	det.mu.Lock()
+	loss, found := det.lastLosses[server.Key()]
+	survived := found && loss.at.Before(sentAt)
+	if survived {
+		delete(det.lastLosses, server.Key())
+	}
+	det.mu.Unlock()
+	if found {
+		det.table.DropLosses(server.Key(), sentAt)
 	}
 }
 
@@ -271,7 +290,7 @@
 	det.mu.Lock()
 	defer det.mu.Unlock()
 	previous, det.servers = det.servers, servers
-	maps.DeleteFunc(det.lastLosses, func(key string, _ time.Time) bool { return servers.ByKey(key) == nil })
+	maps.DeleteFunc(det.lastLosses, func(key string, _ rankLoss) bool { return servers.ByKey(key) == nil })
 	return previous
 }
 
--- a/internal/crash/detector_test.go
+++ b/internal/crash/detector_test.go
@@ -186,6 +186,21 @@
 		Expect(published()).To(HaveLen(1))
 	})
 
+	// When a group breaks, connections to ranks that survive are lost, too.
+	It("is no evidence against the requests whose connections a rank survived, when it exits later", func() {
+		survived, sent := env.now, env.now.Add(10*time.Millisecond)
+		unrelated := quarantine.DigestOf("c", "POST", "h", "/unrelated", nil)
+		detector.RecordConnectionLoss(unrelated, quarantine.RequestInfo{}, rankServer)
+		detector.RecordResponse(rankServer, survived)
+		env.now = env.now.Add(300 * time.Millisecond)
+		detector.RecordConnectionLoss(d, quarantine.RequestInfo{}, rankServer)
+		detector.RecordResponse(rankServer, sent)
+		detector.SetEngineReachable("r", false)
+		Expect(state()).To(Equal(quarantine.Suspect))
+		Expect(detector.Table().Decision(unrelated, env.now).State).To(Equal(quarantine.Healthy))
+		Expect(published()).To(HaveLen(1))
+	})
+
 	It("causes the request's quarantine at all daemons once a second server has exited, by pull and by push", func() {
 		_, puller := newTestDetector()
 		_, receiver := newTestDetector()
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -39,6 +39,7 @@
 	if f := p.validateResponse(ctx, x, server, response); f != nil {
 		return f
 	}
+	p.recordResponse(x, server, response)
 	stream := isStream(x, response)
 	if err := x.caller.accept(response, stream); err != nil {
 		return p.rejectResponse(server, response, err)
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -28,6 +28,9 @@
 	RecordConnectionLoss(d quarantine.Digest, info quarantine.RequestInfo, server *fleet.Server)
 	// MarkExited records that a server, given by its key, has exited.
 	MarkExited(server, cause string)
+	// RecordResponse records that a server responded to an attempt that was sent at a time, and so
+	// survived all connections that were lost before.
+	RecordResponse(server *fleet.Server, sentAt time.Time)
 	// RecordSuccess records that a request completed successfully.
 	RecordSuccess(d quarantine.Digest)
 }
@@ -120,6 +123,14 @@
 	}
 }
 
+// recordResponse records that a rank responded. When a group breaks, connections to all of its ranks
+// are lost, most of which survive. Agents don't tell a restarted server from the former one.
+func (p *Pipeline) recordResponse(x *exchange, server *fleet.Server, response *Response) {
+	if server.Rank != nil && !response.Info.Trusted && p.quarantineActive() {
+		p.quarantine.RecordResponse(server, x.sentAt)
+	}
+}
+
 // recordConnectionRefused marks the server as exited if the error is a refused connection.
 func (p *Pipeline) recordConnectionRefused(server *fleet.Server, err error) {
 	if p.quarantine != nil && errors.Is(err, syscall.ECONNREFUSED) {
--- a/internal/dispatch/quarantine_test.go
+++ b/internal/dispatch/quarantine_test.go
@@ -18,6 +18,7 @@
 type fakeQuarantine struct {
 	decisions               []quarantine.Decision // one per Admit; the last one is repeated
 	connectionsLost, exited []string
+	responded               []string
 	successes               int
 	admitted, done          int
 	empty                   bool
@@ -48,6 +49,10 @@
 
 func (q *fakeQuarantine) MarkExited(server, _ string) { q.exited = append(q.exited, server) }
 
+func (q *fakeQuarantine) RecordResponse(server *fleet.Server, _ time.Time) {
+	q.responded = append(q.responded, server.ID)
+}
+
 func (q *fakeQuarantine) RecordSuccess(quarantine.Digest) { q.successes++ }
 
 // refusesConnections is a server whose process has exited.
@@ -62,6 +67,14 @@
 		return b, q
 	}
 
+	It("is told which ranks respond, since they survived the break of their group", func() {
+		for route, responded := range map[string]int{"fixed": 1, "again": 0} {
+			b, q := with(responds(http.StatusOK, ResponseInfo{Signed: true}, "id: 1\ndata: a\n\n", false))
+			Expect(b.serve(route).Failure).To(BeNil())
+			Expect(q.responded).To(HaveLen(responded))
+		}
+	})
+
 	It("refuses a quarantined request with the remaining time", func() {
 		b, q := with()
 		q.decisions = []quarantine.Decision{{
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -181,6 +181,18 @@
 	}
 }
 
+// DropLosses removes the connection losses at a server before a time, which it has survived.
+func (t *Table) DropLosses(server string, before time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for d, r := range t.requests {
+		if loss, found := r.losses[server]; found && loss.at.Before(before) {
+			delete(r.losses, server)
+			t.dropIfEmpty(d, r)
+		}
+	}
+}
+
 // MarkExited records that a server exited. It returns the evidence against the requests that
 // recently lost their connection to it.
 func (t *Table) MarkExited(server string, now time.Time) []Evidence {
