quarantine: suspects with most exits are assigned first, also to servers in backoff

After the break of a group that is often the restarted rank alone: each entry backs off from all ranks at which it lost connections, so that all suspects, and most other requests, met at one rank again.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -38,13 +38,14 @@
 
 // Choose implements Chooser. It selects the best score among a few random servers. Servers that
 // are leaving, resting, rate-limited or out of connections are never selected; servers in
-// backoff, slow ranks and unresponsive VMs only if there is no other. The same holds, for a
-// suspect request, for servers that run another suspect: a crash would count against both.
-// Ranking resting servers last isn't enough, because every entry would still send them requests.
+// backoff, slow ranks and unresponsive VMs only if there is no other. A suspect request gets the
+// server that all entries assign to it, unless that runs another suspect of this entry: a crash would
+// count against both. Ranking resting servers last isn't enough, because every entry would still send them requests.
 func (b *Balancer) Choose(now time.Time, servers []*fleet.Server, request *Request, tried []string) Choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	candidates := make([]candidate, 0, len(servers))
+	var isolating []candidate // those that a suspect may be assigned
 	total, capacity, excluded, limited, full := 0.0, 0, 0, 0, 0
 	unresponsive := b.unresponsiveServers(now, servers)
 	for _, server := range servers {
@@ -74,14 +75,16 @@
 		if unresponsive[server.Key()] || (request.Suspect && s.suspectsInFlight > 0) {
 			score += slowPenalty
 		}
-		candidates = append(candidates, candidate{server: server, state: s, load: load, score: score})
+		c := candidate{server: server, state: s, load: load, score: score}
+		candidates = append(candidates, c)
+		shared := s.suspectsInFlight > 0 && len(request.Isolation.Exited) < 2 // two exits need a decision first
+		if request.Suspect && !unresponsive[server.Key()] && !shared {
+			isolating = append(isolating, c)
+		}
 	}
-	healthy := healthyCandidates(candidates)
-	var best Choice
-	if request.Suspect {
-		best = isolated(healthy, servers, request.Isolation).choice(now)
-	} else {
-		best = b.bestByZone(healthy).choice(now)
+	best := isolated(isolating, servers, request.Isolation).choice(now)
+	if best.Server == nil {
+		best = b.bestByZone(healthyCandidates(candidates)).choice(now)
 	}
 	best.Unresponsive, best.Excluded, best.Limited, best.Full = len(unresponsive), excluded, limited, full
 	if capacity > 0 {
@@ -132,8 +135,12 @@
 }
 
 // isolated returns the candidate that comes first in a suspect's order of all servers, or the zero
-// candidate if there is none.
+// candidate if there is none. Servers in backoff count: after the break of a group these are all
+// ranks but the restarted one, which would get all suspects.
 func isolated(candidates []candidate, servers []*fleet.Server, isolation quarantine.Isolation) candidate {
+	if len(candidates) == 0 {
+		return candidate{}
+	}
 	var keys []string
 	for _, server := range servers {
 		if !server.Leaving {
--- a/internal/dispatch/quarantine_test.go
+++ b/internal/dispatch/quarantine_test.go
@@ -173,6 +173,9 @@
 		b := newFixture()
 		servers := b.fleet.Servers().OfService("plain")
 		chosen := map[string]bool{}
+		for _, server := range servers[1:] { // as after the break of a group
+			b.balancer.RecordFailure(server.Key(), b.now)
+		}
 		for index := range servers {
 			suspect := &Request{Suspect: true, Isolation: quarantine.Isolation{Index: index}}
 			choice := b.balancer.Choose(b.now, servers, suspect, nil)
--- a/internal/quarantine/isolation.go
+++ b/internal/quarantine/isolation.go
@@ -9,7 +9,8 @@
 // next exit shows which of the requests that shared the last one causes them. Daemons with the same
 // evidence assign different servers to different requests without asking each other.
 type Isolation struct {
-	// Index is the request's position among those that were in progress at the last exit.
+	// Index is the request's position among those that were in progress at its last exit. Those with
+	// more exits come first, so that these have servers of their own even if there are few.
 	Index int
 	// Exited are the servers that exited while running the request.
 	Exited []string
@@ -50,9 +51,17 @@
 		}
 	}
 	for other, o := range t.requests {
-		if _, shared := o.exits[last]; shared && bytes.Compare(other[:], d[:]) < 0 {
+		if _, shared := o.exits[last]; shared && precedes(other, o, d, len(servers)) {
 			found.Index++
 		}
 	}
 	return found
 }
+
+// precedes reports whether a request comes before one with the given digest and number of exits.
+func precedes(other Digest, o *request, d Digest, exits int) bool {
+	if n := len(o.exitedServers()); n != exits {
+		return n > exits
+	}
+	return bytes.Compare(other[:], d[:]) < 0
+}
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -92,6 +92,13 @@
 		}
 		Expect(assigned).To(HaveLen(sharing))
 		Expect(ofTwo).To(HaveLen(2))
+		for n := range 2 {
+			table.RecordConnectionLoss(digest(n), info, "c", start.Add(2*time.Second))
+		}
+		table.MarkExited("c", start.Add(2*time.Second))
+		settled := start.Add(3 * time.Second)
+		Expect([]int{table.Decision(digest(0), settled).Isolation.Index, table.Decision(digest(1), settled).Isolation.Index}).
+			To(ConsistOf(0, 1), "those that share both exits come first")
 		Expect(table.Decision(digest(0), start).Isolation.Order(nil)).To(BeEmpty())
 	})
 
