--- a/internal/crash/refresh.go
+++ b/internal/crash/refresh.go
@@ -47,26 +47,42 @@
 	now := det.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now.Sub(r.pulledAt) <= maxPullAge {
+	if r.isCurrent(now) {
 		return false
 	}
-	if r.startedAt.IsZero() {
-		r.startedAt = now
+	if r.begin(now) {
 		det.afterFunc(0, func() { det.refresh(context.Background()) })
 	}
 	return now.Sub(r.startedAt) < refreshTimeout
 }
 
 // RecordPull records a pull from a peer, successful or not. If the evidence was outdated before, it
-// refreshes it first.
+// refreshes it first, unless that is in progress.
 func (det *Detector) RecordPull(ctx context.Context) {
-	if det.outdated() {
+	r, now := &det.refresher, det.now()
+	r.mu.Lock()
+	current := r.pull == nil || r.isCurrent(now)
+	begun := !current && r.begin(now)
+	if current {
+		r.pulledAt = now
+	}
+	r.mu.Unlock()
+	if begun {
 		det.refresh(ctx)
-		return
 	}
-	det.refresher.mu.Lock()
-	defer det.refresher.mu.Unlock()
-	det.refresher.pulledAt = det.now()
+}
+
+// isCurrent reports whether the evidence was pulled recently. The caller holds mu.
+func (r *refresher) isCurrent(now time.Time) bool { return now.Sub(r.pulledAt) <= maxPullAge }
+
+// begin reports whether the caller has to refresh, since no refresh is in progress. The caller holds
+// mu.
+func (r *refresher) begin(now time.Time) bool {
+	if !r.startedAt.IsZero() {
+		return false
+	}
+	r.startedAt = now
+	return true
 }
 
 // refresh pulls evidence from several peers.
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -39,8 +39,9 @@
 // Choose implements Chooser. It selects the best score among a few random servers. Servers that
 // are leaving, resting, rate-limited or out of connections are never selected; servers in
 // backoff, slow ranks and unresponsive VMs only if there is no other. A suspect request gets the
-// server that all entries assign to it, unless that runs another suspect of this entry: a crash would
-// count against both. Ranking resting servers last isn't enough, because every entry would still send them requests.
+// server that all entries assign to it, unless that runs another suspect of this entry: a crash
+// would count against both. Ranking resting servers last isn't enough, because every entry would
+// still send them requests.
 func (b *Balancer) Choose(now time.Time, servers []*fleet.Server, request *Request, tried []string) Choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -77,8 +78,7 @@
 		}
 		c := candidate{server: server, state: s, load: load, score: score}
 		candidates = append(candidates, c)
-		shared := s.suspectsInFlight > 0 && len(request.Isolation.Exited) < 2 // two exits need a decision first
-		if request.Suspect && !unresponsive[server.Key()] && !shared {
+		if request.Suspect && !unresponsive[server.Key()] && mayIsolate(now, c, request.Isolation) {
 			isolating = append(isolating, c)
 		}
 	}
@@ -134,9 +134,19 @@
 	return candidates[:healthy]
 }
 
+// mayIsolate reports whether a candidate may be assigned to a suspect request. Ranks in backoff may:
+// after the break of a group these are all but the restarted one, which would get all suspects. So
+// may servers with another suspect, if the request has exits at several servers: the few of these
+// are assigned different servers, and moving one would bring it to another's.
+func mayIsolate(now time.Time, c candidate, isolation quarantine.Isolation) bool {
+	if c.server.Rank == nil && now.Before(c.state.backoffUntil) {
+		return false
+	}
+	return c.state.suspectsInFlight == 0 || len(isolation.Exited) > 1
+}
+
 // isolated returns the candidate that comes first in a suspect's order of all servers, or the zero
-// candidate if there is none. Servers in backoff count: after the break of a group these are all
-// ranks but the restarted one, which would get all suspects.
+// candidate if there is none.
 func isolated(candidates []candidate, servers []*fleet.Server, isolation quarantine.Isolation) candidate {
 	if len(candidates) == 0 {
 		return candidate{}
--- a/internal/platformdaemon/entry.go
+++ b/internal/platformdaemon/entry.go
@@ -306,12 +306,20 @@
 
 // pull pulls changes from another entry.
 func (e *EntryDaemon) pull(ctx context.Context, peer string) {
-	if err := e.exchange.Pull(ctx, peer); err != nil {
-		e.log.WithError(err).WithField("peer", peer).Debug("peer unreachable")
-	}
+	e.logUnreachable(peer, e.exchange.Pull(ctx, peer))
 }
 
-// pullFromSeveral pulls changes from several entries at once.
+// pullFromSeveral pulls changes from several entries at once, without the configuration, which may
+// be large.
 func (e *EntryDaemon) pullFromSeveral(ctx context.Context) {
-	crash.RefreshFrom(e.exchange.Peers(), func(peer string) { e.pull(ctx, peer) })
+	crash.RefreshFrom(e.exchange.Peers(), func(peer string) {
+		e.logUnreachable(peer, e.exchange.PullServers(ctx, peer))
+	})
+}
+
+// logUnreachable logs a failed call to another entry.
+func (e *EntryDaemon) logUnreachable(peer string, err error) {
+	if err != nil {
+		e.log.WithError(err).WithField("peer", peer).Debug("peer unreachable")
+	}
 }
