--- a/standins/soak/soak_test.go
+++ b/standins/soak/soak_test.go
@@ -14,6 +14,7 @@
 }{
 	{424, "the port of a restarting entry was in use, probably by another run that shared the port range"},
 	{710, "an entry read past the end of a log that was restored from a backup shorter than what it had read"},
+	{33, "two crashes of a server within two seconds counted as one, and a restarted entry ran what its peers had quarantined"},
 	{10, "the drain timeout was shorter than the deadline of requests: requests whose responses were lost were aborted"},
 }
 
