replica: log what is compared after a return of the store, and each change that is appended again

The entries' logs told where the log ended and how much was lost, but not with which records the log was compared, nor whether a change that the carried state lacks was appended again, nor whether it was then rejected, so that the hypotheses on the list couldn't be told apart:

1. no daemon had read the change before the store came back; 2. the copy is older than the last carry-over, so that nothing on it can be compared and older records are applied over the state; 3. the change is appended again and rejected.

The line of a carry-over now has the log's first position, from which position how many records were compared, and the last offset in common. A change that is appended again has one line with its command and position, and one with its result once that is read back.

--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -117,7 +117,7 @@
 }
 
 func (r *Replica) readOnce(ctx context.Context, source Source, wait time.Duration, log *logrus.Entry) (time.Duration, error) {
-	if err := r.reappendMissing(ctx, source); err != nil {
+	if err := r.reappendMissing(ctx, source, log); err != nil {
 		return 0, err
 	}
 	batch, err := source.Records(ctx, r.Position(), wait)
@@ -129,7 +129,9 @@
 		r.readTrust.Revoke(r.now())
 		return batch.LogAge, r.catchUp(ctx, source, log)
 	}
-	return batch.LogAge, r.Apply(batch)
+	err = r.Apply(batch)
+	r.logReappended(log)
+	return batch.LogAge, err
 }
 
 // catchUp installs a snapshot from a source that no longer has the next record. If the source is
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -48,6 +48,8 @@
 	recent []config.LogEntry
 	// priorEraChanges holds changes that were applied in prior eras of the log.
 	priorEraChanges []config.RecentChange
+	// reappended holds the commands of changes that were appended again and not read back yet.
+	reappended []string
 	// viewHeldUntil is the time until which the view isn't replaced by one without priorEraChanges.
 	viewHeldUntil time.Time
 	changed       chan struct{}
--- a/internal/replica/restore.go
+++ b/internal/replica/restore.go
@@ -49,7 +49,13 @@
 		return true, r.enterEra(first-1, entries)
 	}
 	common := r.lastCommonOffset(entries, first)
-	logger.WithField("lost", known.Offset()-common).Warn("configuration log restored from an older copy: carrying the state over")
+	r.mu.Lock()
+	compared := len(r.recent)
+	r.mu.Unlock()
+	logger.WithFields(logrus.Fields{
+		"first": first.String(), "compared_from": (known - storelog.Position(compared) + 1).String(), "compared": compared,
+		"common": common, "lost": known.Offset() - common,
+	}).Warn("configuration log restored from an older copy: carrying the state over")
 	return true, r.writeRestore(ctx, log, entries[common+1-first.Offset():], end)
 }
 
@@ -154,7 +160,7 @@
 
 // reappendMissing appends missing changes if the source is the log. Each change takes effect once,
 // however many daemons append it.
-func (r *Replica) reappendMissing(ctx context.Context, source Source) error {
+func (r *Replica) reappendMissing(ctx context.Context, source Source, logger *logrus.Entry) error {
 	s, ok := source.(LogSource)
 	if !ok {
 		return nil
@@ -163,9 +169,32 @@
 	missing := r.missingChanges()
 	r.mu.Unlock()
 	for _, change := range missing {
-		if _, err := s.Log.Append(ctx, change.Data); err != nil {
+		at, err := s.Log.Append(ctx, change.Data)
+		if err != nil {
 			return err
 		}
+		r.mu.Lock()
+		r.reappended = append(r.reappended, change.Command)
+		r.mu.Unlock()
+		logger.WithFields(logrus.Fields{"command": change.Command, "position": at.String()}).Warn("change that the restored log lacks: appended again")
 	}
 	return nil
 }
+
+// logReappended logs the results of changes that were appended again and have been read back.
+func (r *Replica) logReappended(logger *logrus.Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var pending []string
+	for _, command := range r.reappended {
+		result, known := r.state.Results[command]
+		if !known {
+			pending = append(pending, command)
+			continue
+		}
+		logger.WithFields(logrus.Fields{
+			"command": command, "position": storelog.Position(result.Offset).String(), "accepted": result.Accepted, "reason": result.Reason,
+		}).Warn("result of a change that was appended again")
+	}
+	r.reappended = pending
+}
