replica: changes that a restored log lacks are repeated in order, however long it takes

A daemon that knew fewer changes carries its state over, and those that knew more append theirs again. Each got another revision than it had, so the condition of the next one, that revision, didn't hold any more, and it was rejected. Forced changes (on any revision) were accepted even over a later change. And what couldn't be appended within 5 s, the time for which the view is held, was dropped.

Those that are missing are appended together, on condition that the log ends at the replica's state: so each is evaluated against the state for which its condition was written, one daemon appends them instead of each, and its outcome is known and logged. A change applies unless a later one of the object is in force; which is later is told by where both were first accepted, which the record now carries along with the era for which it was written (if the store returns once more before it's added, it has no effect). Earlier releases ignore both fields and apply the record with the same result; only where it reaches a newer era they evaluate it.

Tests, each failed before: TestRepeatedChangesOfOneObjectKeepTheirOrder, TestRepeatedForcedChangeDoesNotReplaceLaterOne, TestChangeIsRepeatedAfterLongOutage.

--- a/internal/config/applied.go
+++ b/internal/config/applied.go
@@ -25,13 +25,12 @@
 	return xxhash.Sum64(append(binary.BigEndian.AppendUint64(nil, uint64(offset)), digest...))
 }
 
-// recordApplied adds a record to those that the state contains.
+// recordApplied adds the record at the state's position to those that the state contains.
 func (s *State) recordApplied(entry LogEntry) {
-	id, ok := entry.identity()
-	if !ok {
+	if len(entry.Data) == 0 {
 		return
 	}
-	s.Applied = binary.BigEndian.AppendUint64(s.Applied, id)
+	s.Applied = binary.BigEndian.AppendUint64(s.Applied, identify(entry.Position.Offset(), s.Last))
 	if len(s.Applied) > 2*maxApplied*appliedSize {
 		s.Applied = slices.Clone(s.Applied[len(s.Applied)-maxApplied*appliedSize:])
 	}
--- a/internal/config/homes.go
+++ b/internal/config/homes.go
@@ -17,7 +17,7 @@
 func (s *State) recordHomesChanges(bundle *Bundle, entry LogEntry) {
 	changed := map[string]bool{}
 	for _, change := range bundle.Changes {
-		before := s.Objects[string(change.Kind)+"/"+change.Name]
+		before := s.Objects[change.objectID()]
 		for _, service := range servicesWithChangedHomes(before, change.Object) {
 			changed[service] = true
 		}
--- a/internal/config/merge.go
+++ b/internal/config/merge.go
@@ -13,7 +13,8 @@
 type Merged struct {
 	// Recognizable is the number of records that the state recognizes on a log.
 	Recognizable int
-	// Contained is the number of records, from the first on, that the state had already.
+	// Contained is the number of records, from the first on, that the state had already or that a
+	// state carried over into a later era replaces.
 	Contained int
 	// Applied is the number of records that were applied to the state.
 	Applied int
@@ -33,28 +34,35 @@
 	merged := Merged{Recognizable: len(s.Applied) / appliedSize, Contained: s.containedPrefix(log)}
 	if merged.Contained == 0 {
 		if i := findRestoreAfter(log, era); i >= 0 {
-			merged.Contained = i // replaced by the state that was carried over
+			merged.Contained = i
 		} else if first.Offset() > 0 && !force {
 			return merged, ErrNoOverlap
 		}
 	}
 	s.EnterEra(first + storelog.Position(merged.Contained) - 1)
 	for _, entry := range log[merged.Contained:] {
-		record, err := DecodeRecord(entry.Data)
-		if err == nil && record.Restore != nil && record.Restore.Era <= era {
-			s.advance(entry)
-			s.recordApplied(entry)
-			merged.Superseded++
-			continue
-		}
-		if err := s.Apply(entry); err != nil {
-			return merged, err
-		}
-		merged.Applied++
+		s.mergeEntry(entry, era, &merged)
 	}
 	return merged, nil
 }
 
+// mergeEntry merges one record into a state of a prior era.
+func (s *State) mergeEntry(entry LogEntry, prior int64, merged *Merged) {
+	s.advance(entry)
+	defer s.recordApplied(entry)
+	record, _ := decodeSupported(entry.Data)
+	switch {
+	case record == nil:
+		s.applyData(entry) // counts it
+	case record.Restore != nil && record.Restore.Era <= prior:
+		merged.Superseded++
+		return
+	default:
+		s.applyRecord(record, entry)
+	}
+	merged.Applied++
+}
+
 // findRestoreAfter returns the index of the first part of the last state that was carried over into
 // an era after the given one, or -1.
 func findRestoreAfter(log []LogEntry, era int64) int {
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -51,6 +51,18 @@
 	Agent   *AgentEvent  `json:"agent,omitempty"`
 	Event   *Event       `json:"event,omitempty"`
 	Restore *RestorePart `json:"restore,omitempty"`
+	// Repeat is set for a change of a prior era of the log that is repeated.
+	Repeat *Repeat `json:"repeat,omitempty"`
+}
+
+// Repeat describes a change that is repeated in another era of the log.
+type Repeat struct {
+	// Era is the era for which the change was written. If the log has reached a newer one when the
+	// change is added, the change has no effect, since its condition is that of another state.
+	Era int64 `json:"era"`
+	// First is the revision that the change gave its objects when it was first accepted. It orders
+	// changes of prior eras.
+	First int64 `json:"first"`
 }
 
 // Event adds an entry about an action of a daemon to the audit trail. It changes nothing else.
@@ -86,6 +98,8 @@
 	ExpectedRevision int64 `json:"expectedRevision"`
 }
 
+func (c Change) objectID() string { return string(c.Kind) + "/" + c.Name }
+
 // LogEntry is an encoded record with its position and its writer's timestamp.
 type LogEntry struct {
 	Position storelog.Position
--- a/internal/config/restore.go
+++ b/internal/config/restore.go
@@ -85,15 +85,19 @@
 )
 
 func (s *State) appendRecentChange(change RecentChange) {
-	s.RecentChanges = append(s.RecentChanges, change)
+	s.RecentChanges = newestChanges(append(s.RecentChanges, change), func(c RecentChange) RecentChange { return c })
+}
+
+// newestChanges returns the newest changes within the limits.
+func newestChanges[T any](changes []T, recent func(T) RecentChange) []T {
 	size := 0
-	for i := len(s.RecentChanges) - 1; i >= 0; i-- {
-		size += len(s.RecentChanges[i].Data)
-		if len(s.RecentChanges)-i > maxRecentChanges || size > maxRecentChangesBytes {
-			s.RecentChanges = slices.Clone(s.RecentChanges[i+1:])
-			return
+	for i := len(changes) - 1; i >= 0; i-- {
+		size += len(recent(changes[i]).Data)
+		if len(changes)-i > maxRecentChanges || size > maxRecentChangesBytes {
+			return slices.Clone(changes[i+1:])
 		}
 	}
+	return changes
 }
 
 // EnterEra continues in another era of the log after a known position.
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -99,18 +99,30 @@
 func (s *State) advance(entry LogEntry) { s.Position, s.Last = entry.Position, entry.Digest() }
 
 func (s *State) applyData(entry LogEntry) {
-	record, err := DecodeRecord(entry.Data)
-	if err != nil || record.Format < 1 {
-		s.countSkipped("undecodable", entry.storedOffset())
+	record, skipped := decodeSupported(entry.Data)
+	if record == nil {
+		s.countSkipped(skipped, entry.storedOffset())
 		return
 	}
-	if record.Format > newestFormat {
-		s.countSkipped(record.Kind, entry.storedOffset())
+	if record.Repeat != nil && record.Repeat.Era != entry.Position.Era() {
 		return
 	}
 	s.applyRecord(record, entry)
 }
 
+// decodeSupported decodes a record. It returns nil and the kind to be counted if the record can't be
+// decoded or this release doesn't support its format.
+func decodeSupported(data []byte) (*Record, RecordKind) {
+	record, err := DecodeRecord(data)
+	if err != nil || record.Format < 1 {
+		return nil, "undecodable"
+	}
+	if record.Format > newestFormat {
+		return nil, record.Kind
+	}
+	return record, ""
+}
+
 func (s *State) applyRecord(record *Record, entry LogEntry) {
 	switch {
 	case record.Kind == RecordChange && record.Bundle != nil:
@@ -139,7 +151,7 @@
 }
 
 func (s *State) applyBundle(bundle *Bundle, entry LogEntry) {
-	if _, seen := s.Results[bundle.CommandID]; seen {
+	if s.hasResult(bundle.CommandID) {
 		return
 	}
 	reason := s.Check(bundle)
@@ -164,7 +176,7 @@
 func (b *Bundle) objectIDs() []string {
 	ids := make([]string, 0, len(b.Changes))
 	for _, change := range b.Changes {
-		ids = append(ids, string(change.Kind)+"/"+change.Name)
+		ids = append(ids, change.objectID())
 	}
 	return ids
 }
@@ -191,7 +203,7 @@
 }
 
 func (s *State) checkChange(change Change) error {
-	id := string(change.Kind) + "/" + change.Name
+	id := change.objectID()
 	current := s.Objects[id]
 	if err := checkRevision(id, current, change.ExpectedRevision); err != nil {
 		return err
@@ -214,8 +226,6 @@
 	}
 	revision := int64(0)
 	if current != nil {
-		// A revision is the offset + 1: offsets start at 0, and revision 0 means that the object
-		// doesn't exist.
 		revision = current.Revision
 	}
 	if revision != expected {
@@ -224,23 +234,32 @@
 	return nil
 }
 
+// revisionAt returns the revision of objects that the change at an offset sets. Offsets start at 0,
+// and revision 0 means that the object doesn't exist.
+func revisionAt(offset int64) int64 { return offset + 1 }
+
 func (s *State) commit(bundle *Bundle, offset int64) {
 	if s.shared {
 		s.Objects = maps.Clone(s.Objects)
 		s.shared = false
 	}
 	for _, change := range bundle.Changes {
-		id := string(change.Kind) + "/" + change.Name
+		id := change.objectID()
 		if change.Object == nil {
 			delete(s.Objects, id)
 			continue
 		}
 		object := *change.Object
-		object.Revision = offset + 1
+		object.Revision = revisionAt(offset)
 		s.Objects[id] = &object
 	}
 }
 
+func (s *State) hasResult(commandID string) bool {
+	_, known := s.Results[commandID]
+	return known
+}
+
 func (s *State) recordResult(commandID string, result Result) {
 	s.Results[commandID] = result
 	s.CommandOrder = append(s.CommandOrder, commandID)
@@ -274,7 +293,7 @@
 }
 
 func (o *overlay) set(change Change) bool {
-	id := string(change.Kind) + "/" + change.Name
+	id := change.objectID()
 	_, duplicate := o.changed[id]
 	o.changed[id] = change.Object
 	return !duplicate
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -117,9 +117,8 @@
 }
 
 func (r *Replica) readOnce(ctx context.Context, source Source, wait time.Duration, log *logrus.Entry) (time.Duration, error) {
-	if err := r.reappendMissing(ctx, source, log); err != nil {
-		return 0, err
-	}
+	defer r.logRejected(log)
+	r.repeatMissing(ctx, source, log)
 	batch, err := source.Records(ctx, r.Position(), wait)
 	if err != nil {
 		r.readTrust.Revoke(r.now())
@@ -129,9 +128,7 @@
 		r.readTrust.Revoke(r.now())
 		return batch.LogAge, r.catchUp(ctx, source, log)
 	}
-	err = r.Apply(batch)
-	r.logReappended(log)
-	return batch.LogAge, err
+	return batch.LogAge, r.Apply(batch)
 }
 
 // catchUp installs a snapshot from a source that no longer has the next record. If the source is
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -46,11 +46,11 @@
 	state *config.State
 	// recent holds records of the state's era, up to its position.
 	recent []config.LogEntry
-	// priorEraChanges holds changes that were applied in prior eras of the log.
-	priorEraChanges []config.RecentChange
-	// reappended holds the commands of changes that were appended again and not read back yet.
-	reappended []string
-	// viewHeldUntil is the time until which the view isn't replaced by one without priorEraChanges.
+	// retained holds changes that were applied in prior eras of the log and that the state lacks.
+	retained config.RetainedChanges
+	// rejected holds changes of prior eras that the state has as rejected, until they are logged.
+	rejected []config.RepeatedChange
+	// viewHeldUntil is the time until which the view isn't replaced by one without retained changes.
 	viewHeldUntil time.Time
 	changed       chan struct{}
 	confirmed     time.Time // when the end of the log was last read
@@ -103,6 +103,9 @@
 		if entry.Position <= r.state.Position {
 			continue
 		}
+		if entry.StartsRestore() {
+			r.retainChanges() // the state is replaced
+		}
 		if err := r.state.Apply(entry); err != nil {
 			return err
 		}
@@ -119,7 +122,8 @@
 	if state.Position <= r.state.Position {
 		return false
 	}
-	r.leaveEra()
+	r.retainChanges()
+	r.recent = nil
 	r.state = state
 	r.publish()
 	return true
@@ -133,8 +137,8 @@
 }
 
 func (r *Replica) publish() {
-	if len(r.missingChanges()) == 0 || !r.now().Before(r.viewHeldUntil) {
-		r.priorEraChanges = nil
+	r.rejected = append(r.rejected, r.retained.Settle(r.state)...)
+	if !r.retained.Missing(r.state) || !r.now().Before(r.viewHeldUntil) {
 		r.view.Store(r.state.View())
 	}
 	close(r.changed)
--- a/internal/replica/restore.go
+++ b/internal/replica/restore.go
@@ -108,27 +108,26 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.confirmEnd(0)
-	r.leaveEra()
+	r.recent = nil
 	r.state.EnterEra(known)
 	err := r.apply(entries)
 	r.publish()
 	return err
 }
 
-// leaveEra retains the changes of the current era before the replica leaves it. The view keeps them
-// for viewHold even if the replica can't write them to the log again.
-func (r *Replica) leaveEra() {
+// retainChanges retains the changes of the state before it is replaced. The view keeps them for
+// viewHold even if the replica can't write them to the log again.
+func (r *Replica) retainChanges() {
 	r.viewHeldUntil = r.now().Add(viewHold)
 	time.AfterFunc(viewHold, r.releaseView)
-	r.priorEraChanges = append(r.priorEraChanges, r.state.RecentChanges...)
-	r.recent = nil
+	r.retained.Retain(r.state)
 }
 
 // releaseView replaces a view that was held.
 func (r *Replica) releaseView() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.priorEraChanges) > 0 && !r.now().Before(r.viewHeldUntil) {
+	if r.retained.Missing(r.state) && !r.now().Before(r.viewHeldUntil) {
 		r.publish()
 	}
 }
@@ -144,55 +143,71 @@
 	return err
 }
 
-// missingChanges returns the changes of prior eras that the state lacks, because a daemon without
-// them carried its state over.
-func (r *Replica) missingChanges() []config.RecentChange {
-	var missing []config.RecentChange
-	for _, change := range r.priorEraChanges {
-		if _, known := r.state.Results[change.Command]; !known {
-			missing = append(missing, change)
-		}
-	}
-	return missing
-}
-
-// reappendMissing appends missing changes if the source is the log. Each change takes effect once,
-// however many daemons append it.
-func (r *Replica) reappendMissing(ctx context.Context, source Source, logger *logrus.Entry) error {
+// repeatMissing appends the retained changes that the state lacks, because a daemon without them
+// carried its state over. They are appended directly after the state, so that each is based on what
+// is in force and has the result that the state predicts. If the log has newer records or can't be
+// reached, they are appended after a later read.
+func (r *Replica) repeatMissing(ctx context.Context, source Source, logger *logrus.Entry) {
 	s, ok := source.(LogSource)
 	if !ok {
-		return nil
+		return
 	}
+	repeated, end, err := r.missingChanges()
+	if err == nil && len(repeated) == 0 {
+		return
+	}
+	records := make([][]byte, len(repeated))
+	for i, change := range repeated {
+		records[i] = change.Data
+	}
+	appended := false
+	if err == nil {
+		appended, err = s.Log.AppendAt(ctx, end, records)
+	}
+	if !appended {
+		logger.WithFields(logrus.Fields{"changes": len(repeated), "end": end.String(), logrus.ErrorKey: err}).
+			Info("changes that the restored log lacks: not appended, will retry after the next read")
+		return
+	}
+	for _, change := range repeated {
+		logOutcome(logger, change).Warn("change that the restored log lacks: appended again")
+	}
+}
+
+// logOutcome returns a logger with the outcome of a change of a prior era.
+func logOutcome(logger *logrus.Entry, change config.RepeatedChange) *logrus.Entry {
+	return logger.WithFields(logrus.Fields{
+		"command": change.Command, "prior": change.Prior.String(), "position": storelog.Position(change.Result.Offset).String(),
+		"accepted": change.Result.Accepted, "reason": change.Result.Reason,
+	})
+}
+
+// logRejected logs the changes of prior eras that the state of the current era has as rejected.
+func (r *Replica) logRejected(logger *logrus.Entry) {
 	r.mu.Lock()
-	missing := r.missingChanges()
+	rejected := r.rejected
+	r.rejected = nil
 	r.mu.Unlock()
-	for _, change := range missing {
-		at, err := s.Log.Append(ctx, change.Data)
-		if err != nil {
-			return err
-		}
-		r.mu.Lock()
-		r.reappended = append(r.reappended, change.Command)
-		r.mu.Unlock()
-		logger.WithFields(logrus.Fields{"command": change.Command, "position": at.String()}).Warn("change that the restored log lacks: appended again")
+	for _, change := range rejected {
+		logOutcome(logger, change).Warn("accepted change of a prior era is rejected in this one")
 	}
-	return nil
 }
 
-// logReappended logs the results of changes that were appended again and have been read back.
-func (r *Replica) logReappended(logger *logrus.Entry) {
+// missingChanges returns the retained changes that the state lacks, for the log that ends at the
+// position after the state.
+func (r *Replica) missingChanges() ([]config.RepeatedChange, storelog.Position, error) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	var pending []string
-	for _, command := range r.reappended {
-		result, known := r.state.Results[command]
-		if !known {
-			pending = append(pending, command)
-			continue
-		}
-		logger.WithFields(logrus.Fields{
-			"command": command, "position": storelog.Position(result.Offset).String(), "accepted": result.Accepted, "reason": result.Reason,
-		}).Warn("result of a change that was appended again")
+	if !r.retained.Missing(r.state) {
+		r.mu.Unlock()
+		return nil, 0, nil
+	}
+	end := r.state.Position + 1
+	retained := r.retained
+	state, err := r.state.Clone()
+	r.mu.Unlock()
+	if err != nil {
+		return nil, end, err
 	}
-	r.reappended = pending
+	repeated, err := retained.Repeat(state)
+	return repeated, end, err
 }
--- a/internal/replica/restored_log_test.go
+++ b/internal/replica/restored_log_test.go
@@ -249,3 +249,50 @@
 	settle(t, log, earlier)
 	requireWeight(t, 3, earlier)
 }
+
+// A daemon that knew fewer changes carried its state over; the others repeat theirs.
+func TestRepeatedChangesOfOneObjectKeepTheirOrder(t *testing.T) {
+	log, behind, ahead := newEraLog(), New(time.Now), New(time.Now)
+	acceptWeight(t, log, 1, ahead, behind)
+	log.takeCopy()
+	acceptWeight(t, log, 2, ahead)
+	acceptWeight(t, log, 3, ahead)
+	log.restoreCopy()
+	settle(t, log, behind)
+	settle(t, log, ahead, behind)
+	requireWeight(t, 3, ahead, behind)
+	acceptWeight(t, log, 4, ahead, behind)
+	requireWeight(t, 4, ahead, behind)
+}
+
+// A change on any revision that comes back late must not replace a later one.
+func TestRepeatedForcedChangeDoesNotReplaceLaterOne(t *testing.T) {
+	log, paused, other := newEraLog(), New(time.Now), New(time.Now)
+	acceptWeight(t, log, 1, paused, other)
+	log.takeCopy()
+	mustAppend(t, log, encodeWeight(t, sentCommand{id: "forced", customer: "c", weight: 2}, config.AnyRevision))
+	settle(t, log, paused)
+	log.restoreCopy()
+	settle(t, log, other)
+	acceptWeight(t, log, 3, other)
+	settle(t, log, paused, other)
+	requireWeight(t, 3, paused, other)
+}
+
+// The store is unreachable for longer than the view keeps what the log lacks.
+func TestChangeIsRepeatedAfterLongOutage(t *testing.T) {
+	now := time.Unix(1000, 0)
+	log, behind, ahead := newEraLog(), New(time.Now), New(func() time.Time { return now })
+	acceptWeight(t, log, 1, ahead, behind)
+	log.takeCopy()
+	acceptWeight(t, log, 2, ahead)
+	log.restoreCopy()
+	settle(t, log, behind)
+	if _, err := ahead.followOnce(context.Background(), LogSource{Log: log}, testLogger()); err != nil { // enters the era
+		t.Fatal(err)
+	}
+	now = now.Add(2 * viewHold)
+	ahead.releaseView()
+	settle(t, log, ahead, behind)
+	requireWeight(t, 2, ahead, behind)
+}
