config: a state that is carried over late doesn't replace that of a newer era

A daemon appends its state on condition of the log's end, which is an offset. If the store returns from an older copy meanwhile and the log has that end again, the records are added in the next era, late ones also after another state was carried over into it. All replicas then went back to the older state, and accepted changes were lost.

A state knows the newest era into which it was carried over, and ignores those for earlier ones. The hash doesn't cover the new field, as with Applied.

--- a/internal/config/restore.go
+++ b/internal/config/restore.go
@@ -114,8 +114,12 @@
 }
 
 // applyRestore collects the parts of a state and replaces the current state after the last one. A
-// state that can't be decoded is skipped.
+// state that can't be decoded is skipped, and one for an era before that of the last one is ignored:
+// the log reached a newer era before it was added.
 func (s *State) applyRestore(restore *RestorePart, entry LogEntry) {
+	if restore.Era < s.CarriedInto {
+		return
+	}
 	if restore.Part == 0 {
 		s.PartialRestore = nil
 	}
@@ -130,7 +134,7 @@
 		return
 	}
 	restored.Position, restored.Last, restored.PartialRestore = s.Position, s.Last, nil
-	restored.Configured = entry.storedOffset()
+	restored.Configured, restored.CarriedInto = entry.storedOffset(), restore.Era
 	*s = *restored
 	s.appendAudit(AuditEntry{
 		Offset: entry.storedOffset(), TimeMs: entry.TimeMs, Actor: restoreActor, Action: AuditRestore, Accepted: true,
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -34,6 +34,8 @@
 	// Applied holds digests of the newest applied records, oldest first, by which a copy of the log
 	// is compared with the state. It is empty in snapshots of earlier releases.
 	Applied []byte `json:"applied,omitempty"`
+	// CarriedInto is the newest era into which the state was carried over, or 0.
+	CarriedInto int64 `json:"carriedInto,omitempty"`
 	// Configured is the offset of the last accepted change.
 	Configured int64 `json:"configured"`
 
@@ -269,11 +271,11 @@
 	}
 }
 
-// Hash returns the SHA-256 of the state in hex. It doesn't cover Applied, which earlier releases
-// don't have.
+// Hash returns the SHA-256 of the state in hex. It doesn't cover Applied and CarriedInto, which
+// earlier releases don't have.
 func (s *State) Hash() string {
 	hashed := *s
-	hashed.Applied = nil
+	hashed.Applied, hashed.CarriedInto = nil, 0
 	data, err := json.Marshal(&hashed)
 	if err != nil {
 		return fmt.Sprintf("unencodable: %v", err)
--- a/internal/replica/restored_log_test.go
+++ b/internal/replica/restored_log_test.go
@@ -240,7 +240,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	state.Applied = nil
+	state.Applied, state.CarriedInto = nil, 0
 	earlier := New(time.Now)
 	if !earlier.InstallState(state) {
 		t.Fatal("not installed")
