config: a copied log's conditional changes are evaluated as in the era they were written in

A revision is a position, and a copied record lies at another one in each era. A daemon that lacked records of the copy (paused, or started without a persisted state) applied them at their new positions, so that a change on condition of the revision of one before it was rejected, and carried this over over the others, that had accepted it. And a change that a daemon which had just started accepted, before anybody had carried the state over, was rejected where it conflicted with one that the store had lost.

A daemon without records that finds conditions of a prior era starts from the persisted state if there is one, and carries over.

--- a/internal/replica/restore.go
+++ b/internal/replica/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/config"
@@ -47,7 +48,12 @@
 		if first.Offset() > 0 {
 			return false, nil
 		}
-		return true, r.enterEra(first-1, entries)
+		if !config.ExpectsPriorEra(entries) {
+			return true, r.enterEra(first-1, entries)
+		}
+		if installed, err := r.installSaved(ctx, log); installed || err != nil {
+			return installed, err
+		}
 	}
 	logger = logger.WithField("first", first.String())
 	state, merged, err := r.merge(entries, first, false)
@@ -62,7 +68,7 @@
 		return false, err
 	}
 	logger.WithFields(logrus.Fields{
-		"recognizable": merged.Recognizable, "contained": merged.Contained, "superseded": merged.Superseded, "applied": merged.Applied,
+		"recognizable": merged.Recognizable, "contained": merged.Contained, "superseded": merged.Superseded, "applied": merged.Applied, "undecided": strings.Join(merged.Undecided, " "),
 	}).Warn("configuration log restored from an older copy: carrying the state over")
 	return true, writeRestore(ctx, log, state, known, end)
 }
--- a/internal/replica/restored_log_test.go
+++ b/internal/replica/restored_log_test.go
@@ -296,3 +296,41 @@
 	settle(t, log, ahead, behind)
 	requireWeight(t, 2, ahead, behind)
 }
+
+// A daemon that was paused carries its state over; on the copied log the changes lie at positions of
+// another era than in their conditions.
+func TestDaemonThatIsBehindAppliesConditionalChangesOfCopy(t *testing.T) {
+	log, behind, ahead := newEraLog(), New(time.Now), New(time.Now)
+	acceptWeight(t, log, 1, ahead, behind)
+	acceptWeight(t, log, 2, ahead)
+	acceptWeight(t, log, 3, ahead)
+	log.takeCopy()
+	log.restoreCopy()
+	settle(t, log, behind)
+	settle(t, log, ahead, behind)
+	requireWeight(t, 3, ahead, behind)
+}
+
+// No daemon that knew the changes is left; their conditions are on positions of a prior era.
+func TestStartWithCopiedLogAppliesConditionalChanges(t *testing.T) {
+	log, r := newEraLog(), New(time.Now)
+	acceptWeight(t, log, 1, r)
+	acceptWeight(t, log, 2, r)
+	log.takeCopy()
+	log.restoreCopy()
+	first, second := New(time.Now), New(time.Now)
+	settle(t, log, first, second)
+	requireWeight(t, 2, first, second)
+}
+
+// A daemon that starts accepts a change before another one carries its state over, which conflicts.
+func TestChangeAcceptedBeforeCarryOverStaysInForce(t *testing.T) {
+	log, r := newEraLog(), New(time.Now)
+	log.takeCopy()
+	acceptWeight(t, log, 1, r)
+	log.restoreCopy()
+	started := New(time.Now)
+	acceptWeight(t, log, 2, started)
+	settle(t, log, r, started)
+	requireWeight(t, 2, r, started)
+}
