config: a state that was carried over after a daemon's start is merged

A daemon that started in an era before a state was carried over into it has a position of that era, but not that state. Merge took states up to its position's era for contained, so that an accepted change was lost that this state had. Which states are contained is told by the last one that the state is based on.

--- a/internal/config/merge.go
+++ b/internal/config/merge.go
@@ -20,8 +20,8 @@
 	Contained int
 	// Applied is the number of records that were applied to the state.
 	Applied int
-	// Superseded is the number of records that weren't applied since they carry states over into
-	// eras up to that of the state, which contains or replaced them.
+	// Superseded is the number of records that weren't applied since they carry states over that the
+	// state contains or replaced.
 	Superseded int
 	// Undecided holds the commands of changes that weren't applied since they conflict with the state.
 	Undecided []string
@@ -39,8 +39,10 @@
 // which no state was carried over yet.
 func (s *State) Merge(log []LogEntry, first storelog.Position, force bool) (Merged, error) {
 	era := s.Position.Era()
+	superseded := s.CarriedInto
 	merged := Merged{Recognizable: len(s.Applied) / appliedSize, Contained: s.containedPrefix(log)}
 	if merged.Contained == 0 {
+		superseded = era // a state of an earlier release may not know CarriedInto
 		if i := findRestoreAfter(log, era); i >= 0 {
 			merged.Contained = i
 		} else if first.Offset() > 0 && !force {
@@ -53,12 +55,12 @@
 	commands := indexCommands(s.Results)
 	commands.log, commands.first = log, first
 	if i := findRestoreAfter(log[:merged.Contained], storelog.NoEra); i >= 0 {
-		commands.since = restoreEra(log[i])
+		commands.since = log[i].restoreEra()
 	}
 	s.EnterEra(first + storelog.Position(merged.Contained) - 1)
 	for _, entry := range log[merged.Contained:] {
 		carriedInto := s.CarriedInto
-		if err := s.mergeEntry(entry, era, commands, &merged); err != nil {
+		if err := s.mergeEntry(entry, superseded, commands, &merged); err != nil {
 			return merged, err
 		}
 		if s.CarriedInto > carriedInto {
@@ -80,15 +82,16 @@
 	})
 }
 
-// mergeEntry merges one record into a state of a prior era.
-func (s *State) mergeEntry(entry LogEntry, prior int64, commands commandIndex, merged *Merged) error {
+// mergeEntry merges one record into a state of a prior era, unless it carries a state over into an
+// era up to superseded.
+func (s *State) mergeEntry(entry LogEntry, superseded int64, commands commandIndex, merged *Merged) error {
 	s.advance(entry)
 	defer s.recordApplied(entry)
 	record, _ := decodeSupported(entry.Data)
 	switch {
 	case record == nil:
 		s.applyData(entry) // counts it
-	case record.Restore != nil && record.Restore.Era <= prior:
+	case record.Restore != nil && record.Restore.Era <= superseded:
 		merged.Superseded++
 		return nil
 	case record.Bundle != nil && !s.hasResult(record.Bundle.CommandID):
@@ -135,19 +138,9 @@
 // an era after the given one, or -1.
 func findRestoreAfter(log []LogEntry, era int64) int {
 	for i := len(log) - 1; i >= 0; i-- {
-		if restoreEra(log[i]) > era {
+		if log[i].restoreEra() > era {
 			return i
 		}
 	}
 	return -1
 }
-
-// restoreEra returns the era into which the entry starts to carry a state over, or NoEra if it
-// doesn't.
-func restoreEra(entry LogEntry) int64 {
-	record, err := DecodeRecord(entry.Data)
-	if err != nil || record.Restore == nil || record.Restore.Part > 0 {
-		return storelog.NoEra
-	}
-	return record.Restore.Era
-}
--- a/internal/config/restore.go
+++ b/internal/config/restore.go
@@ -55,9 +55,18 @@
 // StartsRestore reports whether the entry is the first part of a state that is carried over into
 // the entry's era.
 func (e LogEntry) StartsRestore() bool {
+	era := e.restoreEra()
+	return era != storelog.NoEra && era == e.Position.Era()
+}
+
+// restoreEra returns the era into which the entry starts to carry a state over, or NoEra if it
+// doesn't.
+func (e LogEntry) restoreEra() int64 {
 	record, err := DecodeRecord(e.Data)
-	return err == nil && record.Kind == RecordRestore && record.Restore != nil &&
-		record.Restore.Part == 0 && record.Restore.Era == e.Position.Era()
+	if err != nil || record.Kind != RecordRestore || record.Restore == nil || record.Restore.Part > 0 {
+		return storelog.NoEra
+	}
+	return record.Restore.Era
 }
 
 // Digest returns a digest of the record that doesn't depend on its position.
--- a/internal/replica/restored_log_test.go
+++ b/internal/replica/restored_log_test.go
@@ -334,3 +334,19 @@
 	settle(t, log, r, started)
 	requireWeight(t, 2, r, started)
 }
+
+// A daemon that starts is in an era before a state is carried over into it, and misses that one.
+func TestStateCarriedOverAfterStartIsMerged(t *testing.T) {
+	log, r := newEraLog(), New(time.Now)
+	acceptWeight(t, log, 1, r)
+	log.takeCopy()
+	acceptWeight(t, log, 2, r)
+	log.restoreCopy()
+	started := New(time.Now)
+	settle(t, log, started)
+	settle(t, log, r)
+	log.takeCopy()
+	log.restoreCopy()
+	settle(t, log, started)
+	requireWeight(t, 2, started)
+}
