--- a/internal/config/applied.go
+++ b/internal/config/applied.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// maxApplied is the number of records that a state recognizes on a log of another era. The log
-	// retains 300 s; at 8,600 changes and some 2,000 agents' records a day that is 40 records.
+	// maxApplied is the number of records that a state recognizes at least on a log of another era,
+	// well above what the log retains.
 	maxApplied = 1024
 	// appliedSize is the size of a digest in State.Applied, in bytes.
 	appliedSize = 8
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -121,3 +121,16 @@
 	}
 	return &record, nil
 }
+
+// decodeSupported decodes a record. It returns nil and the kind to be counted if the record can't be
+// decoded or this release doesn't support its format.
+func decodeSupported(data []byte) (*Record, RecordKind) {
+	record, err := DecodeRecord(data)
+	if err != nil || record.Format < 1 {
+		return nil, "undecodable"
+	}
+	if record.Format > newestFormat {
+		return nil, record.Kind
+	}
+	return record, ""
+}
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -100,6 +100,7 @@
 // advance moves the state to the position of the next record.
 func (s *State) advance(entry LogEntry) { s.Position, s.Last = entry.Position, entry.Digest() }
 
+// applyData applies the record of an entry that the state has advanced to.
 func (s *State) applyData(entry LogEntry) {
 	record, skipped := decodeSupported(entry.Data)
 	if record == nil {
@@ -112,19 +113,6 @@
 	s.applyRecord(record, entry)
 }
 
-// decodeSupported decodes a record. It returns nil and the kind to be counted if the record can't be
-// decoded or this release doesn't support its format.
-func decodeSupported(data []byte) (*Record, RecordKind) {
-	record, err := DecodeRecord(data)
-	if err != nil || record.Format < 1 {
-		return nil, "undecodable"
-	}
-	if record.Format > newestFormat {
-		return nil, record.Kind
-	}
-	return record, ""
-}
-
 func (s *State) applyRecord(record *Record, entry LogEntry) {
 	switch {
 	case record.Kind == RecordChange && record.Bundle != nil:
--- a/internal/replica/restore.go
+++ b/internal/replica/restore.go
@@ -28,7 +28,7 @@
 // all replicas to the same state: the first one appends its whole state with the records added
 // since, the others read that. Records that the copy lacks are known to some replicas only, and
 // those that it has lie at other positions now. carryOver returns false if the log is in the
-// replica's era or no longer has the records after the replica's position.
+// replica's era, or if the replica has no state and the log no longer has its first record.
 func (r *Replica) carryOver(ctx context.Context, log Log, logger *logrus.Entry) (bool, error) {
 	entries, end, err := log.ReadAll(ctx)
 	if err != nil {
@@ -38,12 +38,12 @@
 	if end.Era() <= known.Era() && known != storelog.Unknown {
 		return false, nil
 	}
-	logger = logger.WithFields(logrus.Fields{"era": end.Era(), "end": end.String(), "known": known.String()})
+	first := end - storelog.Position(len(entries))
+	logger = logger.WithFields(logrus.Fields{"era": end.Era(), "first": first.String(), "end": end.String(), "known": known.String()})
 	if i := findRestore(entries); i >= 0 {
 		logger.Info("configuration log restored from an older copy: another daemon carried the state over")
 		return true, r.enterEra(entries[i].Position-1, entries[i:])
 	}
-	first := end - storelog.Position(len(entries))
 	if !known.HasRecord() {
 		if first.Offset() > 0 {
 			return false, nil
@@ -55,22 +55,33 @@
 			return installed, err
 		}
 	}
-	logger = logger.WithField("first", first.String())
+	state, err := r.mergeLog(ctx, log, entries, first, logger)
+	if state == nil || err != nil {
+		return err == nil, err
+	}
+	return true, writeRestore(ctx, log, state, known, end)
+}
+
+// mergeLog returns a copy of the replica's state with the records of a log in a newer era that it
+// lacks. If the log no longer has records by which that is known, a newer persisted state is
+// installed instead where there is one, and mergeLog returns nil.
+func (r *Replica) mergeLog(ctx context.Context, log Log, entries []config.LogEntry, first storelog.Position, logger *logrus.Entry) (*config.State, error) {
 	state, merged, err := r.merge(entries, first, false)
 	if errors.Is(err, config.ErrNoOverlap) {
 		logger.WithField("recognizable", merged.Recognizable).Warn("configuration log restored from an older copy: its oldest records expired, looking for a newer state")
 		if installed, err := r.installSaved(ctx, log); installed || err != nil {
-			return installed, err
+			return nil, err
 		}
 		state, merged, err = r.merge(entries, first, true)
 	}
 	if err != nil {
-		return false, err
+		return nil, err
 	}
 	logger.WithFields(logrus.Fields{
-		"recognizable": merged.Recognizable, "contained": merged.Contained, "superseded": merged.Superseded, "applied": merged.Applied, "undecided": strings.Join(merged.Undecided, " "),
+		"recognizable": merged.Recognizable, "contained": merged.Contained, "superseded": merged.Superseded,
+		"applied": merged.Applied, "undecided": strings.Join(merged.Undecided, " "),
 	}).Warn("configuration log restored from an older copy: carrying the state over")
-	return true, writeRestore(ctx, log, state, known, end)
+	return state, nil
 }
 
 // installSaved installs the persisted state if it is newer than the replica's.
@@ -180,25 +191,6 @@
 	}
 }
 
-// logOutcome returns a logger with the outcome of a change of a prior era.
-func logOutcome(logger *logrus.Entry, change config.RepeatedChange) *logrus.Entry {
-	return logger.WithFields(logrus.Fields{
-		"command": change.Command, "prior": change.Prior.String(), "position": storelog.Position(change.Result.Offset).String(),
-		"accepted": change.Result.Accepted, "reason": change.Result.Reason,
-	})
-}
-
-// logRejected logs the changes of prior eras that the state of the current era has as rejected.
-func (r *Replica) logRejected(logger *logrus.Entry) {
-	r.mu.Lock()
-	rejected := r.rejected
-	r.rejected = nil
-	r.mu.Unlock()
-	for _, change := range rejected {
-		logOutcome(logger, change).Warn("accepted change of a prior era is rejected in this one")
-	}
-}
-
 // missingChanges returns the retained changes that the state lacks, for the log that ends at the
 // position after the state.
 func (r *Replica) missingChanges() ([]config.RepeatedChange, storelog.Position, error) {
@@ -217,3 +209,22 @@
 	repeated, err := retained.Repeat(state)
 	return repeated, end, err
 }
+
+// logOutcome returns a logger with the outcome of a change of a prior era.
+func logOutcome(logger *logrus.Entry, change config.RepeatedChange) *logrus.Entry {
+	return logger.WithFields(logrus.Fields{
+		"command": change.Command, "prior": change.Prior.String(), "position": storelog.Position(change.Result.Offset).String(),
+		"accepted": change.Result.Accepted, "reason": change.Result.Reason,
+	})
+}
+
+// logRejected logs the changes of prior eras that the state of the current era has as rejected.
+func (r *Replica) logRejected(logger *logrus.Entry) {
+	r.mu.Lock()
+	rejected := r.rejected
+	r.rejected = nil
+	r.mu.Unlock()
+	for _, change := range rejected {
+		logOutcome(logger, change).Warn("accepted change of a prior era is rejected in this one")
+	}
+}
--- a/internal/replica/restored_log_test.go
+++ b/internal/replica/restored_log_test.go
@@ -125,17 +125,23 @@
 	return log, r
 }
 
+// copyBeforeCarryOver takes a copy that lacks the last carry-over, and makes changes after it.
+func copyBeforeCarryOver(t *testing.T, log *eraLog, r *Replica) {
+	t.Helper()
+	log.takeCopy()
+	log.restoreCopy()
+	log.takeCopy()
+	settle(t, log, r)
+	acceptWeight(t, log, 2, r)
+	acceptWeight(t, log, 3, r)
+}
+
 // TestRestoredLogIsNotAppliedAgain takes copies that lack the last carry-over, or that can't be
 // compared by what a process retains.
 func TestRestoredLogIsNotAppliedAgain(t *testing.T) {
 	for name, order := range map[string]func(t *testing.T, log *eraLog, r *Replica) *Replica{
 		"copy from before the last carry-over": func(t *testing.T, log *eraLog, r *Replica) *Replica {
-			log.takeCopy()
-			log.restoreCopy()
-			log.takeCopy()
-			settle(t, log, r)
-			acceptWeight(t, log, 2, r)
-			acceptWeight(t, log, 3, r)
+			copyBeforeCarryOver(t, log, r)
 			log.restoreCopy()
 			return r
 		},
@@ -178,12 +184,7 @@
 			return r
 		},
 		"a start from a snapshot": func(t *testing.T, log *eraLog, r *Replica) *Replica {
-			log.takeCopy()
-			log.restoreCopy()
-			log.takeCopy()
-			settle(t, log, r)
-			acceptWeight(t, log, 2, r)
-			acceptWeight(t, log, 3, r)
+			copyBeforeCarryOver(t, log, r)
 			if err := r.persistOnce(context.Background(), log); err != nil {
 				t.Fatal(err)
 			}
