dispatch: log the prompt parts of attempts whose connection was lost

Cause sought: each crash of the incident has another set of digests, and nothing in a log says what the requests at it have in common. No decision changes.

--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -122,5 +122,8 @@
 	if x.part != nil {
 		fields["part"] = x.part.String()
 	}
+	if x.connectionLost {
+		fields["prompt_parts"] = x.request.sharedParts()
+	}
 	p.log.WithFields(fields).Info("attempt failed")
 }
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -37,6 +37,8 @@
 	LastEventID int64
 	// PromptTokens is the length of the prompt, or 0 if unknown.
 	PromptTokens int
+	// PromptParts are the parts of the prompt, or nil if unknown.
+	PromptParts quarantine.PromptParts
 	// FrontendState is passed unchanged from a frontend to its backend.
 	FrontendState any
 	// Customer and Priority are set once the API key and the route are known. Priority 0 is the
@@ -68,6 +70,14 @@
 	return *r.cachedDigest
 }
 
+// sharedParts returns the IDs of the prompt's parts that other requests may share.
+func (r *Request) sharedParts() []string {
+	if r.PromptParts == nil {
+		return nil
+	}
+	return r.PromptParts.Shared()
+}
+
 // Attempt is one send of a request to one server.
 type Attempt struct {
 	Server *fleet.Server
