--- a/standins/platformdaemon/crashinggroup_test.go
+++ b/standins/platformdaemon/crashinggroup_test.go
@@ -138,8 +138,8 @@
 			return
 		default:
 		}
-		if string(body) == crashBody {
-			e.deployment.servers.crashed.Add(1)
+		if string(body) == crashBody || e.deployment.servers.parts.reached(r.Header) {
+			e.deployment.servers.recordCrash()
 			e.crash(rank)
 			go server.Close()
 			<-r.Context().Done()
@@ -168,10 +168,9 @@
 	}
 }
 
-// When a rank crashes, streams of all ranks of its group break off. Only the request that crashed
-// it may be quarantined, not the healthy ones.
-func TestOnlyRequestThatCrashesRanksIsQuarantined(t *testing.T) {
-	d := newServerDeployment(t, false)
+// newGroupDeployment starts a store, two entries and a group with its agents.
+func newGroupDeployment(t *testing.T) *deployment {
+	d := newServerDeployment(t, 0, false)
 	d.store.Put(platform.TopicOperators, "config", groupConfig)
 	e := &crashingGroup{
 		deployment: d, epoch: 1, broken: make(chan struct{}),
@@ -203,7 +202,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go e.group.Run(ctx)
+	return d
+}
 
+// When a rank crashes, streams of all ranks of its group break off. Only the request that crashed
+// it may be quarantined, not the healthy ones.
+func TestOnlyRequestThatCrashesRanksIsQuarantined(t *testing.T) {
+	d := newGroupDeployment(t)
 	var callers sync.WaitGroup
 	var served, quarantined atomic.Int64
 	done := make(chan struct{})
--- a/standins/platformdaemon/crashingrequest_test.go
+++ b/standins/platformdaemon/crashingrequest_test.go
@@ -41,6 +41,7 @@
 	store *standin.Store
 	// reuseIDs makes servers restart under their previous ID.
 	reuseIDs bool
+	parts    crashingPart
 	starts   atomic.Int64
 	crashed  atomic.Int64
 	stopping atomic.Bool
@@ -103,8 +104,9 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		if string(body) == crashBody {
-			s.crashed.Add(1)
+		if string(body) == crashBody || s.parts.reached(r.Header) {
+			time.Sleep(s.parts.timeToCrash)
+			s.recordCrash()
 			go server.Close()
 			<-r.Context().Done()
 			panic(http.ErrAbortHandler)
@@ -115,6 +117,12 @@
 	})
 }
 
+// recordCrash counts a crash.
+func (s *crashingServers) recordCrash() {
+	s.crashed.Add(1)
+	s.parts.recordCrash()
+}
+
 // deployment is a store, entries and servers that a request can crash.
 type deployment struct {
 	store   *standin.Store
@@ -135,7 +143,12 @@
 
 // newDeployment starts a store, servers and entries that discover each other.
 func newDeployment(t *testing.T, entries int, reuseIDs bool) *deployment {
-	d := newServerDeployment(t, reuseIDs)
+	return newDeploymentOf(t, entries, serverCount, reuseIDs)
+}
+
+// newDeploymentOf is newDeployment with a number of servers.
+func newDeploymentOf(t *testing.T, entries, servers int, reuseIDs bool) *deployment {
+	d := newServerDeployment(t, servers, reuseIDs)
 	for i := range entries {
 		d.addEntry(i > 0)
 	}
@@ -144,7 +157,7 @@
 }
 
 // newServerDeployment starts a store and servers, without entries.
-func newServerDeployment(t *testing.T, reuseIDs bool) *deployment {
+func newServerDeployment(t *testing.T, servers int, reuseIDs bool) *deployment {
 	RegisterTestingT(t)
 	d := &deployment{store: standin.NewStore()}
 	d.servers = &crashingServers{store: d.store, reuseIDs: reuseIDs}
@@ -158,7 +171,7 @@
 	})
 	d.address = listener.Addr().String()
 	d.store.Put(platform.TopicOperators, "config", crashConfig)
-	for i := range serverCount {
+	for i := range servers {
 		d.servers.run(t, fmt.Sprintf("i%d", i))
 	}
 	d.firstPort = freePorts("127.0.0.40") // the same for all entries, as on the platform
@@ -190,6 +203,11 @@
 
 // post sends one request to an entry and returns the status and body, or 0 and the error.
 func (d *deployment) post(entry int, path, body string) (int, string) {
+	return d.postPrompt(entry, path, "", body)
+}
+
+// postPrompt is post with a prompt prefix.
+func (d *deployment) postPrompt(entry int, path, prefix, body string) (int, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.entries[entry].Callers+path, bytes.NewBufferString(body))
@@ -199,6 +217,9 @@
 	request.Host = "h.example"
 	request.Header.Set("X-Attempt-Id", fmt.Sprint("a", d.ids.Add(1)))
 	request.Header.Set("X-Api-Key", "k1")
+	if prefix != "" {
+		request.Header.Set("X-Prompt-Prefix", prefix)
+	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0, err.Error()
@@ -336,7 +357,7 @@
 
 	t.Run("a partition between entries that reach the store", func(t *testing.T) {
 		const entries = 2
-		d := newServerDeployment(t, false)
+		d := newServerDeployment(t, serverCount, false)
 		for range entries {
 			d.addEntry(false)
 		}
