--- a/internal/config/objects.go
+++ b/internal/config/objects.go
@@ -156,13 +156,17 @@
 	To   string `json:"to"`
 }
 
-// Quarantine keeps a request and its repeats from all servers. Entries create it when servers crash
-// while they run the request. Its name is the request's digest; deleting it allows the request
-// again.
+// Quarantine keeps a request and its repeats, or all requests with a part of a prompt, from all
+// servers. Entries create it when servers crash while they run the requests. Its name is the digest of
+// the request or of the part; deleting it allows them again.
 type Quarantine struct {
-	// Customer and Path are those of the request if an entry created the quarantine.
+	// Customer and Path are those of the request if an entry created the quarantine. Requests of other
+	// customers with a part are allowed; empty means none.
 	Customer string `json:"customer,omitempty"`
 	Path     string `json:"path,omitempty"`
+	// Part is the ID of the part of a prompt, Service the service whose requests have it.
+	Part    string `json:"part,omitempty"`
+	Service string `json:"service,omitempty"`
 	// SinceMs is the time of the first crash, in Unix milliseconds.
 	SinceMs int64 `json:"sinceMs,omitempty"`
 	// Servers are the servers that crashed.
--- a/internal/crash/codec_test.go
+++ b/internal/crash/codec_test.go
@@ -14,16 +14,20 @@
 func FuzzDecode(f *testing.F) {
 	now := time.Unix(100000, 0)
 	d := quarantine.DigestOf("c", "POST", "h", "/", nil)
-	good, err := proto.Marshal(&peerrpc.CrashNews{Evidence: Encode([]quarantine.Evidence{
-		{Digest: d, Server: "a", ExitedAt: now.Add(-time.Second)}, {Digest: d, Server: "b", ExitedAt: now, Cleared: true},
-	}, now)})
+	part := quarantine.NewPart("s", "5c")
+	good, err := proto.Marshal(Encode([]quarantine.Evidence{
+		{Digest: d, Server: "a", ExitedAt: now.Add(-time.Second)},
+		{Digest: d, Server: "b", ExitedAt: now, Cleared: true},
+		quarantine.Evidence{Digest: part.Digest, Part: &part, Server: "a", ExitedAt: now}.WithContext(quarantine.PartContext{Contrast: true, Customer: "c"}),
+		quarantine.Evidence{Digest: part.Digest, Part: &part, Server: "b", ExitedAt: now}.WithContext(quarantine.PartContext{Vouched: true, SeveralCustomers: true}),
+	}, now))
 	if err != nil {
 		f.Fatal(err)
 	}
 	f.Add(good)
 	future, err := proto.Marshal(&peerrpc.CrashNews{Evidence: []*peerrpc.CrashEvidence{
 		{Digest: d[:], Server: "a", AgeMs: 1<<63 - 1}, {Digest: d[:], Server: "b", AgeMs: 1 << 50},
-	}})
+	}, Parts: []*peerrpc.PartEvidence{{Digest: d[:], Part: "5c", Server: "a", AgeMs: 1<<63 - 1}}})
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -34,7 +38,7 @@
 			return
 		}
 		table, other := quarantine.NewTable(), quarantine.NewTable()
-		table.Merge(Decode(message.GetEvidence(), now), now)
+		table.Merge(Decode(&message, now), now)
 		known, _ := table.Since(0)
 		for _, e := range known {
 			if e.ExitedAt.After(now) {
@@ -42,7 +46,7 @@
 			}
 		}
 		other.Merge(Decode(Encode(known, now), now), now)
-		if table.Hash() != other.Hash() {
+		if table.Hash() != other.Hash() || table.PartsHash() != other.PartsHash() {
 			t.Fatalf("%d pieces of evidence changed by re-encoding", len(known))
 		}
 	})
--- a/internal/crash/detector.go
+++ b/internal/crash/detector.go
@@ -6,6 +6,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -115,20 +116,27 @@
 func (det *Detector) Empty() bool { return !det.outdated() && det.table.Empty() }
 
 // Admit implements dispatch.Quarantine. Decisions are pending while outdated evidence is refreshed.
-func (det *Detector) Admit(d quarantine.Digest) quarantine.Decision {
+func (det *Detector) Admit(f quarantine.Fingerprint) quarantine.Decision {
 	if det.outdated() {
 		return quarantine.Decision{State: quarantine.Pending}
 	}
-	return det.table.Admit(d, det.now())
+	return det.table.Admit(f, det.now())
 }
 
 // Done implements dispatch.Quarantine.
 func (det *Detector) Done(d quarantine.Digest) { det.table.Done(d) }
 
+// RecordServed implements dispatch.Quarantine.
+func (det *Detector) RecordServed(service string, parts quarantine.PromptParts) {
+	det.table.RecordServed(service, parts, det.now())
+}
+
 // RecordSuccess implements dispatch.Quarantine.
-func (det *Detector) RecordSuccess(d quarantine.Digest) {
-	if cleared := det.table.RecordSuccess(d); len(cleared) > 0 {
-		det.log.WithFields(logrus.Fields{"digest": d, "servers": len(cleared)}).Info("request cleared after it completed successfully")
+func (det *Detector) RecordSuccess(f quarantine.Fingerprint) {
+	if cleared := det.table.RecordSuccess(f); len(cleared) > 0 {
+		det.log.WithFields(logrus.Fields{"digest": f.Digest, "exits": len(cleared), "parts": describeParts(cleared)}).
+			Info("evidence cleared: a request completed successfully")
+		countEvidence("cleared", cleared)
 		det.publish(cleared)
 		det.notifyStore()
 	}
@@ -136,7 +144,7 @@
 
 // RecordConnectionLoss implements dispatch.Quarantine. Connections lost at leaving or unknown
 // servers are not evidence against the request.
-func (det *Detector) RecordConnectionLoss(d quarantine.Digest, info quarantine.RequestInfo, server *fleet.Server) {
+func (det *Detector) RecordConnectionLoss(f quarantine.Fingerprint, server *fleet.Server) {
 	if registered := det.registered(server.Key()); registered == nil || det.isLeaving(registered) {
 		return
 	}
@@ -148,7 +156,7 @@
 		det.lastLosses[server.Key()] = rankLoss{at: now}
 		det.mu.Unlock()
 	}
-	if det.table.RecordConnectionLoss(d, info, server.Key(), now) {
+	if det.table.RecordConnectionLoss(f, server.Key(), now) {
 		det.afterFunc(delay, func() { det.probe(server) })
 	}
 }
@@ -205,8 +213,12 @@
 		return
 	}
 	metrics.GetOrCreateCounter(`crowbridge_servers_ended_under_requests_total`).Inc()
-	det.log.WithFields(logrus.Fields{"server": server, "cause": cause, "requests": len(evidence)}).
-		Warn("server exited with requests in progress")
+	countEvidence("found", evidence)
+	requests := slices.DeleteFunc(slices.Clone(evidence), func(e quarantine.Evidence) bool { return e.Part != nil })
+	det.log.WithFields(logrus.Fields{
+		"server": server, "cause": cause, "requests": len(requests), "parts": describeParts(evidence),
+		"age_ms": det.now().Sub(evidence[0].ExitedAt).Milliseconds(),
+	}).Warn("server exited with requests in progress")
 	det.publish(evidence)
 	det.afterFunc(quarantine.SettleTime, det.notifyStore)
 }
@@ -237,7 +249,15 @@
 	if len(added) == 0 {
 		return
 	}
-	det.log.WithFields(logrus.Fields{"evidence": len(added), "source": source}).Info("evidence of server exits received")
+	det.log.WithFields(logrus.Fields{
+		"evidence": len(added), "source": source, "parts": describeParts(added),
+		"age_ms": det.now().Sub(added[0].ExitedAt).Milliseconds(),
+	}).Info("evidence of server exits received")
+	countEvidence("received", added)
+	if own := det.table.AddContext(added, det.now()); len(own) > 0 {
+		det.log.WithFields(logrus.Fields{"source": source, "parts": describeParts(own)}).Info("evidence supplemented by what completed here")
+		det.publish(own)
+	}
 	det.afterFunc(quarantine.SettleTime, det.notifyStore)
 }
 
--- a/internal/crash/detector_test.go
+++ b/internal/crash/detector_test.go
@@ -61,6 +61,11 @@
 	return env, detector
 }
 
+// promptParts are the shared parts of a prompt.
+type promptParts []string
+
+func (p promptParts) Shared() []string { return p }
+
 var (
 	serverA       = &fleet.Server{ID: "a", Address: "10.0.0.1:80", Service: "s"}
 	serverB       = &fleet.Server{ID: "b", Address: "10.0.0.2:80", Service: "s"}
@@ -117,9 +122,32 @@
 		}
 	}
 
+	It("is evidence against prompt parts that reaches peers by push and by pull, and comes back with what completed there", func() {
+		_, other := newTestDetector()
+		other.now = detector.now
+		other.RecordServed("s", promptParts{"f00d"})
+		f := quarantine.NewFingerprint(d, quarantine.RequestInfo{Customer: "c"}, "s", promptParts{"f00d", "bad"})
+		env.probes[serverA.Address] = Exited
+		detector.RecordConnectionLoss(f, serverA)
+		env.advance(probeDelay)
+		found := published()
+		Expect(found).To(HaveLen(3))
+		Expect(env.logs.LastEntry().Data["parts"]).To(ConsistOf("f00d a unknown", "bad a unknown"))
+		other.Receive(Decode(Encode(found, env.now), env.now), "spec")
+		detector.ApplyDelta("other", other.Delta(detector.Digest("other")))
+		Expect(env.logs.LastEntry().Data["parts"]).To(ConsistOf("f00d a vouched", "bad a incriminating"))
+		Expect(detector.Table().PartsHash()).To(Equal(other.Table().PartsHash()))
+		known := detector.Digest("other")
+		Expect(other.Delta(known).GetParts()).To(BeEmpty(), "hashes agree")
+		known.PartsHash = 0 // a daemon that doesn't know of parts
+		known.Table = 0
+		Expect(other.Delta(known).GetEvidence()).To(BeEmpty())
+		Expect(other.Delta(known).GetParts()).To(HaveLen(2))
+	})
+
 	It("is marked as exited when the probe is refused", func() {
 		env.probes[serverA.Address] = Exited
-		detector.RecordConnectionLoss(d, quarantine.RequestInfo{Customer: "c", Path: "/"}, serverA)
+		detector.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: quarantine.RequestInfo{Customer: "c", Path: "/"}}, serverA)
 		env.advance(probeDelay)
 		Expect(state()).To(Equal(quarantine.Suspect))
 		Expect(published()).To(HaveLen(1))
@@ -127,15 +155,15 @@
 	})
 
 	It("is probed once for several lost connections", func() {
-		detector.RecordConnectionLoss(d, quarantine.RequestInfo{Customer: "c", Path: "/"}, serverA)
-		detector.RecordConnectionLoss(quarantine.DigestOf("c", "POST", "h", "/other", nil), quarantine.RequestInfo{}, serverA)
+		detector.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: quarantine.RequestInfo{Customer: "c", Path: "/"}}, serverA)
+		detector.RecordConnectionLoss(quarantine.Fingerprint{Digest: quarantine.DigestOf("c", "POST", "h", "/other", nil), Info: quarantine.RequestInfo{}}, serverA)
 		env.advance(probeDelay)
 		Expect(env.probed).To(HaveLen(1))
 	})
 
 	It("is presumed alive when it listens, until its registration is gone", func() {
 		env.probes[serverA.Address] = Listening
-		detector.RecordConnectionLoss(d, quarantine.RequestInfo{Customer: "c", Path: "/"}, serverA)
+		detector.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: quarantine.RequestInfo{Customer: "c", Path: "/"}}, serverA)
 		env.advance(probeDelay)
 		Expect(state()).To(Equal(quarantine.Healthy))
 		detector.UpdateRegistry(registry(serverA))
@@ -145,7 +173,7 @@
 	It("is marked as exited when it registers with another incarnation", func() {
 		restarted := *serverA
 		restarted.Incarnation = "a@7"
-		detector.RecordConnectionLoss(d, quarantine.RequestInfo{Customer: "c", Path: "/"}, serverA)
+		detector.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: quarantine.RequestInfo{Customer: "c", Path: "/"}}, serverA)
 		detector.UpdateRegistry(fleet.NewServers([]*fleet.Server{&restarted, serverB, leavingServer, rankServer}))
 		Expect(state()).To(Equal(quarantine.Suspect))
 		Expect(published()).To(HaveLen(1))
@@ -154,22 +182,22 @@
 	It("is not probed while it rests, and is no evidence against the request once it reports leaving", func() {
 		exclusions := map[string]*eligibility.Exclusion{"a": {Reason: eligibility.Resting}}
 		detector.SetExclusions(func(server string) *eligibility.Exclusion { return exclusions[server] })
-		detector.RecordConnectionLoss(d, quarantine.RequestInfo{Customer: "c", Path: "/"}, serverA)
+		detector.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: quarantine.RequestInfo{Customer: "c", Path: "/"}}, serverA)
 		env.advance(probeDelay)
 		Expect(env.probed).To(BeEmpty())
 		Expect(state()).To(Equal(quarantine.Healthy))
 		Expect(env.logs.LastEntry().Message).To(ContainSubstring("not probed"))
 		exclusions["b"] = &eligibility.Exclusion{Reason: eligibility.Leaving}
-		detector.RecordConnectionLoss(d, quarantine.RequestInfo{Customer: "c", Path: "/"}, serverB)
+		detector.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: quarantine.RequestInfo{Customer: "c", Path: "/"}}, serverB)
 		detector.UpdateRegistry(registry(serverB))
 		Expect(state()).To(Equal(quarantine.Healthy))
 		Expect(published()).To(BeEmpty())
 	})
 
 	It("is no evidence against the request when it is leaving or no longer registered", func() {
-		detector.RecordConnectionLoss(d, quarantine.RequestInfo{Customer: "c", Path: "/"}, leavingServer)
+		detector.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: quarantine.RequestInfo{Customer: "c", Path: "/"}}, leavingServer)
 		detector.UpdateRegistry(registry(serverB))
-		detector.RecordConnectionLoss(d, quarantine.RequestInfo{Customer: "c", Path: "/"}, serverB)
+		detector.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: quarantine.RequestInfo{Customer: "c", Path: "/"}}, serverB)
 		detector.UpdateRegistry(registry(serverB, leavingServer))
 		env.advance(probeDelay)
 		Expect(env.probed).To(BeEmpty())
@@ -177,7 +205,7 @@
 	})
 
 	It("is marked as exited by its agent's report, without a probe", func() {
-		detector.RecordConnectionLoss(d, quarantine.RequestInfo{Customer: "c", Path: "/"}, rankServer)
+		detector.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: quarantine.RequestInfo{Customer: "c", Path: "/"}}, rankServer)
 		env.now = env.now.Add(reportDelay)
 		detector.SetEngineReachable("r", false)
 		Expect(state()).To(Equal(quarantine.Suspect))
@@ -186,13 +214,13 @@
 	})
 
 	It("is presumed alive when a later report shows its engine reachable, unless it may have restarted", func() {
-		detector.RecordConnectionLoss(d, quarantine.RequestInfo{Customer: "c", Path: "/"}, rankServer)
+		detector.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: quarantine.RequestInfo{Customer: "c", Path: "/"}}, rankServer)
 		detector.SetEngineReachable("r", true)
 		Expect(state()).To(Equal(quarantine.Suspect), "the report may predate the loss")
 		env.now = env.now.Add(reportDelay)
 		detector.SetEngineReachable("r", true)
 		Expect(state()).To(Equal(quarantine.Healthy))
-		detector.RecordConnectionLoss(d, quarantine.RequestInfo{Customer: "c", Path: "/"}, rankServer)
+		detector.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: quarantine.RequestInfo{Customer: "c", Path: "/"}}, rankServer)
 		env.now = env.now.Add(minRestartTime)
 		detector.SetEngineReachable("r", true)
 		Expect(state()).To(Equal(quarantine.Suspect))
@@ -205,10 +233,10 @@
 	It("is no evidence against the requests whose connections a rank survived, when it exits later", func() {
 		survived, sent := env.now, env.now.Add(10*time.Millisecond)
 		unrelated := quarantine.DigestOf("c", "POST", "h", "/unrelated", nil)
-		detector.RecordConnectionLoss(unrelated, quarantine.RequestInfo{}, rankServer)
+		detector.RecordConnectionLoss(quarantine.Fingerprint{Digest: unrelated, Info: quarantine.RequestInfo{}}, rankServer)
 		detector.RecordResponse(rankServer, survived)
 		env.now = env.now.Add(300 * time.Millisecond)
-		detector.RecordConnectionLoss(d, quarantine.RequestInfo{}, rankServer)
+		detector.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: quarantine.RequestInfo{}}, rankServer)
 		detector.RecordResponse(rankServer, sent)
 		detector.SetEngineReachable("r", false)
 		Expect(state()).To(Equal(quarantine.Suspect))
@@ -219,11 +247,11 @@
 	It("causes the request's quarantine at all daemons once a second server has exited, by pull and by push", func() {
 		_, puller := newTestDetector()
 		_, receiver := newTestDetector()
-		detector.RecordConnectionLoss(d, quarantine.RequestInfo{Customer: "c", Path: "/"}, serverA)
+		detector.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: quarantine.RequestInfo{Customer: "c", Path: "/"}}, serverA)
 		detector.MarkExited("a", "spec")
 		puller.ApplyDelta("here", detector.Delta(puller.Digest("here")))
 		Expect(puller.Table().Decision(d, env.now).State).To(Equal(quarantine.Suspect))
-		detector.RecordConnectionLoss(d, quarantine.RequestInfo{Customer: "c", Path: "/"}, serverB)
+		detector.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: quarantine.RequestInfo{Customer: "c", Path: "/"}}, serverB)
 		detector.MarkExited("b", "spec")
 		delta := detector.Delta(puller.Digest("here"))
 		Expect(delta.GetEvidence()).To(HaveLen(1), "only changed evidence")
@@ -231,7 +259,7 @@
 		receiver.Receive(Decode(Encode(published(), env.now), env.now), "spec")
 		for _, other := range []*Detector{puller, receiver} {
 			other.now = func() time.Time { return env.now.Add(time.Second) }
-			Expect(other.Admit(d).State).To(Equal(quarantine.Quarantined))
+			Expect(other.Admit(quarantine.Fingerprint{Digest: d}).State).To(Equal(quarantine.Quarantined))
 		}
 		Expect(detector.Delta(receiver.Digest("here")).GetEvidence()).To(BeEmpty(), "the tables agree")
 	})
@@ -251,28 +279,28 @@
 			}
 		})
 		Expect(detector.Empty()).To(BeFalse(), "requests need a decision")
-		Expect(detector.Admit(d).State).To(Equal(quarantine.Pending))
+		Expect(detector.Admit(quarantine.Fingerprint{Digest: d}).State).To(Equal(quarantine.Pending))
 		env.advance(0)
-		Expect(detector.Admit(d).State).To(Equal(quarantine.Suspect))
+		Expect(detector.Admit(quarantine.Fingerprint{Digest: d}).State).To(Equal(quarantine.Suspect))
 		detector.Done(d)
 		crashed = append(crashed, "b")
 		env.now = env.now.Add(maxPullAge)
 		detector.RecordPull(context.Background())
-		Expect(detector.Admit(d).State).To(Equal(quarantine.Suspect), "it was not suspended")
+		Expect(detector.Admit(quarantine.Fingerprint{Digest: d}).State).To(Equal(quarantine.Suspect), "it was not suspended")
 		detector.Done(d)
 		env.now = env.now.Add(maxPullAge + time.Millisecond)
-		Expect(detector.Admit(d).State).To(Equal(quarantine.Pending))
+		Expect(detector.Admit(quarantine.Fingerprint{Digest: d}).State).To(Equal(quarantine.Pending))
 		env.advance(quarantine.SettleTime)
 		env.now = env.now.Add(quarantine.SettleTime)
-		Expect(detector.Admit(d).State).To(Equal(quarantine.Quarantined))
+		Expect(detector.Admit(quarantine.Fingerprint{Digest: d}).State).To(Equal(quarantine.Quarantined))
 	})
 
 	It("holds requests only briefly if no peer answers", func() {
 		env, detector := newTestDetector()
 		detector.SetRefresh(func(context.Context) {})
-		Expect(detector.Admit(d).State).To(Equal(quarantine.Pending))
+		Expect(detector.Admit(quarantine.Fingerprint{Digest: d}).State).To(Equal(quarantine.Pending))
 		env.now = env.now.Add(refreshTimeout)
-		Expect(detector.Admit(d).State).To(Equal(quarantine.Healthy), "the refresh hangs")
+		Expect(detector.Admit(quarantine.Fingerprint{Digest: d}).State).To(Equal(quarantine.Healthy), "the refresh hangs")
 		env.advance(0)
 		Expect(detector.Empty()).To(BeFalse())
 		detector.Done(d)
@@ -290,7 +318,7 @@
 		mux.Handle(calls.PathPrefix(), calls)
 		server := httptest.NewServer(mux)
 		DeferCleanup(server.Close)
-		remote.RecordConnectionLoss(d, quarantine.RequestInfo{Customer: "c", Path: "/"}, serverB)
+		remote.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: quarantine.RequestInfo{Customer: "c", Path: "/"}}, serverB)
 		remote.MarkExited("b", "spec") // not published, since no gossip runs here
 		ctx, stop := context.WithCancel(context.Background())
 		done := make(chan struct{})
@@ -298,7 +326,7 @@
 			defer close(done)
 			local.Gossip(ctx, []string{strings.TrimPrefix(server.URL, "http://")}, http.DefaultClient)
 		}()
-		local.RecordConnectionLoss(d, quarantine.RequestInfo{Customer: "c", Path: "/"}, serverA)
+		local.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: quarantine.RequestInfo{Customer: "c", Path: "/"}}, serverA)
 		local.MarkExited("a", "spec")
 		both := []string{"a", "b"}
 		for _, detector := range []*Detector{local, remote} {
@@ -347,7 +375,7 @@
 			}
 		}
 		for _, server := range []string{"a", "b"} {
-			detector.RecordConnectionLoss(d, quarantine.RequestInfo{Customer: "c", Path: "/"}, registry().ByID(server))
+			detector.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: quarantine.RequestInfo{Customer: "c", Path: "/"}}, registry().ByID(server))
 			detector.MarkExited(server, "spec")
 		}
 		reconcile()
@@ -363,7 +391,7 @@
 
 		_, started := newTestDetector()
 		NewStore(started, late, log, "late", func() time.Time { return env.now }).reconcile(context.Background())
-		Expect(started.Admit(d).State).To(Equal(quarantine.Quarantined))
+		Expect(started.Admit(quarantine.Fingerprint{Digest: d}).State).To(Equal(quarantine.Quarantined))
 
 		data, err := config.NewChange(&config.Bundle{CommandID: "release", Actor: "ops", Changes: []config.Change{
 			{Kind: config.KindQuarantine, Name: d.String(), ExpectedRevision: config.AnyRevision},
@@ -372,7 +400,7 @@
 		_, err = log.Append(context.Background(), data)
 		Expect(err).NotTo(HaveOccurred())
 		reconcile()
-		Expect(detector.Admit(d).State).To(Equal(quarantine.Healthy))
+		Expect(detector.Admit(quarantine.Fingerprint{Digest: d}).State).To(Equal(quarantine.Healthy))
 		Expect(log.records).To(HaveLen(2), "no second append")
 	})
 
@@ -393,12 +421,12 @@
 			}
 		}
 		for _, server := range []string{"a", "b"} {
-			detector.RecordConnectionLoss(d, quarantine.RequestInfo{}, registry().ByID(server))
+			detector.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: quarantine.RequestInfo{}}, registry().ByID(server))
 			detector.MarkExited(server, "spec")
 		}
 		env.now = env.now.Add(quarantine.SettleTime)
 		reconcile()
-		Expect(other.Admit(d).State).To(Equal(quarantine.Quarantined))
+		Expect(other.Admit(quarantine.Fingerprint{Digest: d}).State).To(Equal(quarantine.Quarantined))
 		unrelated := quarantine.DigestOf("c", "POST", "h", "/unrelated", nil)
 		var shared []quarantine.Evidence
 		for _, server := range []string{"a", "b"} {
@@ -407,21 +435,64 @@
 		detector.Receive(shared, "partitioned daemon")
 		env.now = env.now.Add(quarantine.SettleTime)
 		reconcile()
-		Expect(other.Admit(d).State).To(Equal(quarantine.Healthy), "it has no evidence")
-		Expect(detector.Admit(d).State).To(Equal(quarantine.Suspect))
+		Expect(other.Admit(quarantine.Fingerprint{Digest: d}).State).To(Equal(quarantine.Healthy), "it has no evidence")
+		Expect(detector.Admit(quarantine.Fingerprint{Digest: d}).State).To(Equal(quarantine.Suspect))
 		env.now = env.now.Add(2 * endTolerance)
 		reconcile()
 		Expect(rep.View().List(config.KindQuarantine)).To(BeEmpty())
 		Expect(detector.Table().Decision(d, env.now).Servers).To(HaveLen(2))
 	})
 
+	It("of a prompt part is persisted for daemons that start later, until an operator ends it", func() {
+		env, detector := newTestDetector()
+		rep := replica.New(func() time.Time { return env.now })
+		log := &fakeLog{replicas: []*replica.Replica{rep}}
+		store := NewStore(detector, rep, log, "entry", func() time.Time { return env.now })
+		requestOf := func(customer string, n int) quarantine.Fingerprint {
+			d := quarantine.DigestOf(customer, "POST", "h", "/", []byte{byte(n)})
+			return quarantine.NewFingerprint(d, quarantine.RequestInfo{Customer: customer, Path: "/"}, "s", promptParts{"f00d", "bad"})
+		}
+		detector.RecordServed("s", promptParts{"f00d"})
+		for n, server := range []*fleet.Server{serverA, serverB, rankServer} {
+			env.now = env.now.Add(2 * time.Second)
+			detector.RecordConnectionLoss(requestOf("c", n), server)
+			detector.MarkExited(server.ID, "spec")
+		}
+		for range 3 {
+			store.reconcile(context.Background())
+			env.now = env.now.Add(retryInterval)
+		}
+		part := quarantine.NewPart("s", "bad")
+		spec := rep.View().Get(config.KindQuarantine, part.Digest.String()).Quarantine
+		Expect([]string{spec.Part, spec.Service, spec.Customer}).To(Equal([]string{"bad", "s", "c"}))
+		Expect(spec.Servers).To(HaveLen(3))
+		Expect(rep.View().List(config.KindQuarantine)).To(HaveLen(1), "the other part had completed")
+
+		_, started := newTestDetector()
+		started.now = detector.now
+		NewStore(started, rep, log, "late", func() time.Time { return env.now }).reconcile(context.Background())
+		for _, table := range []*Detector{detector, started} {
+			Expect(table.Admit(requestOf("c", 9)).State).To(Equal(quarantine.Quarantined))
+		}
+		Expect(started.Admit(requestOf("other", 9)).State).To(Equal(quarantine.Healthy))
+
+		data, err := config.NewChange(&config.Bundle{CommandID: "release", Actor: "ops", Changes: []config.Change{
+			{Kind: config.KindQuarantine, Name: part.Digest.String(), ExpectedRevision: config.AnyRevision},
+		}}).Encode()
+		Expect(err).NotTo(HaveOccurred())
+		_, err = log.Append(context.Background(), data)
+		Expect(err).NotTo(HaveOccurred())
+		store.reconcile(context.Background())
+		Expect(detector.Admit(requestOf("c", 9)).State).To(Equal(quarantine.Healthy))
+	})
+
 	It("is removed from the configuration after its end", func() {
 		env, detector := newTestDetector()
 		rep := replica.New(func() time.Time { return env.now })
 		log := &fakeLog{replicas: []*replica.Replica{rep}}
 		store := NewStore(detector, rep, log, "entry", func() time.Time { return env.now })
 		for _, server := range []string{"a", "b"} {
-			detector.RecordConnectionLoss(d, quarantine.RequestInfo{Customer: "c", Path: "/"}, registry().ByID(server))
+			detector.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: quarantine.RequestInfo{Customer: "c", Path: "/"}}, registry().ByID(server))
 			detector.MarkExited(server, "spec")
 		}
 		for range 3 {
--- a/internal/crash/gossip.go
+++ b/internal/crash/gossip.go
@@ -27,7 +27,7 @@
 
 // Tell implements peerrpc.Crashes.
 func (s RPCServer) Tell(_ context.Context, t *peerrpc.CrashTelling) (*peerrpc.CrashNews, error) {
-	s.Detector.Receive(Decode(t.GetEvidence(), s.Detector.now()), "another entry")
+	s.Detector.Receive(Decode(t, s.Detector.now()), "another entry")
 	return s.Detector.Delta(t.GetKnown()), nil
 }
 
@@ -93,8 +93,9 @@
 func (det *Detector) exchange(ctx context.Context, peer string, evidence []quarantine.Evidence, client *http.Client) {
 	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
 	defer cancel()
+	told := Encode(evidence, det.now())
 	delta, err := peerrpc.NewCrashesProtobufClient("http://"+peer, client).Tell(ctx, &peerrpc.CrashTelling{
-		Known: det.Digest(peer), Evidence: Encode(evidence, det.now()),
+		Known: det.Digest(peer), Evidence: told.GetEvidence(), Parts: told.GetParts(),
 	})
 	det.setSilent(peer, err != nil)
 	if err != nil {
--- a/internal/crash/store.go
+++ b/internal/crash/store.go
@@ -102,10 +102,11 @@
 		}
 		listed[d] = object.Quarantine
 		if s.active[d] == nil {
-			s.log.WithFields(logrus.Fields{"digest": d, "servers": object.Quarantine.Servers, "offset": object.Revision - 1}).
-				Info("quarantine active")
+			s.log.WithFields(logrus.Fields{
+				"digest": d, "part": object.Quarantine.Part, "servers": object.Quarantine.Servers, "offset": object.Revision - 1,
+			}).Info("quarantine active")
 		}
-		s.detector.table.QuarantineUntil(d, s.detector.now().Add(object.Quarantine.Until().Sub(s.wallClock())))
+		s.detector.table.QuarantineUntil(d, object.Quarantine.Customer, s.detector.now().Add(object.Quarantine.Until().Sub(s.wallClock())))
 	}
 	for d, former := range s.active {
 		switch {
@@ -114,23 +115,30 @@
 			s.log.WithFields(logrus.Fields{"digest": d, "offset": view.Configured}).Info("request released from quarantine")
 			s.detector.endQuarantine(d)
 		default:
-			s.detector.table.QuarantineUntil(d, time.Time{})
+			s.detector.table.QuarantineUntil(d, "", time.Time{})
 		}
 	}
 	s.active = listed
 }
 
-// logNew logs requests that are newly quarantined.
+// logNew logs requests and parts that are newly quarantined.
 func (s *Store) logNew(quarantined map[quarantine.Digest]quarantine.Decision, now time.Time) {
 	for d, decision := range quarantined {
 		if !s.detector.table.MarkAnnounced(d, decision) {
 			continue
 		}
-		metrics.GetOrCreateCounter(`crowbridge_requests_quarantined_total`).Inc()
-		s.log.WithFields(logrus.Fields{
+		fields := logrus.Fields{
 			"digest": d, "customer": decision.Info.Customer, "path": decision.Info.Path, "servers": decision.Servers,
-			"found_here": decision.LocalExits, "for_s": int(decision.Until.Sub(now).Seconds()),
-		}).Warn("request quarantined: servers crash while running it")
+			"found_here": decision.LocalExits, "since_ms": now.Sub(decision.Since).Milliseconds(), "for_s": int(decision.Until.Sub(now).Seconds()),
+		}
+		if decision.Part != nil {
+			metrics.GetOrCreateCounter(`crowbridge_prompt_parts_quarantined_total`).Inc()
+			fields["part"], fields["service"] = decision.Part.ID, decision.Part.Service
+			s.log.WithFields(fields).Warn("prompt part quarantined: servers crash while running requests with it")
+			continue
+		}
+		metrics.GetOrCreateCounter(`crowbridge_requests_quarantined_total`).Inc()
+		s.log.WithFields(fields).Warn("request quarantined: servers crash while running it")
 	}
 }
 
@@ -143,12 +151,15 @@
 		if object != nil && object.Quarantine.Until().Add(endTolerance).After(until) {
 			continue
 		}
+		spec := &config.Quarantine{
+			Customer: decision.Info.Customer, Path: decision.Info.Path, Servers: decision.Servers,
+			SinceMs: s.wallClock().Add(decision.Since.Sub(now)).UnixMilli(), UntilMs: until.UnixMilli(),
+		}
+		if decision.Part != nil {
+			spec.Part, spec.Service = decision.Part.ID, decision.Part.Service
+		}
 		change := config.Change{Kind: config.KindQuarantine, Name: d.String(), Object: &config.Object{
-			Kind: config.KindQuarantine, Name: d.String(),
-			Quarantine: &config.Quarantine{
-				Customer: decision.Info.Customer, Path: decision.Info.Path, Servers: decision.Servers,
-				SinceMs: s.wallClock().Add(decision.Since.Sub(now)).UnixMilli(), UntilMs: until.UnixMilli(),
-			},
+			Kind: config.KindQuarantine, Name: d.String(), Quarantine: spec,
 		}}
 		if object != nil {
 			change.ExpectedRevision = object.Revision
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -52,9 +52,7 @@
 	}
 	if f == nil {
 		p.chooser.RecordSuccess(server.Key(), p.now().Sub(startedAt))
-		if p.quarantineActive() {
-			p.quarantine.RecordSuccess(x.request.digest())
-		}
+		p.recordSuccess(x)
 	}
 	return f
 }
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -137,12 +137,13 @@
 // mayIsolate reports whether a candidate may be assigned to a suspect request. Ranks in backoff may:
 // after the break of a group these are all but the restarted one, which would get all suspects. So
 // may servers with another suspect, if the request has exits at several servers: the few of these
-// are assigned different servers, and moving one would bring it to another's.
+// are assigned different servers, and moving one would bring it to another's; and if all requests with
+// its part are assigned one server.
 func mayIsolate(now time.Time, c candidate, isolation quarantine.Isolation) bool {
 	if c.server.Rank == nil && now.Before(c.state.backoffUntil) {
 		return false
 	}
-	return c.state.suspectsInFlight == 0 || len(isolation.Exited) > 1
+	return c.state.suspectsInFlight == 0 || len(isolation.Exited) > 1 || isolation.Part != nil
 }
 
 // isolated returns the candidate that comes first in a suspect's order of all servers, or the zero
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -8,6 +8,7 @@
 	"github.com/crowbridge/crowbridge/internal/failure"
 	"github.com/crowbridge/crowbridge/internal/fleet"
 	"github.com/crowbridge/crowbridge/internal/outcome"
+	"github.com/crowbridge/crowbridge/internal/quarantine"
 	"github.com/crowbridge/crowbridge/internal/ratelimit"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -103,6 +104,12 @@
 	return &exchange{Target: target, request: r, route: target.Route, caller: newCallerResponse(w, r, target.HasEndEvent)}
 }
 
+// fingerprint identifies the request to the quarantine.
+func (x *exchange) fingerprint() quarantine.Fingerprint { return x.request.fingerprint(x.Service) }
+
+// digest identifies the request and the caller's repetitions of it.
+func (x *exchange) digest() quarantine.Digest { return x.fingerprint().Digest }
+
 // Serve processes a request. The context ends when the caller disconnects.
 func (p *Pipeline) Serve(ctx context.Context, r *Request, w ResponseWriter) Result {
 	target, f := p.resolveTarget(r)
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"syscall"
 	"time"
@@ -21,11 +22,11 @@
 	Empty() bool
 	// Admit decides whether a request may be sent to a server. A healthy or suspect request
 	// counts as in progress until Done.
-	Admit(d quarantine.Digest) quarantine.Decision
+	Admit(f quarantine.Fingerprint) quarantine.Decision
 	// Done ends an attempt that Admit permitted.
 	Done(d quarantine.Digest)
 	// RecordConnectionLoss records that the connection to a server was lost during a request.
-	RecordConnectionLoss(d quarantine.Digest, info quarantine.RequestInfo, server *fleet.Server)
+	RecordConnectionLoss(f quarantine.Fingerprint, server *fleet.Server)
 	// MarkExited records that a server, given by its key, has exited.
 	MarkExited(server, cause string)
 	// HasExited reports whether a server has exited that wasn't known to be leaving, by a probe.
@@ -33,8 +34,12 @@
 	// RecordResponse records that a server responded to an attempt that was sent at a time, and so
 	// survived all connections that were lost before.
 	RecordResponse(server *fleet.Server, sentAt time.Time)
-	// RecordSuccess records that a request completed successfully.
-	RecordSuccess(d quarantine.Digest)
+	// RecordServed records that a service completed a request with a prompt. It is called for each,
+	// so it must be cheap.
+	RecordServed(service string, parts quarantine.PromptParts)
+	// RecordSuccess records that a request completed successfully. Without parts, its prompt may not
+	// have been run to its end.
+	RecordSuccess(f quarantine.Fingerprint)
 }
 
 // SetQuarantine enables the quarantine. It must be called before the first request.
@@ -51,7 +56,7 @@
 )
 
 // checkQuarantine admits a request, or refuses it because servers crash while they run it.
-// Requests are identified by digest, since a caller's retry has another ID.
+// Requests are identified by fingerprint, since a caller's retry has another ID.
 func (p *Pipeline) checkQuarantine(ctx context.Context, x *exchange) *failure.Error {
 	p.releaseQuarantine(x)
 	x.request.Suspect = false
@@ -60,7 +65,7 @@
 	}
 	giveUpAt := p.now().Add(pendingTimeout)
 	for {
-		decision := p.quarantine.Admit(x.request.digest())
+		decision := p.quarantine.Admit(x.fingerprint())
 		switch decision.State {
 		case quarantine.Healthy, quarantine.Suspect:
 			x.admitted, x.request.Suspect = true, decision.State == quarantine.Suspect
@@ -71,8 +76,8 @@
 			return nil
 		case quarantine.Quarantined:
 			return refuseUnsent(x, failure.StepQueue, x.Service, failure.CodeQuarantined,
-				fmt.Sprintf("%d servers crashed while running this request (%s), quarantined for %s",
-					len(decision.Servers), strings.Join(decision.Servers, ", "), decision.Until.Sub(p.now()).Round(time.Second))).WithRetryAfter(decision.Until.Sub(p.now()))
+				fmt.Sprintf("%d servers crashed while running %s (%s), quarantined for %s",
+					len(decision.Servers), accused(decision), strings.Join(decision.Servers, ", "), decision.Until.Sub(p.now()).Round(time.Second))).WithRetryAfter(decision.Until.Sub(p.now()))
 		case quarantine.Pending:
 		}
 		if !p.now().Before(giveUpAt) || !wait.For(ctx, pendingPollInterval) {
@@ -82,9 +87,20 @@
 	}
 }
 
+// accused describes what a decision is about.
+func accused(decision quarantine.Decision) string {
+	if decision.Part != nil {
+		return "requests with the prompt part " + decision.Part.ID
+	}
+	return "this request"
+}
+
 // logSuspect logs that a suspect request may run, and the evidence against it.
 func (p *Pipeline) logSuspect(x *exchange, decision quarantine.Decision) {
-	fields := logrus.Fields{"request": x.request.ID, "digest": x.request.digest(), "servers": decision.Servers, "found_here": decision.LocalExits, "index": decision.Isolation.Index}
+	fields := logrus.Fields{"request": x.request.ID, "digest": x.digest(), "servers": decision.Servers, "found_here": decision.LocalExits, "index": decision.Isolation.Index}
+	if decision.Part != nil {
+		fields["part"] = decision.Part.ID
+	}
 	if !decision.Since.IsZero() {
 		fields["since_ms"] = p.now().Sub(decision.Since).Milliseconds()
 	}
@@ -108,7 +124,7 @@
 func (p *Pipeline) releaseQuarantine(x *exchange) {
 	if x.admitted {
 		x.admitted = false
-		p.quarantine.Done(x.request.digest())
+		p.quarantine.Done(x.digest())
 	}
 }
 
@@ -121,7 +137,7 @@
 	x.connectionLost = true
 	countConnectionLoss(x)
 	if p.quarantine != nil {
-		p.quarantine.RecordConnectionLoss(x.request.digest(), quarantine.NewRequestInfo(x.request.Customer, x.request.URI), server)
+		p.quarantine.RecordConnectionLoss(x.fingerprint(), server)
 	}
 }
 
@@ -133,6 +149,31 @@
 	}
 }
 
+// recordSuccess records that a response was relayed to its end.
+func (p *Pipeline) recordSuccess(x *exchange) {
+	if p.quarantine == nil {
+		return
+	}
+	ran := x.provesPrompt()
+	if ran && x.request.PromptParts != nil {
+		p.quarantine.RecordServed(x.Service, x.request.PromptParts)
+	}
+	if !p.quarantineActive() {
+		return
+	}
+	f := x.fingerprint()
+	if !ran {
+		f.Parts = nil
+	}
+	p.quarantine.RecordSuccess(f)
+}
+
+// provesPrompt reports whether the response shows that a server ran the prompt: a server may also
+// refuse it, or have nothing to add to a stream.
+func (x *exchange) provesPrompt() bool {
+	return x.caller.status < http.StatusMultipleChoices && (!x.caller.stream || x.part.events > 0)
+}
+
 // recordConnectionRefused marks the server as exited if the error is a refused connection.
 func (p *Pipeline) recordConnectionRefused(server *fleet.Server, err error) {
 	if p.quarantine != nil && errors.Is(err, syscall.ECONNREFUSED) {
--- a/internal/dispatch/quarantine_test.go
+++ b/internal/dispatch/quarantine_test.go
@@ -24,11 +24,13 @@
 	empty                   bool
 	probed                  []string
 	hasExited               bool
+	served                  []string // parts of prompts
+	cleared                 int      // parts of prompts
 }
 
 func (q *fakeQuarantine) Empty() bool { return q.empty }
 
-func (q *fakeQuarantine) Admit(quarantine.Digest) quarantine.Decision {
+func (q *fakeQuarantine) Admit(quarantine.Fingerprint) quarantine.Decision {
 	if len(q.decisions) == 0 {
 		q.admitted++
 		return quarantine.Decision{}
@@ -45,7 +47,7 @@
 
 func (q *fakeQuarantine) Done(quarantine.Digest) { q.done++ }
 
-func (q *fakeQuarantine) RecordConnectionLoss(_ quarantine.Digest, _ quarantine.RequestInfo, server *fleet.Server) {
+func (q *fakeQuarantine) RecordConnectionLoss(_ quarantine.Fingerprint, server *fleet.Server) {
 	q.connectionsLost = append(q.connectionsLost, server.ID)
 }
 
@@ -60,7 +62,14 @@
 	q.responded = append(q.responded, server.ID)
 }
 
-func (q *fakeQuarantine) RecordSuccess(quarantine.Digest) { q.successes++ }
+func (q *fakeQuarantine) RecordServed(_ string, parts quarantine.PromptParts) {
+	q.served = append(q.served, parts.Shared()...)
+}
+
+func (q *fakeQuarantine) RecordSuccess(f quarantine.Fingerprint) {
+	q.successes++
+	q.cleared += len(f.Parts)
+}
 
 // refusesConnections is a server whose process has exited.
 func refusesConnections(*Request, Attempt) (*Response, *SendError) {
@@ -146,6 +155,37 @@
 		Expect(q.connectionsLost).To(HaveLen(1))
 	})
 
+	It("is told which parts of prompts servers have run, not of those that they refused or had nothing to add to", func() {
+		events := "id: 1\ndata: a\n\n"
+		for _, tc := range []struct {
+			route  string
+			reply  reply
+			resume int64
+			served []string
+		}{
+			{"once", respondsSigned(http.StatusOK, "done"), -1, []string{"p", "q"}},
+			{"once", respondsSigned(http.StatusBadRequest, "no"), -1, nil},
+			{"stream", respondsSigned(http.StatusOK, events), -1, []string{"p", "q"}},
+			{"stream", respondsSigned(http.StatusOK, ""), 1, nil},
+			{"once", failsToSend(true), -1, nil},
+		} {
+			b, q := with(tc.reply)
+			r := b.request(tc.route, 8*time.Second)
+			r.PromptParts = promptParts{"p", "q"}
+			r.Resume, r.LastEventID = tc.resume >= 0, tc.resume
+			b.pipeline.Serve(context.Background(), r, b.recorder)
+			Expect(q.served).To(Equal(tc.served), tc.route)
+			Expect(q.cleared).To(Equal(len(tc.served)))
+		}
+	})
+
+	It("names the prompt part for which it refuses a request", func() {
+		b, q := with()
+		part := quarantine.NewPart("plain", "5c")
+		q.decisions = []quarantine.Decision{{State: quarantine.Quarantined, Part: &part, Servers: []string{"i-1"}, Until: b.now.Add(time.Minute)}}
+		Expect(b.serve("again").Failure.Detail).To(ContainSubstring("requests with the prompt part 5c (i-1)"))
+	})
+
 	It("is notified of exited servers", func() {
 		b, q := with(refusesConnections, responds(http.StatusMisdirectedRequest, ResponseInfo{NotRun: true}, "", false))
 		b.serve("again")
@@ -160,7 +200,22 @@
 	})
 })
 
+// promptParts are the shared parts of a prompt.
+type promptParts []string
+
+func (p promptParts) Shared() []string { return p }
+
 var _ = Describe("suspect requests", func() {
+	It("with the same prompt part are sent to the same server, also at once", func() {
+		b := newFixture()
+		servers := b.fleet.Servers().OfService("plain")
+		part := quarantine.NewPart("plain", "5c")
+		suspect := &Request{Suspect: true, Isolation: quarantine.Isolation{Part: &part, Exited: []string{"gone"}}}
+		first := b.balancer.Choose(b.now, servers, suspect, nil).Server.ID
+		b.balancer.RequestSent(first, suspect, b.now)
+		Expect(b.balancer.Choose(b.now, servers, suspect, nil).Server.ID).To(Equal(first))
+	})
+
 	It("are sent to different servers while possible", func() {
 		b := newFixture()
 		servers := b.fleet.Servers().OfService("plain")
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -89,7 +89,7 @@
 	observeResult(x, f.Outcome, f.Code, now)
 	fields["outcome"], fields["code"], fields["step"], fields["peer"] = f.Outcome, f.Code, f.Step, f.Peer
 	fields["cause"], fields["begun"], fields["last_event"] = f.Detail, x.caller.started, x.caller.position.last
-	fields["retry_after_ms"], fields["digest"] = f.RetryAfter.Milliseconds(), x.request.digest()
+	fields["retry_after_ms"], fields["digest"] = f.RetryAfter.Milliseconds(), x.digest()
 	p.log.WithFields(fields).Warn("request failed")
 }
 
@@ -113,7 +113,7 @@
 // logFailedAttempt logs why an attempt failed and whether it is retried.
 func (p *Pipeline) logFailedAttempt(x *exchange, server *fleet.Server, f *failure.Error, retrying bool) {
 	fields := logrus.Fields{
-		"request": x.request.ID, "digest": x.request.digest(), "server": server.ID, "address": server.Address,
+		"request": x.request.ID, "digest": x.digest(), "server": server.ID, "address": server.Address,
 		"step": f.Step, "outcome": f.Outcome, "cut_off": x.connectionLost,
 		"code": f.Code, "cause": f.Detail, "sent": x.sentAttempts, "begun": x.caller.started, "last_event": x.caller.position.last,
 		"left_ms": x.Deadline.Sub(p.now()).Milliseconds(), "again": retrying, "load": x.choice.Load, "load_age_ms": loadAge(x.choice),
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -45,8 +45,8 @@
 	// most urgent.
 	Customer string
 	Priority int
-	// Suspect is set when a server crashed while running the request and the request hasn't
-	// succeeded since. Suspects are kept on different servers if possible: at one entry by what
+	// Suspect is set when a server crashed while running the request, or one with the same prompt part,
+	// and none has succeeded since. Suspects are kept on different servers if possible: at one entry by what
 	// runs where, at all entries by Isolation.
 	Suspect   bool
 	Isolation quarantine.Isolation
@@ -57,17 +57,19 @@
 	// maxConnections is how many connections each server of the service accepts from all VMs, or
 	// 0 if unbounded.
 	maxConnections int
-	// cachedDigest is the digest once computed.
-	cachedDigest *quarantine.Digest
+	// cachedFingerprint is the fingerprint once computed.
+	cachedFingerprint *quarantine.Fingerprint
 }
 
-// digest identifies the request and the caller's repetitions of it. Customer must be set.
-func (r *Request) digest() quarantine.Digest {
-	if r.cachedDigest == nil {
-		sum := quarantine.DigestOf(r.Customer, r.Method, r.Host, r.URI, r.Body)
-		r.cachedDigest = &sum
+// fingerprint identifies the request, the caller's repetitions of it, and what it has in common with
+// others of the service. Customer must be set.
+func (r *Request) fingerprint(service string) quarantine.Fingerprint {
+	if r.cachedFingerprint == nil {
+		d := quarantine.DigestOf(r.Customer, r.Method, r.Host, r.URI, r.Body)
+		f := quarantine.NewFingerprint(d, quarantine.NewRequestInfo(r.Customer, r.URI), service, r.PromptParts)
+		r.cachedFingerprint = &f
 	}
-	return *r.cachedDigest
+	return *r.cachedFingerprint
 }
 
 // sharedParts returns the IDs of the prompt's parts that other requests may share.
--- a/internal/platformdaemon/crashgossip.go
+++ b/internal/platformdaemon/crashgossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/crash"
@@ -26,9 +27,8 @@
 	for {
 		select {
 		case evidence := <-e.crashes.Updates():
-			messages := crash.Encode(evidence, e.clock.Now())
-			for at := 0; at < len(messages); at += evidencePerDatagram {
-				e.sendCrashes(conn, messages[at:min(at+evidencePerDatagram, len(messages))])
+			for datagram := range slices.Chunk(evidence, evidencePerDatagram) {
+				e.sendCrashes(conn, crash.Encode(datagram, e.clock.Now()))
 			}
 		case <-ctx.Done():
 			return
@@ -37,8 +37,8 @@
 }
 
 // sendCrashes sends one datagram of evidence to every known entry.
-func (e *EntryDaemon) sendCrashes(conn net.PacketConn, evidence []*peerrpc.CrashEvidence) {
-	data, err := proto.Marshal(&peerrpc.CrashNews{Evidence: evidence})
+func (e *EntryDaemon) sendCrashes(conn net.PacketConn, evidence *peerrpc.CrashNews) {
+	data, err := proto.Marshal(evidence)
 	if err != nil {
 		e.log.WithError(err).Error("crash evidence not encoded")
 		return
@@ -74,7 +74,7 @@
 			e.log.WithError(err).Debug("invalid crash evidence datagram")
 			continue
 		}
-		e.crashes.Receive(crash.Decode(update.GetEvidence(), e.clock.Now()), "entry "+from.String())
+		e.crashes.Receive(crash.Decode(&update, e.clock.Now()), "entry "+from.String())
 	}
 }
 
--- a/internal/quarantine/decision.go
+++ b/internal/quarantine/decision.go
@@ -65,22 +65,25 @@
 	LocalExits int
 	// Isolation keeps a suspect request apart from other suspects.
 	Isolation Isolation
+	// Part is the part of the prompt on which the decision is based, or nil.
+	Part *Part
+	// probe is set if requests with the part are admitted one at a time.
+	probe bool
 }
 
-func (t *Table) decide(d Digest, r *request, now time.Time) Decision {
-	decision := Decision{Info: r.info, Servers: r.exitedServers()}
-	for _, server := range decision.Servers {
-		e := r.exits[server]
-		if e.local {
-			decision.LocalExits++
-		}
-		if decision.Since.IsZero() || e.at.Before(decision.Since) {
-			decision.Since = e.at
-		}
+// stricter returns the stricter of two decisions about a request, or that with more exits.
+func (d Decision) stricter(other Decision) Decision {
+	if other.State > d.State || (other.State == d.State && len(other.Servers) >= len(d.Servers) && other.Part != nil) {
+		return other
 	}
+	return d
+}
+
+func (t *Table) decide(d Digest, r *subject, now time.Time) Decision {
+	decision := r.describe(t.unexplained(r, now))
 	decision.Until = r.quarantineEnd(t.countedExits(r, decision.Servers))
-	if now.Before(r.configuredUntil) {
-		decision.State, decision.Until = Quarantined, latest(decision.Until, r.configuredUntil)
+	if configured := t.configured[d]; now.Before(configured.until) {
+		decision.State, decision.Until = Quarantined, latest(decision.Until, configured.until)
 		return decision
 	}
 	decision.State = t.stateByEvidence(d, r, decision.Servers, now)
@@ -90,6 +93,21 @@
 	return decision
 }
 
+// describe returns a decision with the given exits of the subject as its reasons.
+func (s *subject) describe(servers []string) Decision {
+	decision := Decision{Info: s.info, Servers: servers}
+	for _, server := range servers {
+		e := s.exits[server]
+		if e.local {
+			decision.LocalExits++
+		}
+		if decision.Since.IsZero() || e.at.Before(decision.Since) {
+			decision.Since = e.at
+		}
+	}
+	return decision
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -98,14 +116,8 @@
 }
 
 // stateByEvidence returns the state by evidence alone, without the operators' configuration.
-func (t *Table) stateByEvidence(d Digest, r *request, servers []string, now time.Time) State {
-	counted := t.countedExits(r, servers)
-	pending := 0
-	for _, loss := range r.losses {
-		if !loss.alive && now.Sub(loss.at) < lossPendingTime {
-			pending++
-		}
-	}
+func (t *Table) stateByEvidence(d Digest, r *subject, servers []string, now time.Time) State {
+	counted, pending := t.countedExits(r, servers), r.pendingLosses(now)
 	switch {
 	case counted == exitsToQuarantine && now.Sub(r.lastLearned()) < SettleTime:
 		return Pending
@@ -120,10 +132,10 @@
 	}
 }
 
-// countedExits returns the number of exits that count against a request. Exits within the
-// correlation window count as one if another server, at which the request was not in progress,
-// exited at the same time: the cause is then a rack or zone failure rather than the request.
-func (t *Table) countedExits(r *request, servers []string) int {
+// countedExits returns the number of exits that count against a subject. Exits within the
+// correlation window count as one if another server, at which the subject was not in progress,
+// exited at the same time: the cause is then a rack or zone failure rather than the subject.
+func (t *Table) countedExits(r *subject, servers []string) int {
 	if len(servers) < exitsToQuarantine {
 		return len(servers)
 	}
@@ -146,9 +158,9 @@
 	return counted
 }
 
-// exitElsewhere reports whether a server at which the request has no exit exited around a time.
-func (t *Table) exitElsewhere(r *request, at time.Time) bool {
-	for _, other := range t.requests {
+// exitElsewhere reports whether a server at which the subject has no exit exited around a time.
+func (t *Table) exitElsewhere(r *subject, at time.Time) bool {
+	for _, other := range t.requests.subjects {
 		for server, e := range other.exits {
 			if _, own := r.exits[server]; !own && e.at.Sub(at).Abs() <= correlationWindow {
 				return true
@@ -162,7 +174,7 @@
 // may be the cause.
 func (t *Table) exitsShared(d Digest, servers []string) bool {
 other:
-	for other, r := range t.requests {
+	for other, r := range t.requests.subjects {
 		if other == d {
 			continue
 		}
@@ -176,62 +188,17 @@
 	return false
 }
 
-// exitedServers returns the servers whose exits count against the request, sorted.
-func (r *request) exitedServers() []string {
-	var servers []string
-	for server, e := range r.exits {
-		if !e.cleared {
-			servers = append(servers, server)
-		}
-	}
-	slices.Sort(servers)
-	return servers
-}
-
 // quarantineEnd returns the end of the request's quarantine by the exits that count; zero
 // without one.
-func (r *request) quarantineEnd(counted int) time.Time {
+func (s *subject) quarantineEnd(counted int) time.Time {
 	switch {
 	case counted > exitsToQuarantine:
-		return r.lastExit().Add(longQuarantine)
-	case counted == exitsToQuarantine && r.exitedTogether():
-		return r.lastExit().Add(correlatedQuarantine)
+		return s.lastExit().Add(longQuarantine)
+	case counted == exitsToQuarantine && s.exitedTogether():
+		return s.lastExit().Add(correlatedQuarantine)
 	case counted == exitsToQuarantine:
-		return r.lastExit().Add(firstQuarantine)
+		return s.lastExit().Add(firstQuarantine)
 	default:
 		return time.Time{}
 	}
 }
-
-// exitedTogether reports whether all exits that count are within correlationWindow.
-func (r *request) exitedTogether() bool {
-	newest := r.lastExit()
-	for _, e := range r.exits {
-		if !e.cleared && newest.Sub(e.at) > correlationWindow {
-			return false
-		}
-	}
-	return true
-}
-
-// lastLearned returns when this daemon last learned of an exit that counts.
-func (r *request) lastLearned() time.Time {
-	var newest time.Time
-	for _, e := range r.exits {
-		if !e.cleared && e.learnedAt.After(newest) {
-			newest = e.learnedAt
-		}
-	}
-	return newest
-}
-
-// lastExit returns the time of the last exit that counts.
-func (r *request) lastExit() time.Time {
-	var newest time.Time
-	for _, e := range r.exits {
-		if !e.cleared && e.at.After(newest) {
-			newest = e.at
-		}
-	}
-	return newest
-}
--- a/internal/quarantine/eviction.go
+++ b/internal/quarantine/eviction.go
@@ -10,9 +10,10 @@
 	// suspectRetention is how long a single exit is remembered. Callers retry within minutes,
 	// and each server crash makes about a dozen unrelated requests suspect.
 	suspectRetention = time.Hour
-	// maxRequests bounds the requests with remembered exits, at some hundred bytes each. A crash
-	// leaves about a dozen, and a large fleet has 960 restarts or replacements on an ordinary day.
-	maxRequests = 4096
+	// maxSubjects bounds the requests with remembered exits, and the parts, at some hundred bytes
+	// each. A crash leaves about a dozen, and a large fleet has 960 restarts or replacements on an
+	// ordinary day.
+	maxSubjects = 4096
 	// expiryInterval is the time between scans for expired entries.
 	expiryInterval = 10 * time.Second
 )
@@ -23,67 +24,87 @@
 		return
 	}
 	t.expiredAt = now
-	for d, r := range t.requests {
-		maps.DeleteFunc(r.losses, func(_ string, loss connectionLoss) bool { return now.Sub(loss.at) > lossRetention })
-		retention := suspectRetention
-		if len(r.exitedServers()) >= exitsToQuarantine {
-			retention = longQuarantine
+	for d, configured := range t.configured {
+		if now.After(configured.until) {
+			delete(t.configured, d)
 		}
-		for server, e := range r.exits {
-			if now.Sub(e.at) > retention {
-				t.removeExit(d, r, server)
-			}
+	}
+	for _, set := range t.sets() {
+		for d, s := range set.subjects {
+			s.expire(now, func(server string) { set.removeExit(d, s, server) })
+			set.dropIfEmpty(d, s)
 		}
-		if now.After(r.configuredUntil) {
-			r.configuredUntil = time.Time{}
+	}
+}
+
+// expire removes expired losses, and calls removeExit for expired exits.
+func (s *subject) expire(now time.Time, removeExit func(server string)) {
+	maps.DeleteFunc(s.losses, func(_ string, loss connectionLoss) bool { return now.Sub(loss.at) > lossRetention })
+	retention := suspectRetention
+	if s.mayBeQuarantined() {
+		retention = longQuarantine
+	}
+	for server, e := range s.exits {
+		if now.Sub(e.at) > retention {
+			removeExit(server)
 		}
-		t.dropIfEmpty(d, r)
 	}
 }
 
-func (t *Table) removeExit(d Digest, r *request, server string) {
-	t.hash ^= hashOf(d, server, r.exits[server].cleared)
-	delete(r.exits, server)
+// mayBeQuarantined reports whether the subject has enough exits for a quarantine.
+func (s *subject) mayBeQuarantined() bool {
+	required := exitsToQuarantine
+	if s.part != nil {
+		required = partExitsToQuarantine
+	}
+	return len(s.exitedServers()) >= required
 }
 
-// evictExcess enforces maxRequests. It evicts a batch at a time, so that not every new entry
-// needs a scan. Requests of customers that exceed their share of the table go first, so that
-// one customer cannot evict the entries of others; then requests that are not quarantined;
-// then the oldest.
+// evictExcess enforces maxSubjects for requests and for parts.
 func (t *Table) evictExcess() {
-	if len(t.requests) <= maxRequests {
+	for _, set := range t.sets() {
+		set.evictExcess()
+	}
+}
+
+// evictExcess enforces maxSubjects. It evicts a batch at a time, so that not every new entry
+// needs a scan. Subjects of customers that exceed their share of the set go first, so that
+// one customer cannot evict the entries of others; then those that are not quarantined;
+// then the oldest.
+func (s *evidenceSet) evictExcess() {
+	if len(s.subjects) <= maxSubjects {
 		return
 	}
 	var candidates []evictionCandidate
 	customers := map[string]int{}
-	for d, r := range t.requests {
-		if len(r.exits) > 0 {
+	for d, sub := range s.subjects {
+		if len(sub.exits) > 0 {
 			candidates = append(candidates, evictionCandidate{
-				digest: d, customer: r.info.Customer, lastExit: r.lastExit(), quarantined: len(r.exitedServers()) >= exitsToQuarantine,
+				digest: d, customer: sub.info.Customer, lastExit: sub.lastExit(), quarantined: sub.mayBeQuarantined(),
 			})
-			customers[r.info.Customer]++
+			customers[sub.info.Customer]++
 		}
 	}
-	if len(candidates) <= maxRequests {
+	if len(candidates) <= maxSubjects {
 		return
 	}
 	for i, candidate := range candidates {
-		candidates[i].overShare = customers[candidate.customer] > maxRequests/len(customers)
+		candidates[i].overShare = customers[candidate.customer] > maxSubjects/len(customers)
 	}
 	slices.SortFunc(candidates, evictionCandidate.compare)
-	for _, candidate := range candidates[:len(candidates)-maxRequests+maxRequests/evictionDivisor] {
-		r := t.requests[candidate.digest]
-		for server := range r.exits {
-			t.removeExit(candidate.digest, r, server)
+	for _, candidate := range candidates[:len(candidates)-maxSubjects+maxSubjects/evictionDivisor] {
+		sub := s.subjects[candidate.digest]
+		for server := range sub.exits {
+			s.removeExit(candidate.digest, sub, server)
 		}
-		t.dropIfEmpty(candidate.digest, r)
+		s.dropIfEmpty(candidate.digest, sub)
 	}
 }
 
-// evictionDivisor is the divisor of maxRequests that gives the size of an evicted batch.
+// evictionDivisor is the divisor of maxSubjects that gives the size of an evicted batch.
 const evictionDivisor = 16
 
-// evictionCandidate is a request with its eviction criteria.
+// evictionCandidate is a subject with its eviction criteria.
 type evictionCandidate struct {
 	digest   Digest
 	customer string
--- a/internal/quarantine/isolation.go
+++ b/internal/quarantine/isolation.go
@@ -1,7 +1,8 @@
 package quarantine
 
 import (
-	"bytes"
+	"cmp"
+	"hash/fnv"
 	"slices"
 )
 
@@ -12,8 +13,11 @@
 	// Index is the request's position among those that were in progress at its last exit. Those with
 	// more exits come first, so that these have servers of their own even if there are few.
 	Index int
-	// Exited are the servers that exited while running the request.
+	// Exited are the servers that exited while running the request, or requests with its part.
 	Exited []string
+	// Part is set if the request is suspect because of a part of its prompt. All requests with the
+	// part are assigned the same server, so that no more than one exits.
+	Part *Part
 }
 
 // minIsolationServers is the fewest servers among which suspects are told apart.
@@ -37,12 +41,28 @@
 	if len(others) == 0 {
 		return nil
 	}
+	if i.Part != nil {
+		i.Part.sortByHash(others)
+		return slices.Concat(others, exited)
+	}
 	first := i.Index % len(others)
 	return slices.Concat(others[first:], others[:first], exited)
 }
 
+// sortByHash sorts servers by their hash with the part (rendezvous hashing), so that daemons that know
+// slightly different servers prefer the same.
+func (p *Part) sortByHash(servers []string) {
+	hash := func(server string) uint64 {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(server)) // a hash never returns an error
+		_, _ = h.Write(p.Digest[:])
+		return h.Sum64()
+	}
+	slices.SortFunc(servers, func(a, b string) int { return cmp.Compare(hash(a), hash(b)) })
+}
+
 // isolation returns the isolation of a suspect request.
-func (t *Table) isolation(d Digest, r *request, servers []string) Isolation {
+func (t *Table) isolation(d Digest, r *subject, servers []string) Isolation {
 	found := Isolation{Exited: servers}
 	last := ""
 	for _, server := range servers {
@@ -50,18 +70,10 @@
 			last = server
 		}
 	}
-	for other, o := range t.requests {
-		if _, shared := o.exits[last]; shared && precedes(other, o, d, len(servers)) {
+	for other, o := range t.requests.subjects {
+		if _, shared := o.exits[last]; shared && compareExits(len(o.exitedServers()), other, len(servers), d) < 0 {
 			found.Index++
 		}
 	}
 	return found
 }
-
-// precedes reports whether a request comes before one with the given digest and number of exits.
-func precedes(other Digest, o *request, d Digest, exits int) bool {
-	if n := len(o.exitedServers()); n != exits {
-		return n > exits
-	}
-	return bytes.Compare(other[:], d[:]) < 0
-}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -1,8 +1,6 @@
 package quarantine
 
 import (
-	"hash/fnv"
-	"strconv"
 	"sync"
 	"time"
 )
@@ -21,87 +19,58 @@
 // exchange evidence converge regardless of order and repetition: evidence is only added, and
 // only changes to cleared. It is safe for concurrent use.
 type Table struct {
-	mu       sync.Mutex // no other lock is taken while it is held
-	requests map[Digest]*request
-	// changes counts the changes of evidence; hash covers all evidence.
+	mu              sync.Mutex // no other lock is taken while it is held
+	requests, parts evidenceSet
+	// configured are the quarantines in the configuration, of requests and of parts.
+	configured map[Digest]configuredQuarantine
+	served     servedPrompts
+	// changes counts the changes of evidence.
 	changes   int64
-	hash      uint64
 	expiredAt time.Time
+	blame     blame
 }
 
-// request is the state of one request.
-type request struct {
-	info RequestInfo
-	// inProgress counts the attempts at this daemon that Admit permitted; admittedAt is the table's
-	// change counter when the oldest of them was admitted.
-	inProgress int
-	admittedAt int64
-	// losses are lost connections, exits the servers' exits, by server; nil until the first.
-	losses map[string]connectionLoss
-	exits  map[string]exit
-	// configuredUntil is the end of the quarantine in the configuration.
-	configuredUntil time.Time
-	// announcedExits is the number of exits at the last MarkAnnounced.
-	announcedExits int
-}
-
-type connectionLoss struct {
-	at time.Time
-	// admittedAt is the table's change counter when the attempt was admitted; 0 if it wasn't.
-	admittedAt int64
-	// alive is set when the server is presumed alive.
-	alive bool
-}
-
-type exit struct {
-	at time.Time
-	// learnedAt is when this daemon learned of the exit.
-	learnedAt time.Time
-	cleared   bool
-	// change is the table's change counter when this entry last changed, added when it was added.
-	change, added int64
-	// local is set if this daemon observed the exit.
-	local bool
+// configuredQuarantine is a quarantine in the configuration.
+type configuredQuarantine struct {
+	until time.Time
+	// customer is the only one whose requests with a part are kept from servers; "" means all.
+	customer string
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{requests: map[Digest]*request{}} }
-
-func (t *Table) request(d Digest) *request {
-	r := t.requests[d]
-	if r == nil {
-		r = &request{}
-		t.requests[d] = r
-	}
-	return r
+func NewTable() *Table {
+	return &Table{requests: newEvidenceSet(), parts: newEvidenceSet(), configured: map[Digest]configuredQuarantine{}}
 }
 
-// Empty reports whether the table holds no requests. All requests are healthy then, and need no
-// digest.
+// Empty reports whether the table holds neither requests nor parts. All requests are healthy then,
+// and need no fingerprint.
 func (t *Table) Empty() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.requests) == 0
+	return len(t.requests.subjects) == 0 && len(t.parts.subjects) == 0 && len(t.configured) == 0
 }
 
 // Admit decides whether a request may be sent to a server now. A healthy or suspect request
 // counts as in progress until Done.
-func (t *Table) Admit(d Digest, now time.Time) Decision {
+func (t *Table) Admit(f Fingerprint, now time.Time) Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	r := t.request(d)
-	decision := t.decide(d, r, now)
+	r := t.requests.get(f.Digest)
+	decision := t.decide(f.Digest, r, now)
 	if decision.State == Suspect && r.inProgress > 0 {
 		decision.State = Pending
 	}
+	byParts := t.decideParts(f, now)
+	decision = decision.stricter(byParts)
 	if decision.State == Healthy || decision.State == Suspect {
 		if r.inProgress == 0 {
 			r.admittedAt = t.changes
 		}
 		r.inProgress++
+		t.recordProbe(byParts, now)
 	}
-	t.dropIfEmpty(d, r)
+	t.requests.dropIfEmpty(f.Digest, r)
 	return decision
 }
 
@@ -109,25 +78,18 @@
 func (t *Table) Done(d Digest) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.request(d)
+	r := t.requests.get(d)
 	r.inProgress--
-	t.dropIfEmpty(d, r)
-}
-
-// dropIfEmpty removes a request without any state.
-func (t *Table) dropIfEmpty(d Digest, r *request) {
-	if r.inProgress <= 0 && len(r.losses) == 0 && len(r.exits) == 0 && r.configuredUntil.IsZero() {
-		delete(t.requests, d)
-	}
+	t.requests.dropIfEmpty(d, r)
 }
 
-// Decision returns the decision about a request.
+// Decision returns the decision about a request, without regard to its prompt.
 func (t *Table) Decision(d Digest, now time.Time) Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.requests[d]
+	r := t.requests.subjects[d]
 	if r == nil {
-		return Decision{}
+		r = &subject{}
 	}
 	return t.decide(d, r, now)
 }
@@ -135,20 +97,30 @@
 // RecordConnectionLoss records that the connection to a server was lost during an attempt. It
 // reports whether no other loss at the server is unresolved: the caller then has to probe the
 // server.
-func (t *Table) RecordConnectionLoss(d Digest, info RequestInfo, server string, now time.Time) (first bool) {
+func (t *Table) RecordConnectionLoss(f Fingerprint, server string, now time.Time) (first bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	first = !t.exitPending(server, now)
-	r := t.request(d)
-	r.info = info
-	if r.losses == nil {
-		r.losses = map[string]connectionLoss{}
+	r := t.requests.get(f.Digest)
+	r.info = f.Info
+	loss := connectionLoss{
+		at: now, customers: oneOrSeveral[string]{one: f.Info.Customer}, requests: oneOrSeveral[Digest]{one: f.Digest},
 	}
-	loss := connectionLoss{at: now}
 	if r.inProgress > 0 {
 		loss.admittedAt = r.admittedAt
 	}
-	r.losses[server] = loss
+	r.setLoss(server, loss)
+	for _, part := range f.recordedParts() {
+		s := t.parts.get(part.Digest)
+		s.info, s.part = f.Info, &part
+		merged := loss
+		if previous, found := s.losses[server]; found {
+			merged.customers = loss.customers.merge(previous.customers)
+			merged.requests = loss.requests.merge(previous.requests)
+			merged.admittedAt = max(loss.admittedAt, previous.admittedAt)
+		}
+		s.setLoss(server, merged)
+	}
 	return first
 }
 
@@ -161,22 +133,27 @@
 }
 
 func (t *Table) exitPending(server string, now time.Time) bool {
-	for _, r := range t.requests {
-		if loss, found := r.losses[server]; found && !loss.alive && now.Sub(loss.at) < lossPendingTime {
+	for _, r := range t.requests.subjects {
+		if loss, found := r.losses[server]; found && loss.isPending(now) {
 			return true
 		}
 	}
 	return false
 }
 
+// sets returns the evidence against requests and that against parts.
+func (t *Table) sets() []*evidenceSet { return []*evidenceSet{&t.requests, &t.parts} }
+
 // MarkAlive records that a server survived the connection losses up to a time.
 func (t *Table) MarkAlive(server string, upTo time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, r := range t.requests {
-		if loss, found := r.losses[server]; found && !loss.at.After(upTo) {
-			loss.alive = true
-			r.losses[server] = loss
+	for _, set := range t.sets() {
+		for _, s := range set.subjects {
+			if loss, found := s.losses[server]; found && !loss.at.After(upTo) {
+				loss.alive = true
+				s.losses[server] = loss
+			}
 		}
 	}
 }
@@ -185,108 +162,107 @@
 func (t *Table) DropLosses(server string, before time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for d, r := range t.requests {
-		if loss, found := r.losses[server]; found && loss.at.Before(before) {
-			delete(r.losses, server)
-			t.dropIfEmpty(d, r)
+	for _, set := range t.sets() {
+		for d, s := range set.subjects {
+			if loss, found := s.losses[server]; found && loss.at.Before(before) {
+				delete(s.losses, server)
+				set.dropIfEmpty(d, s)
+			}
 		}
 	}
 }
 
 // MarkExited records that a server exited. It returns the evidence against the requests that
-// recently lost their connection to it.
+// recently lost their connection to it, and against the parts of their prompts.
 func (t *Table) MarkExited(server string, now time.Time) []Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var changed []Evidence
-	for d, r := range t.requests {
-		loss, found := r.losses[server]
-		if !found {
-			continue
-		}
-		delete(r.losses, server)
-		if now.Sub(loss.at) > lossRetention {
-			t.dropIfEmpty(d, r)
-			continue
-		}
-		name, known := r.exitName(server, loss)
-		if known {
-			continue
+	summary := servedSummary{}
+	for _, set := range t.sets() {
+		for d, s := range set.subjects {
+			loss, found := s.losses[server]
+			if !found {
+				continue
+			}
+			delete(s.losses, server)
+			if now.Sub(loss.at) > lossRetention {
+				set.dropIfEmpty(d, s)
+				continue
+			}
+			name, known := s.exitName(server, loss)
+			if known {
+				continue
+			}
+			e := exit{at: loss.at, learnedAt: now, local: true}
+			if s.part != nil {
+				if summary.parts == nil {
+					summary = t.served.summary(now)
+				}
+				e.context, e.cleared = summary.context(s.part, loss.at)
+				e.context.customers, e.context.requests = loss.customers, loss.requests
+			}
+			t.setExit(set, s, d, name, e)
+			changed = append(changed, s.evidence(d, name))
 		}
-		t.setExit(r, d, name, exit{at: loss.at, learnedAt: now, local: true})
-		changed = append(changed, Evidence{Digest: d, Info: r.info, Server: name, ExitedAt: loss.at})
 	}
 	t.evictExcess()
 	return changed
 }
 
-// exitName returns the name under which the exit behind a lost connection is stored, and whether
-// it is stored already. A server that restarts under the same ID can exit more than once: the
-// attempt can't have been lost to an exit that was known when it was admitted. The order is that of
-// knowledge, since clocks and the delays between daemons can't tell exits in quick succession apart.
-func (r *request) exitName(server string, loss connectionLoss) (name string, known bool) {
-	name = server
-	for n := 2; ; n++ {
-		e, found := r.exits[name]
-		if !found {
-			return name, false
-		}
-		if e.added > loss.admittedAt && loss.at.Sub(e.at).Abs() < minExitGap {
-			return name, true
-		}
-		name = server + "#" + strconv.Itoa(n)
-	}
-}
-
 // setExit stores an exit and updates the hash.
-func (t *Table) setExit(r *request, d Digest, server string, e exit) {
-	if old, found := r.exits[server]; found {
-		t.hash ^= hashOf(d, server, old.cleared)
+func (t *Table) setExit(set *evidenceSet, s *subject, d Digest, server string, e exit) {
+	if old, found := s.exits[server]; found {
+		set.hash ^= hashOf(d, server, old)
 	}
 	t.changes++
 	e.change = t.changes
 	if e.added == 0 {
 		e.added = t.changes
 	}
-	if r.exits == nil {
-		r.exits = map[string]exit{}
+	if s.exits == nil {
+		s.exits = map[string]exit{}
 	}
-	r.exits[server] = e
-	t.hash ^= hashOf(d, server, e.cleared)
+	s.exits[server] = e
+	set.hash ^= hashOf(d, server, e)
 }
 
-func hashOf(d Digest, server string, cleared bool) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write(d[:]) // a hash never returns an error
-	_, _ = h.Write([]byte(server))
-	_, _ = h.Write([]byte(strconv.FormatBool(cleared)))
-	return h.Sum64()
+// RecordServed records that a service completed a request with a prompt, which vouches for its parts.
+func (t *Table) RecordServed(service string, parts PromptParts, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.served.add(servedPrompt{at: now, service: service, parts: parts})
 }
 
 // RecordSuccess records that a request completed successfully. It returns the evidence that
-// this clears.
-func (t *Table) RecordSuccess(d Digest) []Evidence {
+// this clears, against it and against the parts of its prompt.
+func (t *Table) RecordSuccess(f Fingerprint) []Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.requests[d]
-	if r == nil {
-		return nil
+	changed := t.clear(&t.requests, f.Digest)
+	for _, part := range f.Parts {
+		changed = append(changed, t.clear(&t.parts, part.Digest)...)
 	}
-	clear(r.losses)
-	return t.clear(d, r)
+	return changed
 }
 
-func (t *Table) clear(d Digest, r *request) []Evidence {
+// clear removes the lost connections of a subject and clears its exits.
+func (t *Table) clear(set *evidenceSet, d Digest) []Evidence {
+	s := set.subjects[d]
+	if s == nil {
+		return nil
+	}
 	var changed []Evidence
-	for server, e := range r.exits {
+	clear(s.losses)
+	for server, e := range s.exits {
 		if e.cleared {
 			continue
 		}
 		e.cleared = true
-		t.setExit(r, d, server, e)
-		changed = append(changed, Evidence{Digest: d, Info: r.info, Server: server, ExitedAt: e.at, Cleared: true})
+		t.setExit(set, s, d, server, e)
+		changed = append(changed, s.evidence(d, server))
 	}
-	t.dropIfEmpty(d, r)
+	set.dropIfEmpty(d, s)
 	return changed
 }
 
@@ -299,70 +275,125 @@
 		if now.Sub(e.ExitedAt) > longQuarantine {
 			continue
 		}
-		r := t.request(e.Digest)
-		old, known := r.exits[e.Server]
-		if known && (old.cleared || !e.Cleared) {
-			continue
+		set := &t.requests
+		if e.Part != nil {
+			set = &t.parts
 		}
+		s := set.get(e.Digest)
+		old, known := s.exits[e.Server]
+		merged := exit{at: e.ExitedAt, learnedAt: now, cleared: e.Cleared, context: e.context}
 		if known {
-			e.ExitedAt = old.at
+			merged = old
+			merged.cleared, merged.context = old.cleared || e.Cleared, old.context.merge(e.context)
+			if merged.cleared == old.cleared && merged.context == old.context {
+				continue
+			}
 		}
 		if e.Info != (RequestInfo{}) {
-			r.info = e.Info
+			s.info = e.Info
+		}
+		if e.Part != nil {
+			s.part = e.Part
 		}
-		t.setExit(r, e.Digest, e.Server, exit{at: e.ExitedAt, learnedAt: now, cleared: e.Cleared, added: old.added})
-		changed = append(changed, e)
+		t.setExit(set, s, e.Digest, e.Server, merged)
+		changed = append(changed, s.evidence(e.Digest, e.Server))
 	}
 	t.evictExcess()
 	return changed
 }
 
+// AddContext adds to evidence of peers what this daemon knows of the parts, since other requests with
+// them may have completed here. It returns the evidence that changed.
+func (t *Table) AddContext(evidence []Evidence, now time.Time) []Evidence {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var changed []Evidence
+	summary := servedSummary{}
+	for _, received := range evidence {
+		if received.Part == nil || received.Cleared {
+			continue
+		}
+		s := t.parts.subjects[received.Digest]
+		if s == nil {
+			continue
+		}
+		if summary.parts == nil {
+			summary = t.served.summary(now)
+		}
+		e, known := s.exits[received.Server]
+		own, cleared := summary.context(s.part, e.at)
+		own.customers, own.requests = e.context.customers, e.context.requests
+		merged := e.context.merge(own)
+		if !known || (merged == e.context && cleared == e.cleared) {
+			continue
+		}
+		e.context, e.cleared = merged, e.cleared || cleared
+		t.setExit(&t.parts, s, received.Digest, received.Server, e)
+		changed = append(changed, s.evidence(received.Digest, received.Server))
+	}
+	return changed
+}
+
 // Since returns the evidence that changed after a change number of this table, and the latest
 // change number.
 func (t *Table) Since(change int64) ([]Evidence, int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var found []Evidence
-	for d, r := range t.requests {
-		for server, e := range r.exits {
-			if e.change > change {
-				found = append(found, Evidence{Digest: d, Info: r.info, Server: server, ExitedAt: e.at, Cleared: e.cleared})
+	for _, set := range t.sets() {
+		for d, s := range set.subjects {
+			for server, e := range s.exits {
+				if e.change > change {
+					found = append(found, s.evidence(d, server))
+				}
 			}
 		}
 	}
 	return found, t.changes
 }
 
-// Hash returns a value that is equal for tables with the same evidence.
+// Hash returns a value that is equal for tables with the same evidence against requests.
 func (t *Table) Hash() uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.hash
+	return t.requests.hash
+}
+
+// PartsHash returns a value that is equal for tables with the same evidence against parts.
+func (t *Table) PartsHash() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.parts.hash
 }
 
-// QuarantineUntil sets the end of a quarantine from the operators' configuration.
-func (t *Table) QuarantineUntil(d Digest, until time.Time) {
+// QuarantineUntil sets the end of a quarantine from the operators' configuration: of a request, or of
+// a part, for all requests with it or those of one customer. The zero time removes it.
+func (t *Table) QuarantineUntil(d Digest, customer string, until time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.request(d).configuredUntil = until
+	if until.IsZero() {
+		delete(t.configured, d)
+		return
+	}
+	t.configured[d] = configuredQuarantine{until: until, customer: customer}
 }
 
-// EndQuarantine releases a request on an operator's command. It returns the evidence that this
-// clears.
+// EndQuarantine releases a request, or requests with a part, on an operator's command. It returns
+// the evidence that this clears.
 func (t *Table) EndQuarantine(d Digest) []Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.request(d)
-	r.configuredUntil = time.Time{}
-	return t.clear(d, r)
+	delete(t.configured, d)
+	return append(t.clear(&t.requests, d), t.clear(&t.parts, d)...)
 }
 
-// Quarantined returns the requests that are quarantined by evidence.
+// Quarantined returns the requests and the parts that are quarantined by evidence. Parts of which
+// either of several may be the cause aren't listed.
 func (t *Table) Quarantined(now time.Time) map[Digest]Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	found := map[Digest]Decision{}
-	for d, r := range t.requests {
+	for d, r := range t.requests.subjects {
 		if len(r.exitedServers()) < exitsToQuarantine {
 			continue
 		}
@@ -370,19 +401,30 @@
 			found[d] = decision
 		}
 	}
+	for _, s := range t.candidates(now) {
+		customer := s.concerned(s.exitedServers()).customers.one
+		only := Fingerprint{Info: RequestInfo{Customer: customer}, Parts: []Part{*s.part}}
+		if decision := t.decidePart(only, s, now); decision.State == Quarantined {
+			decision.Info.Customer = customer
+			found[s.part.Digest] = decision
+		}
+	}
 	return found
 }
 
-// MarkAnnounced records the number of a quarantined request's exits. It reports whether there
-// are more than at the last call.
+// MarkAnnounced records the number of a quarantined request's or part's exits. It reports whether
+// there are more than at the last call.
 func (t *Table) MarkAnnounced(d Digest, decision Decision) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.request(d)
-	if len(decision.Servers) <= r.announcedExits {
+	s := t.requests.get(d)
+	if decision.Part != nil {
+		s = t.parts.get(d)
+	}
+	if len(decision.Servers) <= s.announcedExits {
 		return false
 	}
-	r.announcedExits = len(decision.Servers)
+	s.announcedExits = len(decision.Servers)
 	return true
 }
 
@@ -393,18 +435,24 @@
 func (t *Table) Cleared(d Digest, servers []string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.requests[d]
-	if r == nil || len(servers) == 0 {
+	s, isPart := t.parts.subjects[d], true
+	if s == nil {
+		s, isPart = t.requests.subjects[d], false
+	}
+	if s == nil || len(servers) == 0 {
 		return false
 	}
 	for _, server := range servers {
-		if _, found := r.exits[server]; !found {
+		if _, found := s.exits[server]; !found {
 			return false
 		}
 	}
-	remaining := r.exitedServers()
-	if counted := t.countedExits(r, remaining); counted != exitsToQuarantine {
+	remaining := s.exitedServers()
+	if isPart {
+		return !t.enough(s, remaining)
+	}
+	if counted := t.countedExits(s, remaining); counted != exitsToQuarantine {
 		return counted < exitsToQuarantine
 	}
-	return now.Sub(r.lastLearned()) >= SettleTime && t.exitsShared(d, remaining)
+	return now.Sub(s.lastLearned()) >= SettleTime && t.exitsShared(d, remaining)
 }
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -23,7 +23,7 @@
 // exitUnderRequest loses the request's connection to a server that is then found to have
 // exited.
 func exitUnderRequest(t *quarantine.Table, d quarantine.Digest, server string, now time.Time) []quarantine.Evidence {
-	t.RecordConnectionLoss(d, info, server, now)
+	t.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: info}, server, now)
 	return t.MarkExited(server, now)
 }
 
@@ -40,11 +40,11 @@
 		exitUnderRequest(table, d, "a", start)
 		Expect(state(start)).To(Equal(quarantine.Suspect))
 		exitUnderRequest(table, d, "b", start.Add(time.Second))
-		Expect(table.Admit(d, start.Add(time.Second)).State).To(Equal(quarantine.Pending), "other requests may share its exits")
+		Expect(table.Admit(quarantine.Fingerprint{Digest: d}, start.Add(time.Second)).State).To(Equal(quarantine.Pending), "other requests may share its exits")
 		settled := start.Add(time.Second + quarantine.SettleTime)
 		Expect(state(settled)).To(Equal(quarantine.Quarantined))
 		Expect(table.Decision(d, settled).Servers).To(Equal([]string{"a", "b"}))
-		Expect(table.Admit(d, settled).State).To(Equal(quarantine.Quarantined))
+		Expect(table.Admit(quarantine.Fingerprint{Digest: d}, settled).State).To(Equal(quarantine.Quarantined))
 		Expect(table.MarkAnnounced(d, table.Decision(d, settled))).To(BeTrue())
 		Expect(table.MarkAnnounced(d, table.Decision(d, settled))).To(BeFalse())
 	})
@@ -52,12 +52,12 @@
 	It("that shares both exits with another is quarantined when the other completes", func() {
 		unrelated, settled := digest(2), start.Add(quarantine.SettleTime)
 		for _, server := range []string{"a", "b"} {
-			table.RecordConnectionLoss(unrelated, info, server, start)
+			table.RecordConnectionLoss(quarantine.Fingerprint{Digest: unrelated, Info: info}, server, start)
 			exitUnderRequest(table, d, server, start)
 		}
 		Expect(state(settled)).To(Equal(quarantine.Suspect))
 		Expect(table.Decision(unrelated, settled).State).To(Equal(quarantine.Suspect))
-		table.RecordSuccess(unrelated)
+		table.RecordSuccess(quarantine.Fingerprint{Digest: unrelated})
 		Expect(state(settled)).To(Equal(quarantine.Quarantined), "the other request completed")
 		Expect(table.Decision(unrelated, settled).State).To(Equal(quarantine.Healthy))
 	})
@@ -65,7 +65,7 @@
 	It("that shares both exits with another is quarantined alone after a third exit", func() {
 		unrelated, settled := digest(2), start.Add(quarantine.SettleTime)
 		for _, server := range []string{"a", "b"} {
-			table.RecordConnectionLoss(unrelated, info, server, start)
+			table.RecordConnectionLoss(quarantine.Fingerprint{Digest: unrelated, Info: info}, server, start)
 			exitUnderRequest(table, d, server, start)
 		}
 		exitUnderRequest(table, d, "c", settled)
@@ -78,7 +78,7 @@
 		const sharing = 4
 		other := quarantine.NewTable()
 		for n := range sharing {
-			table.RecordConnectionLoss(digest(n), info, "b", start)
+			table.RecordConnectionLoss(quarantine.Fingerprint{Digest: digest(n), Info: info}, "b", start)
 		}
 		other.Merge(table.MarkExited("b", start), start)
 		assigned, ofTwo := map[string]bool{}, map[string]bool{}
@@ -93,7 +93,7 @@
 		Expect(assigned).To(HaveLen(sharing))
 		Expect(ofTwo).To(HaveLen(2))
 		for n := range 2 {
-			table.RecordConnectionLoss(digest(n), info, "c", start.Add(2*time.Second))
+			table.RecordConnectionLoss(quarantine.Fingerprint{Digest: digest(n), Info: info}, "c", start.Add(2*time.Second))
 		}
 		table.MarkExited("c", start.Add(2*time.Second))
 		settled := start.Add(3 * time.Second)
@@ -104,8 +104,8 @@
 
 	It("that shares one exit, or lost its connection to a live server, is not quarantined", func() {
 		concurrent, survivor := digest(2), digest(3)
-		table.RecordConnectionLoss(concurrent, info, "a", start)
-		table.RecordConnectionLoss(survivor, info, "c", start)
+		table.RecordConnectionLoss(quarantine.Fingerprint{Digest: concurrent, Info: info}, "a", start)
+		table.RecordConnectionLoss(quarantine.Fingerprint{Digest: survivor, Info: info}, "c", start)
 		exitUnderRequest(table, d, "a", start)
 		exitUnderRequest(table, d, "b", start.Add(time.Second))
 		table.MarkAlive("c", start)
@@ -115,7 +115,7 @@
 
 	It("that completes is cleared, and needs two more exits", func() {
 		exitUnderRequest(table, d, "a", start)
-		Expect(table.RecordSuccess(d)).To(HaveLen(1))
+		Expect(table.RecordSuccess(quarantine.Fingerprint{Digest: d})).To(HaveLen(1))
 		Expect(state(start)).To(Equal(quarantine.Healthy))
 		Expect(table.Cleared(d, []string{"a"}, start)).To(BeTrue())
 		exitUnderRequest(table, d, "b", start.Add(time.Second))
@@ -123,10 +123,10 @@
 	})
 
 	It("is pending while it is unknown whether a second server exited", func() {
-		table.RecordConnectionLoss(d, info, "a", start)
+		table.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: info}, "a", start)
 		Expect(state(start)).To(Equal(quarantine.Suspect), "one loss permits a retry")
-		table.RecordConnectionLoss(d, info, "b", start)
-		Expect(table.Admit(d, start).State).To(Equal(quarantine.Pending))
+		table.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: info}, "b", start)
+		Expect(table.Admit(quarantine.Fingerprint{Digest: d}, start).State).To(Equal(quarantine.Pending))
 		table.MarkAlive("a", start)
 		Expect(state(start)).To(Equal(quarantine.Suspect))
 		Expect(state(start.Add(5*time.Second))).To(Equal(quarantine.Healthy), "the pending state expires")
@@ -134,10 +134,10 @@
 
 	It("that is suspect runs one attempt at a time", func() {
 		exitUnderRequest(table, d, "a", start)
-		Expect(table.Admit(d, start).State).To(Equal(quarantine.Suspect))
-		Expect(table.Admit(d, start).State).To(Equal(quarantine.Pending))
+		Expect(table.Admit(quarantine.Fingerprint{Digest: d}, start).State).To(Equal(quarantine.Suspect))
+		Expect(table.Admit(quarantine.Fingerprint{Digest: d}, start).State).To(Equal(quarantine.Pending))
 		table.Done(d)
-		Expect(table.Admit(d, start).State).To(Equal(quarantine.Suspect))
+		Expect(table.Admit(quarantine.Fingerprint{Digest: d}, start).State).To(Equal(quarantine.Suspect))
 	})
 
 	It("has each exit of a server that restarts under its ID counted once", func() {
@@ -153,7 +153,7 @@
 		first, second := start, start.Add(900*time.Millisecond)
 		settled := second.Add(time.Second)
 		crash := func(t *quarantine.Table, at time.Time) []quarantine.Evidence {
-			t.Admit(d, at)
+			t.Admit(quarantine.Fingerprint{Digest: d}, at)
 			defer t.Done(d)
 			return exitUnderRequest(t, d, "a", at.Add(10*time.Millisecond))
 		}
@@ -170,8 +170,8 @@
 
 	It("has one crash counted once that two entries see under attempts in progress together", func() {
 		other := quarantine.NewTable()
-		table.Admit(d, start)
-		other.Admit(d, start)
+		table.Admit(quarantine.Fingerprint{Digest: d}, start)
+		other.Admit(quarantine.Fingerprint{Digest: d}, start)
 		crashed := start.Add(time.Second)
 		evidence := exitUnderRequest(table, d, "a", crashed)
 		other.Merge(evidence, crashed)
@@ -182,7 +182,7 @@
 	})
 
 	It("gets no evidence from an exit long after it lost its connection", func() {
-		table.RecordConnectionLoss(d, info, "a", start)
+		table.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: info}, "a", start)
 		Expect(table.MarkExited("a", start.Add(time.Minute))).To(BeEmpty())
 	})
 
@@ -191,7 +191,7 @@
 		exitUnderRequest(table, d, "b", start)
 		later := table.Decision(d, start).Until
 		Expect(later.Sub(start)).To(Equal(30 * time.Minute))
-		Expect(table.Admit(d, later).State).To(Equal(quarantine.Suspect))
+		Expect(table.Admit(quarantine.Fingerprint{Digest: d}, later).State).To(Equal(quarantine.Suspect))
 		exitUnderRequest(table, d, "c", later)
 		Expect(table.Decision(d, later).Until.Sub(later)).To(Equal(24 * time.Hour))
 	})
@@ -205,11 +205,11 @@
 		Expect(table.Cleared(d, []string{"a", "b", "c"}, settled)).To(BeFalse())
 		exitUnderRequest(table, digest(2), "z", start.Add(100*time.Millisecond))
 		Expect(state(settled)).To(Equal(quarantine.Suspect))
-		table.QuarantineUntil(d, settled.Add(time.Minute))
+		table.QuarantineUntil(d, "", settled.Add(time.Minute))
 		Expect(state(settled)).To(Equal(quarantine.Quarantined), "quarantined by configuration")
 		Expect(table.Cleared(d, []string{"a", "b", "c"}, settled)).To(BeTrue())
 		Expect(table.Cleared(d, []string{"a", "b", "x"}, settled)).To(BeFalse(), "other daemons know more exits")
-		table.QuarantineUntil(d, time.Time{})
+		table.QuarantineUntil(d, "", time.Time{})
 		Expect(table.Decision(digest(2), settled).State).To(Equal(quarantine.Suspect))
 		exitUnderRequest(table, d, "e", start.Add(5*time.Second))
 		Expect(state(start.Add(6*time.Second))).To(Equal(quarantine.Quarantined), "a later exit counts")
@@ -220,7 +220,7 @@
 		exitUnderRequest(table, d, "b", start.Add(time.Second))
 		later := table.Decision(d, start.Add(time.Second)).Until
 		Expect(later.Sub(start)).To(Equal(31 * time.Second))
-		Expect(table.Admit(d, later).State).To(Equal(quarantine.Suspect))
+		Expect(table.Admit(quarantine.Fingerprint{Digest: d}, later).State).To(Equal(quarantine.Suspect))
 		exitUnderRequest(table, d, "c", later)
 		Expect(table.Decision(d, later).Until.Sub(later)).To(Equal(24 * time.Hour))
 	})
@@ -231,12 +231,12 @@
 		both := []string{"a", "b"}
 		Expect(table.Cleared(d, both, start.Add(time.Minute))).To(BeFalse())
 		Expect(table.Cleared(d, both, start.Add(time.Hour))).To(BeFalse())
-		table.RecordSuccess(d)
+		table.RecordSuccess(quarantine.Fingerprint{Digest: d})
 		Expect(table.Cleared(d, both, start.Add(time.Hour))).To(BeTrue())
 	})
 
 	It("is quarantined and released by the operators' configuration", func() {
-		table.QuarantineUntil(d, start.Add(time.Minute))
+		table.QuarantineUntil(d, "", start.Add(time.Minute))
 		Expect(state(start)).To(Equal(quarantine.Quarantined))
 		Expect(state(start.Add(time.Minute))).To(Equal(quarantine.Healthy))
 		exitUnderRequest(table, d, "a", start)
@@ -249,7 +249,7 @@
 
 	It("expires, and the oldest ones are evicted first when the table is full", func() {
 		exitUnderRequest(table, d, "a", start)
-		table.Admit(digest(2), start.Add(2*time.Hour))
+		table.Admit(quarantine.Fingerprint{Digest: digest(2)}, start.Add(2*time.Hour))
 		Expect(table.Hash()).To(BeZero())
 		const many = 5000
 		for i := range many {
@@ -267,7 +267,7 @@
 	other := digest(1)
 	for i, server := range []string{"a", "b"} {
 		at := start.Add(time.Duration(i) * 2 * time.Second)
-		table.RecordConnectionLoss(other, quarantine.RequestInfo{Customer: "other"}, server, at)
+		table.RecordConnectionLoss(quarantine.Fingerprint{Digest: other, Info: quarantine.RequestInfo{Customer: "other"}}, server, at)
 		table.MarkExited(server, at)
 	}
 	for i := range 9000 {
@@ -307,7 +307,7 @@
 					pool = append(pool, e)
 				}
 			case 2:
-				pool = append(pool, table.RecordSuccess(d)...)
+				pool = append(pool, table.RecordSuccess(quarantine.Fingerprint{Digest: d})...)
 			case 3:
 				if len(pool) > 0 {
 					table.Merge(pool[:rapid.IntRange(1, len(pool)).Draw(t, "received")], now)
--- a/standins/bench/quarantine.go
+++ b/standins/bench/quarantine.go
@@ -34,7 +34,7 @@
 	now := time.Now()
 	for i := range 5000 {
 		d := quarantine.DigestOf("c", "POST", "h", "/", fmt.Append(nil, i))
-		t.RecordConnectionLoss(d, quarantine.RequestInfo{}, "s", now)
+		t.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: quarantine.RequestInfo{}}, "s", now)
 		t.MarkExited("s", now)
 	}
 	return t
@@ -50,9 +50,9 @@
 				continue
 			}
 			d := quarantine.DigestOf("c", "POST", "h", "/", body)
-			t.Admit(d, now)
+			t.Admit(quarantine.Fingerprint{Digest: d}, now)
 			t.Done(d)
-			t.RecordSuccess(d)
+			t.RecordSuccess(quarantine.Fingerprint{Digest: d})
 		}
 	})
 	return float64(result.NsPerOp())
@@ -106,7 +106,7 @@
 			baselineCrashes++
 			baselineOpenAt = now.Add(groupRecoveryTime)
 		}
-		if state := table.Admit(d, now).State; !now.Before(openAt) && (state == quarantine.Healthy || state == quarantine.Suspect) {
+		if state := table.Admit(quarantine.Fingerprint{Digest: d}, now).State; !now.Before(openAt) && (state == quarantine.Healthy || state == quarantine.Suspect) {
 			crashes++
 			openAt = now.Add(groupRecoveryTime)
 			updates = append(updates, crashRank(tables, table, d, fmt.Sprint("r", random.IntN(ranks), "-", crashes), crashes, now))
@@ -132,9 +132,9 @@
 // crashRank records the requests that a crash interrupts, the crashing one at one entry and
 // healthy ones at all entries, and returns the resulting evidence.
 func crashRank(tables []*quarantine.Table, observer *quarantine.Table, crashing quarantine.Digest, server string, crash int, now time.Time) evidenceUpdate {
-	observer.RecordConnectionLoss(crashing, quarantine.RequestInfo{}, server, now)
+	observer.RecordConnectionLoss(quarantine.Fingerprint{Digest: crashing, Info: quarantine.RequestInfo{}}, server, now)
 	for i := range crashSimHealthy {
-		tables[i%len(tables)].RecordConnectionLoss(healthyDigest(crash, i), quarantine.RequestInfo{}, server, now)
+		tables[i%len(tables)].RecordConnectionLoss(quarantine.Fingerprint{Digest: healthyDigest(crash, i), Info: quarantine.RequestInfo{}}, server, now)
 	}
 	update := evidenceUpdate{deliverAt: now.Add(detectionDelay + gossipDelay)}
 	for _, table := range tables {
