--- a/internal/quarantine/partdecision.go
+++ b/internal/quarantine/partdecision.go
@@ -45,6 +45,9 @@
 	}
 	t.blame = blame{change: t.changes, at: now}
 	for _, s := range t.parts.subjects {
+		if len(s.exits) < partExitsToQuarantine {
+			continue
+		}
 		servers := s.exitedServers()
 		if t.enough(s, servers) && now.Before(t.partQuarantineEnd(s, servers)) && s.concerned(servers).requests.several {
 			t.blame.candidates = append(t.blame.candidates, s)
--- a/standins/bench/quarantine.go
+++ b/standins/bench/quarantine.go
@@ -34,25 +34,32 @@
 	now := time.Now()
 	for i := range 5000 {
 		d := quarantine.DigestOf("c", "POST", "h", "/", fmt.Append(nil, i))
-		t.RecordConnectionLoss(quarantine.Fingerprint{Digest: d, Info: quarantine.RequestInfo{}}, "s", now)
+		t.RecordConnectionLoss(quarantine.NewFingerprint(d, quarantine.RequestInfo{}, "m", promptParts{fmt.Sprint(i), "shared"}), "s", now)
 		t.MarkExited("s", now)
 	}
 	return t
 }
 
+// promptParts are the shared parts of a prompt.
+type promptParts []string
+
+func (p promptParts) Shared() []string { return p }
+
 // nsPerRequest returns the duration of the calls to a table that the dispatch pipeline makes
 // for each request, in nanoseconds.
 func nsPerRequest(t *quarantine.Table, body []byte) float64 {
 	now := time.Now()
+	parts := promptParts{"system", "document", "shared"}
 	result := testing.Benchmark(func(b *testing.B) {
 		for b.Loop() {
+			t.RecordServed("m", parts, now)
 			if t.Empty() {
 				continue
 			}
-			d := quarantine.DigestOf("c", "POST", "h", "/", body)
-			t.Admit(quarantine.Fingerprint{Digest: d}, now)
-			t.Done(d)
-			t.RecordSuccess(quarantine.Fingerprint{Digest: d})
+			f := quarantine.NewFingerprint(quarantine.DigestOf("c", "POST", "h", "/", body), quarantine.RequestInfo{}, "m", parts)
+			t.Admit(f, now)
+			t.Done(f.Digest)
+			t.RecordSuccess(f)
 		}
 	})
 	return float64(result.NsPerOp())
