quarantine: exits that a quarantined part explains don't count, also against other parts

Now a part that sets itself apart counts as a possible cause beside a request at the same two exits, explained exits are left out for requests and parts alike, and for Cleared. Also a test that a part's quarantine survives a restart of all entries, and the hash that earlier releases compute.

--- a/internal/quarantine/decision.go
+++ b/internal/quarantine/decision.go
@@ -80,7 +80,7 @@
 }
 
 func (t *Table) decide(d Digest, r *subject, now time.Time) Decision {
-	decision := r.describe(t.unexplained(r, now))
+	decision := r.describe(t.unexplained(Fingerprint{}, r, now))
 	decision.Until = r.quarantineEnd(t.countedExits(r, decision.Servers))
 	if configured := t.configured[d]; now.Before(configured.until) {
 		decision.State, decision.Until = Quarantined, latest(decision.Until, configured.until)
@@ -170,24 +170,32 @@
 	return false
 }
 
-// exitsShared reports whether another request has all of the request's exits, so that either
-// may be the cause.
+// exitsShared reports whether another request, or a part of other requests' prompts, has all of the
+// request's exits, so that either may be the cause.
 func (t *Table) exitsShared(d Digest, servers []string) bool {
-other:
 	for other, r := range t.requests.subjects {
-		if other == d {
-			continue
+		if other != d && r.hasExits(servers) {
+			return true
 		}
-		for _, server := range servers {
-			if e, found := r.exits[server]; !found || e.cleared {
-				continue other
-			}
+	}
+	for _, p := range t.parts.subjects {
+		if p.hasExits(servers) && t.incriminatingExits(p, servers) == len(servers) && p.concerned(servers).requests != (oneOrSeveral[Digest]{one: d}) {
+			return true
 		}
-		return true
 	}
 	return false
 }
 
+// hasExits reports whether all of the given exits count against the subject.
+func (s *subject) hasExits(servers []string) bool {
+	for _, server := range servers {
+		if e, found := s.exits[server]; !found || e.cleared {
+			return false
+		}
+	}
+	return true
+}
+
 // quarantineEnd returns the end of the request's quarantine by the exits that count; zero
 // without one.
 func (s *subject) quarantineEnd(counted int) time.Time {
--- a/internal/quarantine/partdecision.go
+++ b/internal/quarantine/partdecision.go
@@ -33,8 +33,7 @@
 // blameTime is how long a blame is valid without a change of the evidence.
 const blameTime = time.Second
 
-// candidates returns the parts that have enough exits for a quarantine now, in the order of their
-// exits. A part isn't blamed for the exits of a single request with its retries.
+// candidates returns the parts that have enough exits for a quarantine now. A part isn't blamed for the exits of a single request with its retries.
 func (t *Table) candidates(now time.Time) []*subject {
 	if len(t.parts.subjects) == 0 {
 		return nil
@@ -53,9 +52,6 @@
 			t.blame.candidates = append(t.blame.candidates, s)
 		}
 	}
-	slices.SortFunc(t.blame.candidates, func(a, b *subject) int {
-		return compareExits(len(a.exitedServers()), a.part.Digest, len(b.exitedServers()), b.part.Digest)
-	})
 	return t.blame.candidates
 }
 
@@ -89,15 +85,17 @@
 	}
 }
 
-// unexplained returns the exits of a request at which no request with a quarantined part was in
-// progress.
-func (t *Table) unexplained(r *subject, now time.Time) []string {
-	servers := r.exitedServers()
+// unexplained returns the exits of a subject that no candidate explains which the request lacks: those
+// at which no request with such a part was in progress.
+func (t *Table) unexplained(f Fingerprint, s *subject, now time.Time) []string {
+	servers := s.exitedServers()
 	if len(servers) == 0 {
 		return nil
 	}
-	for _, s := range t.candidates(now) {
-		servers = slices.DeleteFunc(servers, func(server string) bool { return s.hasExit(server, r.exits[server].at) })
+	for _, candidate := range t.candidates(now) {
+		if !f.has(candidate.part.Digest) {
+			servers = slices.DeleteFunc(servers, func(server string) bool { return candidate.hasExit(server, s.exits[server].at) })
+		}
 	}
 	return servers
 }
@@ -140,20 +138,18 @@
 	return false
 }
 
-// decidePart returns the decision about one part of a request's prompt. A part isn't quarantined for
-// exits that another one explains which the request doesn't have, so that a request with only some of
-// the parts that always came together shows which of them is the cause.
+// decidePart returns the decision about one part of a request's prompt. Exits that a candidate explains
+// which the request lacks don't count, so that a request with only some of the parts that always came
+// together shows which of them is the cause.
 func (t *Table) decidePart(f Fingerprint, s *subject, now time.Time) Decision {
-	servers := s.exitedServers()
+	servers, unexplained := s.exitedServers(), t.unexplained(f, s, now)
 	decision := s.describe(servers)
 	decision.Part = s.part
-	candidates := t.candidates(now)
-	incriminating := t.incriminatingExits(s, servers)
+	incriminating := t.incriminatingExits(s, unexplained)
 	switch {
-	case slices.Contains(candidates, s):
+	case slices.Contains(t.candidates(now), s):
 		decision.Until = t.partQuarantineEnd(s, servers)
-		decision.State = t.decideCandidate(f, s, servers, now)
-		decision.probe = decision.State == Suspect && !s.concerned(servers).customers.include(f.Info.Customer)
+		decision.State, decision.probe = t.decideCandidate(f, s, unexplained, now)
 	case t.enough(s, servers) && !now.Before(t.partQuarantineEnd(s, servers)):
 		decision.State, decision.probe = Suspect, true
 	case incriminating > 0 && s.isHeld(incriminating, now):
@@ -170,22 +166,21 @@
 	return decision
 }
 
-// decideCandidate returns the state of a request with a part that has enough exits. Those under other
-// customers' requests alone can't have a request refused, since anyone can name any part.
-func (t *Table) decideCandidate(f Fingerprint, s *subject, servers []string, now time.Time) State {
-	left := slices.Clone(servers)
-	for _, other := range t.candidates(now) {
-		if !f.has(other.part.Digest) {
-			left = slices.DeleteFunc(left, func(server string) bool { return other.hasExit(server, s.exits[server].at) })
-		}
-	}
+// decideCandidate returns the state of a request with a part that has enough exits, and whether such
+// requests are admitted one at a time. Those under other customers' requests alone can't have a request
+// refused, since anyone can name any part.
+func (t *Table) decideCandidate(f Fingerprint, s *subject, unexplained []string, now time.Time) (state State, probe bool) {
 	switch {
-	case !t.enough(s, left) || !s.concerned(servers).customers.include(f.Info.Customer):
-		return Suspect
+	case len(unexplained) == 0 && t.incriminatingExits(s, s.exitedServers()) == 0:
+		return Healthy, false
+	case !t.enough(s, unexplained):
+		return Suspect, false
+	case !s.concerned(unexplained).customers.include(f.Info.Customer):
+		return Suspect, true
 	case now.Sub(s.lastLearned()) < SettleTime:
-		return Pending
+		return Pending, false
 	default:
-		return Quarantined
+		return Quarantined, false
 	}
 }
 
@@ -197,11 +192,11 @@
 
 // concerned returns the union of the contexts of exits.
 func (s *subject) concerned(servers []string) exitContext {
-	var concerned exitContext
-	for i, server := range servers {
-		if i == 0 {
-			concerned = s.exits[server].context
-		}
+	if len(servers) == 0 {
+		return exitContext{}
+	}
+	concerned := s.exits[servers[0]].context
+	for _, server := range servers[1:] {
 		concerned = concerned.merge(s.exits[server].context)
 	}
 	return concerned
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -447,10 +447,10 @@
 			return false
 		}
 	}
-	remaining := s.exitedServers()
 	if isPart {
-		return !t.enough(s, remaining)
+		return !t.enough(s, s.exitedServers())
 	}
+	remaining := t.unexplained(Fingerprint{}, s, now)
 	if counted := t.countedExits(s, remaining); counted != exitsToQuarantine {
 		return counted < exitsToQuarantine
 	}
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -262,6 +262,16 @@
 	})
 })
 
+// Daemons of different releases exchange evidence until the hashes agree.
+var _ = It("the hash of evidence against requests is that of earlier releases, whatever is known of parts", func() {
+	table := quarantine.NewTable()
+	d := quarantine.DigestOf("c", "POST", "h", "/", []byte("x"))
+	f := quarantine.NewFingerprint(d, quarantine.RequestInfo{Customer: "c", Path: "/"}, "m", promptParts{"5c"})
+	crash(table, "a", start, f)
+	Expect(table.Hash()).To(Equal(uint64(0xf8419f3223246d89)))
+	Expect(table.PartsHash()).NotTo(BeZero())
+})
+
 var _ = It("evidence about other customers survives a customer whose requests crash many servers", func() {
 	table := quarantine.NewTable()
 	other := digest(1)
--- a/standins/platformdaemon/crashingpart_test.go
+++ b/standins/platformdaemon/crashingpart_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/crowbridge/crowbridge/internal/platformdaemon"
 	. "github.com/onsi/gomega"
 )
 
@@ -151,6 +152,34 @@
 	return served.Load()
 }
 
+// sendUntilQuarantined sends crashing requests one at a time until one is refused as quarantined.
+func (r *crashingPartRun) sendUntilQuarantined() {
+	Eventually(func() string {
+		n := r.requests.Add(1)
+		_, content := r.d.postPrompt(int(n)%len(r.d.entries), r.path, fmt.Sprintf(r.prefix, n), fmt.Sprint("crashing ", n))
+		return content
+	}, time.Minute, repeatPause).Should(ContainSubstring("quarantined"))
+}
+
+func TestQuarantineOfPromptPartSurvivesRestartOfAllEntries(t *testing.T) {
+	r := &crashingPartRun{partScenario: partScenario{path: "/once/x", prefix: "f00d:800," + crashPart + ":20,%x:50"}}
+	r.d = newDeploymentOf(t, 2, serverCount, false)
+	r.serveSound()
+	r.sendUntilQuarantined()
+	Eventually(r.d.quarantines, testTimeout).Should(BeNumerically(">", 0))
+	before, _ := r.d.servers.parts.counts()
+	r.d.stopEntries()
+	for _, settings := range r.d.entries {
+		r.d.stops = append(r.d.stops, start(platformdaemon.NewEntryDaemon(settings, nil, discardLog())))
+	}
+	r.d.awaitReady()
+	for range fewAttempts {
+		r.sendUntilQuarantined()
+	}
+	after, _ := r.d.servers.parts.counts()
+	Expect(after).To(Equal(before))
+}
+
 // A part of a prompt that crashes servers must be kept from them, or requests of which no two are
 // alike take down one server after the other.
 func TestPromptPartThatCrashesServersIsQuarantined(t *testing.T) {
