--- a/internal/crash/detector.go
+++ b/internal/crash/detector.go
@@ -47,6 +47,9 @@
 	// postdate it. A report after minRestartTime may describe a restarted engine.
 	reportDelay    = 250 * time.Millisecond
 	minRestartTime = time.Second
+	// maxContextDelay is the longest random delay before a daemon adds what it knows to a peer's
+	// evidence, so that few do of the many that know the same. It is shorter than SettleTime.
+	maxContextDelay = 100 * time.Millisecond
 	// updateQueueSize bounds the queued updates. Peers receive dropped updates with their next
 	// pull.
 	updateQueueSize = 256
@@ -137,7 +140,7 @@
 		det.log.WithFields(logrus.Fields{"digest": f.Digest, "exits": len(cleared), "parts": describeParts(cleared)}).
 			Info("evidence cleared: a request completed successfully")
 		countEvidence("cleared", cleared)
-		det.publish(cleared)
+		det.publish(urgent(cleared))
 		det.notifyStore()
 	}
 }
@@ -219,7 +222,7 @@
 		"server": server, "cause": cause, "requests": len(requests), "parts": describeParts(evidence),
 		"age_ms": det.now().Sub(evidence[0].ExitedAt).Milliseconds(),
 	}).Warn("server exited with requests in progress")
-	det.publish(evidence)
+	det.publish(urgent(evidence))
 	det.afterFunc(quarantine.SettleTime, det.notifyStore)
 }
 
@@ -231,8 +234,17 @@
 	}
 }
 
+// urgent returns the evidence that peers need at once. That against parts which completed requests had
+// is left to their pulls: most entries have it after an exit.
+func urgent(evidence []quarantine.Evidence) []quarantine.Evidence {
+	return slices.DeleteFunc(slices.Clone(evidence), func(e quarantine.Evidence) bool { return e.Part != nil && e.Context().Vouched })
+}
+
 // publish queues evidence for peers.
 func (det *Detector) publish(evidence []quarantine.Evidence) {
+	if len(evidence) == 0 {
+		return
+	}
 	select {
 	case det.updates <- evidence:
 	default:
@@ -254,13 +266,22 @@
 		"age_ms": det.now().Sub(added[0].ExitedAt).Milliseconds(),
 	}).Info("evidence of server exits received")
 	countEvidence("received", added)
-	if own := det.table.AddContext(added, det.now()); len(own) > 0 {
-		det.log.WithFields(logrus.Fields{"source": source, "parts": describeParts(own)}).Info("evidence supplemented by what completed here")
-		det.publish(own)
+	if slices.ContainsFunc(added, func(e quarantine.Evidence) bool { return e.Part != nil }) {
+		det.afterFunc(rand.N(maxContextDelay), func() { det.addContext(added, source) })
 	}
 	det.afterFunc(quarantine.SettleTime, det.notifyStore)
 }
 
+// addContext adds to a peer's evidence what is known here of the parts, unless another peer has told.
+func (det *Detector) addContext(evidence []quarantine.Evidence, source string) {
+	own := det.table.AddContext(evidence, det.now())
+	if len(own) == 0 {
+		return
+	}
+	det.log.WithFields(logrus.Fields{"source": source, "parts": describeParts(own)}).Info("evidence supplemented by what completed here")
+	det.publish(own)
+}
+
 // SetEngineReachable applies the report of a server's agent on whether its engine accepts
 // connections.
 func (det *Detector) SetEngineReachable(server string, reachable bool) {
