quarantine: a part that crashes servers beside another one is quarantined after five exits at most

Found by reading: of two parts whose first three exits coincide, as they do with two servers, each explained the other's, so that either needed three more. Two more are enough. The spec failed before: the part was still suspect after five exits.

--- a/internal/quarantine/part_test.go
+++ b/internal/quarantine/part_test.go
@@ -152,6 +152,19 @@
 		Expect(table.Quarantined(at.Add(time.Second))).To(HaveLen(1))
 	})
 
+	It("that crashes servers beside another one is quarantined after five exits at most", func() {
+		for range 3 {
+			now := next()
+			crash(table, fmt.Sprint("s", now.Unix()), now, request("bad"), request("worse"))
+		}
+		Expect(state(request("bad"))).To(Equal(quarantine.Suspect), "the other one may be the cause")
+		crashTimes(2, func() quarantine.Fingerprint { return request("bad") })
+		Expect(state(request("bad"))).To(Equal(quarantine.Quarantined))
+		Expect(state(request("worse"))).To(Equal(quarantine.Suspect))
+		crashTimes(2, func() quarantine.Fingerprint { return request("worse") })
+		Expect(state(request("worse"))).To(Equal(quarantine.Quarantined))
+	})
+
 	It("under one customer's requests doesn't have another customer's refused until these meet an exit", func() {
 		crashTimes(3, func() quarantine.Fingerprint { return requestOf("a", "named") })
 		Expect(state(requestOf("a", "named"))).To(Equal(quarantine.Quarantined))
--- a/internal/quarantine/partdecision.go
+++ b/internal/quarantine/partdecision.go
@@ -15,6 +15,9 @@
 	// short at first and doubles with each further exit.
 	anyExitsToQuarantine = 5
 	shortQuarantine      = 30 * time.Second
+	// exitsToDistinguish is the number of incriminating exits that quarantine a part with enough of
+	// them, if another one explains the rest: both may crash servers.
+	exitsToDistinguish = 2
 	// partExitsToHold is the number of exits, with those of which it is unknown whether they happened,
 	// at which requests with a part wait for the result of the probe.
 	partExitsToHold = 2
@@ -173,7 +176,7 @@
 	switch {
 	case len(unexplained) == 0 && t.incriminatingExits(s, s.exitedServers()) == 0:
 		return Healthy, false
-	case !t.enough(s, unexplained):
+	case !t.enough(s, unexplained) && t.incriminatingExits(s, unexplained) < exitsToDistinguish:
 		return Suspect, false
 	case !s.concerned(unexplained).customers.include(f.Info.Customer):
 		return Suspect, true
