--- a/internal/quarantine/isolation.go
+++ b/internal/quarantine/isolation.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"bytes"
 	"cmp"
 	"hash/fnv"
 	"slices"
@@ -77,3 +78,8 @@
 	}
 	return found
 }
+
+// compareExits orders subjects by the number of their exits, most first, then by digest.
+func compareExits(aExits int, a Digest, bExits int, b Digest) int {
+	return cmp.Or(cmp.Compare(bExits, aExits), bytes.Compare(a[:], b[:]))
+}
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"io"
@@ -80,8 +79,3 @@
 	_, found := slices.BinarySearchFunc(f.Parts, d, func(p Part, d Digest) int { return bytes.Compare(p.Digest[:], d[:]) })
 	return found
 }
-
-// compareExits orders subjects by the number of their exits, most first, then by digest.
-func compareExits(aExits int, a Digest, bExits int, b Digest) int {
-	return cmp.Or(cmp.Compare(bExits, aExits), bytes.Compare(a[:], b[:]))
-}
