--- a/internal/quarantine/partsim_test.go
+++ b/internal/quarantine/partsim_test.go
@@ -24,9 +24,8 @@
 	group bool
 	// interval is the time between two crashing requests, soundInterval that between sound ones.
 	interval, soundInterval time.Duration
-	// crashTime and soundTime are how long requests run, detection the time until a crash is known to
-	// the daemons with requests there, delivery that until the others know, restart that until the
-	// server is back.
+	// crashTime and soundTime are how long requests run; a crash is known after detection to the
+	// daemons with requests there, after delivery to the others.
 	crashTime, soundTime, detection, delivery, restart time.Duration
 	// retries is how often a daemon sends a request to another server by itself.
 	retries int
--- a/standins/platformdaemon/crashingpart_test.go
+++ b/standins/platformdaemon/crashingpart_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/platformdaemon"
+	standin "github.com/crowbridge/crowbridge/standins/platform"
 	. "github.com/onsi/gomega"
 )
 
@@ -161,17 +162,39 @@
 	}, time.Minute, repeatPause).Should(ContainSubstring("quarantined"))
 }
 
-func TestQuarantineOfPromptPartSurvivesRestartOfAllEntries(t *testing.T) {
-	r := &crashingPartRun{partScenario: partScenario{path: "/once/x", prefix: "f00d:800," + crashPart + ":20,%x:50"}}
-	r.d = newDeploymentOf(t, 2, serverCount, false)
-	r.serveSound()
-	r.sendUntilQuarantined()
-	Eventually(r.d.quarantines, testTimeout).Should(BeNumerically(">", 0))
-	before, _ := r.d.servers.parts.counts()
-	r.d.stopEntries()
-	for _, settings := range r.d.entries {
-		r.d.stops = append(r.d.stops, start(platformdaemon.NewEntryDaemon(settings, nil, discardLog())))
+func TestQuarantineOfPromptPartSurvives(t *testing.T) {
+	newRun := func(t *testing.T) *crashingPartRun {
+		r := &crashingPartRun{partScenario: partScenario{path: "/once/x", prefix: "f00d:800," + crashPart + ":20,%x:50"}}
+		r.d = newDeploymentOf(t, 2, serverCount, false)
+		r.serveSound()
+		return r
 	}
+	t.Run("a restart of all entries", func(t *testing.T) {
+		r := newRun(t)
+		r.sendUntilQuarantined()
+		Eventually(r.d.quarantines, testTimeout).Should(BeNumerically(">", 0))
+		before, _ := r.d.servers.parts.counts()
+		r.d.stopEntries()
+		for _, settings := range r.d.entries {
+			r.d.stops = append(r.d.stops, start(platformdaemon.NewEntryDaemon(settings, nil, discardLog())))
+		}
+		r.expectNoCrash(before)
+	})
+
+	t.Run("an outage of the store, at an entry that starts during it", func(t *testing.T) {
+		r := newRun(t)
+		r.d.store.SetFaults(standin.Faults{Down: true})
+		r.sendUntilQuarantined()
+		before, _ := r.d.servers.parts.counts()
+		Expect(before).To(BeNumerically("<=", maxPartCrashes))
+		r.d.addEntry(true)
+		r.expectNoCrash(before)
+	})
+}
+
+// expectNoCrash sends crashing requests to all entries and expects none to crash a server after the
+// given number of crashes.
+func (r *crashingPartRun) expectNoCrash(before int) {
 	r.d.awaitReady()
 	for range fewAttempts {
 		r.sendUntilQuarantined()
