--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -43,9 +43,9 @@
 func main() { os.Exit(run()) }
 
 func run() (code int) {
-	cases := map[string]func(*test) int{"registrations": registrationsCase, "stop": stopCase}
+	cases := map[string]func(*test) int{"registrations": registrationsCase, "drain": drainCase}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: reviewstandin registrations|stop RECORD")
+		fmt.Fprintln(os.Stderr, "usage: reviewstandin registrations|drain RECORD")
 		return exitNotRun
 	}
 	file, err := os.Create(os.Args[2])
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -11,6 +11,7 @@
 // server is a stand-in of a sound backend server.
 type server struct {
 	id, address, zone string
+	listener          net.Listener
 	// events and gap describe the streams that it sends; without events it answers with a body.
 	events int
 	gap    time.Duration
@@ -22,7 +23,7 @@
 
 func startServer(id, ip, zone string) *server {
 	listener := must(net.Listen("tcp", ip+":0"))
-	s := &server{id: id, address: listener.Addr().String(), zone: zone, began: map[string]time.Time{}, finished: map[string]time.Time{}}
+	s := &server{id: id, address: listener.Addr().String(), zone: zone, listener: listener, began: map[string]time.Time{}, finished: map[string]time.Time{}}
 	go func() { _ = http.Serve(listener, s) }()
 	return s
 }
@@ -67,6 +68,19 @@
 	times[id] = time.Now()
 }
 
+// beganAfter returns the IDs of the requests that the server began after a time.
+func (s *server) beganAfter(at time.Time) map[string]time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	late := map[string]time.Time{}
+	for id, began := range s.began {
+		if began.After(at) {
+			late[id] = began
+		}
+	}
+	return late
+}
+
 // ran reports whether the server began a request, and whether it sent the whole answer.
 func (s *server) ran(id string) (began, finished bool) {
 	s.mu.Lock()
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -21,13 +21,15 @@
 	mu      sync.Mutex
 	topics  map[string][]logRecord
 	changed chan struct{}
-	// busy holds the callers whose calls are answered with 503.
-	busy map[string]bool
+	// busy holds the callers whose calls are answered with 503, cut those whose calls are reset.
+	busy, cut map[string]bool
 	// rejectedAt is the time of a caller's last call that was answered so.
 	rejectedAt map[string]time.Time
 	// returns reports whether the store comes back for a busy caller with its present call. The
 	// callee may not use the store.
 	returns func(caller string, rejectedAt map[string]time.Time) bool
+	// heals reports whether the path of a caller that is cut off heals with its present call.
+	heals func(caller string, r *http.Request) bool
 	// onRead is called after a caller has read registrations up to an offset.
 	onRead func(caller string, end int64)
 }
@@ -43,8 +45,8 @@
 
 func newStore() *store {
 	return &store{
-		topics: map[string][]logRecord{}, changed: make(chan struct{}), busy: map[string]bool{}, rejectedAt: map[string]time.Time{},
-		returns: func(string, map[string]time.Time) bool { return false }, onRead: func(string, int64) {},
+		topics: map[string][]logRecord{}, changed: make(chan struct{}), busy: map[string]bool{}, cut: map[string]bool{}, rejectedAt: map[string]time.Time{},
+		returns: func(string, map[string]time.Time) bool { return false }, heals: func(string, *http.Request) bool { return false }, onRead: func(string, int64) {},
 	}
 }
 
@@ -81,6 +83,29 @@
 	s.changed = make(chan struct{})
 }
 
+// setCut cuts a caller off. The path heals as heals says.
+func (s *store) setCut(caller string, heals func(caller string, r *http.Request) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut[caller], s.heals = true, heals
+	close(s.changed) // pending long polls of the caller end
+	s.changed = make(chan struct{})
+}
+
+// isCut reports whether a new call of a caller is reset.
+func (s *store) isCut(caller string, r *http.Request) bool {
+	s.mu.Lock()
+	cut, heals := s.cut[caller], s.heals
+	s.mu.Unlock()
+	if !cut || !heals(caller, r) {
+		return cut
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut[caller] = false
+	return false
+}
+
 // rejects reports whether a new call of a caller is turned away.
 func (s *store) rejects(caller string) bool {
 	s.mu.Lock()
@@ -103,6 +128,9 @@
 	mux.HandleFunc("POST /log-append", s.appendCall)
 	go func() {
 		_ = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if s.isCut(caller, r) {
+				panic(http.ErrAbortHandler)
+			}
 			if s.rejects(caller) {
 				w.WriteHeader(http.StatusServiceUnavailable)
 				return
@@ -120,8 +148,11 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		records, changed, busy := s.topics[topic], s.changed, s.busy[caller]
+		records, changed, busy, cut := s.topics[topic], s.changed, s.busy[caller], s.cut[caller]
 		s.mu.Unlock()
+		if cut {
+			panic(http.ErrAbortHandler)
+		}
 		end := int64(len(records))
 		if busy {
 			w.WriteHeader(http.StatusServiceUnavailable)
