--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -29,7 +29,7 @@
 	s.put("keyed.op", "config", configuration())
 	for n := range 2 {
 		one := startServer(fmt.Sprintf("i-%08x", 0x7f3a91c2+n), fmt.Sprintf("127.0.0.%d", 31+n), "zone-b")
-		s.put(registrations, one.id, one.registration(appService, 1))
+		s.put(registrations, one.id, one.registration(1))
 	}
 	seeds := []string{net.JoinHostPort(ips[0], strconv.Itoa(base+2)), net.JoinHostPort(ips[1], strconv.Itoa(base+2))}
 	entries := []*entry{
@@ -61,7 +61,7 @@
 // playLeaving starts a server and lets it leave. It returns the requests that reached it too late.
 func (t *test) playLeaving(s *store, n int) map[string]time.Time {
 	one := startServer(fmt.Sprintf("i-%08x", 0x51c0aa10+n), fmt.Sprintf("127.0.0.%d", 40+n), "zone-a")
-	s.put(registrations, one.id, one.registration(appService, 1))
+	s.put(registrations, one.id, one.registration(1))
 	time.Sleep(3 * time.Second)
 	var once sync.Once
 	var goneAt time.Time
--- a/review/standin/registrations.go
+++ b/review/standin/registrations.go
@@ -30,8 +30,8 @@
 // traffic sends requests of clients and counts them.
 type traffic struct {
 	*test
-	sent, served, refused, failed atomic.Int64
-	next                          *atomic.Int64
+	sent, served atomic.Int64
+	next         *atomic.Int64
 }
 
 // sample is a count of requests.
@@ -64,11 +64,10 @@
 	t.sent.Add(1)
 	const deadline = 1500 * time.Millisecond
 	giveUpAt := time.Now().Add(deadline)
-	outcome := ""
 	for range 2 {
 		id := fmt.Sprintf("%016x", t.next.Add(1))
 		status, retryAfter, whole := t.attempt(id, front, time.Until(giveUpAt))
-		outcome = fmt.Sprintf("%s client %s at %s: %d", id, zone, front, status)
+		outcome := fmt.Sprintf("%s client %s at %s: %d", id, zone, front, status)
 		if status == http.StatusOK && whole {
 			t.served.Add(1)
 			t.log("%s, whole answer", outcome)
@@ -114,7 +113,7 @@
 	for n := range 3 {
 		one := startServer(fmt.Sprintf("i-%08x", 0x7f3a91c2+n), fmt.Sprintf("127.0.0.%d", 31+n), []string{"zone-a", "zone-b", "zone-b"}[n])
 		servers = append(servers, one)
-		s.put(registrations, one.id, one.registration(appService, 1))
+		s.put(registrations, one.id, one.registration(1))
 	}
 	seeds := []string{net.JoinHostPort(ips[0], strconv.Itoa(base+2)), net.JoinHostPort(ips[1], strconv.Itoa(base+2))}
 	entries := []*entry{
@@ -189,7 +188,7 @@
 	register := func(cause string) {
 		once.Do(func() {
 			for _, one := range servers {
-				lapsed = s.put(registrations, one.id, one.registration(appService, sequence))
+				lapsed = s.put(registrations, one.id, one.registration(sequence))
 			}
 			t.log("outage %d: the servers are registered again, up to offset %d (%s)", n, lapsed, cause)
 			close(registered)
