--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -27,7 +27,7 @@
 	base := freePorts(ips, 24)
 	s := newStore()
 	s.put("keyed.op", "config", configuration())
-	for n := range 2 {
+	for n := range 3 {
 		one := startServer(fmt.Sprintf("i-%08x", 0x7f3a91c2+n), fmt.Sprintf("127.0.0.%d", 31+n), "zone-b")
 		s.put(registrations, one.id, one.registration(1))
 	}
--- a/review/standin/registrations.go
+++ b/review/standin/registrations.go
@@ -14,15 +14,17 @@
 
 const (
 	heartbeat = 1200 * time.Millisecond
-	// An outage lasts between outage and maxOutage: it ends with a call of edge-a-1 at which the last
-	// call of edge-b-1 is retryGap old, so that edge-b-1's next one follows soon.
-	outage      = 4 * time.Second
-	maxOutage   = 7 * time.Second
-	retryGap    = 350 * time.Millisecond
+	// Registrations lapse after lapseTime. From then on, an outage ends with a read of edge-a-1 at
+	// which the last read of edge-b-1 is retryGap old, so that edge-b-1's next one follows soon; from
+	// anyReturn with any read of edge-a-1, and after maxOutage in any case.
+	lapseTime   = 3 * heartbeat
+	anyReturn   = 3950 * time.Millisecond
+	maxOutage   = 4400 * time.Millisecond
+	retryGap    = 300 * time.Millisecond
 	recoverTime = 12 * time.Second // recover_s of the settings
-	maxOutages  = 8
+	maxOutages  = 10
 	// returnDelay is how long after the first read by an entry the servers' next heartbeats arrive.
-	returnDelay = 30 * time.Millisecond
+	returnDelay = 10 * time.Millisecond
 	// settleTime is longer than the grace that entries give to registrations that lapsed.
 	settleTime = 2800 * time.Millisecond
 )
@@ -174,15 +176,12 @@
 	s.setBusy("edge-a-1", true)
 	s.setBusy("edge-b-1", true)
 	began := time.Now()
-	sleepUntil(began.Add(3*heartbeat + 100*time.Millisecond))
+	sleepUntil(began.Add(lapseTime))
 	lapsed := int64(0)
 	for _, one := range servers {
 		lapsed = s.put(registrations, one.id, nil)
 	}
 	t.log("outage %d: the registrations lapsed, up to offset %d", n, lapsed)
-	sleepUntil(began.Add(outage))
-
-	// The store is back for edge-a-1, and less than a second later for edge-b-1.
 	var once sync.Once
 	registered := make(chan struct{})
 	register := func(cause string) {
@@ -194,7 +193,6 @@
 			close(registered)
 		})
 	}
-	back := make(chan struct{})
 	s.mu.Lock()
 	s.onRead = func(caller string, end int64) {
 		t.log("store: %s has read the registrations up to offset %d", caller, end-1)
@@ -203,27 +201,26 @@
 			register("heartbeats after the first read")
 		}()
 	}
-	s.returns = func(caller string, rejectedAt map[string]time.Time) bool {
-		late := time.Since(began) > maxOutage
-		if caller != "edge-a-1" || !late && time.Since(rejectedAt["edge-b-1"]) < retryGap {
-			return false
-		}
-		close(back)
-		return true
+	s.returns = func(caller string, r *http.Request, rejectedAt map[string]time.Time) bool {
+		soon := time.Since(rejectedAt["edge-b-1"]) >= retryGap
+		return caller == "edge-a-1" && r.URL.Query().Get("topic") == registrations && (soon || time.Since(began) >= anyReturn)
 	}
 	s.mu.Unlock()
-	<-back
-	returned = time.Now()
-	t.log("outage %d: the store serves edge-a-1 after %.2f s", n, returned.Sub(began).Seconds())
+	select {
+	case <-registered:
+	case <-time.After(time.Until(began.Add(maxOutage))):
+		s.setBusy("edge-a-1", false)
+	}
+	s.setBusy("edge-b-1", false)
 	s.mu.Lock()
-	s.returns = func(string, map[string]time.Time) bool { return false }
+	s.returns = func(string, *http.Request, map[string]time.Time) bool { return false }
 	s.mu.Unlock()
+	returned = time.Now()
+	t.log("outage %d: the store serves all, %.2f s after it went down", n, returned.Sub(began).Seconds())
 	select {
 	case <-registered:
 	case <-time.After(900 * time.Millisecond):
 		register("heartbeats")
 	}
-	s.setBusy("edge-b-1", false)
-	t.log("outage %d: the store serves edge-b-1, %.2f s later", n, time.Since(returned).Seconds())
-	return time.Now()
+	return returned
 }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -23,11 +23,11 @@
 	changed chan struct{}
 	// busy holds the callers whose calls are answered with 503, cut those whose calls are reset.
 	busy, cut map[string]bool
-	// rejectedAt is the time of a caller's last call that was answered so.
+	// rejectedAt is the time of a caller's last read of registrations that was answered so.
 	rejectedAt map[string]time.Time
 	// returns reports whether the store comes back for a busy caller with its present call. The
 	// callee may not use the store.
-	returns func(caller string, rejectedAt map[string]time.Time) bool
+	returns func(caller string, r *http.Request, rejectedAt map[string]time.Time) bool
 	// heals reports whether the path of a caller that is cut off heals with its present call.
 	heals func(caller string, r *http.Request) bool
 	// onRead is called after a caller has read registrations up to an offset.
@@ -46,7 +46,7 @@
 func newStore() *store {
 	return &store{
 		topics: map[string][]logRecord{}, changed: make(chan struct{}), busy: map[string]bool{}, cut: map[string]bool{}, rejectedAt: map[string]time.Time{},
-		returns: func(string, map[string]time.Time) bool { return false }, heals: func(string, *http.Request) bool { return false }, onRead: func(string, int64) {},
+		returns: func(string, *http.Request, map[string]time.Time) bool { return false }, heals: func(string, *http.Request) bool { return false }, onRead: func(string, int64) {},
 	}
 }
 
@@ -107,14 +107,16 @@
 }
 
 // rejects reports whether a new call of a caller is turned away.
-func (s *store) rejects(caller string) bool {
+func (s *store) rejects(caller string, r *http.Request) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.busy[caller] && s.returns(caller, s.rejectedAt) {
+	if s.busy[caller] && s.returns(caller, r, s.rejectedAt) {
 		s.busy[caller] = false
 	}
 	if s.busy[caller] {
-		s.rejectedAt[caller] = time.Now()
+		if r.URL.Query().Get("topic") == registrations {
+			s.rejectedAt[caller] = time.Now()
+		}
 	}
 	return s.busy[caller]
 }
@@ -131,7 +133,7 @@
 			if s.isCut(caller, r) {
 				panic(http.ErrAbortHandler)
 			}
-			if s.rejects(caller) {
+			if s.rejects(caller, r) {
 				w.WriteHeader(http.StatusServiceUnavailable)
 				return
 			}
