Log what is in flight, read, refused and cut in a planned stop

The incident's log names none of the requests that were lost, and none of its hypotheses can be told from the others by what an entry logs. Now a planned stop logs each request in flight at the signal (ID, age, body bytes, read or not), counts what becomes of these and of all read since, and each request's line has when it was read (read_ms, read_stop_ms) and what was left of the grace period (stop_left_ms). A request that isn't read completely gets a line, which it had not.

The lines queued at the end of the process are written before it ends; they were lost. During a stop the rate of lines isn't limited. A task that fails is logged when it does.

No logic is changed.

--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"time"
 
+	"github.com/crowbridge/crowbridge/internal/drain"
 	"github.com/crowbridge/crowbridge/internal/failure"
 	"github.com/crowbridge/crowbridge/internal/fleet"
 	"github.com/crowbridge/crowbridge/internal/outcome"
@@ -35,6 +36,8 @@
 	ledger   outcome.Ledger
 	// quarantine may be nil.
 	quarantine Quarantine
+	// stop is the planned stop of this process.
+	stop drain.Window
 	// stallTimeout defaults to the constant of that name; tests shorten it.
 	stallTimeout time.Duration
 }
@@ -142,6 +145,9 @@
 	return Result{Failure: f, Started: x.caller.started}
 }
 
+// BeginStop begins a planned stop, at whose end the frontend cancels the requests in flight.
+func (p *Pipeline) BeginStop(cutAt time.Time) { p.stop.Begin(p.now(), cutAt) }
+
 // OutcomeCounts returns the number of requests by outcome.
 func (p *Pipeline) OutcomeCounts() outcome.Counts { return p.ledger.Counts() }
 
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -45,6 +45,10 @@
 		"request": x.request.ID, "took_ms": now.Sub(x.request.ReceivedAt).Milliseconds(),
 		"sent": x.sentAttempts, "server": x.server,
 	}
+	if !x.request.BeganAt.IsZero() {
+		fields["read_ms"] = x.request.ReceivedAt.Sub(x.request.BeganAt).Milliseconds()
+	}
+	p.addStopFields(fields, x, now)
 	if x.choice.Server != nil {
 		fields["load"], fields["load_age_ms"] = x.choice.Load, loadAge(x.choice)
 		fields["occupied"] = math.Round(x.choice.Utilization*100) / 100
@@ -93,6 +97,18 @@
 	p.log.WithFields(fields).Warn("request failed")
 }
 
+// addStopFields adds when, in a planned stop, a request had been read and how much of the grace period
+// is left.
+func (p *Pipeline) addStopFields(fields logrus.Fields, x *exchange, now time.Time) {
+	elapsed, left, stopping := p.stop.Progress(now)
+	if !stopping {
+		return
+	}
+	fields["stop_ms"], fields["stop_left_ms"] = elapsed.Milliseconds(), left.Milliseconds()
+	fields["read_stop_ms"] = (elapsed - now.Sub(x.request.ReceivedAt)).Milliseconds()
+	fields["body_bytes"] = len(x.request.Body)
+}
+
 // loadAge returns the age of the load report behind a choice in milliseconds, or -1 if there
 // was none.
 func loadAge(c Choice) int64 {
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -26,7 +26,9 @@
 	Path, URI string
 	Header    http.Header
 	Body      []byte
-	// ReceivedAt is when the request had been read completely.
+	// BeganAt is when its header had been read, or zero if unknown. ReceivedAt is when the request had
+	// been read completely.
+	BeganAt    time.Time
 	ReceivedAt time.Time
 	// Timeout is how long the caller waits, counted from ReceivedAt.
 	Timeout     time.Duration
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -18,6 +18,7 @@
 	"github.com/crowbridge/crowbridge/internal/dispatch"
 	"github.com/crowbridge/crowbridge/internal/failure"
 	"github.com/crowbridge/crowbridge/internal/fleet"
+	"github.com/sirupsen/logrus"
 )
 
 // Dialect converts between requests and responses and their headers at the callers' side.
@@ -43,6 +44,7 @@
 	now      func() time.Time
 	http     *http.Server
 	conns    *connTimers
+	tracker  *tracker
 	leaving  atomic.Bool
 	// cancelRequests cancels the contexts of all requests.
 	cancelRequests context.CancelCauseFunc
@@ -66,8 +68,11 @@
 )
 
 // New returns a server. limits returns the limits in force.
-func New(pipeline Pipeline, dialect Dialect, limits func() fleet.Limits, now func() time.Time) *Server {
-	s := &Server{pipeline: pipeline, dialect: dialect, limits: limits, now: now, conns: newConnTimers(limits), bodyTimeout: bodyTimeout}
+func New(pipeline Pipeline, dialect Dialect, limits func() fleet.Limits, now func() time.Time, log *logrus.Entry) *Server {
+	s := &Server{
+		pipeline: pipeline, dialect: dialect, limits: limits, now: now, conns: newConnTimers(limits),
+		tracker: newTracker(now, log), bodyTimeout: bodyTimeout,
+	}
 	base, cancel := context.WithCancelCause(context.Background())
 	s.cancelRequests = cancel
 	s.http = &http.Server{
@@ -85,8 +90,14 @@
 	return nil
 }
 
-// Leave closes each connection after its next response.
-func (s *Server) Leave() { s.leaving.Store(true) }
+// Leave closes each connection after its next response, and logs the requests in flight.
+func (s *Server) Leave() {
+	s.leaving.Store(true)
+	s.tracker.beginStop()
+}
+
+// StopCounts returns what became of requests since Leave.
+func (s *Server) StopCounts() StopCounts { return s.tracker.stopCounts() }
 
 // Shutdown closes the listener and waits for the requests in flight. When the context ends, it
 // cancels the remaining requests, which get failure responses; after cancelGrace it closes all
@@ -111,18 +122,17 @@
 		Method: r.Method, Host: r.Host, Path: r.URL.Path, URI: requestURI(r), Header: r.Header,
 	}
 	s.dialect.ReadRequest(request)
-	if f := s.checkHeader(r); f != nil {
+	tracked := s.tracker.begin(request.ID)
+	request.BeganAt = tracked.beganAt
+	if f := s.readRequest(w, r, request, tracked); f != nil {
+		s.tracker.logUnread(tracked, f)
 		s.writeFailure(w, request.ID, f)
+		s.tracker.end(tracked, f)
 		return
 	}
-	body, f := s.readBody(w, r)
-	if f != nil {
-		s.writeFailure(w, request.ID, f)
-		return
-	}
-	request.Body, request.ReceivedAt = body, s.now()
 	response := &responseWriter{w: w, server: s, request: r}
 	result := s.pipeline.Serve(r.Context(), request, response)
+	defer s.tracker.end(tracked, result.Failure)
 	if result.Failure == nil {
 		response.complete()
 		return
@@ -133,6 +143,20 @@
 	s.writeFailure(w, request.ID, result.Failure)
 }
 
+// readRequest reads the rest of a request whose header has been read.
+func (s *Server) readRequest(w http.ResponseWriter, r *http.Request, request *dispatch.Request, tracked *inFlight) *failure.Error {
+	if f := s.checkHeader(r); f != nil {
+		return f
+	}
+	body, f := s.readBody(w, r, tracked)
+	if f != nil {
+		return f
+	}
+	s.tracker.read(tracked)
+	request.Body, request.ReceivedAt = body, s.now()
+	return nil
+}
+
 // requestURI returns the path and query as the caller sent them.
 func requestURI(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
@@ -160,7 +184,7 @@
 	return nil
 }
 
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *failure.Error) {
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, tracked *inFlight) ([]byte, *failure.Error) {
 	limit := s.limits().MaxBodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBody
@@ -169,7 +193,7 @@
 	if err := conn.SetReadDeadline(time.Now().Add(s.bodyTimeout)); err != nil {
 		return nil, failure.NotRun(failure.StepParse, "", failure.CodeInvalid, "set the read deadline for the body: "+err.Error())
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := io.ReadAll(countingBody{Reader: http.MaxBytesReader(w, r.Body, limit), tracker: s.tracker, request: tracked})
 	if err == nil {
 		err = conn.SetReadDeadline(time.Time{})
 	}
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -17,6 +17,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/types"
+	"github.com/sirupsen/logrus"
+	logrustest "github.com/sirupsen/logrus/hooks/test"
 )
 
 func TestFrontend(t *testing.T) {
@@ -24,6 +26,11 @@
 	RunSpecs(t, "frontend")
 }
 
+func discardLog() *logrus.Entry {
+	logger, _ := logrustest.NewNullLogger()
+	return logrus.NewEntry(logger)
+}
+
 type plainDialect struct{}
 
 func (plainDialect) ReadRequest(r *dispatch.Request) { r.ID = r.Header.Get("X-Id") }
@@ -44,7 +51,7 @@
 
 // serve starts a frontend and returns its address and the frontend.
 func serve(pipeline pipelineFunc, limits fleet.Limits) (string, *Server) {
-	s := New(pipeline, plainDialect{}, func() fleet.Limits { return limits }, time.Now)
+	s := New(pipeline, plainDialect{}, func() fleet.Limits { return limits }, time.Now, discardLog())
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	go func() { _ = s.Serve(listener) }()
--- a/internal/platformdaemon/agent.go
+++ b/internal/platformdaemon/agent.go
@@ -121,6 +121,7 @@
 	a.log.WithFields(logrus.Fields{"engine": a.settings.LocalServer, "build": buildinfo.String()}).Info("agent started")
 	err = errors.Wrap(group.Wait(), "agent")
 	a.log.Info("agent stopped")
+	flushLog(a.log)
 	return err
 }
 
--- a/internal/platformdaemon/entry.go
+++ b/internal/platformdaemon/entry.go
@@ -100,7 +100,7 @@
 	e.pipeline = dispatch.NewPipeline(view, e.balancer, backend, clk.Now, log)
 	e.pipeline.SetQuarantine(e.crashes)
 	e.crashes.SetRefresh(e.pullFromSeveral)
-	e.frontend = frontend.New(e.pipeline, platform.Dialect{}, e.limits, clk.Now)
+	e.frontend = frontend.New(e.pipeline, platform.Dialect{}, e.limits, clk.Now, log)
 	clk.OnResume(e.resumed)
 	if len(operators) > 0 {
 		e.api = admin.New(e, rep, e.configLog, store, operators, log)
@@ -190,23 +190,38 @@
 		e.leave()
 		e.sendLimits(limits, e.balancer.Limits().DepartureMessage())
 	case <-tasks.Done():
+		e.log.WithError(context.Cause(tasks)).Error("a task has failed")
 	}
 	end()
-	return errors.Wrap(group.Wait(), "entry")
+	err = errors.Wrap(group.Wait(), "entry")
+	e.log.WithError(err).Info("entry stopped")
+	flushLog(e.log)
+	return err
 }
 
 // leave shuts the frontend down within the grace period of a planned stop.
 func (e *EntryDaemon) leave() {
-	e.log.Info("planned stop: no longer ready")
+	liftLogRate(e.log)
+	grace := max(e.settings.Grace-stopMargin, 0)
+	e.log.WithField("grace_ms", grace.Milliseconds()).Info("planned stop: no longer ready")
 	e.leaving.Store(true)
+	e.pipeline.BeginStop(e.clock.Now().Add(grace))
 	e.frontend.Leave()
 	time.Sleep(leaveDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), max(e.settings.Grace-leaveDelay-stopMargin, 0))
+	e.log.WithFields(stopFields(e.frontend.StopCounts())).Info("planned stop: closing the listener")
+	ctx, cancel := context.WithTimeout(context.Background(), max(grace-leaveDelay, 0))
 	defer cancel()
 	if err := e.frontend.Shutdown(ctx); err != nil {
 		e.log.WithError(err).Warn("grace period expired with requests in flight")
 	}
-	e.log.Info("entry stopped")
+	e.log.WithFields(stopFields(e.frontend.StopCounts())).Info("planned stop: requests have ended")
+}
+
+func stopFields(c frontend.StopCounts) logrus.Fields {
+	return logrus.Fields{
+		"in_flight": c.InFlight, "read": c.Read, "served": c.Served, "refused": c.Refused, "failed": c.Failed,
+		"cut": c.Cut, "unread": c.Unread,
+	}
 }
 
 // serveInternal serves readiness, the control API and metrics.
