--- a/standins/harness/layout.go
+++ b/standins/harness/layout.go
@@ -183,7 +183,7 @@
 
 func (c *Cluster) addZone(zone string) error {
 	for i := range c.Layout.EntriesPerZone {
-		addresses, err := freeAddresses(3)
+		addresses, err := FreeAddresses(3)
 		if err != nil {
 			return err
 		}
@@ -214,7 +214,7 @@
 }
 
 func (c *Cluster) addServer(zone, service, protocol string, i int) error {
-	addresses, err := freeAddresses(4)
+	addresses, err := FreeAddresses(4)
 	if err != nil {
 		return err
 	}
@@ -225,7 +225,8 @@
 	return nil
 }
 
-func freeAddresses(n int) ([]string, error) {
+// FreeAddresses returns unused loopback addresses.
+func FreeAddresses(n int) ([]string, error) {
 	free := make([]string, 0, n)
 	for range n {
 		address, err := freeAddress()
@@ -238,10 +239,7 @@
 }
 
 func (c *Cluster) addProcess(name, binary, ready string, args []string) {
-	c.Processes[name] = &Process{
-		Name: name, binary: filepath.Join(c.bin, binary), args: args,
-		readyAddress: ready, logPath: logFile(c.dir, name),
-	}
+	c.Processes[name] = NewProcess(name, filepath.Join(c.bin, binary), args, ready, logFile(c.dir, name))
 	c.startOrder = append(c.startOrder, name)
 }
 
--- a/standins/harness/process.go
+++ b/standins/harness/process.go
@@ -30,6 +30,12 @@
 	err    error
 }
 
+// NewProcess returns a process that isn't started yet. It accepts connections at readyAddress once it
+// serves, and its output is appended to the file logPath.
+func NewProcess(name, binary string, args []string, readyAddress, logPath string) *Process {
+	return &Process{Name: name, binary: binary, args: args, readyAddress: readyAddress, logPath: logPath}
+}
+
 const (
 	readyTimeout = 20 * time.Second
 	readyPoll    = 20 * time.Millisecond
@@ -118,6 +124,13 @@
 	}
 }
 
+// Exited returns a channel that is closed when the started process has exited.
+func (p *Process) Exited() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exited
+}
+
 // PID returns the process ID.
 func (p *Process) PID() int {
 	p.mu.Lock()
@@ -176,4 +189,27 @@
 	return "", errors.New("no free port")
 }
 
+// FreePortRange returns a loopback address and the first of n consecutive ports that are unused there.
+func FreePortRange(n int) (ip string, first int, err error) {
+	ip = processLoopback()
+	for range lastPort - firstPort {
+		base := firstPort + int(nextPort.Add(int64(n))-int64(n)+1)%(lastPort-firstPort)
+		if portsFree(ip, base, n) {
+			return ip, base, nil
+		}
+	}
+	return "", 0, errors.New("no free port range")
+}
+
+func portsFree(ip string, base, n int) bool {
+	for port := base; port < base+n; port++ {
+		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+		if err != nil {
+			return false
+		}
+		_ = listener.Close() // never used
+	}
+	return true
+}
+
 func logFile(dir, name string) string { return filepath.Join(dir, fmt.Sprintf("%s.log", name)) }
