A stopping daemon passes on only what ends within its grace period

Callers saw streams without a whole answer: a stopping entry passed on whatever it read, also a request whose body ended 3 to 4 s after SIGTERM, and cut it 7.5 s after SIGTERM.

Cause: nothing between the signal and the end of the grace period asked whether a request could still end. The class: work is taken on that another timer will end, without asking it.

internal/drain has the rule, once, for both entries and the agent. During a stop a request is passed on if its own limit (route, caller's deadline) ends in time, or if, while callers are still sent here, it is expected to: by what nearly all recent requests of its route took, and by its largest output at the engines' published pace. It is asked on arrival and again just before the first attempt, since a request may wait. Others are refused at once with 503, haven't run, and come back after 50 to 100 ms. A request that was passed on is still retried elsewhere. An agent, which takes nothing new once it leaves, refuses by the same rule what is queued and can't end within its drain timeout.

Tried and dropped: refusing all that isn't certain to end in time, and the longest recent duration seen over the whole time that is left.

--- a/cmd/crowbridged/agent.go
+++ b/cmd/crowbridged/agent.go
@@ -172,10 +172,11 @@
 // drainAgent rejects new requests and waits for those in flight, at most for the drain timeout. If
 // all have finished, it records the table of idempotency keys for the next incarnation.
 func drainAgent(p *process, a *agent.Agent, recorder *agent.Recorder) {
-	timer := time.NewTimer(p.cmd.Duration("drain-timeout"))
+	timeout := p.cmd.Duration("drain-timeout")
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
-	case <-a.Leave():
+	case <-a.Leave(time.Now().Add(timeout)):
 		recorder.Seal(p.tasks)
 	case <-timer.C:
 		p.log.Warn("drain timeout: canceling requests in flight")
--- a/cmd/crowbridged/entry.go
+++ b/cmd/crowbridged/entry.go
@@ -123,7 +123,7 @@
 func stopEntry(p *process, e *entry.Entry) error {
 	ctx, cancel := context.WithTimeout(p.tasks, p.cmd.Duration("drain-timeout"))
 	defer cancel()
-	e.Leave()
+	e.Leave(ctx)
 	wait.For(ctx, leaveDelay)
 	return e.Stop(ctx)
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -9,6 +9,7 @@
 
 	"github.com/crowbridge/crowbridge/internal/admission"
 	"github.com/crowbridge/crowbridge/internal/config"
+	"github.com/crowbridge/crowbridge/internal/drain"
 	"github.com/crowbridge/crowbridge/internal/eligibility"
 	"github.com/crowbridge/crowbridge/internal/failure"
 	"github.com/crowbridge/crowbridge/internal/headers"
@@ -78,6 +79,8 @@
 	limits *ratelimit.Table
 	active int // handlers that have not finished their response
 
+	// stop is the planned stop of this process.
+	stop   drain.Window
 	ledger outcome.Ledger
 	idle   chan struct{} // closed when the agent is leaving and no handler is active
 }
@@ -161,9 +164,10 @@
 	}
 }
 
-// Leave refuses new requests from now on. The returned channel is closed when all accepted
-// requests have finished.
-func (a *Agent) Leave() <-chan struct{} {
+// Leave refuses new requests from now on, and queued ones that might not end before cutAt. The returned
+// channel is closed when all accepted requests have finished.
+func (a *Agent) Leave(cutAt time.Time) <-chan struct{} {
+	a.stop.Begin(a.now(), cutAt)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.leaving {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -350,7 +350,7 @@
 			first <- body
 		}()
 		<-backend.arrived
-		idle := f.agent.Leave()
+		idle := f.agent.Leave(time.Now().Add(time.Minute))
 		Consistently(idle, "50ms").ShouldNot(BeClosed())
 		response, _ := f.do(testRequest{body: "y"})
 		Expect(outcomeOf(response)).To(Equal("not-run"))
@@ -363,4 +363,28 @@
 		Expect(<-first).To(Equal("done"))
 		Eventually(idle, "5s").Should(BeClosed())
 	})
+
+	It("refuses as not run what is queued and might not end before the stop does", func() {
+		backend := newHeldBackend()
+		f := newFixture(backend.serve, 1)
+		running, queued := make(chan string, 1), make(chan string, 1)
+		go func() {
+			defer GinkgoRecover()
+			_, body := f.do(testRequest{body: "x"})
+			running <- body
+		}()
+		<-backend.arrived
+		go func() {
+			defer GinkgoRecover()
+			response, _ := f.do(testRequest{body: "y"})
+			queued <- outcomeOf(response) + " " + response.Header.Get(headers.Code)
+		}()
+		Eventually(func() int { return f.agent.Load().Queued }, "5s").Should(Equal(1))
+		idle := f.agent.Leave(time.Now().Add(time.Second))
+		close(backend.release)
+		Expect(<-running).To(Equal("done"))
+		Expect(<-queued).To(Equal("not-run leaving"))
+		Expect(backend.runs.Load()).To(BeEquivalentTo(1))
+		Eventually(idle, "5s").Should(BeClosed())
+	})
 })
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -13,6 +13,7 @@
 
 	"github.com/crowbridge/crowbridge/internal/config"
 	"github.com/crowbridge/crowbridge/internal/dispatch"
+	"github.com/crowbridge/crowbridge/internal/drain"
 	"github.com/crowbridge/crowbridge/internal/eligibility"
 	"github.com/crowbridge/crowbridge/internal/failure"
 	"github.com/crowbridge/crowbridge/internal/headers"
@@ -48,6 +49,10 @@
 // start sends the request to the server. From then on, the outcome of a failure is unknown
 // unless no connection was established.
 func (a *Agent) start(j *job) (*call, *failure.Error) {
+	if !a.stop.Admits(a.now(), j.deadline, drain.Recent{}) {
+		a.done(j.envelope.RequestID, 0, true)
+		return nil, failure.NotRun(failure.StepQueue, a.options.Server, failure.CodeLeaving, "the server is leaving, and the request might not end in time").WithRetryAfter(retryHint)
+	}
 	ctx, cancel := a.callContext(j)
 	if ctx.Err() != nil {
 		cancel()
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -36,22 +36,23 @@
 	ledger   outcome.Ledger
 	// quarantine may be nil.
 	quarantine Quarantine
-	// stop is the planned stop of this process.
-	stop drain.Window
+	// stop is the planned stop of this process; durations tells which requests end in time.
+	stop      drain.Window
+	durations *drain.Durations
 	// stallTimeout defaults to the constant of that name; tests shorten it.
 	stallTimeout time.Duration
 }
 
 // NewPipeline returns a pipeline whose servers are chosen by the balancer.
 func NewPipeline(f Fleet, balancer *Balancer, backend Backend, now func() time.Time, log *logrus.Entry) *Pipeline {
-	return &Pipeline{fleet: f, balancer: balancer, chooser: balancer, backend: backend, now: now, log: log, stallTimeout: stallTimeout}
+	return &Pipeline{fleet: f, balancer: balancer, chooser: balancer, backend: backend, now: now, log: log, durations: drain.NewDurations(), stallTimeout: stallTimeout}
 }
 
 // NewTargetPipeline returns a pipeline for frontends that route requests themselves; only
 // ServeTarget may be used.
 func NewTargetPipeline(f Fleet, chooser Chooser, backend Backend, now func() time.Time, log *logrus.Entry) *Pipeline {
 	balancer := NewBalancer(RetryBudgetPolicy{}, "", func(int) int { return 0 })
-	return &Pipeline{fleet: f, balancer: balancer, chooser: chooser, backend: backend, now: now, log: log, stallTimeout: stallTimeout}
+	return &Pipeline{fleet: f, balancer: balancer, chooser: chooser, backend: backend, now: now, log: log, durations: drain.NewDurations(), stallTimeout: stallTimeout}
 }
 
 // Result is the final outcome of a request.
@@ -131,6 +132,7 @@
 	x := newExchange(r, target, w)
 	r.priorityGap, r.isRetry, r.maxConnections = target.priorityGap, target.isRetry, target.maxConnections
 	ticket := p.ledger.Accept()
+	run := p.durations.Begin(x.route.Name, p.now())
 	attemptCtx, cancel := context.WithTimeout(ctx, x.Deadline.Sub(p.now()))
 	f := p.execute(attemptCtx, x)
 	cancel()
@@ -141,13 +143,11 @@
 	}
 	f = p.finalFailure(ctx, x, f)
 	p.recordResult(x, f)
+	p.durations.End(run, p.now(), x.sentAttempts > 0)
 	ticket.Close(outcomeOf(f))
 	return Result{Failure: f, Started: x.caller.started}
 }
 
-// BeginStop begins a planned stop, at whose end the frontend cancels the requests in flight.
-func (p *Pipeline) BeginStop(cutAt time.Time) { p.stop.Begin(p.now(), cutAt) }
-
 // OutcomeCounts returns the number of requests by outcome.
 func (p *Pipeline) OutcomeCounts() outcome.Counts { return p.ledger.Counts() }
 
@@ -185,7 +185,7 @@
 		return target, failure.NotRun(failure.StepRoute, route.Name, failure.CodeNoServer, "the route's service is not configured").WithRetryAfter(noServerRetryAfter)
 	}
 	target.Service, target.Deadline = service.Name, r.ReceivedAt.Add(route.Timeout)
-	target.maxConnections = service.MaxConns
+	target.maxConnections, target.engine = service.MaxConns, service.Engine
 	target.priorityGap = config.PriorityGap(service.Name, r.Priority)
 	if deadline := r.ReceivedAt.Add(r.Timeout); r.HasDeadline && deadline.Before(target.Deadline) {
 		target.Deadline = deadline
@@ -228,6 +228,9 @@
 // execute attempts the request until it succeeds or may not be retried.
 func (p *Pipeline) execute(ctx context.Context, x *exchange) *failure.Error {
 	for {
+		if f := p.checkStop(x); f != nil {
+			return f
+		}
 		if f := p.checkQuarantine(ctx, x); f != nil {
 			return f
 		}
@@ -238,6 +241,9 @@
 		if !p.now().Before(x.Deadline) { // the VM may have been suspended, which stops timers
 			return failure.NotRun(failure.StepQueue, x.Service, failure.CodeDeadline, "deadline exceeded before the request was sent")
 		}
+		if f := p.checkStop(x); f != nil { // the request may have waited
+			return f
+		}
 		f = p.attempt(ctx, x, server)
 		if f == nil {
 			return nil
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -106,7 +106,7 @@
 	}
 	fields["stop_ms"], fields["stop_left_ms"] = elapsed.Milliseconds(), left.Milliseconds()
 	fields["read_stop_ms"] = (elapsed - now.Sub(x.request.ReceivedAt)).Milliseconds()
-	fields["body_bytes"] = len(x.request.Body)
+	fields["body_bytes"], fields["max_output_tokens"] = len(x.request.Body), x.request.MaxOutputTokens
 }
 
 // loadAge returns the age of the load report behind a choice in milliseconds, or -1 if there
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -37,8 +37,9 @@
 	// Resume asks for the events of a stream after LastEventID.
 	Resume      bool
 	LastEventID int64
-	// PromptTokens is the length of the prompt, or 0 if unknown.
-	PromptTokens int
+	// PromptTokens is the length of the prompt and MaxOutputTokens the largest of the output, or 0 if
+	// unknown.
+	PromptTokens, MaxOutputTokens int
 	// PromptParts are the parts of the prompt, or nil if unknown.
 	PromptParts quarantine.PromptParts
 	// FrontendState is passed unchanged from a frontend to its backend.
@@ -200,6 +201,8 @@
 	// maxConnections is how many connections each server of the service accepts from all VMs
 	// together.
 	maxConnections int
+	// engine is the cost model of the service's servers, or nil.
+	engine *fleet.EngineModel
 }
 
 // Chooser selects servers, tracks the attempts, and manages the retry budget. Servers are
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -149,15 +149,22 @@
 // Serve serves callers on the listener until Stop.
 func (e *Entry) Serve(listener net.Listener) error { return e.server.Serve(listener) }
 
-// Leave makes the entry not ready and closes each connection after its next response, so
-// that few requests arrive on connections that Stop closes.
-func (e *Entry) Leave() { e.stopping.Store(true) }
+// Leave begins a planned stop that cancels the requests in flight when the context ends. The entry
+// isn't ready and closes each connection after its next response, so that few requests arrive on
+// connections that Stop closes.
+func (e *Entry) Leave(ctx context.Context) {
+	e.stopping.Store(true)
+	if cutAt, bounded := ctx.Deadline(); bounded {
+		e.pipeline.BeginStop(cutAt)
+	}
+}
 
 // Stop refuses new connections and returns when every request in flight has ended. When
 // the context ends first, the remaining requests are canceled and get a failure response. It
 // returns an error if that takes longer than finalResponseTime.
 func (e *Entry) Stop(ctx context.Context) error {
-	e.Leave()
+	e.Leave(ctx)
+	e.pipeline.StopAccepted()
 	bounded, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	defer context.AfterFunc(ctx, func() {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -231,7 +231,7 @@
 		f := newFixture([]string{agent}, nil)
 		response, _ := f.post(keyOfRozsa, "/v1/chat/completions", completion, nil)
 		Expect(response.Close).To(BeFalse())
-		f.entry.Leave()
+		f.entry.Leave(context.Background())
 		Expect(f.entry.Ready()).To(BeFalse())
 		response, _ = f.post(keyOfRozsa, "/v1/chat/completions", completion, nil)
 		Expect(response.StatusCode).To(Equal(http.StatusOK))
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -79,6 +79,11 @@
 	CopyTime time.Duration
 }
 
+// GenerationTime returns how long an engine that runs a batch of requests takes to generate tokens.
+func (e *EngineModel) GenerationTime(tokens, batch int) time.Duration {
+	return time.Duration(tokens) * (e.Step + time.Duration(batch)*e.StepPerRequest)
+}
+
 // Service is a set of interchangeable backend servers.
 type Service struct {
 	Name string
--- a/internal/platformdaemon/entry.go
+++ b/internal/platformdaemon/entry.go
@@ -208,6 +208,7 @@
 	e.pipeline.BeginStop(e.clock.Now().Add(grace))
 	e.frontend.Leave()
 	time.Sleep(leaveDelay)
+	e.pipeline.StopAccepted()
 	e.log.WithFields(stopFields(e.frontend.StopCounts())).Info("planned stop: closing the listener")
 	ctx, cancel := context.WithTimeout(context.Background(), max(grace-leaveDelay, 0))
 	defer cancel()
--- a/standins/plannedstop/plannedstop.go
+++ b/standins/plannedstop/plannedstop.go
@@ -1,6 +1,7 @@
 package plannedstop
 
 import (
+	_ "embed"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -10,6 +11,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"text/template"
 	"time"
 
 	"github.com/crowbridge/crowbridge/platform"
@@ -38,6 +40,8 @@
 	// NoStop leaves out the SIGTERM: the process is killed at the end, and what is open then doesn't
 	// count.
 	NoStop bool
+	// Warmup is the time of traffic before the stop.
+	Warmup time.Duration
 	// Bin is the folder of the daemons' binary, Dir one for logs.
 	Bin, Dir string
 }
@@ -45,8 +49,6 @@
 const (
 	// grace is the platform's time from SIGTERM to SIGKILL.
 	grace = 8 * time.Second
-	// warmup is the time of traffic before the stop.
-	warmup = 3 * time.Second
 	// slack is how long after its last byte a request may lose its connection unread.
 	slack = 200 * time.Millisecond
 	// routeTimeout bounds all requests.
@@ -108,7 +110,7 @@
 			d.change(exited)
 		}()
 	}
-	time.Sleep(warmup)
+	time.Sleep(o.Warmup)
 	stopAt := time.Now()
 	err = d.stop(o, exited)
 	gone := time.Now()
@@ -260,17 +262,31 @@
 	}
 }
 
+//go:embed configuration.json.tmpl
+var configurationText string
+
+var configurationTemplate = template.Must(template.New("configuration").Parse(configurationText))
+
+type route struct {
+	Name, Type string
+	Resumable  bool
+}
+
 // configuration returns a version of the operators' configuration. Versions differ in a route that
 // nobody uses and in the number of attempts.
 func configuration(version int) string {
-	route := func(name, kind string) string {
-		return fmt.Sprintf(`{"name":%q,"host":"h.example","path_prefix":"/%s/","public":true,"type":%q,"resumable":%t,"timeout_ms":%d,"service":"s","max_attempts":%d}`,
-			name, name, kind, name == "resumable", routeTimeout.Milliseconds(), 2+version%2)
+	var text strings.Builder
+	err := configurationTemplate.Execute(&text, map[string]any{
+		"Version": version, "TimeoutMs": routeTimeout.Milliseconds(), "Attempts": 2 + version%2,
+		"Routes": []route{
+			{Name: "idempotent", Type: "idempotent"}, {Name: "once", Type: "non_idempotent"},
+			{Name: "resumable", Type: "streaming", Resumable: true}, {Name: "stream", Type: "streaming"},
+		},
+	})
+	if err != nil {
+		panic(err) // the template and its data are constant
 	}
-	return fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s,%s],"services":[{"name":"s","max_conns":2000}],
- "limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[]}`,
-		version, route("idempotent", "idempotent"), route("once", "non_idempotent"), route("resumable", "streaming"), route("stream", "streaming"),
-		route(fmt.Sprint("unused", version), "idempotent"))
+	return text.String()
 }
 
 // judge counts the requests of a run.
--- a/standins/plannedstop/plannedstop_test.go
+++ b/standins/plannedstop/plannedstop_test.go
@@ -16,6 +16,7 @@
 	first   = flag.Uint64("first", 1, "first seed")
 	seeds   = flag.Int("seeds", 1, "number of seeds")
 	clients = flag.Int("callers", 64, "callers per process")
+	warmup  = flag.Duration("warmup", 3*time.Second, "time of traffic before the stop")
 	keep    = flag.String("keep", "", "folder that keeps the logs")
 )
 
@@ -56,7 +57,7 @@
 			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
 				t.Parallel()
 				o := o
-				o.Seed, o.Callers, o.Bin, o.Dir = seed, *clients, bin, t.TempDir()
+				o.Seed, o.Callers, o.Warmup, o.Bin, o.Dir = seed, *clients, *warmup, bin, t.TempDir()
 				if *keep != "" {
 					o.Dir = filepath.Join(*keep, fmt.Sprintf("%s-%d", name, seed))
 					if err := os.MkdirAll(o.Dir, 0o700); err != nil {
--- a/standins/plannedstop/servers.go
+++ b/standins/plannedstop/servers.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/crowbridge/crowbridge/platform"
 )
 
 // Headers by which a caller shapes the response to its request.
@@ -63,11 +65,11 @@
 // ServeHTTP implements http.Handler. A response has as many events or, if it isn't a stream, takes as
 // many gaps as its caller asks for. Its run goes on when the caller has left.
 func (s *servers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Attempt-Id")
+	id := r.Header.Get(platform.HeaderRequestID)
 	s.begin(id)
 	defer s.end(id)
-	w.Header().Set("X-Attempt-Id", id)
-	w.Header().Set("X-Server-Stamp", "s")
+	w.Header().Set(platform.HeaderRequestID, id)
+	w.Header().Set(platform.HeaderSignature, "s")
 	number := func(name string) int {
 		n, _ := strconv.Atoi(r.Header.Get(name)) // 0 if absent
 		return n
