frontend: a planned stop closes only connections that are idle

Cause: http.Server.Shutdown takes a kept connection for idle until a whole header has arrived, and closing a listening socket resets the connections in its queue. The same class: what ends a connection doesn't ask what it carries.

The frontend now keeps the callers' connections itself, with the bytes received of the next request. A stop accepts what is in the listener's queue, closes a kept connection only if nothing of a next request has arrived, and answers the rest. At the end of the grace period a body that isn't complete is answered as not run, with a time to come back; it had been closed. A connection closed inside a header is logged and counted.

A request that crosses the close of an idle connection still gets none.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -43,9 +44,13 @@
 	limits   func() fleet.Limits
 	now      func() time.Time
 	http     *http.Server
-	conns    *connTimers
+	timers   *connTimers
 	tracker  *tracker
 	leaving  atomic.Bool
+	// connections are those of listener; accepting counts the calls of Serve.
+	connections *connections
+	listener    atomic.Pointer[callerListener]
+	accepting   atomic.Int64
 	// cancelRequests cancels the contexts of all requests.
 	cancelRequests context.CancelCauseFunc
 	// bodyTimeout is the constant bodyTimeout except in tests.
@@ -61,68 +66,54 @@
 	// bodyTimeout limits the time to receive a body. It is several times the longest timeout of
 	// routes.
 	bodyTimeout = 30 * time.Second
-	// cancelGrace is the time for failure responses to requests that Shutdown cancels. It covers
-	// the one-way delay to a caller, and fits into the time that the entry leaves before it is
-	// killed.
-	cancelGrace = 300 * time.Millisecond
 )
 
 // New returns a server. limits returns the limits in force.
 func New(pipeline Pipeline, dialect Dialect, limits func() fleet.Limits, now func() time.Time, log *logrus.Entry) *Server {
 	s := &Server{
-		pipeline: pipeline, dialect: dialect, limits: limits, now: now, conns: newConnTimers(limits),
-		tracker: newTracker(now, log), bodyTimeout: bodyTimeout,
+		pipeline: pipeline, dialect: dialect, limits: limits, now: now, timers: newConnTimers(limits),
+		tracker: newTracker(now, log), connections: newConnections(), bodyTimeout: bodyTimeout,
 	}
 	base, cancel := context.WithCancelCause(context.Background())
 	s.cancelRequests = cancel
 	s.http = &http.Server{
-		Handler: s, MaxHeaderBytes: maxHeader, ConnState: s.conns.stateChanged, ConnContext: contextWithConn,
+		Handler: s, MaxHeaderBytes: maxHeader, ConnState: s.connStateChanged, ConnContext: contextWithConn,
 		BaseContext: func(net.Listener) context.Context { return base },
 	}
 	return s
 }
 
-// Serve accepts connections until Shutdown.
+// Serve accepts connections at a TCP listener until Shutdown.
 func (s *Server) Serve(listener net.Listener) error {
-	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
+	tcp, ok := listener.(*net.TCPListener)
+	if !ok {
+		return fmt.Errorf("callers' listener %v: use TCP", listener.Addr())
+	}
+	s.accepting.Add(1)
+	defer s.accepting.Add(-1)
+	callers := &callerListener{TCPListener: tcp, now: s.now}
+	s.listener.Store(callers)
+	err := s.http.Serve(callers)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && callers.closing.Load() {
+		return nil
 	}
-	return nil
-}
-
-// Leave closes each connection after its next response, and logs the requests in flight.
-func (s *Server) Leave() {
-	s.leaving.Store(true)
-	s.tracker.beginStop()
+	return err
 }
 
-// StopCounts returns what became of requests since Leave.
-func (s *Server) StopCounts() StopCounts { return s.tracker.stopCounts() }
-
-// Shutdown closes the listener and waits for the requests in flight. When the context ends, it
-// cancels the remaining requests, which get failure responses; after cancelGrace it closes all
-// connections.
-func (s *Server) Shutdown(ctx context.Context) error {
-	bounded, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	defer context.AfterFunc(ctx, func() {
-		s.cancelRequests(dispatch.ErrLeaving)
-		time.AfterFunc(cancelGrace, cancel)
-	})()
-	if err := s.http.Shutdown(bounded); err != nil {
-		return errors.Join(err, s.http.Close())
-	}
-	return nil
+// connStateChanged is the http.Server's ConnState hook.
+func (s *Server) connStateChanged(conn net.Conn, state http.ConnState) {
+	s.timers.stateChanged(conn, state)
+	s.connections.stateChanged(conn, state)
 }
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.conns.headerRead(r.Context())
+	s.timers.headerRead(r.Context())
 	request := &dispatch.Request{
 		Method: r.Method, Host: r.Host, Path: r.URL.Path, URI: requestURI(r), Header: r.Header,
 	}
 	s.dialect.ReadRequest(request)
-	tracked := s.tracker.begin(request.ID)
+	tracked := s.tracker.begin(request.ID, w)
 	request.BeganAt = tracked.beganAt
 	if f := s.readRequest(w, r, request, tracked); f != nil {
 		s.tracker.logUnread(tracked, f)
@@ -189,18 +180,21 @@
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	conn := http.NewResponseController(w)
-	if err := conn.SetReadDeadline(time.Now().Add(s.bodyTimeout)); err != nil {
+	if err := s.tracker.beginBody(tracked, time.Now().Add(s.bodyTimeout)); err != nil {
 		return nil, failure.NotRun(failure.StepParse, "", failure.CodeInvalid, "set the read deadline for the body: "+err.Error())
 	}
 	body, err := io.ReadAll(countingBody{Reader: http.MaxBytesReader(w, r.Body, limit), tracker: s.tracker, request: tracked})
-	if err == nil {
-		err = conn.SetReadDeadline(time.Time{})
+	if endErr := s.tracker.endBody(tracked, err == nil); err == nil {
+		err = endErr
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, failure.NotRun(failure.StepParse, "", failure.CodeTooLarge, "body size exceeds "+strconv.FormatInt(limit, 10)+" bytes: send less")
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && s.tracker.readsEnded() {
+		return nil, failure.NotRun(failure.StepParse, "", failure.CodeLeaving, "this process is stopping, and the body isn't complete: retry on a new connection").
+			WithRetryAfter(dispatch.LeavingRetryAfter)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, failure.NotRun(failure.StepParse, "", failure.CodeSlowBody, "body not received within "+s.bodyTimeout.String()+": send it faster")
 	}
@@ -257,7 +251,7 @@
 	server  *Server
 	request *http.Request
 	// unframed is the connection whose end alone delimits the response, or nil.
-	unframed *net.TCPConn
+	unframed *callerConn
 }
 
 // Start implements dispatch.ResponseWriter.
@@ -284,7 +278,7 @@
 // called. Without chunks, an orderly close would complete the response, also one by the system when
 // the process ends.
 func (rw *responseWriter) resetUnlessComplete() {
-	conn, ok := rw.request.Context().Value(connKey{}).(*net.TCPConn)
+	conn, ok := rw.request.Context().Value(connKey{}).(*callerConn)
 	if !ok || rw.request.ProtoAtLeast(1, 1) {
 		return
 	}
--- a/internal/frontend/inflight.go
+++ b/internal/frontend/inflight.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"sync"
 	"time"
 
@@ -20,6 +21,9 @@
 	bodyBytes int64
 	// readAt is when the request had been read completely, or zero.
 	readAt time.Time
+	// conn controls the connection; readingBody is set while the body is being read from it.
+	conn        *http.ResponseController
+	readingBody bool
 }
 
 // StopCounts counts the requests of a planned stop by what became of them.
@@ -39,7 +43,9 @@
 	mu       sync.Mutex // leaf lock: guards the fields below
 	requests map[*inFlight]struct{}
 	stopping bool
-	counts   StopCounts
+	// ended is set once requests that aren't complete are no longer read.
+	ended  bool
+	counts StopCounts
 }
 
 func newTracker(now func() time.Time, log *logrus.Entry) *tracker {
@@ -47,14 +53,55 @@
 }
 
 // begin adds a request whose header has been read.
-func (t *tracker) begin(id string) *inFlight {
+func (t *tracker) begin(id string, w http.ResponseWriter) *inFlight {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := &inFlight{id: id, beganAt: t.now()}
+	r := &inFlight{id: id, beganAt: t.now(), conn: http.NewResponseController(w)}
 	t.requests[r] = struct{}{}
 	return r
 }
 
+// beginBody bounds the time to read a request's body.
+func (t *tracker) beginBody(r *inFlight, deadline time.Time) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r.readingBody = true
+	if t.ended {
+		deadline = time.Now()
+	}
+	return r.conn.SetReadDeadline(deadline)
+}
+
+// endBody ends the reading of a request's body. If it is whole, the bound of beginBody ends as well.
+func (t *tracker) endBody(r *inFlight, whole bool) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r.readingBody = false
+	if !whole {
+		return nil
+	}
+	return r.conn.SetReadDeadline(time.Time{})
+}
+
+// endReads ends the reading of bodies that aren't complete.
+func (t *tracker) endReads() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ended = true
+	for r := range t.requests {
+		if r.readingBody {
+			_ = r.conn.SetReadDeadline(time.Now()) // fails only if the connection is closed
+		}
+	}
+}
+
+// readsEnded reports whether endReads has been called.
+func (t *tracker) readsEnded() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ended
+}
+
 // read records that a request has been read completely.
 func (t *tracker) read(r *inFlight) {
 	t.mu.Lock()
