platformdaemon: an entry whose task fails stops as planned

The entry went on serving on old registrations, its readiness gone, deaf to SIGTERM, until SIGKILL cut all that was in flight. Now the failure begins a planned stop, and Run returns the error.

--- a/internal/platformdaemon/entry.go
+++ b/internal/platformdaemon/entry.go
@@ -26,6 +26,7 @@
 	"github.com/crowbridge/crowbridge/internal/rpc"
 	"github.com/crowbridge/crowbridge/internal/steering"
 	"github.com/crowbridge/crowbridge/internal/upstream"
+	"github.com/crowbridge/crowbridge/internal/wait"
 	"github.com/crowbridge/crowbridge/platform"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -185,33 +186,51 @@
 	e.log.WithFields(logrus.Fields{
 		"callers": e.settings.Callers, "store": e.settings.Store, "build": buildinfo.String(),
 	}).Info("entry started")
+	err = superviseTasks(ctx, tasks, group, end, func(cause error) {
+		e.leave(cause)
+		e.sendLimits(limits, e.balancer.Limits().DepartureMessage())
+	})
+	e.log.WithField("error", errorText(err)).Info("entry stopped")
+	flushLog(e.log)
+	return errors.Wrap(err, "entry")
+}
+
+// superviseTasks waits until a planned stop is requested, by ctx, or a task has failed, then calls
+// leave with the cause, ends the tasks and returns the first error of one. The tasks of a planned
+// stop go on until leave has returned.
+func superviseTasks(ctx, tasks context.Context, group *errgroup.Group, end func(), leave func(cause error)) error {
 	select {
 	case <-ctx.Done():
-		e.leave()
-		e.sendLimits(limits, e.balancer.Limits().DepartureMessage())
+		leave(nil)
 	case <-tasks.Done():
-		e.log.WithError(context.Cause(tasks)).Error("a task has failed")
+		leave(context.Cause(tasks))
 	}
 	end()
-	err = errors.Wrap(group.Wait(), "entry")
-	e.log.WithError(err).Info("entry stopped")
-	flushLog(e.log)
-	return err
+	return group.Wait()
+}
+
+// errorText returns an error's text for the log, or "".
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
 }
 
-// leave shuts the frontend down within the grace period of a planned stop.
-func (e *EntryDaemon) leave() {
+// leave shuts the frontend down within the grace period of a planned stop. A task that has failed
+// causes one too: requests in flight don't need the tasks.
+func (e *EntryDaemon) leave(cause error) {
 	liftLogRate(e.log)
 	grace := max(e.settings.Grace-stopMargin, 0)
-	e.log.WithField("grace_ms", grace.Milliseconds()).Info("planned stop: no longer ready")
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
 	e.leaving.Store(true)
 	e.pipeline.BeginStop(e.clock.Now().Add(grace))
+	e.log.WithFields(logrus.Fields{"grace_ms": grace.Milliseconds(), "error": errorText(cause)}).Info("planned stop: no longer ready")
 	e.frontend.Leave()
-	time.Sleep(leaveDelay)
+	wait.For(ctx, leaveDelay)
 	e.pipeline.StopAccepted()
 	e.log.WithFields(stopFields(e.frontend.StopCounts())).Info("planned stop: closing the listener")
-	ctx, cancel := context.WithTimeout(context.Background(), max(grace-leaveDelay, 0))
-	defer cancel()
 	if err := e.frontend.Shutdown(ctx); err != nil {
 		e.log.WithError(err).Warn("grace period expired with requests in flight")
 	}
