cmd: SIGHUP doesn't end a daemon

The product's entry and agent ended at once on SIGHUP, as any process without a handler does, and cut what was in flight; the daemons of the users' platform did so in their first milliseconds and after their tasks had ended.

--- a/cmd/crowbridged/main.go
+++ b/cmd/crowbridged/main.go
@@ -14,6 +14,8 @@
 )
 
 func main() {
+	// Without a handler, SIGHUP ends the process. Daemons that reload settings have their own as well.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	app := &cli.Command{
