--- a/standins/harness/process.go
+++ b/standins/harness/process.go
@@ -189,8 +189,8 @@
 	return "", errors.New("no free port")
 }
 
-// FreePortRange returns a loopback address and the first of n consecutive ports that are unused there.
-func FreePortRange(n int) (ip string, first int, err error) {
+// freePortRange returns a loopback address and the first of n consecutive ports that are unused there.
+func freePortRange(n int) (ip string, first int, err error) {
 	ip = processLoopback()
 	for range lastPort - firstPort {
 		base := firstPort + int(nextPort.Add(int64(n))-int64(n)+1)%(lastPort-firstPort)
