A server's endless head no longer takes 20 MB of memory a request

TestProductOutlivesServersThatSendWithoutEnd failed before: with an endless header line or endless header lines the agent's peak memory was 218 and 193 MB, over the 160 MB that its settings allow. The transports of the product's agent and entry had net/http's limit of 10 MB for a head, and the check of heads keeps the line that it is in as well.

--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -38,9 +38,10 @@
 
 func newTransport() *http.Transport {
 	t := &http.Transport{
-		MaxIdleConnsPerHost: 256,
-		DisableCompression:  true,
-		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+		MaxIdleConnsPerHost:    256,
+		MaxResponseHeaderBytes: upstream.MaxResponseHeaderBytes,
+		DisableCompression:     true,
+		DialContext:            (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 	}
 	upstream.CheckConnections(t)
 	return t
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -95,10 +95,11 @@
 func New(options Options, rep *replica.Replica, now func() time.Time, log *logrus.Entry) *Entry {
 	table := routing.NewTable(options.Zone)
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: idleConns,
-		IdleConnTimeout:     idleConnTime,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    idleConns,
+		IdleConnTimeout:        idleConnTime,
+		MaxResponseHeaderBytes: upstream.MaxResponseHeaderBytes,
+		DisableCompression:     true,
 	}
 	upstream.CheckConnections(transport)
 	e := &Entry{
