--- a/internal/httpapi/events.go
+++ b/internal/httpapi/events.go
@@ -45,18 +45,21 @@
 	raw    []byte
 	// begun is set after the first line, which a byte order mark may precede.
 	begun bool
+	// withoutData counts the bytes since the last event with data or an ID.
+	withoutData int
 	// returned is set if raw holds an event that Next returned, rather than the beginning of one.
 	returned bool
 }
 
 const (
 	eventBuffer = 32 << 10
-	// maxEventBytes limits the memory that one event can take.
+	// maxEventBytes limits the memory that one event can take, and the bytes of comments in a row: a
+	// stream that goes on without an event isn't a response.
 	maxEventBytes = 1 << 20
 )
 
 // ErrEventTooLong is returned for an event that exceeds the size limit.
-var ErrEventTooLong = errors.New("server-sent event exceeds 1 MiB")
+var ErrEventTooLong = errors.New("server-sent event, or comments without an event, exceed 1 MiB")
 
 var (
 	idField   = []byte("id:")
@@ -100,6 +103,9 @@
 			r.begun = true
 		}
 		if len(line) == 0 {
+			if err := r.limitComments(event); err != nil {
+				return Event{}, err
+			}
 			r.returned = true
 			return event, nil
 		}
@@ -108,6 +114,18 @@
 	}
 }
 
+// limitComments returns an error once too many bytes have come without an event.
+func (r *EventReader) limitComments(event Event) error {
+	r.withoutData += len(event.Raw)
+	if event.HasData || event.ID >= 0 {
+		r.withoutData = 0
+	}
+	if r.withoutData > maxEventBytes {
+		return ErrEventTooLong
+	}
+	return nil
+}
+
 // Unfinished reports whether the reader holds a part of an event that Next hasn't returned, and returns
 // that event's ID, or -1 if it hasn't arrived whole. A comment is no event. Where streams have an end
 // event, only an ID counts, or data that can't be the beginning of the end event.
--- a/internal/httpapi/httpapi_test.go
+++ b/internal/httpapi/httpapi_test.go
@@ -43,6 +43,22 @@
 		_, err := r.Next()
 		Expect(err).To(MatchError(ErrEventTooLong))
 	})
+
+	It("fails a stream of comments without an event, but not comments between events", func() {
+		comment := ": " + strings.Repeat("x", 1000) + "\n\n"
+		read := func(text string) error {
+			reader := NewEventReader(strings.NewReader(text))
+			for {
+				if _, err := reader.Next(); err != nil {
+					return err
+				}
+			}
+		}
+		comments := strings.Repeat(comment, maxEventBytes/len(comment))
+		Expect(read(comments + "data: x\n\n" + comments)).To(MatchError(io.EOF))
+		Expect(read(comments + "id: 1\n\n" + comments)).To(MatchError(io.EOF))
+		Expect(read(comments + comment)).To(MatchError(ErrEventTooLong))
+	})
 })
 
 // FuzzEvents checks that the events are the unmodified start of the input.
