--- a/internal/platformdaemon/entry.go
+++ b/internal/platformdaemon/entry.go
@@ -221,7 +221,7 @@
 // causes one too: requests in flight don't need the tasks.
 func (e *EntryDaemon) leave(cause error) {
 	liftLogRate(e.log)
-	grace := max(e.settings.Grace-stopMargin, 0)
+	grace := max(e.settings.Grace-stopMargin, leaveDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	e.leaving.Store(true)
