frontend: a request that is served is never on a connection that a stop or a timer closes

Cause: looked for idle connections first and closed them afterwards; a request that was read in between was served on a closed connection.

A connection's phase now changes atomically: who closes it takes it out of idle or receiving first, and a request is served only if nobody has. Before it closes an idle one, a stop looks for bytes that the system has received and nobody has read.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -102,13 +102,19 @@
 
 // connStateChanged is the http.Server's ConnState hook.
 func (s *Server) connStateChanged(conn net.Conn, state http.ConnState) {
-	s.timers.stateChanged(conn, state)
-	s.connections.stateChanged(conn, state)
+	caller, ok := conn.(*callerConn)
+	if !ok {
+		return // every listener is a callerListener
+	}
+	s.connections.stateChanged(caller, state)
+	s.timers.stateChanged(caller, state)
 }
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.timers.headerRead(r.Context())
+	if !s.timers.headerRead(r.Context()) {
+		panic(http.ErrAbortHandler) // the connection has just been closed
+	}
 	request := &dispatch.Request{
 		Method: r.Method, Host: r.Host, Path: r.URL.Path, URI: requestURI(r), Header: r.Header,
 	}
--- a/internal/frontend/shutdown.go
+++ b/internal/frontend/shutdown.go
@@ -45,7 +45,7 @@
 	defer cancel()
 	for _, conn := range s.connections.unreadConns() {
 		s.tracker.logUnreadHeader(conn)
-		_ = conn.Close() // fails only if already closed
+		conn.closeUnlessServing()
 	}
 	if s.awaitConnections(bounded) {
 		return s.http.Close()
--- a/internal/frontend/shutdown_test.go
+++ b/internal/frontend/shutdown_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -105,6 +107,43 @@
 		Expect(s.StopCounts()).To(Equal(StopCounts{InFlight: 1, Unread: 1}))
 	})
 
+	It("answers each request that it serves, however close to the close of its connection", func() {
+		const rounds, conns = 20, 100
+		for range rounds {
+			var served atomic.Int64
+			address, s := serve(func(ctx context.Context, r *dispatch.Request, caller dispatch.ResponseWriter) dispatch.Result {
+				served.Add(1)
+				return answers(ctx, r, caller)
+			}, testLimits)
+			var open []net.Conn
+			for range conns {
+				conn, reader := dial(address)
+				send(conn, get)
+				Expect(readStatus(reader)).To(Equal(http.StatusOK))
+				open = append(open, conn)
+			}
+			served.Store(0)
+			var answered atomic.Int64
+			var callers sync.WaitGroup
+			for _, conn := range open {
+				callers.Go(func() {
+					time.Sleep(time.Duration(rand.IntN(int(5 * time.Millisecond))))
+					if _, err := io.WriteString(conn, get); err != nil {
+						return // closed before
+					}
+					response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+					if err == nil && response.StatusCode == http.StatusOK {
+						answered.Add(1)
+					}
+				})
+			}
+			time.Sleep(2 * time.Millisecond)
+			Eventually(shutdown(context.Background(), s)).Should(Receive(BeNil()))
+			callers.Wait()
+			Expect(answered.Load()).To(Equal(served.Load()))
+		}
+	})
+
 	It("counts what becomes of requests", func() {
 		release := make(chan struct{})
 		address, s := serve(func(ctx context.Context, r *dispatch.Request, caller dispatch.ResponseWriter) dispatch.Result {
@@ -139,3 +178,73 @@
 		Expect(err).To(MatchError(net.ErrClosed))
 	})
 })
+
+var _ = Describe("a connection that closes as a request arrives", func() {
+	// pair returns both ends of a connection. Its server end is idle.
+	pair := func() (net.Conn, *callerConn) {
+		listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		Expect(err).NotTo(HaveOccurred())
+		defer listener.Close()
+		caller, err := net.Dial("tcp", listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		accepted, err := listener.AcceptTCP()
+		Expect(err).NotTo(HaveOccurred())
+		conn := &callerConn{TCPConn: accepted}
+		DeferCleanup(func() {
+			_ = caller.Close()
+			_ = conn.Close()
+		})
+		Expect(conn.beginServing()).To(BeTrue())
+		conn.becomeIdle()
+		return caller, conn
+	}
+
+	It("isn't idle once bytes have arrived that nobody has read", func() {
+		caller, conn := pair()
+		_, err := io.WriteString(caller, get)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(conn.hasArrived).Should(BeTrue())
+		Expect(conn.closeIfIdle()).To(BeFalse())
+		Expect(conn.beginServing()).To(BeTrue())
+	})
+
+	It("serves no request that is read after the close", func() {
+		_, conn := pair()
+		Expect(conn.closeIfIdle()).To(BeTrue())
+		Expect(conn.beginServing()).To(BeFalse())
+	})
+
+	It("isn't closed by a timer or a stop while it serves one", func() {
+		caller, conn := pair()
+		_, err := io.WriteString(caller, get)
+		Expect(err).NotTo(HaveOccurred())
+		n, err := conn.Read(make([]byte, len(get)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(n).To(Equal(len(get)))
+		Expect(conn.beginServing()).To(BeTrue())
+		Expect(conn.closeIfIdle()).To(BeFalse())
+		conn.closeUnlessServing()
+		_, err = io.WriteString(conn, "still open")
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("serves requests that arrive together", func() {
+		address, _ := serve(func(_ context.Context, r *dispatch.Request, caller dispatch.ResponseWriter) dispatch.Result {
+			caller.Start(http.StatusOK, http.Header{}, int64(len(r.ID)))
+			return dispatch.Result{Started: caller.Write([]byte(r.ID)) == nil}
+		}, testLimits)
+		conn, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		_, err = io.WriteString(conn, get+get)
+		Expect(err).NotTo(HaveOccurred())
+		reader := bufio.NewReader(conn)
+		for range 2 {
+			response, err := http.ReadResponse(reader, nil)
+			Expect(err).NotTo(HaveOccurred())
+			body, err := io.ReadAll(response.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(body)).To(Equal("7"))
+		}
+	})
+})
--- a/internal/frontend/timers.go
+++ b/internal/frontend/timers.go
@@ -17,14 +17,14 @@
 	limits func() fleet.Limits
 
 	mu     sync.Mutex // leaf lock: guards timers
-	timers map[net.Conn]*time.Timer
+	timers map[*callerConn]*time.Timer
 }
 
 // connKey is the context key of a request's connection.
 type connKey struct{}
 
 func newConnTimers(limits func() fleet.Limits) *connTimers {
-	return &connTimers{limits: limits, timers: map[net.Conn]*time.Timer{}}
+	return &connTimers{limits: limits, timers: map[*callerConn]*time.Timer{}}
 }
 
 // contextWithConn adds a connection to the context of its requests.
@@ -33,7 +33,7 @@
 }
 
 // stateChanged is the http.Server's ConnState hook.
-func (t *connTimers) stateChanged(conn net.Conn, state http.ConnState) {
+func (t *connTimers) stateChanged(conn *callerConn, state http.ConnState) {
 	limits := t.limits()
 	switch state {
 	case http.StateNew, http.StateActive:
@@ -45,15 +45,19 @@
 	}
 }
 
-// headerRead stops the timer of the connection of a request whose header has been read.
-func (t *connTimers) headerRead(ctx context.Context) {
-	if conn, ok := ctx.Value(connKey{}).(net.Conn); ok {
-		t.set(conn, 0)
+// headerRead stops the timer of the connection of a request whose header has been read. It reports
+// whether the request may be served.
+func (t *connTimers) headerRead(ctx context.Context) bool {
+	conn, ok := ctx.Value(connKey{}).(*callerConn)
+	if !ok {
+		return true
 	}
+	t.set(conn, 0)
+	return conn.beginServing()
 }
 
 // set replaces a connection's timer. With 0 the connection has none.
-func (t *connTimers) set(conn net.Conn, after time.Duration) {
+func (t *connTimers) set(conn *callerConn, after time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if timer := t.timers[conn]; timer != nil {
@@ -61,6 +65,6 @@
 		delete(t.timers, conn)
 	}
 	if after > 0 {
-		t.timers[conn] = time.AfterFunc(after, func() { _ = conn.Close() }) // fails only if already closed
+		t.timers[conn] = time.AfterFunc(after, conn.closeUnlessServing)
 	}
 }
