--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -14,8 +14,8 @@
 // BeginStop begins a planned stop, at whose end the frontend cancels the requests in flight.
 func (p *Pipeline) BeginStop(cutAt time.Time) { p.stop.Begin(p.now(), cutAt) }
 
-// StopAccepted tells that the frontend accepts no more connections.
-func (p *Pipeline) StopAccepted() { p.stop.AdmitCertain() }
+// ListenerClosed admits only requests that end in time for certain, from then on.
+func (p *Pipeline) ListenerClosed() { p.stop.AdmitCertain() }
 
 // checkStop refuses a request that has not been passed on and might not end within the grace period
 // of a planned stop.
--- a/internal/dispatch/stop_test.go
+++ b/internal/dispatch/stop_test.go
@@ -29,7 +29,7 @@
 	It("passes on what ends in time by its own limit, to the end", func() {
 		b := newFixture(respondsSigned(http.StatusOK, "x"))
 		b.pipeline.BeginStop(b.pipeline.now().Add(limit + time.Second))
-		b.pipeline.StopAccepted()
+		b.pipeline.ListenerClosed()
 		result := b.pipeline.Serve(context.Background(), b.request("again", limit), b.recorder)
 		Expect(result.Failure).To(BeNil())
 	})
@@ -41,7 +41,7 @@
 		b.pipeline.durations.End(b.pipeline.durations.Begin("again", earlier), earlier.Add(time.Second), true)
 		b.pipeline.BeginStop(now.Add(limit / 2))
 		Expect(b.pipeline.Serve(context.Background(), b.request("again", limit), b.recorder).Failure).To(BeNil())
-		b.pipeline.StopAccepted()
+		b.pipeline.ListenerClosed()
 		Expect(b.pipeline.Serve(context.Background(), b.request("again", limit), b.recorder).Failure.Code).To(Equal(failure.CodeLeaving))
 	})
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -165,7 +165,7 @@
 // returns an error if that takes longer than finalResponseTime.
 func (e *Entry) Stop(ctx context.Context) error {
 	e.Leave(ctx)
-	e.pipeline.StopAccepted()
+	e.pipeline.ListenerClosed()
 	bounded, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	defer context.AfterFunc(ctx, func() {
--- a/internal/platformdaemon/entry.go
+++ b/internal/platformdaemon/entry.go
@@ -229,7 +229,7 @@
 	e.log.WithFields(logrus.Fields{"grace_ms": grace.Milliseconds(), "error": errorText(cause)}).Info("planned stop: no longer ready")
 	e.frontend.Leave()
 	wait.For(ctx, leaveDelay)
-	e.pipeline.StopAccepted()
+	e.pipeline.ListenerClosed()
 	e.log.WithFields(stopFields(e.frontend.StopCounts())).Info("planned stop: closing the listener")
 	if err := e.frontend.Shutdown(ctx); err != nil {
 		e.log.WithError(err).Warn("grace period expired with requests in flight")
