--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -39,7 +39,7 @@
 func newTransport() *http.Transport {
 	t := &http.Transport{
 		MaxIdleConnsPerHost:    256,
-		MaxResponseHeaderBytes: upstream.MaxResponseHeaderBytes,
+		MaxResponseHeaderBytes: headers.MaxServerBytes,
 		DisableCompression:     true,
 		DialContext:            (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/crowbridge/crowbridge/internal/crash"
 	"github.com/crowbridge/crowbridge/internal/daemon"
 	"github.com/crowbridge/crowbridge/internal/dispatch"
+	"github.com/crowbridge/crowbridge/internal/headers"
 	"github.com/crowbridge/crowbridge/internal/outcome"
 	"github.com/crowbridge/crowbridge/internal/replica"
 	"github.com/crowbridge/crowbridge/internal/routing"
@@ -98,7 +99,7 @@
 		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost:    idleConns,
 		IdleConnTimeout:        idleConnTime,
-		MaxResponseHeaderBytes: upstream.MaxResponseHeaderBytes,
+		MaxResponseHeaderBytes: headers.MaxAgentBytes,
 		DisableCompression:     true,
 	}
 	upstream.CheckConnections(transport)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -38,8 +38,8 @@
 	keepAliveInterval = time.Second
 	// maxIdleConnsPerServer bounds the idle connections to one server.
 	maxIdleConnsPerServer = 16
-	// MaxResponseHeaderBytes bounds the header of a response.
-	MaxResponseHeaderBytes = 64 << 10
+	// maxResponseHeaderBytes bounds the header of a response.
+	maxResponseHeaderBytes = 64 << 10
 )
 
 // Dialect converts between requests and responses and their headers on the wire.
@@ -92,7 +92,7 @@
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
 		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: MaxResponseHeaderBytes,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
 
