--- a/standins/plannedstop/callers.go
+++ b/standins/plannedstop/callers.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/crowbridge/crowbridge/platform"
 )
 
 // Paths of the routes.
@@ -66,8 +68,8 @@
 		pause = 500 + random.IntN(1900)
 	}
 	body := strings.Repeat("b", 100+random.IntN(4000))
-	header := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 8000\r\nContent-Length: %d\r\n%s: %d\r\n%s: %d\r\n%s: %d\r\n\r\n",
-		r.path, id, len(body), headerEvents, r.events, headerGapMs, gap, headerPauseMs, pause)
+	header := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n%s: %d\r\n%s: %d\r\n%s: %d\r\n\r\n",
+		r.path, platform.HeaderRequestID, id, platform.HeaderDeadline, routeTimeout.Milliseconds(), len(body), headerEvents, r.events, headerGapMs, gap, headerPauseMs, pause)
 	whole := header + body
 	r.first = whole
 	switch late(random.IntN(int(lateKinds))) {
