--- a/standins/harness/process.go
+++ b/standins/harness/process.go
@@ -94,6 +94,26 @@
 	return errors.Wrap(p.cmd.Process.Signal(signal), p.Name)
 }
 
+// StopBySignals requests a graceful stop between other signals. The process must run until the request.
+func (p *Process) StopBySignals() error {
+	for _, signal := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+		if err := p.Signal(signal); err != nil {
+			return err
+		}
+	}
+	return p.SignalIfRunning(syscall.SIGTERM)
+}
+
+// SignalIfRunning sends signals to a process that may exit meanwhile.
+func (p *Process) SignalIfRunning(signals ...syscall.Signal) error {
+	for _, signal := range signals {
+		if err := p.Signal(signal); err != nil && !errors.Is(err, os.ErrProcessDone) {
+			return err
+		}
+	}
+	return nil
+}
+
 // Kill kills the process and waits until it has exited.
 func (p *Process) Kill() error {
 	if err := p.Signal(syscall.SIGKILL); err != nil {
--- a/standins/plannedstop/product_test.go
+++ b/standins/plannedstop/product_test.go
@@ -78,11 +78,14 @@
 
 // restart stops a process by signals in series and starts it again.
 func restart(t *testing.T, p *harness.Process) {
-	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
-		if err := p.Signal(s); err != nil && p.Running() {
+	if err := p.StopBySignals(); err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+		time.Sleep(signalGap)
+		if err := p.SignalIfRunning(s); err != nil {
 			t.Error(err)
 		}
-		time.Sleep(signalGap)
 	}
 	if err := p.AwaitExit(); err != nil {
 		t.Errorf("planned stop: %v", err)
--- a/standins/soak/faults.go
+++ b/standins/soak/faults.go
@@ -40,8 +40,8 @@
 
 func stopDaemon(r *run) (string, func() error, func() error) {
 	p := r.randomDaemon()
-	return "stop " + p.Name, func() error { return signalInSeries(p, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM) }, func() error {
-		if err := signalInSeries(p, syscall.SIGHUP, syscall.SIGTERM); err != nil {
+	return "stop " + p.Name, func() error { return p.StopBySignals() }, func() error {
+		if err := p.SignalIfRunning(syscall.SIGHUP, syscall.SIGTERM); err != nil {
 			return err
 		}
 		if err := p.AwaitExit(); err != nil {
@@ -51,16 +51,6 @@
 	}
 }
 
-// signalInSeries sends signals one after the other while the process runs.
-func signalInSeries(p *harness.Process, signals ...syscall.Signal) error {
-	for _, s := range signals {
-		if err := p.Signal(s); err != nil && p.Running() {
-			return err
-		}
-	}
-	return nil
-}
-
 func pauseDaemon(r *run) (string, func() error, func() error) {
 	p := r.randomDaemon()
 	return "pause " + p.Name, func() error { return p.Signal(syscall.SIGSTOP) }, func() error { return p.Signal(syscall.SIGCONT) }
