--- a/standins/plannedstop/callers.go
+++ b/standins/plannedstop/callers.go
@@ -28,6 +28,9 @@
 // record is what a caller saw of one request.
 type record struct {
 	id, path string
+	// late is which part arrived late; kept is set if the connection had served a request before.
+	late late
+	kept bool
 	// sentAt and wholeAt are when its first and its last byte were sent; wholeAt is zero if the
 	// connection ended before.
 	sentAt, wholeAt, endedAt time.Time
@@ -41,6 +44,9 @@
 // late describes which part of a request arrives late.
 type late int
 
+// String returns the name used in figures.
+func (l late) String() string { return [...]string{"whole", "late header", "late body"}[l] }
+
 const (
 	lateNothing late = iota
 	lateHeader
@@ -51,6 +57,7 @@
 // request is a request that is sent in two parts.
 type request struct {
 	id, path      string
+	late          late
 	events        int
 	first, second string
 	pause         time.Duration
@@ -72,7 +79,8 @@
 		r.path, platform.HeaderRequestID, id, platform.HeaderDeadline, routeTimeout.Milliseconds(), len(body), headerEvents, r.events, headerGapMs, gap, headerPauseMs, pause)
 	whole := header + body
 	r.first = whole
-	switch late(random.IntN(int(lateKinds))) {
+	r.late = late(random.IntN(int(lateKinds)))
+	switch r.late {
 	case lateHeader:
 		r.first, r.pause = whole[:20], time.Duration(random.IntN(2500))*time.Millisecond
 	case lateBody:
@@ -94,6 +102,7 @@
 // run sends requests until the process is gone, by its exited channel.
 func (c *callers) run(random *rand.Rand, name string, exited <-chan struct{}) {
 	var conn net.Conn
+	reused := false // set if conn has served a request
 	for n := 0; ; n++ {
 		select {
 		case <-exited:
@@ -110,9 +119,10 @@
 			if err != nil {
 				continue
 			}
-			conn = dialed
+			conn, reused = dialed, false
 		}
 		r, kept := exchange(conn, newRequest(random, fmt.Sprintf("%s-%d", name, n)))
+		r.kept, reused = reused, kept
 		c.mu.Lock()
 		c.records = append(c.records, r)
 		c.mu.Unlock()
@@ -125,7 +135,7 @@
 
 // exchange sends a request and reads its response. It reports whether the connection may be kept.
 func exchange(conn net.Conn, r request) (rec record, kept bool) {
-	rec = record{id: r.id, path: r.path, sentAt: time.Now()}
+	rec = record{id: r.id, path: r.path, late: r.late, sentAt: time.Now()}
 	defer func() { rec.endedAt = time.Now() }()
 	sent := make(chan time.Time, 1)
 	go func() {
--- a/standins/plannedstop/plannedstop.go
+++ b/standins/plannedstop/plannedstop.go
@@ -75,6 +75,9 @@
 	Partial int
 	// LateRefusals took longer than the slack from their last byte.
 	LateRefusals int
+	// Kinds counts the requests that were whole after SIGTERM by how they were sent and what became of
+	// them.
+	Kinds map[string]map[string]int
 	// Gone is when the process was gone, after SIGTERM; CutAt is the time of the first cut, or 0.
 	Gone, CutAt time.Duration
 }
@@ -206,7 +209,7 @@
 
 // judge counts the requests of a run.
 func judge(records []record, s *servers, stopAt, gone time.Time, noStop bool) Result {
-	result := Result{Total: len(records), Gone: gone.Sub(stopAt)}
+	result := Result{Total: len(records), Gone: gone.Sub(stopAt), Kinds: map[string]map[string]int{}}
 	for _, r := range records {
 		e := s.of(r.id)
 		name := fmt.Sprintf("%s%s sent %.2f..%.2f ended %.2f status %d events %d runs %d", r.id, r.path,
@@ -214,6 +217,9 @@
 		if r.path != pathIdempotent && r.path != pathResumable && e.runs > 1 {
 			result.Doubled = append(result.Doubled, name)
 		}
+		if r.wholeAt.After(stopAt) {
+			result.countKind(r, e)
+		}
 		switch {
 		case r.complete && r.status == http.StatusOK:
 			result.Complete++
@@ -236,6 +242,29 @@
 	return result
 }
 
+// countKind counts a request that was whole after SIGTERM.
+func (r *Result) countKind(request record, e execution) {
+	fate := "cut"
+	switch {
+	case request.complete && request.status == http.StatusOK:
+		fate = "served"
+	case request.complete:
+		fate = "refused"
+	case e.runs == 0:
+		fate = "unanswered"
+	}
+	connection := "new connection"
+	if request.kept {
+		connection = "open connection"
+	}
+	for _, kind := range []string{request.late.String(), connection, request.path} {
+		if r.Kinds[kind] == nil {
+			r.Kinds[kind] = map[string]int{}
+		}
+		r.Kinds[kind][fate]++
+	}
+}
+
 // judgeCut counts a request without a whole answer by the platform's rule.
 func (r *Result) judgeCut(request record, e execution, name string, stopAt time.Time) {
 	const lastPart = 6 // the grace period's last sixth
--- a/standins/plannedstop/plannedstop_test.go
+++ b/standins/plannedstop/plannedstop_test.go
@@ -17,6 +17,7 @@
 	seeds   = flag.Int("seeds", 1, "number of seeds")
 	clients = flag.Int("callers", 64, "callers per process")
 	warmup  = flag.Duration("warmup", 3*time.Second, "time of traffic before the stop")
+	daemons = flag.String("bin", "", "folder of the daemons, if not built from this tree")
 	keep    = flag.String("keep", "", "folder that keeps the logs")
 )
 
@@ -46,6 +47,9 @@
 }
 
 func buildDaemons(t *testing.T) string {
+	if *daemons != "" {
+		return *daemons
+	}
 	bin := t.TempDir()
 	out, err := exec.Command("go", "build", "-o", bin+"/", "github.com/crowbridge/crowbridge/cmd/crowbridged").CombinedOutput()
 	if err != nil {
@@ -72,6 +76,7 @@
 				o.Seed, o.Callers, o.Warmup, o.Bin, o.Dir = seed, *clients, *warmup, bin, logFolder(t, fmt.Sprintf("%s-%d", name, seed))
 				result, err := Run(o)
 				t.Log(result)
+				t.Log(result.Kinds)
 				if err != nil {
 					t.Error(err)
 				}
