--- a/standins/endless/endless_test.go
+++ b/standins/endless/endless_test.go
@@ -54,15 +54,21 @@
 		_, _ = io.Copy(io.Discard, r.Body) // a caller that has left needs no response
 		w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
 		w.Header().Set(platform.HeaderSignature, "s")
-		if !isStream(r.URL.Path) {
-			fmt.Fprint(w, "sound")
-			return
+		if isStream(r.URL.Path) {
+			w.Header().Set("Content-Type", "text/event-stream")
 		}
-		w.Header().Set("Content-Type", "text/event-stream")
-		fmt.Fprint(w, soundStream())
+		fmt.Fprint(w, soundBody(r.URL.Path))
 	})
 }
 
+// soundBody returns the body that a path should have.
+func soundBody(path string) string {
+	if isStream(path) {
+		return soundStream()
+	}
+	return "sound"
+}
+
 func isStream(path string) bool {
 	return strings.HasPrefix(path, "/resumable/") || strings.HasPrefix(path, "/stream/")
 }
@@ -114,10 +120,6 @@
 		c.broken.Add(1)
 		return
 	}
-	want := "sound"
-	if isStream(path) {
-		want = soundStream()
-	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, 1<<20))
 	tooLong := err == nil && len(body) == 1<<20
 	_ = response.Body.Close() // read to its end, or given up
@@ -126,7 +128,7 @@
 		c.broken.Add(1)
 	case response.StatusCode != http.StatusOK:
 		c.failed.Add(1)
-	case string(body) == want:
+	case string(body) == soundBody(path):
 		c.served.Add(1)
 	default:
 		c.wrong.Add(1)
@@ -186,7 +188,7 @@
 	bin := build(t)
 	for _, mode := range modes(HeaderLine, Informational, Chunks, UntilClose, Line, Comments) {
 		t.Run(string(mode), func(t *testing.T) {
-			broken, err := Start("127.0.0.1:0", mode)
+			broken, err := Start("127.0.0.1:0", mode, soundBody)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -211,7 +213,7 @@
 	bin := build(t)
 	for _, mode := range modes(Events) {
 		t.Run(string(mode), func(t *testing.T) {
-			broken, err := Start("127.0.0.1:0", mode)
+			broken, err := Start("127.0.0.1:0", mode, soundBody)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -247,7 +249,7 @@
 	bin := build(t)
 	for _, mode := range modes(HeaderLine, Chunks) {
 		t.Run(string(mode), func(t *testing.T) {
-			broken, err := Start("127.0.0.1:0", mode)
+			broken, err := Start("127.0.0.1:0", mode, soundBody)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -288,6 +290,9 @@
 	if c.held.Load() > 0 {
 		t.Error("requests were held beyond their time")
 	}
+	if c.wrong.Load() > 0 {
+		t.Error("wrong responses looked complete")
+	}
 	checkReleased(t, broken)
 }
 
--- a/standins/endless/product_test.go
+++ b/standins/endless/product_test.go
@@ -45,7 +45,7 @@
 				if err := cluster.Processes["backend-"+s.Name].Kill(); err != nil {
 					t.Fatal(err)
 				}
-				if broken[s.Name], err = Start(s.BackendAddress(), mode); err != nil {
+				if broken[s.Name], err = Start(s.BackendAddress(), mode, soundBody); err != nil {
 					t.Fatal(err)
 				}
 				t.Cleanup(broken[s.Name].Close)
--- a/standins/endless/server.go
+++ b/standins/endless/server.go
@@ -44,6 +44,8 @@
 // Server is such a server. It stops sending when a connection is closed.
 type Server struct {
 	mode Mode
+	// sound returns the whole response that a path should have, for BeyondLength.
+	sound func(path string) string
 	// open counts the connections, requests the requests.
 	open, requests, bytes atomic.Int64
 
@@ -52,13 +54,13 @@
 	conns    map[net.Conn]struct{}
 }
 
-// Start starts a server at an address.
-func Start(address string, mode Mode) (*Server, error) {
+// Start starts a server at an address. sound returns the body that a path should have.
+func Start(address string, mode Mode, sound func(path string) string) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{mode: mode, listener: listener, conns: map[net.Conn]struct{}{}}
+	s := &Server{mode: mode, sound: sound, listener: listener, conns: map[net.Conn]struct{}{}}
 	go s.accept()
 	return s, nil
 }
@@ -116,7 +118,7 @@
 		return
 	}
 	s.requests.Add(1)
-	begin, rest := s.mode.content(request)
+	begin, rest := s.mode.content(request, s.sound(request.URL.Path))
 	n, err := io.WriteString(conn, begin)
 	block := []byte(strings.Repeat(rest, max(1, blockBytes/len(rest))))
 	for err == nil {
@@ -128,7 +130,7 @@
 const blockBytes = 32 << 10
 
 // content returns how a response begins and what follows again and again.
-func (m Mode) content(r *http.Request) (begin, rest string) {
+func (m Mode) content(r *http.Request, sound string) (begin, rest string) {
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\n",
 		platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID), platform.HeaderSignature)
 	stream := head + "Content-Type: text/event-stream\r\n"
@@ -153,7 +155,7 @@
 	case UntilClose:
 		return head + "\r\n", "wrong"
 	case BeyondLength:
-		return head + "Content-Length: 5\r\n\r\nwrong", "wrong"
+		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(sound), sound), "wrong"
 	case Line:
 		return stream + "\r\n", "data:wrong"
 	case Comments:
