--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -29,6 +31,12 @@
 		os.Exit(2)
 	}
 	w := newWorld(os.Args[2])
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stop
+		cannotRun("it was ended from outside")
+	}()
 	time.AfterFunc(maxPlay, func() { cannotRun("it takes longer than " + maxPlay.String()) })
 	trouble := os.Getenv("TROUBLE") != "0"
 	w.log("case %s, with the disruption: %t", os.Args[1], trouble)
