A broken group is awaited by each request that can still be served in its caller's time

Callers saw: while a group was broken, first tries were refused at once, also when it was back 0.3 s later; repeats waited if it had been broken for 4 to 10 s, whatever time they had; all were told to come back in 2.7 s.

Now the rule of internal/deadline decides: how much longer the group is expected to be broken (its own earlier outages; none known: as long again, and at least the engines' time to form a group, form_ms; once a new process of a lost rank completes the group, the rest of that time), what the route's requests take to the first byte and to the end, and what the caller has left, for streams until callers abandon them. The hint is the expected time, or when nothing is known a random one that callers heed. A stream that broke off with its group waits in the same way. Log lines have the forecast.

Evidence: five of the new specs failed on (first try not awaited: expected back in 0.5 s with 8 s and with 1 s left, and in 1.5 s; just broken; lost rank back). The specs on waits after 4 s and refusals after 10 s, which fixed the old figures, are replaced by a table over the time left and the time expected, for three objectives and for first tries and repeats alike; it also checks the hint.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -48,11 +48,13 @@
 	if stream {
 		f = p.relayStream(ctx, x, server, detector)
 	} else {
+		p.recordFirstByte(x)
 		f = p.relayResponse(ctx, x, server)
 	}
 	if f == nil {
 		p.chooser.RecordSuccess(server.Key(), p.now().Sub(startedAt))
 		p.recordSuccess(x)
+		p.recordDuration(x)
 	}
 	return f
 }
--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -236,6 +236,10 @@
 	s.reported, s.reportedAt = load, at
 }
 
+// retryTimeoutFraction identifies retries: the caller's timeout is below this fraction of
+// the longest seen on the route.
+const retryTimeoutFraction = 0.97
+
 // countRequest counts a request in its service's retry budget. It reports whether the caller
 // seems to be retrying: its timeout is shorter than the longest seen on the route.
 func (b *Balancer) countRequest(service, route string, r *Request, now time.Time) (isRetry bool) {
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -32,6 +32,11 @@
 	Full int
 }
 
+// hasFreeSlot reports whether the server has a slot for one more request, as far as is known.
+func (c Choice) hasFreeSlot() bool {
+	return c.Server != nil && (c.Server.Capacity <= 0 || c.Load < float64(c.Server.Capacity))
+}
+
 // loadFreshness is how long a reported load is used; after that only this entry's own requests
 // count.
 const loadFreshness = time.Second
--- a/internal/dispatch/dispatch_suite_test.go
+++ b/internal/dispatch/dispatch_suite_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -195,6 +196,12 @@
 	recorder *responseRecorder
 	logs     *logrustest.Hook
 	now      time.Time
+	elapsed  atomic.Int64
+}
+
+// advance adds to the time that has passed since the fixture's now, and returns it.
+func (b *fixture) advance(d time.Duration) time.Duration {
+	return time.Duration(b.elapsed.Add(int64(d)))
 }
 
 var testPolicy = RetryBudgetPolicy{Ratio: 0.2, Extra: 60, Window: 10 * time.Second}
--- a/internal/dispatch/group_test.go
+++ b/internal/dispatch/group_test.go
@@ -47,28 +47,97 @@
 		Expect(b.balancer.AcquireRetry("model", "florist", b.now)).To(BeTrue())
 	})
 
-	It("is awaited by a retried request", func() {
-		b := newFixture(respondsSigned(http.StatusOK, "id: 1\ndata: a\n\n"))
-		b.balancer.countRequest("model", "stream", b.request("stream", 8*time.Second), b.now)
-		breakGroup(b)
-		b.now = b.now.Add(minOutageToWait)
-		reopened := time.AfterFunc(groupPollInterval, func() {
+	// lastedBefore lets the group recover from an outage in the past.
+	lastedBefore := func(b *fixture, length time.Duration) {
+		rank := *b.fleet.Servers().ByID("r0").Rank
+		began := b.now.Add(-time.Minute)
+		rank.Epoch, rank.Open = 0, false
+		b.balancer.UpdateGroup(rank, began)
+		rank.Epoch, rank.Open = 1, true
+		b.balancer.UpdateGroup(rank, began.Add(length))
+	}
+	// serveWhileBroken serves a request and reopens the group while it may be waiting.
+	serveWhileBroken := func(b *fixture, timeout time.Duration) Result {
+		reopened := time.AfterFunc(2*waitPollInterval, func() {
 			rank := &fleet.GroupRank{Group: "g", Epoch: 2, Rank: 0, Size: 1, Open: true}
 			b.fleet.setServers(&fleet.Server{ID: "r0", Service: "model", Capacity: 12, Rank: rank})
 		})
 		defer reopened.Stop()
-		result := b.pipeline.Serve(context.Background(), b.request("stream", 5*time.Second), b.recorder)
-		Expect(result.Failure).To(BeNil())
+		return b.pipeline.Serve(context.Background(), b.request("stream", timeout), b.recorder)
+	}
+
+	DescribeTable("is awaited by each request that can still be served in its caller's time, and by no other",
+		func(brokenFor, left time.Duration, awaited bool) {
+			for _, objective := range []time.Duration{0, 50 * time.Millisecond, 500 * time.Millisecond} {
+				for _, longestSeen := range []time.Duration{left, time.Minute} {
+					b := newFixture(respondsSigned(http.StatusOK, "id: 1\ndata: a\n\n"), respondsSigned(http.StatusOK, "id: 1\ndata: a\n\n"))
+					b.fleet.config.Route("h.example", "/stream/x").Objective = objective
+					Expect(b.pipeline.Serve(context.Background(), b.request("stream", longestSeen), b.recorder).Failure).To(BeNil())
+					lastedBefore(b, 5*time.Second)
+					breakGroup(b)
+					b.now = b.now.Add(brokenFor)
+					result := serveWhileBroken(b, left)
+					if awaited {
+						Expect(result.Failure).To(BeNil())
+						continue
+					}
+					Expect(result.Failure.Code).To(Equal(failure.CodeNoServer))
+					Expect(result.Failure.Outcome).To(Equal(failure.OutcomeNotRun))
+					Expect(b.backend.attempts).To(HaveLen(1))
+					Expect(result.Failure.RetryAfter).To(BeNumerically("~", min(5*time.Second-brokenFor, left/3), time.Millisecond), "the time at which it is expected back")
+				}
+			}
+		},
+		Entry("expected back in 0.5 s, 8 s left", 4500*time.Millisecond, 8*time.Second, true),
+		Entry("expected back in 0.5 s, 1 s left", 4500*time.Millisecond, time.Second, true),
+		Entry("expected back in 0.5 s, 0.4 s left", 4500*time.Millisecond, 400*time.Millisecond, false),
+		Entry("expected back in 1.5 s, 8 s left", 3500*time.Millisecond, 8*time.Second, true),
+		Entry("expected back in 3 s, when callers have abandoned a stream without events", 2*time.Second, 8*time.Second, false),
+	)
+
+	It("that has just broken is awaited if it can be back in time", func() {
+		b := newFixture(respondsSigned(http.StatusOK, "id: 1\ndata: a\n\n"))
+		b.fleet.config.Service("model").Engine = &fleet.EngineModel{FormTime: 300 * time.Millisecond}
+		breakGroup(b)
+		Expect(serveWhileBroken(b, 8*time.Second).Failure).To(BeNil())
 	})
 
-	It("is not awaited after a long outage", func() {
+	It("makes no caller wait while it lacks ranks for good", func() {
 		b := newFixture()
-		b.balancer.countRequest("model", "stream", b.request("stream", 8*time.Second), b.now)
+		b.fleet.config.Service("model").Engine = &fleet.EngineModel{FormTime: 300 * time.Millisecond}
+		lastedBefore(b, 5*time.Second)
 		breakGroup(b)
-		b.now = b.now.Add(maxOutageToWait)
-		result := b.pipeline.Serve(context.Background(), b.request("stream", 5*time.Second), b.recorder)
+		b.now = b.now.Add(time.Minute)
+		result := serveWhileBroken(b, 8*time.Second)
 		Expect(result.Failure.Code).To(Equal(failure.CodeNoServer))
-		Expect(result.Failure.Detail).To(ContainSubstring("broken for 10s"))
+		Expect(result.Failure.Detail).To(ContainSubstring("broken for 1m0s"))
+		Expect(b.backend.attempts).To(BeEmpty())
+	})
+
+	It("is expected back when its engines form it, once the lost rank is", func() {
+		b := newFixture(respondsSigned(http.StatusOK, "id: 1\ndata: a\n\n"))
+		b.fleet.config.Service("model").Engine = &fleet.EngineModel{FormTime: 300 * time.Millisecond}
+		ranks := []*fleet.Server{b.fleet.Servers().ByID("r0"), b.fleet.Servers().ByID("r1")}
+		_, broken := b.balancer.openServers(ranks, b.now)
+		Expect(broken).To(BeNil())
+		breakGroup(b)
+		b.now = b.now.Add(10 * time.Second) // as long again would be too long
+		restarted := *ranks[1]
+		restarted.Incarnation = "r1-2"
+		b.fleet.setServers(ranks[0], &restarted)
+		Expect(serveWhileBroken(b, 8*time.Second).Failure).To(BeNil())
+	})
+
+	It("tells a stream's caller no later than it would abandon the stream", func() {
+		b := newFixture()
+		b.fleet.config.Service("model").Engine = &fleet.EngineModel{FormTime: 300 * time.Millisecond}
+		breakGroup(b)
+		began := b.now
+		b.pipeline.now = func() time.Time { return began.Add(b.advance(waitPollInterval)) }
+		result := b.pipeline.Serve(context.Background(), b.request("stream", 8*time.Second), b.recorder)
+		Expect(result.Failure.Outcome).To(Equal(failure.OutcomeNotRun))
+		Expect(result.Failure.RetryAfter).To(BeNumerically(">", 0))
+		Expect(b.advance(0)).To(BeNumerically("<", 2*time.Second))
 	})
 
 	It("leaves requests to the service's other groups", func() {
--- a/internal/dispatch/groupstate.go
+++ b/internal/dispatch/groupstate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/crowbridge/crowbridge/internal/deadline"
 	"github.com/crowbridge/crowbridge/internal/fleet"
 )
 
@@ -15,12 +16,26 @@
 	// reportedAt is the time of the last agent report, epoch the highest epoch reported.
 	reportedAt time.Time
 	epoch      int64
+	// outages are the earlier ones. ranks holds the incarnation of each rank, by its key, as of the last
+	// time that the group was open, and returnedAt the time at which a new one of a lost rank completed
+	// the broken group, or zero.
+	outages    deadline.Outages
+	ranks      map[int]string
+	returnedAt time.Time
+}
+
+// reopen records that the group can run requests.
+func (g *groupState) reopen(now time.Time) {
+	if !g.brokenAt.IsZero() {
+		g.outages.Record(now.Sub(g.brokenAt))
+	}
+	g.brokenAt, g.returnedAt = time.Time{}, time.Time{}
 }
 
 func (b *Balancer) group(name string) *groupState {
 	g := b.groups[name]
 	if g == nil {
-		g = &groupState{}
+		g = &groupState{ranks: map[int]string{}}
 		b.groups[name] = g
 	}
 	return g
@@ -38,7 +53,7 @@
 	g.reportedAt, g.epoch = at, rank.Epoch
 	if rank.Open {
 		if rank.Epoch > g.brokenEpoch || at.Sub(g.brokenAt) > reopenDelay {
-			g.brokenAt = time.Time{}
+			g.reopen(at)
 		}
 		return
 	}
@@ -104,13 +119,51 @@
 	g := b.group(server.Rank.Group)
 	rank := server.Rank
 	if rank.Open && rank.Epoch > g.brokenEpoch {
-		g.brokenAt = time.Time{}
+		g.reopen(now)
 	}
 	if !rank.Open && rank.Epoch >= g.epoch && g.brokenAt.IsZero() {
 		g.brokenAt, g.brokenEpoch = now, rank.Epoch
 	}
 	if g.brokenAt.IsZero() {
+		g.ranks[rank.Rank] = server.Key()
 		return 0, false
 	}
 	return now.Sub(g.brokenAt), true
 }
+
+// groupRecovery returns how much longer a broken group is expected to run no requests, or
+// deadline.Unknown. servers are all of its service; formTime is how long its engines take to open a
+// group that is complete, or 0 if unknown.
+func (b *Balancer) groupRecovery(broken *brokenGroup, servers []*fleet.Server, formTime time.Duration, now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g := b.group(broken.group)
+	if g.returnedAt.IsZero() && g.isComplete(broken.group, servers) {
+		g.returnedAt = now
+	}
+	if g.returnedAt.IsZero() || formTime <= 0 {
+		return g.outages.Remaining(broken.duration, formTime)
+	}
+	forming := now.Sub(g.returnedAt)
+	if forming < formTime {
+		return formTime - forming
+	}
+	return max(forming-formTime, waitPollInterval) // late: as long again as it is late
+}
+
+// isComplete reports whether all ranks of a broken group are registered, a new incarnation of a lost one
+// among them. The registrations of lost ranks remain for some time.
+func (g *groupState) isComplete(group string, servers []*fleet.Server) bool {
+	registered, renewed, size := map[int]bool{}, false, 0
+	for _, server := range servers {
+		if server.Rank == nil || server.Rank.Group != group || server.Leaving {
+			continue
+		}
+		rank := server.Rank.Rank
+		registered[rank], size = true, max(size, server.Rank.Size)
+		if known, seen := g.ranks[rank]; seen && known != server.Key() {
+			renewed = true
+		}
+	}
+	return renewed && len(registered) >= size
+}
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"time"
 
+	"github.com/crowbridge/crowbridge/internal/deadline"
 	"github.com/crowbridge/crowbridge/internal/drain"
 	"github.com/crowbridge/crowbridge/internal/failure"
 	"github.com/crowbridge/crowbridge/internal/fleet"
@@ -39,20 +40,29 @@
 	// stop is the planned stop of this process; durations tells which requests end in time.
 	stop      drain.Window
 	durations *drain.Durations
+	// firstBytes and responses hold how long attempts took to the first byte and to the end, by route.
+	firstBytes, responses *drain.Durations
 	// stallTimeout defaults to the constant of that name; tests shorten it.
 	stallTimeout time.Duration
 }
 
 // NewPipeline returns a pipeline whose servers are chosen by the balancer.
 func NewPipeline(f Fleet, balancer *Balancer, backend Backend, now func() time.Time, log *logrus.Entry) *Pipeline {
-	return &Pipeline{fleet: f, balancer: balancer, chooser: balancer, backend: backend, now: now, log: log, durations: drain.NewDurations(), stallTimeout: stallTimeout}
+	return newPipeline(f, balancer, balancer, backend, now, log)
+}
+
+func newPipeline(f Fleet, balancer *Balancer, chooser Chooser, backend Backend, now func() time.Time, log *logrus.Entry) *Pipeline {
+	return &Pipeline{
+		fleet: f, balancer: balancer, chooser: chooser, backend: backend, now: now, log: log, durations: drain.NewDurations(),
+		firstBytes: drain.NewDurations(), responses: drain.NewDurations(), stallTimeout: stallTimeout,
+	}
 }
 
 // NewTargetPipeline returns a pipeline for frontends that route requests themselves; only
 // ServeTarget may be used.
 func NewTargetPipeline(f Fleet, chooser Chooser, backend Backend, now func() time.Time, log *logrus.Entry) *Pipeline {
 	balancer := NewBalancer(RetryBudgetPolicy{}, "", func(int) int { return 0 })
-	return &Pipeline{fleet: f, balancer: balancer, chooser: chooser, backend: backend, now: now, log: log, durations: drain.NewDurations(), stallTimeout: stallTimeout}
+	return newPipeline(f, balancer, chooser, backend, now, log)
 }
 
 // Result is the final outcome of a request.
@@ -102,6 +112,13 @@
 	// nil.
 	sentAt time.Time
 	limit  *ratelimit.Status
+	// lastEventAt is when the caller was sent its last event.
+	lastEventAt time.Time
+	// forecast is what was last expected of the request while it could not begin, and budget the time that
+	// its caller had then; waited is how long it has waited here.
+	forecast deadline.Forecast
+	budget   deadline.Budget
+	waited   time.Duration
 }
 
 func newExchange(r *Request, target Target, w ResponseWriter) *exchange {
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/crowbridge/crowbridge/internal/deadline"
 	"github.com/crowbridge/crowbridge/internal/failure"
 	"github.com/crowbridge/crowbridge/internal/fleet"
 	"github.com/sirupsen/logrus"
@@ -56,6 +57,7 @@
 			fields["silent_servers"] = x.choice.Unresponsive
 		}
 	}
+	x.addForecastFields(fields)
 	if x.limit != nil {
 		fields["limit"], fields["limit_age_ms"] = x.limit.PerSecond, x.limit.Age.Milliseconds()
 		fields["limit_tokens"] = math.Round(x.limit.Tokens*100) / 100
@@ -97,6 +99,21 @@
 	p.log.WithFields(fields).Warn("request failed")
 }
 
+// addForecastFields adds how long a request that could not begin at once has waited, for how much longer it was
+// last expected to (-1 if nothing was known), what the work was expected to take, and the time that its caller had then.
+func (x *exchange) addForecastFields(fields logrus.Fields) {
+	if x.forecast.Wait <= 0 {
+		return
+	}
+	expected := int64(-1)
+	if x.forecast.Wait != deadline.Unknown {
+		expected = x.forecast.Wait.Milliseconds()
+	}
+	fields["waited_ms"], fields["expected_wait_ms"] = x.waited.Milliseconds(), expected
+	fields["usual_first_ms"], fields["typical_ms"] = x.forecast.First.Milliseconds(), x.forecast.Whole.Milliseconds()
+	fields["budget_first_ms"], fields["budget_ms"] = x.budget.First.Milliseconds(), x.budget.Whole.Milliseconds()
+}
+
 // addStopFields adds when, in a planned stop, a request had been read and how much of the grace period
 // is left.
 func (p *Pipeline) addStopFields(fields logrus.Fields, x *exchange, now time.Time) {
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -124,6 +124,9 @@
 	if !first {
 		p.balancer.recordEvent(server, p.now())
 	}
+	if first {
+		p.recordFirstByte(x)
+	}
 	detector.recordEvent()
 	added, err := x.caller.addEvent(event)
 	switch {
@@ -141,6 +144,7 @@
 	if !x.caller.started {
 		observeFirstEvent(x, p.now())
 	}
+	x.lastEventAt = p.now()
 	return x.caller.sendPending()
 }
 
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -107,7 +107,7 @@
 	if server.Rank != nil && response.Info.FaultyServer != "" {
 		p.balancer.markBroken(server, now)
 		return failure.NotRun(failure.StepQueue, server.ID, failure.CodeNoServer,
-			"the server's group is broken at "+response.Info.FaultyServer).WithRetryAfter(groupRetryAfter)
+			"the server's group is broken at "+response.Info.FaultyServer).WithRetryAfter(p.retryAfterBreak(x, server))
 	}
 	p.chooser.RecordFailure(server.Key(), now)
 	return failure.NotRun(failure.StepQueue, server.ID, failure.CodeOverloaded, "the server refused the request").WithRetryAfter(p.retryAfter(x))
--- a/internal/drain/durations.go
+++ b/internal/drain/durations.go
@@ -13,6 +13,8 @@
 	// usualPercent of the requests of a kind last no longer than Recent.Usual. The others are those that
 	// a server in trouble has held up.
 	usualPercent = 98
+	// typicalPercent of the requests of a kind last no longer than the typical duration.
+	typicalPercent = 50
 )
 
 // Recent describes the recent requests of one kind.
@@ -61,16 +63,30 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.prune(now)
-	k := d.kinds[kind]
-	if k == nil {
-		k = &kindDurations{firstAt: now, running: map[*Run]struct{}{}}
-		d.kinds[kind] = k
-	}
+	k := d.kind(kind, now)
 	run := &Run{kind: k, beganAt: now}
 	k.running[run] = struct{}{}
 	return run
 }
 
+// kind returns the durations of a kind, creating them if needed. The caller holds d.mu.
+func (d *Durations) kind(name string, now time.Time) *kindDurations {
+	k := d.kinds[name]
+	if k == nil {
+		k = &kindDurations{firstAt: now, running: map[*Run]struct{}{}}
+		d.kinds[name] = k
+	}
+	return k
+}
+
+// Record records a request that has ended, without its beginning.
+func (d *Durations) Record(kind string, now time.Time, took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.prune(now)
+	d.kind(kind, now).record(endedRun{at: now, took: took})
+}
+
 // End records the end of a request. Its duration counts unless it was refused.
 func (d *Durations) End(run *Run, now time.Time, counts bool) {
 	d.mu.Lock()
@@ -80,7 +96,10 @@
 	if !counts {
 		return
 	}
-	ended := endedRun{at: now, took: now.Sub(run.beganAt)}
+	k.record(endedRun{at: now, took: now.Sub(run.beganAt)})
+}
+
+func (k *kindDurations) record(ended endedRun) {
 	if len(k.ended) < maxEnded {
 		k.ended = append(k.ended, ended)
 		return
@@ -97,26 +116,47 @@
 	if k == nil {
 		return Recent{}
 	}
-	var ended, running []time.Duration
+	var running []time.Duration
+	for run := range k.running {
+		running = append(running, now.Sub(run.beganAt))
+	}
+	slices.Sort(running)
+	return Recent{Usual: max(percentile(k.sorted(now), usualPercent), percentile(running, usualPercent)), ObservedFor: now.Sub(k.firstAt)}
+}
+
+// Completed returns the durations that nearly all, and half, of the recent ended requests of a kind don't
+// exceed, or 0 if there are none.
+func (d *Durations) Completed(kind string, now time.Time) (usual, typical time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	k := d.kinds[kind]
+	if k == nil {
+		return 0, 0
+	}
+	ended := k.sorted(now)
+	return percentile(ended, usualPercent), percentile(ended, typicalPercent)
+}
+
+// sorted returns the durations of the recent ended requests in ascending order.
+func (k *kindDurations) sorted(now time.Time) []time.Duration {
+	var ended []time.Duration
 	for _, e := range k.ended {
 		if now.Sub(e.at) <= maxAge {
 			ended = append(ended, e.took)
 		}
 	}
-	for run := range k.running {
-		running = append(running, now.Sub(run.beganAt))
-	}
-	return Recent{Usual: max(usual(ended), usual(running)), ObservedFor: now.Sub(k.firstAt)}
+	slices.Sort(ended)
+	return ended
 }
 
-// usual returns the duration that usualPercent of the durations don't exceed, or 0 if there are none.
-func usual(durations []time.Duration) time.Duration {
-	if len(durations) == 0 {
+// percentile returns the duration that a percentage of the sorted durations don't exceed, or 0 if there
+// are none.
+func percentile(sorted []time.Duration, percentage int) time.Duration {
+	if len(sorted) == 0 {
 		return 0
 	}
-	slices.Sort(durations)
 	const percent = 100
-	return durations[(len(durations)*usualPercent+percent-1)/percent-1]
+	return sorted[(len(sorted)*percentage+percent-1)/percent-1]
 }
 
 // prune forgets the kinds that have had no request for maxAge. The caller holds d.mu.
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -77,6 +77,9 @@
 	ExpertShare float64
 	// CopyTime is the time in which a rank copies one expert, or 0 if unknown.
 	CopyTime time.Duration
+	// FormTime is the time that a group takes to open once its last missing rank is back, or 0 if
+	// unknown.
+	FormTime time.Duration
 }
 
 // GenerationTime returns how long an engine that runs a batch of requests takes to generate tokens.
