A request waits for a slot as long as its caller's time allows, and is refused at once if that isn't enough

Callers saw: a first try was refused once 1.05 of a group's slots were taken, though it would have begun in 0.1 s; what looked like a repeat was let in up to 1.5 whatever its caller had left; plain requests were sent to servers whose queue was longer than their time; all refused ones were told a random time from 0.7 to 2.2 s.

Cause: maxUtilization and maxUtilizationRetry looked neither at the time left nor at the length of the wait, but at the guess which callers had tried before.

Now the wait is what is beyond the server's slots times how long requests hold one (measured), and the rule of internal/deadline compares it and the route's usual work with the time left, for all services. While nobody knows how long requests last the server decides. The most urgent requests of customers within their share queue at their server; less urgent streams and those of customers above their share wait here until a slot is free that isn't left to others, in the order rank, share, least time left. Such a wait is never expected to be shorter than it has lasted in vain. A refused caller is told when there is room, behind those that were told before. The gap after which callers abandon streams is read from the configuration by platform/, and 0 in the product's own API.

The table "less urgent requests are refused first" and the specs on fair admission are unchanged but for the guess and a deadline in their request.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -25,6 +25,11 @@
 	lastEventAt map[string]time.Time
 	// usage holds the customers' requests in progress, by service.
 	usage map[string]*serviceUsage
+	// lines holds the waiting requests, slotTimes how long requests hold a slot on average, and turns the
+	// turn of the next refused caller, by service.
+	lines     map[string]map[*place]bool
+	slotTimes map[string]time.Duration
+	turns     map[string]time.Time
 	// maxTimeouts is the longest caller timeout seen, by route.
 	maxTimeouts map[string]time.Duration
 	policy      RetryBudgetPolicy
@@ -85,6 +90,7 @@
 	return &Balancer{
 		states: map[string]*serverState{}, groups: map[string]*groupState{}, budgets: map[string]*retryBudget{},
 		maxTimeouts: map[string]time.Duration{}, lastEventAt: map[string]time.Time{}, usage: map[string]*serviceUsage{},
+		lines: map[string]map[*place]bool{}, slotTimes: map[string]time.Duration{}, turns: map[string]time.Time{},
 		policy: policy, zone: zone, random: random,
 		limits: ratelimit.New(rand.Uint64()|1, func() float64 { return float64(random(randomResolution)) / randomResolution }),
 	}
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -18,6 +18,8 @@
 	// Utilization is the fraction of all candidates' slots in use. Above 1, requests wait. 0 if
 	// unknown.
 	Utilization float64
+	// Slots is the number of slots of all candidates, or 0 if unknown.
+	Slots int
 	// Unresponsive counts the servers penalized because their VM is unresponsive.
 	Unresponsive int
 	// Failures counts the server's consecutive failures; BackingOff is set when it was chosen
@@ -93,7 +95,7 @@
 	}
 	best.Unresponsive, best.Excluded, best.Limited, best.Full = len(unresponsive), excluded, limited, full
 	if capacity > 0 {
-		best.Utilization = total / float64(capacity)
+		best.Utilization, best.Slots = total/float64(capacity), capacity
 	}
 	return best
 }
--- a/internal/dispatch/dispatch_suite_test.go
+++ b/internal/dispatch/dispatch_suite_test.go
@@ -71,6 +71,13 @@
 	attempts []Attempt
 }
 
+// count returns the number of attempts.
+func (s *scriptedBackend) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.attempts)
+}
+
 func (s *scriptedBackend) Send(ctx context.Context, r *Request, a Attempt) (*Response, *SendError) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -227,7 +234,7 @@
 	route := func(name string, kind fleet.Kind, service string, attempts int, resumable bool) *fleet.Route {
 		return &fleet.Route{
 			Name: name, Host: "h.example", PathPrefix: "/" + name + "/", Kind: kind, MaxAttempts: attempts, Resumable: resumable,
-			Targets: []fleet.Target{{Service: service, Weight: 1}}, Timeout: 8 * time.Second, Objective: 400 * time.Millisecond,
+			Targets: []fleet.Target{{Service: service, Weight: 1}}, Timeout: 8 * time.Second, Objective: 400 * time.Millisecond, AbandonGap: 2 * time.Second,
 		}
 	}
 	public := route("public", fleet.KindIdempotent, "plain", 2, false)
--- a/internal/dispatch/exclusion.go
+++ b/internal/dispatch/exclusion.go
@@ -80,6 +80,13 @@
 	}
 }
 
+// minRetryAfter and maxRetryAfter bound the randomized retry hint, which keeps refused
+// callers from returning all at once.
+const (
+	minRetryAfter = 700 * time.Millisecond
+	maxRetryAfter = 2200 * time.Millisecond
+)
+
 // retryAfterSpread is the range over which callers refused for the same reason are spread.
 const retryAfterSpread = maxRetryAfter - minRetryAfter
 
--- a/internal/dispatch/fairness_test.go
+++ b/internal/dispatch/fairness_test.go
@@ -106,7 +106,7 @@
 	route := s.fleet.Config().Route("h.example", "/"+s.route+"/x")
 	r := s.request(s.route, 8*time.Second)
 	r.Customer = a.customer
-	x := &exchange{Target: Target{Route: route, Service: s.service, isRetry: a.isRetry}, request: r, route: route, caller: newCallerResponse(nil, r, false)}
+	x := &exchange{Target: Target{Route: route, Service: s.service, Deadline: s.now.Add(8 * time.Second)}, request: r, route: route, caller: newCallerResponse(nil, r, false)}
 	server, f := s.pipeline.selectServer(context.Background(), x)
 	if f == nil {
 		s.balancer.RequestSent(server.ID, r, s.now)
--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -9,55 +9,49 @@
 	"github.com/crowbridge/crowbridge/internal/wait"
 )
 
-// Callers of the platform abandon a stream after a gap without events, also before the first one: the
-// longest of minAbandonGap, abandonObjectives objectives and abandonEventGaps times the route's longest
-// pause. The figures are those of the platform's protocol.
-const (
-	minAbandonGap     = 2 * time.Second
-	abandonObjectives = 4
-	abandonEventGaps  = 8
-)
-
-// abandonGap returns after how long without an event callers abandon a stream of the route.
-func abandonGap(route *fleet.Route) time.Duration {
-	return max(minAbandonGap, abandonObjectives*route.Objective, abandonEventGaps*route.MaxEventGap)
-}
-
 // budgetAt returns the time that the caller still has.
 func (x *exchange) budgetAt(now time.Time) deadline.Budget {
 	b := deadline.Budget{Whole: x.Deadline.Sub(now)}
 	b.First = b.Whole
-	if x.route.Kind != fleet.KindStreaming {
+	if x.route.Kind != fleet.KindStreaming || x.route.AbandonGap <= 0 {
 		return b
 	}
 	lastEventAt := x.request.ReceivedAt
 	if x.caller.started {
 		lastEventAt = x.lastEventAt
 	}
-	b.First = min(b.First, lastEventAt.Add(abandonGap(x.route)).Sub(now))
+	b.First = min(b.First, lastEventAt.Add(x.route.AbandonGap).Sub(now))
 	return b
 }
 
 // decide returns what becomes of a request that can begin after a wait.
 func (p *Pipeline) decide(x *exchange, untilBegin time.Duration) deadline.Decision {
 	now := p.now()
-	f := deadline.Forecast{Wait: untilBegin}
+	f, budget := deadline.Forecast{Wait: untilBegin}, x.budgetAt(now)
 	if untilBegin > 0 {
 		f.First, _ = p.firstBytes.Completed(x.route.Name, now)
 		_, f.Whole = p.responses.Completed(x.route.Name, now)
+		x.forecast, x.budget = f, budget
 	}
-	x.forecast, x.budget = f, x.budgetAt(now)
-	return x.budget.Decide(f)
+	return budget.Decide(f)
 }
 
-// retryAfterWait returns the retry hint of a request that could begin after a wait. While nothing is known of
-// the wait, callers are spread over the time that they heed.
-func (p *Pipeline) retryAfterWait(x *exchange, untilBegin time.Duration) time.Duration {
-	if untilBegin != deadline.Unknown {
-		return untilBegin
+// retryAfterWait returns the retry hint of a request with a prospect that its caller's time doesn't suffice for: when it
+// can begin, behind those that were told before. While nothing is known of that, callers are spread over the
+// time that they heed.
+func (p *Pipeline) retryAfterWait(x *exchange, found prospect) time.Duration {
+	now := p.now()
+	heeded := x.Deadline.Sub(now) / retryAfterDivisor
+	if found.wait == deadline.Unknown {
+		return LeavingRetryAfter + p.randomDuration(heeded-LeavingRetryAfter)
+	}
+	slots, allFree := found.choice.Slots, found.choice.Server == nil
+	if allFree { // a group that recovers is empty
+		for _, server := range p.candidates(x) {
+			slots += server.Capacity
+		}
 	}
-	heeded := x.Deadline.Sub(p.now()) / retryAfterDivisor
-	return LeavingRetryAfter + p.randomDuration(heeded-LeavingRetryAfter)
+	return p.balancer.nextTurn(x.Service, slots, found.wait, heeded, allFree, now)
 }
 
 // randomDuration returns a random duration below a bound, in whole milliseconds.
@@ -80,16 +74,24 @@
 // waitPollInterval is how often a waiting request checks whether it can begin.
 const waitPollInterval = 20 * time.Millisecond
 
-// recordFirstByte records how long an attempt took to its first byte, recordDuration to the end of a whole
-// response. Attempts that found no free slot tell more of the queue than of the work.
+// recordFirstByte records how long an attempt took to its first byte, recordDuration how long to the end of a whole
+// response, and for how long it held a slot. Attempts that found no free slot tell of the work only from their first byte on.
 func (p *Pipeline) recordFirstByte(x *exchange) {
-	if now := p.now(); x.choice.hasFreeSlot() {
+	now := p.now()
+	x.firstByteAt = now
+	if x.choice.hasFreeSlot() {
 		p.firstBytes.Record(x.route.Name, now, now.Sub(x.sentAt))
 	}
 }
 
 func (p *Pipeline) recordDuration(x *exchange) {
-	if now := p.now(); x.choice.hasFreeSlot() && !x.part.resumption {
+	now := p.now()
+	switch {
+	case x.part.resumption:
+	case x.choice.hasFreeSlot():
 		p.responses.Record(x.route.Name, now, now.Sub(x.sentAt))
+		p.balancer.recordSlotTime(x.Service, now.Sub(x.sentAt))
+	case x.route.Kind == fleet.KindStreaming:
+		p.balancer.recordSlotTime(x.Service, now.Sub(x.firstByteAt))
 	}
 }
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"time"
 
 	"github.com/crowbridge/crowbridge/internal/deadline"
@@ -9,23 +8,10 @@
 	"github.com/crowbridge/crowbridge/internal/fleet"
 )
 
-// awaitOpenServers returns the candidates whose group can run requests. While no group can, a request
-// waits if the group is expected back in its caller's time, and is refused otherwise.
-func (p *Pipeline) awaitOpenServers(ctx context.Context, x *exchange, candidates []*fleet.Server) ([]*fleet.Server, *failure.Error) {
-	for ; ; candidates = p.candidates(x) {
-		open, broken := p.balancer.openServers(candidates, p.now())
-		if broken == nil {
-			return open, nil
-		}
-		remaining := p.groupRecovery(x, broken)
-		if p.decide(x, remaining) == deadline.Refuse {
-			return nil, failure.NotRun(failure.StepQueue, broken.group, failure.CodeNoServer,
-				"the group has been broken for "+broken.duration.Round(time.Millisecond).String()).WithRetryAfter(p.retryAfterWait(x, remaining))
-		}
-		if !p.awaitChange(ctx, x) {
-			return nil, failure.NotRun(failure.StepQueue, broken.group, failure.CodeCanceled, "canceled while waiting for the group")
-		}
-	}
+// brokenGroupFailure returns the failure of a request that isn't kept waiting for its broken group.
+func brokenGroupFailure(broken *brokenGroup) *failure.Error {
+	return failure.NotRun(failure.StepQueue, broken.group, failure.CodeNoServer,
+		"the group has been broken for "+broken.duration.Round(time.Millisecond).String())
 }
 
 // groupRecovery returns how much longer a broken group is expected to run no requests, or
@@ -40,9 +26,9 @@
 
 // retryAfterBreak returns the retry hint of a request that a rank refused because its group is broken.
 func (p *Pipeline) retryAfterBreak(x *exchange, server *fleet.Server) time.Duration {
-	remaining := deadline.Unknown
+	found := prospect{wait: deadline.Unknown}
 	if _, broken := p.balancer.openServers([]*fleet.Server{server}, p.now()); broken != nil {
-		remaining = p.groupRecovery(x, broken)
+		found.wait = p.groupRecovery(x, broken)
 	}
-	return p.retryAfterWait(x, remaining)
+	return p.retryAfterWait(x, found)
 }
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -119,6 +119,12 @@
 	forecast deadline.Forecast
 	budget   deadline.Budget
 	waited   time.Duration
+	// place is its place in the line of waiting requests; slotWaitSince is when it began to wait for a slot that isn't
+	// left to others, or zero.
+	place         *place
+	slotWaitSince time.Time
+	// firstByteAt is when the last attempt's first byte or event arrived.
+	firstByteAt time.Time
 }
 
 func newExchange(r *Request, target Target, w ResponseWriter) *exchange {
@@ -274,26 +280,6 @@
 	}
 }
 
-// selectServer returns the server for the next attempt, or a refusal.
-func (p *Pipeline) selectServer(ctx context.Context, x *exchange) (*fleet.Server, *failure.Error) {
-	if x.Homes != nil {
-		return nextHome(x)
-	}
-	choice, f := p.chooseCandidate(ctx, x)
-	if f != nil {
-		return nil, f
-	}
-	if choice.Server == nil {
-		x.choice.Excluded, x.choice.Limited, x.choice.Full = choice.Excluded, choice.Limited, choice.Full
-		return nil, p.refuseNoServer(x)
-	}
-	if f := p.admit(x, choice); f != nil {
-		return nil, f
-	}
-	x.choice = choice
-	return choice.Server, nil
-}
-
 // nextHome returns the next home to try.
 func nextHome(x *exchange) (*fleet.Server, *failure.Error) {
 	if len(x.tried) < len(x.Homes) {
--- a/internal/dispatch/sample.go
+++ b/internal/dispatch/sample.go
@@ -1,11 +1,6 @@
 package dispatch
 
-import (
-	"context"
-
-	"github.com/crowbridge/crowbridge/internal/failure"
-	"github.com/crowbridge/crowbridge/internal/fleet"
-)
+import "github.com/crowbridge/crowbridge/internal/fleet"
 
 // sampleSize is the number of servers considered for a choice, which bounds its cost in
 // services with thousands of servers.
@@ -25,8 +20,8 @@
 }
 
 // chooseCandidate chooses from a sample of the allowed servers, or from all of them if none in
-// the sample is eligible.
-func (p *Pipeline) chooseCandidate(ctx context.Context, x *exchange) (Choice, *failure.Error) {
+// the sample is eligible. If no server's group can run requests, it returns the group that broke last.
+func (p *Pipeline) chooseCandidate(x *exchange) (Choice, *brokenGroup) {
 	candidates := p.candidates(x)
 	sampled, all := p.balancer.sample(candidates)
 	if !all && !x.request.Suspect { // entries isolate suspects by the same list of servers
@@ -36,9 +31,9 @@
 			}
 		}
 	}
-	servers, f := p.awaitOpenServers(ctx, x, candidates)
-	if f != nil {
-		return Choice{}, f
+	open, broken := p.balancer.openServers(candidates, p.now())
+	if broken != nil {
+		return Choice{}, broken
 	}
-	return p.chooser.Choose(p.now(), servers, x.request, x.tried), nil
+	return p.chooser.Choose(p.now(), open, x.request, x.tried), nil
 }
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -44,6 +44,9 @@
 	Objective time.Duration
 	// MaxEventGap is the objective for the time between two events of a stream.
 	MaxEventGap time.Duration
+	// AbandonGap is after how long without an event, also before the first one, callers abandon a stream; 0 if
+	// they wait for as long as the request may take.
+	AbandonGap time.Duration
 	// Priority ranks requests; 0 is the most urgent.
 	Priority int
 	// MaxAttempts limits the number of servers that a request is sent to.
