First tries and repeats are no longer told apart

Callers saw: at servers with a limit, a caller that came for the first time was refused a token that a caller with less time left got. One long deadline on a route marked all later callers as repeats, for good.

Cause: countRequest took a request for a repeat if its deadline was below 0.97 of the longest ever seen on its route; ratelimit asked 0.2 of a token more of the others while refused callers were expected back.

The product's own API never told them apart.

Evidence: TestLimitAdmitsAllCallersAlikeWhateverTimeTheyHave failed before with 8 s left and passed with 5 s left.

--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -30,11 +30,9 @@
 	lines     map[string]map[*place]bool
 	slotTimes map[string]time.Duration
 	turns     map[string]time.Time
-	// maxTimeouts is the longest caller timeout seen, by route.
-	maxTimeouts map[string]time.Duration
-	policy      RetryBudgetPolicy
-	zone        string
-	random      func(n int) int
+	policy    RetryBudgetPolicy
+	zone      string
+	random    func(n int) int
 	// limits holds the request rates that servers accept from all VMs together.
 	limits *ratelimit.Table
 	// daemons are the entries that share each server's connection limit.
@@ -89,7 +87,7 @@
 func NewBalancer(policy RetryBudgetPolicy, zone string, random func(n int) int) *Balancer {
 	return &Balancer{
 		states: map[string]*serverState{}, groups: map[string]*groupState{}, budgets: map[string]*retryBudget{},
-		maxTimeouts: map[string]time.Duration{}, lastEventAt: map[string]time.Time{}, usage: map[string]*serviceUsage{},
+		lastEventAt: map[string]time.Time{}, usage: map[string]*serviceUsage{},
 		lines: map[string]map[*place]bool{}, slotTimes: map[string]time.Duration{}, turns: map[string]time.Time{},
 		policy: policy, zone: zone, random: random,
 		limits: ratelimit.New(rand.Uint64()|1, func() float64 { return float64(random(randomResolution)) / randomResolution }),
@@ -242,21 +240,11 @@
 	s.reported, s.reportedAt = load, at
 }
 
-// retryTimeoutFraction identifies retries: the caller's timeout is below this fraction of
-// the longest seen on the route.
-const retryTimeoutFraction = 0.97
-
-// countRequest counts a request in its service's retry budget. It reports whether the caller
-// seems to be retrying: its timeout is shorter than the longest seen on the route.
-func (b *Balancer) countRequest(service, route string, r *Request, now time.Time) (isRetry bool) {
+// countRequest counts a request in its service's retry budget.
+func (b *Balancer) countRequest(service string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.budget(service).recordRequest(now)
-	if !r.HasDeadline {
-		return false
-	}
-	b.maxTimeouts[route] = max(b.maxTimeouts[route], r.Timeout)
-	return float64(r.Timeout) < retryTimeoutFraction*float64(b.maxTimeouts[route])
 }
 
 // AcquireRetry implements Chooser.
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -13,7 +13,7 @@
 
 // tokenRequest returns the properties by which a rate limit admits the request.
 func (r *Request) tokenRequest() ratelimit.TokenRequest {
-	return ratelimit.TokenRequest{Customer: r.Customer, PriorityGap: r.priorityGap, Retry: r.isRetry}
+	return ratelimit.TokenRequest{Customer: r.Customer, PriorityGap: r.priorityGap}
 }
 
 // observeLimit records the rate limit that a server reports for all VMs together. Limits are
--- a/internal/dispatch/limits_test.go
+++ b/internal/dispatch/limits_test.go
@@ -18,6 +18,7 @@
 	"github.com/crowbridge/crowbridge/internal/failure"
 	"github.com/crowbridge/crowbridge/internal/fleet"
 	"github.com/crowbridge/crowbridge/internal/peerrpc"
+	"github.com/crowbridge/crowbridge/internal/ratelimit"
 )
 
 // The tests in this file guard against exceeding a server's rate limit with the sum of the
@@ -240,3 +241,19 @@
 	}
 	Expect(len(retryDelays)).To(BeNumerically(">=", 20), "retry delays are spread")
 }
+
+// Callers that were told to come back and those that come for the first time have the same claim to a token.
+func TestLimitAdmitsAllCallersAlikeWhateverTimeTheyHave(t *testing.T) {
+	for _, left := range []time.Duration{8 * time.Second, 5 * time.Second} {
+		g := NewWithT(t)
+		b := newFixture(respondsSigned(http.StatusOK, "x"), respondsSigned(http.StatusOK, "x"))
+		b.fleet.setServers(&fleet.Server{ID: "a", Service: "plain", Capacity: 6, Zone: "z1"})
+		g.Expect(b.serve("once").Failure).To(BeNil())
+		b.balancer.limits.UpdateLimit("a", ratelimit.Limit{Present: true, PerSecond: 1, RequestedAt: b.now, ReceivedAt: b.now})
+		for range 5 {
+			g.Expect(b.serve("once").Failure.Code).To(Equal(failure.CodeLimited))
+		}
+		b.now = b.now.Add(2300 * time.Millisecond) // a token and a little more is there, three callers have yet to return
+		g.Expect(b.pipeline.Serve(context.Background(), b.request("once", left), b.recorder).Failure).To(BeNil(), "%v left", left)
+	}
+}
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -153,7 +153,7 @@
 // ServeTarget processes a request that has been routed already.
 func (p *Pipeline) ServeTarget(ctx context.Context, r *Request, target Target, w ResponseWriter) Result {
 	x := newExchange(r, target, w)
-	r.priorityGap, r.isRetry, r.maxConnections = target.priorityGap, target.isRetry, target.maxConnections
+	r.priorityGap, r.maxConnections = target.priorityGap, target.maxConnections
 	ticket := p.ledger.Accept()
 	run := p.durations.Begin(x.route.Name, p.now())
 	attemptCtx, cancel := context.WithTimeout(ctx, x.Deadline.Sub(p.now()))
@@ -213,7 +213,7 @@
 	if deadline := r.ReceivedAt.Add(r.Timeout); r.HasDeadline && deadline.Before(target.Deadline) {
 		target.Deadline = deadline
 	}
-	target.isRetry = p.balancer.countRequest(service.Name, route.Name, r, p.now())
+	p.balancer.countRequest(service.Name, p.now())
 	return target, nil
 }
 
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -53,10 +53,8 @@
 	// runs where, at all entries by Isolation.
 	Suspect   bool
 	Isolation quarantine.Isolation
-	// priorityGap is how much less urgent the request is than the most urgent of its service;
-	// isRetry is set when its caller seems to have been refused before.
+	// priorityGap is how much less urgent the request is than the most urgent of its service.
 	priorityGap int
-	isRetry     bool
 	// maxConnections is how many connections each server of the service accepts from all VMs, or
 	// 0 if unbounded.
 	maxConnections int
@@ -194,9 +192,7 @@
 	HasEndEvent bool
 	// Deadline is when the caller must have its final response.
 	Deadline time.Time
-	// isRetry is set when the caller seems to have tried before; priorityGap is how much less
-	// urgent the request is than the most urgent of its service.
-	isRetry     bool
+	// priorityGap is how much less urgent the request is than the most urgent of its service.
 	priorityGap int
 	// maxConnections is how many connections each server of the service accepts from all VMs
 	// together.
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -17,13 +17,11 @@
 	minJitterRange  = 0.1
 	maxJitterRange  = 1.0
 	// The margins are extra tokens that the bucket must hold before a request may take one:
-	// aboveAverageMargin for a customer above the average of the others, priorityMargin per
-	// level of PriorityGap up to maxPriorityGap, and newRequestMargin for a first attempt while
-	// refused callers have yet to retry. Such requests still get the tokens that no others take.
+	// aboveAverageMargin for a customer above the average of the others, and priorityMargin per
+	// level of PriorityGap up to maxPriorityGap. Such requests still get the tokens that no others take.
 	aboveAverageMargin = 1.0
 	priorityMargin     = 0.1
 	maxPriorityGap     = 3
-	newRequestMargin   = 0.2
 	// retention is how long the limit of an unregistered server incarnation is kept:
 	// registrations may come back.
 	retention = 10 * time.Minute
@@ -34,8 +32,6 @@
 	Customer string
 	// PriorityGap is the number of priority levels below the most urgent one.
 	PriorityGap int
-	// Retry is set when the caller was refused before.
-	Retry bool
 }
 
 // customerHash identifies the customer in messages.
@@ -188,9 +184,6 @@
 	if s.usage.aboveAverage(r.customerHash(), rate, now) {
 		needs += aboveAverageMargin
 	}
-	if !r.Retry && s.currentBacklog(rate, now) >= 1 {
-		needs += newRequestMargin
-	}
 	return s.bucket.untilAvailable(needs, rate)
 }
 
