A second server gets an idempotent request by the time left and what the route usually takes, never after the answer began

Cause: attemptContext ended an attempt at 0.8 of the objective, its answer included, and asked the retry budget only then.

Now an attempt that has not begun to answer gives way once it has lasted a quarter longer than nearly all attempts of its route, if the caller's time is enough for what a second one usually takes, another server is eligible and the budget has a retry, which is acquired first. With nothing measured each attempt gets an equal part of the time. Once the answer has begun the attempt keeps the request.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/crowbridge/crowbridge/internal/eligibility"
 	"github.com/crowbridge/crowbridge/internal/failure"
@@ -15,15 +14,15 @@
 func (p *Pipeline) attempt(ctx context.Context, x *exchange, server *fleet.Server) *failure.Error {
 	ctx, cancelAttempt := context.WithCancelCause(ctx)
 	defer cancelAttempt(nil)
-	ctx, cancel := p.attemptContext(ctx, x, server)
-	defer cancel()
 	detector := p.newStallDetector(x, server, cancelAttempt)
 	defer detector.stop()
 	startedAt := p.now()
 	x.server, x.part, x.connectionLost, x.sentAt, x.retryTokenUnused = server.ID, nil, false, startedAt, false
 	p.chooser.RequestSent(server.Key(), x.request, startedAt)
 	defer p.chooser.RequestEnded(server.Key(), x.request)
+	handOver := p.newHandOver(x, server, cancelAttempt)
 	response, sendErr := p.backend.Send(ctx, x.request, p.newAttempt(x, server))
+	x.hasRetryToken = handOver.answered() || x.hasRetryToken
 	p.chooser.ResponseStarted(server.Key(), x.request)
 	if sendErr != nil {
 		return p.handleSendError(ctx, x, server, sendErr)
@@ -67,19 +66,6 @@
 	return x.route.Kind == fleet.KindStreaming && response.Status == http.StatusOK
 }
 
-// attemptTimeoutFraction is the fraction of its objective after which an idempotent request
-// with attempts left is sent to another server.
-const attemptTimeoutFraction = 0.8
-
-// attemptContext bounds the duration of an attempt if another server can take over.
-func (p *Pipeline) attemptContext(ctx context.Context, x *exchange, server *fleet.Server) (context.Context, context.CancelFunc) {
-	retryLeft := x.sentAttempts+1 < x.route.MaxAttempts
-	if x.route.Kind != fleet.KindIdempotent || !retryLeft || x.route.Objective <= 0 || !p.hasAlternative(x, server) {
-		return context.WithCancel(ctx)
-	}
-	return context.WithTimeout(ctx, time.Duration(attemptTimeoutFraction*float64(x.route.Objective)))
-}
-
 // newAttempt returns the parameters of an attempt.
 func (p *Pipeline) newAttempt(x *exchange, server *fleet.Server) Attempt {
 	a := Attempt{
@@ -115,7 +101,7 @@
 	if !e.Sent {
 		p.recordConnectionRefused(server, e)
 	}
-	if cause := context.Cause(ctx); errors.Is(cause, errUnresponsive) {
+	if cause := context.Cause(ctx); errors.Is(cause, errUnresponsive) || errors.Is(cause, errUnanswered) {
 		code, detail = failure.CodeSlow, cause.Error()
 	}
 	if ctx.Err() == nil || !e.Sent {
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -64,7 +64,7 @@
 
 // handleBrokenResponse returns the failure of a truncated response.
 func (p *Pipeline) handleBrokenResponse(ctx context.Context, x *exchange, server *fleet.Server, err error) *failure.Error {
-	if cause := context.Cause(ctx); errors.Is(cause, errStalled) || errors.Is(cause, errUnresponsive) {
+	if cause := context.Cause(ctx); errors.Is(cause, errStalled) || errors.Is(cause, errUnresponsive) || errors.Is(cause, errUnanswered) {
 		return failure.Unknown(failure.StepRelay, server.ID, failure.CodeSlow, cause.Error())
 	}
 	if errors.Is(err, errUnknownEvent) {
