Refused callers are told when they can be served, or that another process can

Callers saw: those that no server could take were told a drawn time of 0.7 to 2.2 s, 0.5 s or 0.3 s, whatever the reason: also where another entry could serve them at once (connection quota used up, process stopping), while servers that had asked for a rest were back 1.5 s earlier, and beyond what a caller with little time heeds.

Cause: minRetryAfter, maxRetryAfter, noServerRetryAfter and unconfiguredRetryAfter were chosen, not derived.

Now: what another process can serve, 50 to 100 ms. What servers refused though they should have had room, when the next slot gets free, in turn; the turn is kept once a request, when it fails for good. A rest: its end, spread over no longer than it has lasted and still lasts. Nothing known (no server, no configuration): random within the third of the time left that callers heed.

The spec on a short hint while another server is eligible expects 50 ms instead of 0.5 s.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -37,7 +37,7 @@
 // it can still be served in its caller's time.
 func (p *Pipeline) selectServer(ctx context.Context, x *exchange) (*fleet.Server, *failure.Error) {
 	if x.Homes != nil {
-		return nextHome(x)
+		return p.nextHome(x)
 	}
 	x.place = &place{priorityGap: x.priorityGap}
 	x.slotWaitSince = time.Time{}
--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -139,13 +139,18 @@
 		b.prioritize(1)
 		b.setLoad(12)
 		var waiting sync.WaitGroup
-		for _, left := range []time.Duration{8 * time.Second, 1500 * time.Millisecond} {
+		inLine := func() int {
+			b.balancer.mu.Lock()
+			defer b.balancer.mu.Unlock()
+			return len(b.balancer.lines["model"])
+		}
+		for i, left := range []time.Duration{8 * time.Second, 1500 * time.Millisecond} {
 			waiting.Go(func() {
 				defer GinkgoRecover()
 				r := b.request("stream", left)
 				Expect(b.pipeline.Serve(context.Background(), r, &responseRecorder{}).Failure).To(BeNil())
 			})
-			time.Sleep(2 * waitPollInterval)
+			Eventually(inLine).Should(Equal(i + 1))
 		}
 		b.setLoad(11) // one slot that isn't left to more urgent ones
 		Eventually(b.backend.count).Should(Equal(3))
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -18,6 +18,7 @@
 	defer detector.stop()
 	startedAt := p.now()
 	x.server, x.part, x.connectionLost, x.sentAt, x.retryTokenUnused = server.ID, nil, false, startedAt, false
+	x.needsHint = false
 	p.chooser.RequestSent(server.Key(), x.request, startedAt)
 	defer p.chooser.RequestEnded(server.Key(), x.request)
 	handOver := p.newHandOver(x, server, cancelAttempt)
@@ -107,7 +108,6 @@
 	if ctx.Err() == nil || !e.Sent {
 		p.chooser.RecordFailure(server.Key(), p.now())
 	}
-	return &failure.Error{
-		Step: step, Peer: server.ID, Code: code, Outcome: outcome, Detail: detail, RetryAfter: noServerRetryAfter,
-	}
+	x.needsHint = true
+	return &failure.Error{Step: step, Peer: server.ID, Code: code, Outcome: outcome, Detail: detail}
 }
--- a/internal/dispatch/exclusion.go
+++ b/internal/dispatch/exclusion.go
@@ -53,8 +53,8 @@
 // because its server was excluded after it had been chosen. A retry acquired for the attempt
 // is kept for the next one.
 func (p *Pipeline) handleExclusion(x *exchange, server *fleet.Server, exclusion *eligibility.Exclusion) *failure.Error {
-	x.hasRetryToken = x.sentAttempts > 0
-	return failure.NotRun(failure.StepSend, server.ID, exclusion.Code(), exclusion.String()).WithRetryAfter(p.retryAfter(x))
+	x.hasRetryToken, x.needsHint = x.sentAttempts > 0, true
+	return failure.NotRun(failure.StepSend, server.ID, exclusion.Code(), exclusion.String())
 }
 
 // refuseNoServer refuses a request for which no server is eligible. If all are resting or
@@ -71,32 +71,41 @@
 		return failure.NotRun(failure.StepQueue, x.Service, failure.CodeResting,
 			"all allowed servers are resting, leaving or rate-limited").WithRetryAfter(retryAfter)
 	case x.choice.Full > 0:
-		spread := time.Duration(p.balancer.random(int(retryAfterSpread.Milliseconds()))) * time.Millisecond
 		return failure.NotRun(failure.StepQueue, x.Service, failure.CodeOverloaded,
-			"this entry's connection quota is used up for all servers").WithRetryAfter(minRetryAfter + spread)
+			"this entry's connection quota is used up for all servers").WithRetryAfter(p.retryAfterElsewhere())
 	default:
 		return failure.NotRun(failure.StepRoute, x.Service, failure.CodeNoServer,
-			"no server of the service is available").WithRetryAfter(noServerRetryAfter)
+			"no server of the service is available").WithRetryAfter(p.retryAfterUnknown(x.Deadline.Sub(p.now())))
 	}
 }
 
-// minRetryAfter and maxRetryAfter bound the randomized retry hint, which keeps refused
-// callers from returning all at once.
-const (
-	minRetryAfter = 700 * time.Millisecond
-	maxRetryAfter = 2200 * time.Millisecond
-)
-
-// retryAfterSpread is the range over which callers refused for the same reason are spread.
-const retryAfterSpread = maxRetryAfter - minRetryAfter
-
-// retryAfter returns the retry hint for a request that servers refused: short if any server of
-// the service is eligible, or else until one is.
-func (p *Pipeline) retryAfter(x *exchange) time.Duration {
+// retryAfterAttempt returns the retry hint for a request whose last attempt failed at a server: when its group is
+// expected back if that is broken; if any server of the service is eligible, when a slot gets free, or else when
+// one is.
+func (p *Pipeline) retryAfterAttempt(x *exchange, server *fleet.Server) time.Duration {
+	if _, broken := p.balancer.openServers([]*fleet.Server{server}, p.now()); broken != nil {
+		return p.retryAfterWait(x, prospect{wait: p.groupRecovery(x, broken)})
+	}
 	if retryAfter, _ := p.earliestRetryAfter(x); retryAfter > 0 {
 		return retryAfter
 	}
-	return noServerRetryAfter
+	now, slots := p.now(), p.slots(x)
+	if held := p.balancer.slotTime(x.Service); held > 0 && slots > 0 {
+		freed := held / time.Duration(slots)
+		return max(p.balancer.nextTurn(x.Service, slots, freed, x.heeded(now), false, now), LeavingRetryAfter)
+	}
+	return p.retryAfterElsewhere()
+}
+
+// slots returns the number of slots of the servers that a request may use, or 0 if unknown.
+func (p *Pipeline) slots(x *exchange) int {
+	slots := 0
+	for _, server := range p.candidates(x) {
+		if !server.Leaving {
+			slots += server.Capacity
+		}
+	}
+	return slots
 }
 
 // earliestRetryAfter returns a randomized retry hint while no server is eligible for a
@@ -104,22 +113,14 @@
 // rate-limited.
 func (p *Pipeline) earliestRetryAfter(x *exchange) (retryAfter time.Duration, limited bool) {
 	servers, _ := p.fleet.Allowed(x.Service, x.request.Customer)
-	earliest := p.chooser.EarliestEligible(p.now(), servers, x.request)
-	if earliest == 0 {
+	remaining, lasted := p.chooser.EarliestEligible(p.now(), servers, x.request)
+	if remaining == 0 {
 		return 0, false
 	}
-	spread := p.spreadRetryAfter(earliest)
 	if retryAfter := p.balancer.recordLimitRefusal(servers, x.request, p.now()); retryAfter > 0 {
 		return retryAfter, true
 	}
-	return spread, false
-}
-
-// spreadRetryAfter returns a randomized retry hint of at least earliest, the time until the
-// first server becomes eligible.
-func (p *Pipeline) spreadRetryAfter(earliest time.Duration) time.Duration {
-	spread := time.Duration(p.balancer.random(int(retryAfterSpread.Milliseconds()))) * time.Millisecond
-	return max(earliest+spread, noServerRetryAfter)
+	return remaining + p.randomDuration(min(lasted, remaining)), false
 }
 
 // hasAlternative reports whether a server other than the given one is eligible for the
@@ -156,7 +157,7 @@
 }
 
 // EarliestEligible implements Chooser.
-func (b *Balancer) EarliestEligible(now time.Time, servers []*fleet.Server, r *Request) time.Duration {
+func (b *Balancer) EarliestEligible(now time.Time, servers []*fleet.Server, r *Request) (remaining, lasted time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var exclusions eligibility.Exclusions
@@ -165,7 +166,7 @@
 			exclusions.Add(b.exclusionOf(server, r, now))
 		}
 	}
-	return exclusions.EarliestEnd()
+	return exclusions.EarliestEnd(), exclusions.EarliestLasted()
 }
 
 // exclusionOf returns the reason why a request may not be sent to a server now, including its
--- a/internal/dispatch/exclusion_test.go
+++ b/internal/dispatch/exclusion_test.go
@@ -80,7 +80,7 @@
 		b.fleet.setServers(append(b.fleet.servers.OfService("plain"), &fleet.Server{ID: "c", Service: "plain", Capacity: 6, Zone: "z1"})...)
 		f := b.serve("again").Failure
 		Expect(f.Code).To(Equal(failure.CodeOverloaded))
-		Expect(f.RetryAfter).To(Equal(noServerRetryAfter), "not the 3 s rest of the servers")
+		Expect(f.RetryAfter).To(Equal(LeavingRetryAfter), "not the 3 s rest of the servers")
 	})
 
 	It("expires also while the VM is suspended", func() {
--- a/internal/dispatch/fairness.go
+++ b/internal/dispatch/fairness.go
@@ -9,7 +9,7 @@
 	maxShareFactor = 2
 	minShare       = 2
 	// activeWindow is how long a customer counts as active after its last request, including
-	// refused ones. It exceeds maxRetryAfter.
+	// refused ones, whose callers may be about to come back.
 	activeWindow = 3 * time.Second
 	// recountInterval is the interval at which active customers are counted.
 	recountInterval = 250 * time.Millisecond
--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -36,22 +36,38 @@
 	return budget.Decide(f)
 }
 
+// heeded returns the longest retry hint that the caller follows.
+func (x *exchange) heeded(now time.Time) time.Duration {
+	return x.Deadline.Sub(now) / retryAfterDivisor
+}
+
 // retryAfterWait returns the retry hint of a request with a prospect that its caller's time doesn't suffice for: when it
-// can begin, behind those that were told before. While nothing is known of that, callers are spread over the
-// time that they heed.
+// can begin, behind those that were told before.
 func (p *Pipeline) retryAfterWait(x *exchange, found prospect) time.Duration {
 	now := p.now()
-	heeded := x.Deadline.Sub(now) / retryAfterDivisor
 	if found.wait == deadline.Unknown {
-		return LeavingRetryAfter + p.randomDuration(heeded-LeavingRetryAfter)
+		return p.retryAfterUnknown(x.Deadline.Sub(now))
 	}
 	slots, allFree := found.choice.Slots, found.choice.Server == nil
 	if allFree { // a group that recovers is empty
-		for _, server := range p.candidates(x) {
-			slots += server.Capacity
-		}
+		slots = p.slots(x)
 	}
-	return p.balancer.nextTurn(x.Service, slots, found.wait, heeded, allFree, now)
+	return p.balancer.nextTurn(x.Service, slots, found.wait, x.heeded(now), allFree, now)
+}
+
+// retryAfterUnknown returns the retry hint of a request of which nobody knows when it can be served: callers are
+// spread over the time that they heed. left is the time that the caller has, or 0 if unknown.
+func (p *Pipeline) retryAfterUnknown(left time.Duration) time.Duration {
+	heeded := left / retryAfterDivisor
+	if heeded <= LeavingRetryAfter {
+		return max(heeded, 0)
+	}
+	return LeavingRetryAfter + p.randomDuration(heeded-LeavingRetryAfter)
+}
+
+// retryAfterElsewhere returns the retry hint of a request that another process may serve at once.
+func (p *Pipeline) retryAfterElsewhere() time.Duration {
+	return LeavingRetryAfter + p.randomDuration(LeavingRetryAfter)
 }
 
 // randomDuration returns a random duration below a bound, in whole milliseconds.
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -123,6 +123,8 @@
 	// left to others, or zero.
 	place         *place
 	slotWaitSince time.Time
+	// needsHint is set if the last attempt's failure still lacks its retry hint.
+	needsHint bool
 	// firstByteAt is when the last attempt's first byte or event arrived.
 	firstByteAt time.Time
 }
@@ -187,7 +189,7 @@
 func (p *Pipeline) resolveTarget(r *Request) (Target, *failure.Error) {
 	config := p.fleet.Config()
 	if config == nil || p.fleet.Servers() == nil {
-		return Target{}, failure.NotRun(failure.StepRoute, "", failure.CodeNoServer, "no configuration has been loaded yet").WithRetryAfter(unconfiguredRetryAfter)
+		return Target{}, failure.NotRun(failure.StepRoute, "", failure.CodeNoServer, "no configuration has been loaded yet").WithRetryAfter(p.retryAfterUnknown(r.Timeout))
 	}
 	route := config.Route(r.Host, r.Path)
 	target := Target{Version: config.Version, Route: route}
@@ -205,7 +207,7 @@
 	r.Priority = fleet.Priority(route, customer)
 	service := config.Service(pickService(route, r.ID))
 	if service == nil {
-		return target, failure.NotRun(failure.StepRoute, route.Name, failure.CodeNoServer, "the route's service is not configured").WithRetryAfter(noServerRetryAfter)
+		return target, failure.NotRun(failure.StepRoute, route.Name, failure.CodeNoServer, "the route's service is not configured").WithRetryAfter(p.retryAfterUnknown(r.Timeout))
 	}
 	target.Service, target.Deadline = service.Name, r.ReceivedAt.Add(route.Timeout)
 	target.maxConnections, target.engine = service.MaxConns, service.Engine
@@ -217,13 +219,6 @@
 	return target, nil
 }
 
-const (
-	// unconfiguredRetryAfter is the retry hint until the configuration is known.
-	unconfiguredRetryAfter = 300 * time.Millisecond
-	// noServerRetryAfter is the retry hint when a service has no eligible server.
-	noServerRetryAfter = 500 * time.Millisecond
-)
-
 // pickService distributes a route's requests over its services by weight, deterministically by
 // request ID.
 func pickService(route *fleet.Route, id string) string {
@@ -275,17 +270,20 @@
 		retry := p.shouldRetry(ctx, x, f)
 		p.logFailedAttempt(x, server, f, retry)
 		if !retry {
+			if x.needsHint {
+				f.RetryAfter = p.retryAfterAttempt(x, server)
+			}
 			return f
 		}
 	}
 }
 
 // nextHome returns the next home to try.
-func nextHome(x *exchange) (*fleet.Server, *failure.Error) {
+func (p *Pipeline) nextHome(x *exchange) (*fleet.Server, *failure.Error) {
 	if len(x.tried) < len(x.Homes) {
 		return x.Homes[len(x.tried)], nil
 	}
-	return nil, failure.NotRun(failure.StepRoute, "", failure.CodeNoServer, "every home has closed this key").WithRetryAfter(noServerRetryAfter)
+	return nil, failure.NotRun(failure.StepRoute, "", failure.CodeNoServer, "every home has closed this key").WithRetryAfter(p.retryAfterUnknown(x.Deadline.Sub(p.now())))
 }
 
 // candidates returns the servers that the operators allow for a request.
@@ -350,7 +348,7 @@
 	}
 	switch {
 	case errors.Is(context.Cause(callerCtx), ErrLeaving):
-		f.Code, f.RetryAfter = failure.CodeLeaving, noServerRetryAfter
+		f.Code, f.RetryAfter = failure.CodeLeaving, p.retryAfterElsewhere()
 	case callerCtx.Err() != nil:
 		f.Code = failure.CodeCanceled
 	case !p.now().Before(x.Deadline):
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -14,7 +14,7 @@
 	if f := response.Info.Failure; f != nil {
 		x.mayHaveRun = x.mayHaveRun || f.Outcome != failure.OutcomeNotRun
 		if (f.Code == failure.CodeResting || f.Code == failure.CodeLimited) && x.Homes == nil {
-			f.RetryAfter = p.retryAfter(x)
+			x.needsHint = true
 		}
 		if f.Code == failure.CodeServerLost && f.Outcome == failure.OutcomeUnknown {
 			p.recordConnectionLoss(ctx, x, server, f)
@@ -97,18 +97,19 @@
 // handleRefusal returns the failure for a response that reports that the request didn't run.
 func (p *Pipeline) handleRefusal(x *exchange, server *fleet.Server, response *Response) *failure.Error {
 	now := p.now()
+	x.needsHint = true
 	if response.Status == http.StatusMisdirectedRequest {
 		p.chooser.RecordFailure(server.Key(), now)
 		if p.quarantine != nil {
 			p.quarantine.MarkExited(server.Key(), "another server uses its address")
 		}
-		return failure.NotRun(failure.StepSend, server.ID, failure.CodeWrongServer, "another server uses the address").WithRetryAfter(noServerRetryAfter)
+		return failure.NotRun(failure.StepSend, server.ID, failure.CodeWrongServer, "another server uses the address")
 	}
 	if server.Rank != nil && response.Info.FaultyServer != "" {
 		p.balancer.markBroken(server, now)
 		return failure.NotRun(failure.StepQueue, server.ID, failure.CodeNoServer,
-			"the server's group is broken at "+response.Info.FaultyServer).WithRetryAfter(p.retryAfterBreak(x, server))
+			"the server's group is broken at "+response.Info.FaultyServer)
 	}
 	p.chooser.RecordFailure(server.Key(), now)
-	return failure.NotRun(failure.StepQueue, server.ID, failure.CodeOverloaded, "the server refused the request").WithRetryAfter(p.retryAfter(x))
+	return failure.NotRun(failure.StepQueue, server.ID, failure.CodeOverloaded, "the server refused the request")
 }
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -7,8 +7,8 @@
 	"github.com/crowbridge/crowbridge/internal/failure"
 )
 
-// LeavingRetryAfter is the shortest retry hint of a request that a stopping process refuses, and the
-// range over which hints are spread. Other processes can serve the request at once.
+// LeavingRetryAfter is the shortest retry hint of a request that another process can serve at once, as when this one
+// stops, and the range over which these hints are spread.
 const LeavingRetryAfter = 50 * time.Millisecond
 
 // BeginStop begins a planned stop, at whose end the frontend cancels the requests in flight.
@@ -30,9 +30,8 @@
 		return nil
 	}
 	metrics.GetOrCreateCounter(`crowbridge_stop_refusals_total{service="` + x.Service + `"}`).Inc()
-	spread := time.Duration(p.balancer.random(int(LeavingRetryAfter.Milliseconds()))) * time.Millisecond
 	return failure.NotRun(failure.StepQueue, "", failure.CodeLeaving,
-		"this process is stopping, and the request might not end in time: retry on a new connection").WithRetryAfter(LeavingRetryAfter + spread)
+		"this process is stopping, and the request might not end in time: retry on a new connection").WithRetryAfter(p.retryAfterElsewhere())
 }
 
 // modeledDuration returns how long a generation takes if its server is full, or 0 if unknown.
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -224,8 +224,9 @@
 	// limit admits the request, which is then counted; otherwise how long the limit admits none.
 	AcquireToken(server string, r *Request, now time.Time) time.Duration
 	// EarliestEligible returns how long until the first of the resting or rate-limited
-	// candidates accepts requests: 0 if one accepts them now, or if none will.
-	EarliestEligible(now time.Time, candidates []*fleet.Server, r *Request) time.Duration
+	// candidates accepts requests, 0 if one accepts them now or if none will, and for how long it has
+	// accepted none, or 0 if unknown.
+	EarliestEligible(now time.Time, candidates []*fleet.Server, r *Request) (remaining, lasted time.Duration)
 	// AcquireRetry takes one retry from the budget and reports whether there was one.
 	AcquireRetry(service, customer string, now time.Time) bool
 	// ReleaseRetry returns a retry that was acquired and not used.
--- a/internal/eligibility/eligibility.go
+++ b/internal/eligibility/eligibility.go
@@ -34,6 +34,8 @@
 	Reason Reason
 	// Remaining is the time until the exclusion ends; 0 if only the next incarnation ends it.
 	Remaining time.Duration
+	// Lasted is for how long a rest has lasted.
+	Lasted time.Duration
 }
 
 // Code returns the failure code for callers.
@@ -76,8 +78,8 @@
 // Invariant: an exclusion lasts until its end. Neither a successful response nor a shorter
 // rest ends it sooner.
 type Report struct {
-	restUntil time.Time
-	leaving   bool
+	restFrom, restUntil time.Time
+	leaving             bool
 	// reportedAt is the time of the last report.
 	reportedAt time.Time
 }
@@ -87,6 +89,9 @@
 func (r *Report) RecordRest(rest time.Duration, now time.Time) time.Duration {
 	if rest > 0 {
 		r.reportedAt = now
+		if !now.Before(r.restUntil) {
+			r.restFrom = now
+		}
 		if until := now.Add(min(rest, MaxRest)); until.After(r.restUntil) {
 			r.restUntil = until
 		}
@@ -107,7 +112,7 @@
 	case r.leaving:
 		return &Exclusion{Reason: Leaving}
 	case now.Before(r.restUntil):
-		return &Exclusion{Reason: Resting, Remaining: r.restUntil.Sub(now)}
+		return &Exclusion{Reason: Resting, Remaining: r.restUntil.Sub(now), Lasted: now.Sub(r.restFrom)}
 	default:
 		return nil
 	}
--- a/internal/eligibility/exclusions.go
+++ b/internal/eligibility/exclusions.go
@@ -6,8 +6,9 @@
 type Exclusions struct {
 	// anyEligible is set if one of the servers is not excluded.
 	anyEligible bool
-	// earliest is the shortest remaining time of a rest or limit; 0 if there is none.
-	earliest time.Duration
+	// earliest is the shortest remaining time of a rest or limit; 0 if there is none. lasted is for how long it
+	// has been in force, if known.
+	earliest, lasted time.Duration
 }
 
 // Add adds a server's exclusion; nil if the server is eligible.
@@ -17,7 +18,7 @@
 		return
 	}
 	if e.Remaining > 0 && (x.earliest == 0 || e.Remaining < x.earliest) {
-		x.earliest = e.Remaining
+		x.earliest, x.lasted = e.Remaining, e.Lasted
 	}
 }
 
@@ -29,3 +30,6 @@
 	}
 	return x.earliest
 }
+
+// EarliestLasted returns for how long the exclusion that ends first has been in force, or 0 if unknown.
+func (x *Exclusions) EarliestLasted() time.Duration { return x.lasted }
--- a/internal/entry/chooser.go
+++ b/internal/entry/chooser.go
@@ -58,7 +58,7 @@
 }
 
 // EarliestEligible implements dispatch.Chooser.
-func (c tableChooser) EarliestEligible(now time.Time, _ []*fleet.Server, r *dispatch.Request) time.Duration {
+func (c tableChooser) EarliestEligible(now time.Time, _ []*fleet.Server, r *dispatch.Request) (remaining, lasted time.Duration) {
 	c.entry.mu.Lock()
 	defer c.entry.mu.Unlock()
 	var exclusions eligibility.Exclusions
@@ -67,7 +67,7 @@
 			exclusions.Add(row.SelfReport.Exclusion(now))
 		}
 	}
-	return exclusions.EarliestEnd()
+	return exclusions.EarliestEnd(), exclusions.EarliestLasted()
 }
 
 // ObserveResponse implements dispatch.Chooser.
