A stalled stream goes on elsewhere after half of the time after which its caller abandons it

Callers saw: a stream without events went on at another server after 1.2 s, also where they wait for 4 s, as the pause that their operator allows is longer; where they gave up sooner it would have been too late.

Cause: a constant, meant to be several times the largest pause of routes. Now it is half of the platform's gap for the route, the other half being the second server's to read the prompt and send the next event.

Evidence: the spec failed before with gaps of 0.1 and 0.6 s.

--- a/internal/dispatch/groupevents.go
+++ b/internal/dispatch/groupevents.go
@@ -6,8 +6,8 @@
 	"github.com/crowbridge/crowbridge/internal/fleet"
 )
 
-// eventFreshness is how long after an event a group's streams count as active: several times
-// the largest MaxEventGap of routes.
+// eventFreshness is how long after an event a group's streams count as active: several passes of a loaded group,
+// each of which brings an event to every stream.
 const eventFreshness = 500 * time.Millisecond
 
 // recordEvent records an event on one of this entry's streams.
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -42,7 +42,7 @@
 	durations *drain.Durations
 	// firstBytes and responses hold how long attempts took to the first byte and to the end, by route.
 	firstBytes, responses *drain.Durations
-	// stallTimeout defaults to the constant of that name; tests shorten it.
+	// stallTimeout replaces that of routes if it is set; tests shorten it.
 	stallTimeout time.Duration
 }
 
@@ -54,7 +54,7 @@
 func newPipeline(f Fleet, balancer *Balancer, chooser Chooser, backend Backend, now func() time.Time, log *logrus.Entry) *Pipeline {
 	return &Pipeline{
 		fleet: f, balancer: balancer, chooser: chooser, backend: backend, now: now, log: log, durations: drain.NewDurations(),
-		firstBytes: drain.NewDurations(), responses: drain.NewDurations(), stallTimeout: stallTimeout,
+		firstBytes: drain.NewDurations(), responses: drain.NewDurations(),
 	}
 }
 
--- a/internal/dispatch/pipeline_test.go
+++ b/internal/dispatch/pipeline_test.go
@@ -289,6 +289,17 @@
 		Expect(b.backend.attempts).To(HaveLen(1))
 	})
 
+	It("resumes elsewhere while its caller still waits for the next event, and not before", func() {
+		for _, gap := range []time.Duration{100 * time.Millisecond, 600 * time.Millisecond} {
+			b := newFixture(stallsAfter(one+two), respondsSigned(http.StatusOK, three))
+			b.fleet.config.Route("h.example", "/stream/x").AbandonGap = gap
+			b.balancer.recordEvent(b.fleet.servers.ByID("r1"), b.now)
+			began := time.Now()
+			Expect(b.serve("stream").Failure).To(BeNil())
+			Expect(time.Since(began)).To(SatisfyAll(BeNumerically(">=", gap/2), BeNumerically("<", gap)))
+		}
+	})
+
 	It("is no longer monitored once its attempt has ended", func() {
 		b := newFixture()
 		b.pipeline.stallTimeout = time.Hour
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -10,16 +10,24 @@
 )
 
 const (
-	// stallTimeout is how long a stream may lack events, while others of its group receive them,
-	// before it resumes at another server: its connection may have gone silent for good. It is
-	// several times the largest MaxEventGap of routes, so that a slow server isn't taken for a
-	// silent one, and less than the two seconds after which callers give up.
-	stallTimeout = 1200 * time.Millisecond
-	// checksPerStall is how many times per stallTimeout a stalled stream checks whether others
+	// stallsPerAbandonGap is the number of servers among which the gap is divided after which callers abandon a
+	// stream: one that stalls, and another that has to send the next event in time.
+	stallsPerAbandonGap = 2
+	// checksPerStall is how many times per stall timeout a stalled stream checks whether others
 	// receive events.
 	checksPerStall = 10
 )
 
+// stallTimeoutOf returns how long a stream of a route may lack events, while others of its group receive them,
+// before it resumes at another server: its connection may have gone silent for good. 0 if callers wait for as
+// long as the request may take.
+func (p *Pipeline) stallTimeoutOf(route *fleet.Route) time.Duration {
+	if p.stallTimeout > 0 {
+		return p.stallTimeout
+	}
+	return route.AbandonGap / stallsPerAbandonGap
+}
+
 // errStalled is the cancellation cause of an attempt whose stream stalled.
 var errStalled = errors.New("stream stalled while others of its group received events")
 
@@ -46,13 +54,14 @@
 // newStallDetector returns the detector for an attempt, or nil if the stream couldn't resume
 // elsewhere. It calls cancel if the stream stalls.
 func (p *Pipeline) newStallDetector(x *exchange, server *fleet.Server, cancel context.CancelCauseFunc) *stallDetector {
-	if server.Rank == nil || !x.route.Idempotent() || x.sentAttempts+1 >= x.route.MaxAttempts {
+	timeout := p.stallTimeoutOf(x.route)
+	if server.Rank == nil || !x.route.Idempotent() || x.sentAttempts+1 >= x.route.MaxAttempts || timeout <= 0 {
 		return nil
 	}
 	d := &stallDetector{pipeline: p, exchange: x, server: server, cancel: cancel, lastEventAt: time.Now()}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.timer = time.AfterFunc(p.stallTimeout, d.check)
+	d.timer = time.AfterFunc(timeout, d.check)
 	return d
 }
 
@@ -84,7 +93,7 @@
 	if d.stopped {
 		return // the timer had already fired
 	}
-	timeout := d.pipeline.stallTimeout
+	timeout := d.pipeline.stallTimeoutOf(d.exchange.route)
 	if idle := time.Since(d.lastEventAt); idle < timeout {
 		d.timer.Reset(timeout - idle)
 		return
--- a/internal/dispatch/unresponsive.go
+++ b/internal/dispatch/unresponsive.go
@@ -9,7 +9,7 @@
 const (
 	// unresponsiveAfter is the time without reports after which a rank's VM counts as
 	// unresponsive, if another rank of the group has reported within groupReportWindow. Agents
-	// report every 120 to 400 ms. Callers give up after 2 s.
+	// report every 120 to 400 ms.
 	unresponsiveAfter = time.Second
 	groupReportWindow = 500 * time.Millisecond
 )
