A stopping process expects what the engines' description says, not the objective; too little time to read a prompt is refused at once

Callers saw: whether a stopping entry passed a generation on depended on its route's objective; a request whose caller had less time left than engines need to read its prompt was sent all the same.

Cause: modeledDuration added the objective as the time to the first event.

--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -106,6 +106,20 @@
 		Entry("one that must not be repeated, without", "once", 24, 4*time.Second, false, 4*time.Second/3),
 	)
 
+	It("is refused at once if its caller has less time than the engines need to read its prompt", func() {
+		for tokens, admitted := range map[int]bool{900: true, 1100: false} {
+			b := newFixture(served())
+			b.fleet.config.Service("model").Engine = &fleet.EngineModel{ReadPerSecond: 1000}
+			r := b.request("stream", time.Second)
+			r.PromptTokens = tokens
+			f := b.pipeline.Serve(context.Background(), r, b.recorder).Failure
+			Expect(f == nil).To(Equal(admitted))
+			if !admitted {
+				Expect([]any{f.Code, f.Outcome}).To(Equal([]any{failure.CodeDeadline, failure.OutcomeNotRun}))
+			}
+		}
+	})
+
 	It("is left to the servers while nobody knows how long requests last", func() {
 		b := newFixture(served())
 		b.setLoad(36)
--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -28,9 +28,13 @@
 func (p *Pipeline) decide(x *exchange, untilBegin time.Duration) deadline.Decision {
 	now := p.now()
 	f, budget := deadline.Forecast{Wait: untilBegin}, x.budgetAt(now)
+	if x.engine != nil {
+		f.Least = x.engine.ReadTime(x.request.PromptTokens)
+	}
 	if untilBegin > 0 {
 		f.First, _ = p.firstBytes.Completed(x.route.Name, now)
 		_, f.Whole = p.responses.Completed(x.route.Name, now)
+		f.First, f.Whole = max(f.First, f.Least), max(f.Whole, f.Least)
 		x.forecast, x.budget = f, budget
 	}
 	return budget.Decide(f)
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -43,5 +43,5 @@
 	for _, server := range p.fleet.Servers().OfService(x.Service) {
 		batch = max(batch, server.Capacity)
 	}
-	return x.route.Objective + x.engine.GenerationTime(x.request.MaxOutputTokens, batch)
+	return x.engine.ReadTime(x.request.PromptTokens) + x.engine.GenerationTime(x.request.MaxOutputTokens, batch)
 }
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -80,6 +80,8 @@
 	ExpertShare float64
 	// CopyTime is the time in which a rank copies one expert, or 0 if unknown.
 	CopyTime time.Duration
+	// ReadPerSecond is the number of prompt tokens that an engine reads in a second, or 0 if unknown.
+	ReadPerSecond float64
 	// FormTime is the time that a group takes to open once its last missing rank is back, or 0 if
 	// unknown.
 	FormTime time.Duration
@@ -90,6 +92,14 @@
 	return time.Duration(tokens) * (e.Step + time.Duration(batch)*e.StepPerRequest)
 }
 
+// ReadTime returns how long an engine takes at least to read a prompt, or 0 if unknown.
+func (e *EngineModel) ReadTime(tokens int) time.Duration {
+	if e.ReadPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(tokens) / e.ReadPerSecond * float64(time.Second))
+}
+
 // Service is a set of interchangeable backend servers.
 type Service struct {
 	Name string
