--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -39,9 +39,6 @@
 	Targets    []Target
 	// Timeout limits the time until the caller has the complete response.
 	Timeout time.Duration
-	// Objective is the latency objective: the time to the first byte of a response, or to the first
-	// event of a stream.
-	Objective time.Duration
 	// MaxEventGap is the objective for the time between two events of a stream.
 	MaxEventGap time.Duration
 	// AbandonGap is after how long without an event, also before the first one, callers abandon a stream; 0 if
