A new map is due when a pass that reads prompts would exceed the pause that the operator allows

Now the pause is divided by what the engines' description says: the steps may take what reading a whole chunk in each of them leaves. No request waits or is refused by it. The bounds of the trigger and the target stay.

--- a/internal/experts/holder_test.go
+++ b/internal/experts/holder_test.go
@@ -105,6 +105,26 @@
 	})
 })
 
+var _ = DescribeTable("the skew that triggers a new map leaves room for the reading of prompts within the longest pause",
+	func(stride, chunk int, pause time.Duration) {
+		logger, _ := logrustest.NewNullLogger()
+		engine := &fleet.EngineModel{
+			Experts: 4, Layers: 1, SlotsPerRank: 3, ExpertShare: 0.85, Stride: stride, Step: 6 * time.Millisecond, StepPerRequest: 300 * time.Microsecond,
+			ReadPerSecond: 60_000, ChunkTokens: chunk,
+		}
+		lease := Lease{Size: 2, Engine: engine, MaxEventGap: pause}
+		h := NewHolder(&ranksWithPopularity{popularity: []float64{1, 1, 1, 1}}, lease, func() Policy { return DefaultPolicy }, time.Now, logrus.NewEntry(logger))
+		step := engine.Step.Seconds() // nothing is generated
+		generating := float64(stride) * step * ((1 - engine.ExpertShare) + engine.ExpertShare*h.skewTrigger())
+		reading := float64(stride) * engine.ReadTime(chunk).Seconds()
+		Expect(generating + reading).To(BeNumerically("~", pause.Seconds(), 1e-6))
+	},
+	Entry("long passes", 5, 512, 90*time.Millisecond),
+	Entry("short ones", 2, 512, 34*time.Millisecond),
+	Entry("small chunks", 5, 64, 45*time.Millisecond),
+	Entry("engines that don't say what they read", 5, 0, 45*time.Millisecond),
+)
+
 var _ = Describe("a new holder", func() {
 	It("observes the ranks again when its undo returns to an earlier stage", func() {
 		logger, _ := logrustest.NewNullLogger()
--- a/internal/experts/policy.go
+++ b/internal/experts/policy.go
@@ -12,10 +12,6 @@
 	ObserveInterval time.Duration
 	// HalfLife is the half-life of the demand estimate.
 	HalfLife time.Duration
-	// PassFraction is the fraction of Lease.MaxEventGap that a pass may take; the
-	// rest is for the prefill of prompts. It determines the skew, the slowest rank's
-	// time over the mean, that triggers a new map.
-	PassFraction float64
 	// TargetFraction is the fraction of the triggering excess skew that a plan may
 	// leave: 0 aims at a skew of 1, 1 at the trigger.
 	TargetFraction float64
@@ -32,15 +28,15 @@
 var DefaultPolicy = Policy{
 	ObserveInterval: 75 * time.Millisecond,
 	HalfLife:        500 * time.Millisecond,
-	PassFraction:    0.58,
 	TargetFraction:  0.6,
 	MinTrigger:      1.2,
 	MaxTrigger:      1.9,
 	MoveCost:        1.0,
 }
 
-// skewTrigger returns the skew that triggers a new map. The busier the ranks, the
-// longer a balanced pass takes, and the less skew fits into MaxEventGap.
+// skewTrigger returns the skew, the slowest rank's time over the mean, that triggers a new map: from there on a pass
+// that also reads a whole chunk of prompts in each step would exceed MaxEventGap. The busier the ranks, the
+// longer a balanced pass takes, and the less skew fits.
 func (h *Holder) skewTrigger() float64 {
 	policy, e := h.policy(), h.lease.Engine
 	if e.Step <= 0 || h.lease.MaxEventGap <= 0 {
@@ -52,7 +48,8 @@
 	}
 	step := e.Step + time.Duration(busiest)*e.StepPerRequest
 	balanced := float64(e.Stride) * step.Seconds()
-	budget := policy.PassFraction * h.lease.MaxEventGap.Seconds() / balanced
+	reading := float64(e.Stride) * e.ReadTime(e.ChunkTokens).Seconds()
+	budget := (h.lease.MaxEventGap.Seconds() - reading) / balanced
 	skew := (budget - (1 - e.ExpertShare)) / max(e.ExpertShare, minExpertShare)
 	return min(max(skew, policy.MinTrigger), policy.MaxTrigger)
 }
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -77,6 +77,9 @@
 	ExpertShare float64
 	// CopyTime is the time in which a rank copies one expert, or 0 if unknown.
 	CopyTime time.Duration
+	// ChunkTokens is the largest number of prompt tokens that an engine reads in a token step, beside the generating
+	// requests; 0 if unknown.
+	ChunkTokens int
 	// ReadPerSecond is the number of prompt tokens that an engine reads in a second, or 0 if unknown.
 	ReadPerSecond float64
 	// FormTime is the time that a group takes to open once its last missing rank is back, or 0 if
