Who is refused for a broken group is told when it is likely to be back

Cause: the hint was the time that decides about waiting, by which an outage is as likely as not to have ended.

Now it is the time by which all earlier outages of the group had ended; without a precedent the caller comes back late in the time that it heeds, as where nothing is known of servers or configuration.

Evidence: the new spec failed before (2.4 s instead of 2.6 s after outages of 4.5 and 4.7 s).

--- a/internal/deadline/deadline_test.go
+++ b/internal/deadline/deadline_test.go
@@ -77,20 +77,24 @@
 	g := NewWithT(t)
 	const form = 600 * time.Millisecond
 	var o Outages
-	g.Expect(o.Remaining(0, 0)).To(Equal(Unknown))
-	g.Expect(o.Remaining(time.Second, 0)).To(Equal(Unknown), "that it has lasted says nothing of a recovery")
-	g.Expect(o.Remaining(100*time.Millisecond, form)).To(Equal(form))
-	g.Expect(o.Remaining(time.Minute, form)).To(Equal(time.Minute), "one that lacks something for good makes nobody wait")
+	expect := func(lasted, recovery, expected, latest time.Duration, why string) {
+		gotExpected, gotLatest := o.Remaining(lasted, recovery)
+		g.Expect([]time.Duration{gotExpected, gotLatest}).To(Equal([]time.Duration{expected, latest}), why)
+	}
+	expect(0, 0, Unknown, Unknown, "nothing known")
+	expect(time.Second, 0, Unknown, Unknown, "that it has lasted says nothing of a recovery")
+	expect(100*time.Millisecond, form, form, Unknown, "no precedent")
+	expect(time.Minute, form, time.Minute, Unknown, "one that lacks something for good makes nobody wait")
 	for _, s := range []int{5, 3, 9} {
 		o.Record(time.Duration(s) * time.Second)
 	}
-	g.Expect(o.Remaining(time.Second, form)).To(Equal(4*time.Second), "3, 5 and 9 s")
-	g.Expect(o.Remaining(4500*time.Millisecond, form)).To(Equal(500*time.Millisecond), "5 and 9 s")
-	g.Expect(o.Remaining(8*time.Second, form)).To(Equal(time.Second), "9 s")
-	g.Expect(o.Remaining(10*time.Second, form)).To(Equal(10 * time.Second))
+	expect(time.Second, form, 4*time.Second, 8*time.Second, "3, 5 and 9 s")
+	expect(4500*time.Millisecond, form, 500*time.Millisecond, 4500*time.Millisecond, "5 and 9 s")
+	expect(8*time.Second, form, time.Second, time.Second, "9 s")
+	expect(10*time.Second, form, 10*time.Second, Unknown, "no precedent")
 	for range 2 * maxOutages {
 		o.Record(time.Second)
 	}
 	g.Expect(o.lengths).To(HaveLen(maxOutages))
-	g.Expect(o.Remaining(2*time.Second, 0)).To(Equal(Unknown), "old outages are forgotten")
+	expect(2*time.Second, 0, Unknown, Unknown, "old outages are forgotten")
 }
--- a/internal/deadline/outages.go
+++ b/internal/deadline/outages.go
@@ -27,9 +27,10 @@
 }
 
 // Remaining returns how much longer an outage is expected to last that has lasted for a time: until half
-// of the earlier ones that lasted longer than it had ended. If none did, as long again as it has lasted,
-// and at least for the time that a recovery takes; Unknown if that isn't known either.
-func (o *Outages) Remaining(lasted, recovery time.Duration) time.Duration {
+// of the earlier ones that lasted longer than it had ended, and at the latest until all of them had. If none did,
+// it is expected for as long again as it has lasted, and at least for the time that a recovery takes; Unknown if
+// that isn't known either. The latest end is Unknown then.
+func (o *Outages) Remaining(lasted, recovery time.Duration) (expected, latest time.Duration) {
 	var longer []time.Duration
 	for _, length := range o.lengths {
 		if length > lasted {
@@ -39,10 +40,10 @@
 	switch {
 	case len(longer) > 0:
 		slices.Sort(longer)
-		return longer[(len(longer)-1)/2] - lasted
+		return longer[(len(longer)-1)/2] - lasted, longer[len(longer)-1] - lasted
 	case recovery > 0:
-		return max(lasted, recovery)
+		return max(lasted, recovery), Unknown
 	default:
-		return Unknown
+		return Unknown, Unknown
 	}
 }
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -26,7 +26,8 @@
 type prospect struct {
 	choice Choice
 	// wait is the time until it can begin at the chosen server, or deadline.Unknown.
-	wait time.Duration
+	// latest is the time by which it almost certainly can, or deadline.Unknown.
+	wait, latest time.Duration
 	// queuesAtServer is set if the request waits in the server's queue, where it takes a free slot at once.
 	queuesAtServer bool
 	// refusal is the failure of a request that is refused.
@@ -80,7 +81,7 @@
 func (p *Pipeline) findServer(x *exchange) prospect {
 	choice, broken := p.chooseCandidate(x)
 	if broken != nil {
-		return prospect{wait: p.groupRecovery(x, broken), refusal: brokenGroupFailure(broken)}
+		return p.awaitGroup(x, broken)
 	}
 	if choice.Server == nil {
 		x.choice.Excluded, x.choice.Limited, x.choice.Full = choice.Excluded, choice.Limited, choice.Full
@@ -121,6 +122,7 @@
 	} else if excess := inUse + ahead - limit*slots; excess >= 0 {
 		found.wait = p.awaitFreeSlot(x, (excess+1)/slots, held, now)
 	}
+	found.latest = found.wait
 	found.refusal = failure.NotRun(failure.StepQueue, x.Service, failure.CodeOverloaded,
 		fmt.Sprintf("server utilization is %.2f, limit %.2f, customer over its share: %t", choice.Utilization, limit, overShare))
 	return found
--- a/internal/dispatch/exclusion.go
+++ b/internal/dispatch/exclusion.go
@@ -84,7 +84,7 @@
 // one is.
 func (p *Pipeline) retryAfterAttempt(x *exchange, server *fleet.Server) time.Duration {
 	if _, broken := p.balancer.openServers([]*fleet.Server{server}, p.now()); broken != nil {
-		return p.retryAfterWait(x, prospect{wait: p.groupRecovery(x, broken)})
+		return p.retryAfterWait(x, p.awaitGroup(x, broken))
 	}
 	if retryAfter, _ := p.earliestRetryAfter(x); retryAfter > 0 {
 		return retryAfter
--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -46,27 +46,25 @@
 }
 
 // retryAfterWait returns the retry hint of a request with a prospect that its caller's time doesn't suffice for: when it
-// can begin, behind those that were told before.
+// almost certainly can begin, behind those that were told before. Who comes back too early loses one of few tries.
 func (p *Pipeline) retryAfterWait(x *exchange, found prospect) time.Duration {
 	now := p.now()
-	if found.wait == deadline.Unknown {
+	if found.latest == deadline.Unknown {
 		return p.retryAfterUnknown(x.Deadline.Sub(now))
 	}
 	slots, allFree := found.choice.Slots, found.choice.Server == nil
 	if allFree { // a group that recovers is empty
 		slots = p.slots(x)
 	}
-	return p.balancer.nextTurn(x.Service, slots, found.wait, x.heeded(now), allFree, now)
+	return p.balancer.nextTurn(x.Service, slots, found.latest, x.heeded(now), allFree, now)
 }
 
-// retryAfterUnknown returns the retry hint of a request of which nobody knows when it can be served: callers are
-// spread over the time that they heed. left is the time that the caller has, or 0 if unknown.
+// retryAfterUnknown returns the retry hint of a request of which nobody knows when it can be served: late in the time
+// that the caller heeds, since it tries a few times only, and spread. left is the time that the caller has, or 0 if
+// unknown.
 func (p *Pipeline) retryAfterUnknown(left time.Duration) time.Duration {
-	heeded := left / retryAfterDivisor
-	if heeded <= LeavingRetryAfter {
-		return max(heeded, 0)
-	}
-	return LeavingRetryAfter + p.randomDuration(heeded-LeavingRetryAfter)
+	half := max(left/retryAfterDivisor/2, 0)
+	return half + p.randomDuration(half)
 }
 
 // retryAfterElsewhere returns the retry hint of a request that another process may serve at once.
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -12,12 +12,12 @@
 		"the group has been broken for "+broken.duration.Round(time.Millisecond).String())
 }
 
-// groupRecovery returns how much longer a broken group is expected to run no requests, or
-// deadline.Unknown.
-func (p *Pipeline) groupRecovery(x *exchange, broken *brokenGroup) time.Duration {
+// awaitGroup determines when a broken group is expected to run requests again.
+func (p *Pipeline) awaitGroup(x *exchange, broken *brokenGroup) prospect {
 	formTime := time.Duration(0)
 	if x.engine != nil {
 		formTime = x.engine.FormTime
 	}
-	return p.balancer.groupRecovery(broken, p.fleet.Servers().OfService(x.Service), formTime, p.now())
+	expected, latest := p.balancer.groupRecovery(broken, p.fleet.Servers().OfService(x.Service), formTime, p.now())
+	return prospect{wait: expected, latest: latest, refusal: brokenGroupFailure(broken)}
 }
--- a/internal/dispatch/group_test.go
+++ b/internal/dispatch/group_test.go
@@ -51,6 +51,7 @@
 	lastedBefore := func(b *fixture, length time.Duration) {
 		rank := *b.fleet.Servers().ByID("r0").Rank
 		began := b.now.Add(-time.Minute)
+		b.balancer.group("g").reportedAt, b.balancer.group("g").epoch = time.Time{}, 0
 		rank.Epoch, rank.Open = 0, false
 		b.balancer.UpdateGroup(rank, began)
 		rank.Epoch, rank.Open = 1, true
@@ -111,6 +112,26 @@
 		Expect(b.backend.attempts).To(BeEmpty())
 	})
 
+	It("tells callers that it can't serve to come back once it is likely to be back, since they try a few times only", func() {
+		for _, c := range []struct {
+			outages         []time.Duration
+			atLeast, atMost time.Duration
+		}{
+			{nil, 8 * time.Second / 6, 8 * time.Second / 3},
+			{[]time.Duration{4500 * time.Millisecond, 4700 * time.Millisecond}, 2600 * time.Millisecond, 2600 * time.Millisecond},
+		} {
+			b := newFixture()
+			b.fleet.config.Service("model").Engine = &fleet.EngineModel{FormTime: 300 * time.Millisecond}
+			for _, length := range c.outages {
+				lastedBefore(b, length)
+			}
+			breakGroup(b)
+			b.now = b.now.Add(2100 * time.Millisecond) // expected for as long again, or for 2.4 s: too long for a stream
+			hint := serveWhileBroken(b, 8*time.Second).Failure.RetryAfter
+			Expect(hint).To(SatisfyAll(BeNumerically(">=", c.atLeast), BeNumerically("<=", c.atMost)))
+		}
+	})
+
 	It("is expected back when its engines form it, once the lost rank is", func() {
 		b := newFixture(respondsSigned(http.StatusOK, "id: 1\ndata: a\n\n"))
 		b.fleet.config.Service("model").Engine = &fleet.EngineModel{FormTime: 300 * time.Millisecond}
--- a/internal/dispatch/groupstate.go
+++ b/internal/dispatch/groupstate.go
@@ -131,10 +131,10 @@
 	return now.Sub(g.brokenAt), true
 }
 
-// groupRecovery returns how much longer a broken group is expected to run no requests, or
+// groupRecovery returns how much longer a broken group is expected to run no requests, and at the latest, or
 // deadline.Unknown. servers are all of its service; formTime is how long its engines take to open a
 // group that is complete, or 0 if unknown.
-func (b *Balancer) groupRecovery(broken *brokenGroup, servers []*fleet.Server, formTime time.Duration, now time.Time) time.Duration {
+func (b *Balancer) groupRecovery(broken *brokenGroup, servers []*fleet.Server, formTime time.Duration, now time.Time) (expected, latest time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	g := b.group(broken.group)
@@ -146,9 +146,9 @@
 	}
 	forming := now.Sub(g.returnedAt)
 	if forming < formTime {
-		return formTime - forming
+		return formTime - forming, formTime - forming
 	}
-	return max(forming-formTime, waitPollInterval) // late: as long again as it is late
+	return max(forming-formTime, waitPollInterval), deadline.Unknown // late: as long again as it is late
 }
 
 // isComplete reports whether all ranks of a broken group are registered, a new incarnation of a lost one
--- a/internal/dispatch/hint_test.go
+++ b/internal/dispatch/hint_test.go
@@ -49,7 +49,7 @@
 				b.balancer.random = func(n int) int { return n * draw / 10 }
 				f := serve(b, "once", left)
 				Expect(f.Code).To(Equal(failure.CodeNoServer))
-				Expect(f.RetryAfter).To(SatisfyAll(BeNumerically(">", 0), BeNumerically("<=", left/retryAfterDivisor)))
+				Expect(f.RetryAfter).To(SatisfyAll(BeNumerically(">=", left/retryAfterDivisor/2), BeNumerically("<=", left/retryAfterDivisor)))
 				hints[f.RetryAfter] = true
 			}
 			Expect(len(hints)).To(BeNumerically(">=", 5), "callers are spread")
