A request isn't overtaken by one that comes later and has more time

Callers could see: a request that waited for a slot lost it to one that came just when it got free, though that one had more time left.

Cause: its place got the end of its caller's time only when it joined the line, so a request that had just come counted nobody before it.

With it: what attempts take is looked up once a wait, not at each look; a retry that was acquired for an attempt that isn't made goes back; a hint for callers without a deadline where nothing is known; slot times of services that are gone are dropped.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -43,7 +43,7 @@
 
 const (
 	// retryHint is the Retry-After hint when this server or another can probably accept the
-	// request soon.
+	// request soon: the shortest time that callers can be told, in whole seconds.
 	retryHint = time.Second
 	// maxKeys and maxKeyBytes bound the table of idempotency keys.
 	maxKeys     = 200000
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -40,8 +40,9 @@
 	if x.Homes != nil {
 		return p.nextHome(x)
 	}
-	x.place = &place{priorityGap: x.priorityGap}
-	x.slotWaitSince = time.Time{}
+	budget := x.budgetAt(p.now())
+	x.place = &place{priorityGap: x.priorityGap, until: p.now().Add(min(budget.First, budget.Whole))}
+	x.slotWaitSince, x.forecast = time.Time{}, deadline.Forecast{}
 	defer p.balancer.leaveLine(x.Service, x.place)
 	for {
 		found := p.findServer(x)
@@ -61,7 +62,7 @@
 		case deadline.Begin:
 			return p.begin(x, found.choice), nil
 		}
-		p.balancer.joinLine(x.Service, x.place, p.now().Add(min(x.budget.First, x.budget.Whole)))
+		p.balancer.joinLine(x.Service, x.place)
 		if !p.awaitChange(ctx, x) {
 			return nil, failure.NotRun(failure.StepQueue, x.Service, failure.CodeCanceled, "canceled while waiting")
 		}
--- a/internal/dispatch/balancer.go
+++ b/internal/dispatch/balancer.go
@@ -178,7 +178,7 @@
 const reportRetention = 10 * time.Minute
 
 // Prune drops unregistered servers without requests in progress once reportRetention has
-// passed, and groups without registered ranks.
+// passed, groups without registered ranks, what is known of services without servers, and past turns.
 func (b *Balancer) Prune(servers *fleet.Servers, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -190,6 +190,8 @@
 	}
 	maps.DeleteFunc(b.groups, func(group string, _ *groupState) bool { return !registered[group] })
 	maps.DeleteFunc(b.lastEventAt, func(group string, _ time.Time) bool { return !registered[group] })
+	maps.DeleteFunc(b.slotTimes, func(service string, _ time.Duration) bool { return len(servers.OfService(service)) == 0 })
+	maps.DeleteFunc(b.turns, func(_ string, next time.Time) bool { return next.Before(now) })
 	b.limits.Prune(func(key string) bool { return servers.ByKey(key) != nil }, now)
 	for key, s := range b.states {
 		if servers.ByKey(key) == nil && s.inFlight == 0 && now.Sub(s.report.ReportedAt()) > reportRetention {
--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -31,12 +31,16 @@
 	if x.engine != nil {
 		f.Least = x.engine.ReadTime(x.request.PromptTokens)
 	}
-	if untilBegin > 0 {
+	if untilBegin <= 0 {
+		return budget.Decide(f)
+	}
+	f.First, f.Whole = x.forecast.First, x.forecast.Whole
+	if x.forecast.Wait == 0 { // not looked up yet
 		f.First, _ = p.firstBytes.Completed(x.route.Name, now)
 		_, f.Whole = p.responses.Completed(x.route.Name, now)
 		f.First, f.Whole = max(f.First, f.Least), max(f.Whole, f.Least)
-		x.forecast, x.budget = f, budget
 	}
+	x.forecast, x.budget = f, budget
 	return budget.Decide(f)
 }
 
@@ -63,7 +67,10 @@
 // that the caller heeds, since it tries a few times only, and spread. left is the time that the caller has, or 0 if
 // unknown.
 func (p *Pipeline) retryAfterUnknown(left time.Duration) time.Duration {
-	half := max(left/retryAfterDivisor/2, 0)
+	if left <= 0 {
+		return p.retryAfterElsewhere()
+	}
+	half := left / retryAfterDivisor / 2
 	return half + p.randomDuration(half)
 }
 
--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -8,7 +8,7 @@
 	// if its customer exceeds its share.
 	priorityGap int
 	overShare   bool
-	// until is when the caller's time ends, as of the time at which it joined.
+	// until is when the caller's time ends.
 	until time.Time
 }
 
@@ -25,11 +25,10 @@
 	}
 }
 
-// joinLine adds a request that waits until a time at most to the line for a service. It may be called again.
-func (b *Balancer) joinLine(service string, p *place, until time.Time) {
+// joinLine adds a request to the line for a service. It may be called again.
+func (b *Balancer) joinLine(service string, p *place) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p.until = until
 	if b.lines[service] == nil {
 		b.lines[service] = map[*place]bool{}
 	}
--- a/internal/dispatch/pipeline.go
+++ b/internal/dispatch/pipeline.go
@@ -119,7 +119,7 @@
 	forecast deadline.Forecast
 	budget   deadline.Budget
 	waited   time.Duration
-	// place is its place in the line of waiting requests; slotWaitSince is when it began to wait for a slot that isn't
+	// place is its place among the waiting requests; slotWaitSince is when it began to wait for a slot that isn't
 	// left to others, or zero.
 	place         *place
 	slotWaitSince time.Time
@@ -324,8 +324,8 @@
 // breaks, none of its streams can resume, and they must not use up the budget of other
 // requests.
 func (p *Pipeline) releaseRetry(x *exchange) {
-	if x.retryTokenUnused {
-		x.retryTokenUnused = false
+	if x.retryTokenUnused || x.hasRetryToken {
+		x.retryTokenUnused, x.hasRetryToken = false, false
 		p.chooser.ReleaseRetry(x.Service, x.request.Customer, p.now())
 	}
 }
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -102,7 +102,7 @@
 // addForecastFields adds how long a request that could not begin at once has waited, for how much longer it was
 // last expected to (-1 if nothing was known), what the work was expected to take, and the time that its caller had then.
 func (x *exchange) addForecastFields(fields logrus.Fields) {
-	if x.forecast.Wait <= 0 {
+	if x.forecast.Wait <= 0 && x.waited <= 0 {
 		return
 	}
 	expected := int64(-1)
