The line of waiting requests is guarded where a place changes

Fault: the request wrote whether its customer exceeds its share into its place while others that wait read it: a data race, with no visible effect so far since the write is of one flag. The new spec, 40 requests that wait at once, failed under the race detector before (admission.go and line.go), and shows that they are all served when slots get free. A first form with 12 requests didn't show it.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -108,9 +108,8 @@
 	}
 	now := p.now()
 	overShare := p.balancer.requestSlot(x.Service, x.request.Customer, now)
-	x.place.overShare = overShare
 	limit := utilizationLimit(x, choice, overShare)
-	ahead := float64(p.balancer.countAhead(x.Service, x.place))
+	ahead := float64(p.balancer.countAhead(x.Service, x.place, overShare))
 	held := p.balancer.slotTime(x.Service)
 	slots, inUse := float64(choice.Slots), choice.Utilization*float64(choice.Slots)
 	found := prospect{choice: choice, queuesAtServer: math.IsInf(limit, 1)}
--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -194,6 +194,31 @@
 		requests.Wait()
 	})
 
+	It("may be one of many that wait at once", func() {
+		const requests = 40
+		var replies []reply
+		for range requests {
+			replies = append(replies, served())
+		}
+		b := newBusyFixture("stream", 0, replies...)
+		b.fleet.setServers(ranks(8)...)
+		b.prioritize(1)
+		b.setLoad(12)
+		var all sync.WaitGroup
+		for range requests {
+			all.Go(func() {
+				defer GinkgoRecover()
+				Expect(b.pipeline.Serve(context.Background(), b.request("stream", 8*time.Second), &responseRecorder{}).Failure).To(BeNil())
+			})
+		}
+		Eventually(b.waiting, 5*time.Second).Should(BeNumerically(">", requests/3))
+		for _, load := range []int{9, 0} {
+			time.Sleep(2 * waitPollInterval)
+			b.setLoad(load)
+		}
+		all.Wait()
+	})
+
 	It("isn't kept waiting for as long as its caller waits when no slot gets free", func() {
 		b := newBusyFixture("stream", 0)
 		b.prioritize(1)
--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// place is the place of a waiting request in the line for a service.
+// place is the place of a waiting request in the line for a service. The balancer's mu guards it once it is there.
 type place struct {
 	// priorityGap is how much less urgent the request is than the most urgent of its service; overShare is set
 	// if its customer exceeds its share.
@@ -45,10 +45,12 @@
 	}
 }
 
-// countAhead returns how many requests in the line for a service are served before a request.
-func (b *Balancer) countAhead(service string, p *place) int {
+// countAhead returns how many requests in the line for a service are served before a request, whose customer may
+// have come to exceed its share.
+func (b *Balancer) countAhead(service string, p *place, overShare bool) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	p.overShare = overShare
 	n := 0
 	for other := range b.lines[service] {
 		if other != p && other.before(p) {
